--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/DemoPresets.java
@@ -0,0 +1,46 @@
+package org.cornelway.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelway.config.AdapterRule;
+import org.cornelway.config.Json;
+import org.cornelway.config.ModelRule;
+import org.cornelway.config.Preset;
+import org.cornelway.config.ServiceRule;
+
+/** Presets for the demonstration and the tests. Stateless and thread-safe. */
+public final class DemoPresets {
+    /** Memory of each demonstration model, in bytes. */
+    public static final long MODEL_BYTES = 16L << 30;
+
+    private static final long ADAPTER_BYTES = 256L << 20;
+
+    private DemoPresets() {}
+
+    /**
+     * A preset of models {@code model-0} and so on.
+     *
+     * @param models number of models
+     * @param warm warm replicas of the first model
+     * @param limit limit of each model
+     */
+    public static Preset preset(String name, int models, int warm, int limit) {
+        List<ModelRule> rules = new ArrayList<>();
+        for (int i = 0; i < models; i++) {
+            rules.add(new ModelRule("model-" + i, MODEL_BYTES, i == 0 ? warm : 0, limit));
+        }
+        return new Preset(
+                name,
+                rules,
+                List.of(new AdapterRule("model-0", ADAPTER_BYTES, List.of("tuned-0"))),
+                List.of(new ServiceRule(ProcessFleet.SERVICE, List.of("POST /search"))),
+                List.of(),
+                600_000,
+                0.5);
+    }
+
+    /** A preset as JSON. */
+    public static String json(Preset preset) {
+        return new String(Json.write(preset), java.nio.charset.StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/DemoProgram.java
@@ -0,0 +1,83 @@
+package org.cornelway.bench;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/** Shows the whole path: a cold model's streamed answer and one booking. */
+public final class DemoProgram {
+    private static final String COMPLETION =
+            "{\"model\":\"model-1\",\"prompt\":\"drift of case 14\",\"max_tokens\":8,"
+                    + "\"stream\":true}";
+
+    private DemoProgram() {}
+
+    /** Runs the demonstration; {@code --once} stops all processes at its end. */
+    public static void main(String[] arguments) {
+        boolean once = List.of(arguments).contains("--once");
+        Path root = Path.of(System.getProperty("cornelway.root", ".")).toAbsolutePath();
+        ProcessFleet fleet = new ProcessFleet(root, FleetShape.small());
+        Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
+        System.out.println("starting stand-ins, 2 entries and 5 agents; logs in " + fleet.logs());
+        fleet.startAll();
+        fleet.putInForce("ordinary", DemoPresets.json(DemoPresets.preset("ordinary", 4, 1, 2)));
+        System.out.println("preset 'ordinary' is in force");
+        ProcessFleet.await("entry 1", () -> fleet.http().isOk(fleet.entryPort(1), "/readyz"));
+        boolean complete = complete(fleet);
+        boolean booked = book(fleet);
+        if (once) {
+            System.exit(complete && booked ? 0 : 1);
+        }
+        printCommands(fleet);
+        awaitInterrupt();
+    }
+
+    private static boolean complete(ProcessFleet fleet) {
+        System.out.println("asking cold model-1 for a streamed answer at entry 1:");
+        LoopbackHttp.Reply reply =
+                fleet.http().call("POST", fleet.entryPort(1), "/v1/completions", COMPLETION);
+        System.out.println(reply.body().trim());
+        long events = reply.body().lines().filter(line -> line.startsWith("data: {")).count();
+        boolean whole = events == 8 && reply.body().contains("[DONE]");
+        System.out.println(whole ? "whole answer of 8 tokens" : "ANSWER IS NOT WHOLE");
+        return whole;
+    }
+
+    private static boolean book(ProcessFleet fleet) {
+        String path = "/services/" + ProcessFleet.SERVICE + "/bookings";
+        LoopbackHttp.Header key = new LoopbackHttp.Header("Idempotency-Key", "demo-1");
+        LoopbackHttp.Reply first =
+                fleet.http().call("POST", fleet.entryPort(0), path, "\"crew-7\"", key);
+        LoopbackHttp.Reply second =
+                fleet.http().call("POST", fleet.entryPort(1), path, "\"crew-7\"", key);
+        System.out.println("booking, status " + first.status() + ": " + first.body());
+        System.out.println("same key again, status " + second.status() + ": " + second.body());
+        boolean once = first.body().contains("\"runs\":1") && first.body().equals(second.body());
+        System.out.println(once ? "the booking ran once" : "BOOKING DID NOT RUN ONCE");
+        return once;
+    }
+
+    private static void printCommands(ProcessFleet fleet) {
+        String flags =
+                " --entry 127.0.0.1:"
+                        + fleet.entryPort(0)
+                        + " --operator-token "
+                        + ProcessFleet.TOKEN;
+        System.out.println("running; try, and end with Ctrl-C:");
+        System.out.println("  target/cornelway status" + flags);
+        System.out.println("  target/cornelway preset history" + flags);
+        System.out.println(
+                "  curl -N -H 'Content-Type: application/json' -d '"
+                        + COMPLETION
+                        + "' http://127.0.0.1:"
+                        + fleet.entryPort(0)
+                        + "/v1/completions");
+    }
+
+    private static void awaitInterrupt() {
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
@@ -0,0 +1,89 @@
+package org.cornelway.bench;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import org.cornelway.standin.StandinProgram;
+
+/** Finds and lays out the loopback ports of a fleet. Immutable. */
+final class FleetPorts {
+    private static final int FIRST_BASE = 20_000;
+    private static final int LAST_BASE = 30_000;
+    private static final int STEP = 100;
+
+    private final int mBase;
+    private final FleetShape mShape;
+
+    private FleetPorts(int base, FleetShape shape) {
+        mBase = base;
+        mShape = shape;
+    }
+
+    static FleetPorts find(FleetShape shape) {
+        int count = size(shape);
+        for (int base = FIRST_BASE; base < LAST_BASE; base += STEP) {
+            if (areFree(base, count)) {
+                return new FleetPorts(base, shape);
+            }
+        }
+        throw new IllegalStateException("no " + count + " free ports in a row");
+    }
+
+    private static int size(FleetShape shape) {
+        int servers = shape.engines() + shape.plain();
+        return StandinProgram.PLATFORM_PORTS + servers + 2 * (servers + shape.entries());
+    }
+
+    private static boolean areFree(int base, int count) {
+        for (int port = base; port < base + count; port++) {
+            try (ServerSocket probe =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                probe.setReuseAddress(true);
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int keyValueService() {
+        return mBase;
+    }
+
+    int instanceList() {
+        return mBase + 1;
+    }
+
+    int weightStore() {
+        return mBase + 2;
+    }
+
+    int backendServer(int index) {
+        return mBase + StandinProgram.PLATFORM_PORTS + index;
+    }
+
+    int agentRpc(int index) {
+        return roles() + 2 * index;
+    }
+
+    int agentHttp(int index) {
+        return agentRpc(index) + 1;
+    }
+
+    int entryRpc(int index) {
+        return roles() + 2 * (mShape.engines() + mShape.plain() + index);
+    }
+
+    int entryHttp(int index) {
+        return entryRpc(index) + 1;
+    }
+
+    private int roles() {
+        return mBase + StandinProgram.PLATFORM_PORTS + mShape.engines() + mShape.plain();
+    }
+
+    static RuntimeException unchecked(IOException e) {
+        return new UncheckedIOException(e);
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/AgentCommand.java
@@ -0,0 +1,111 @@
+package org.cornelway.pgm;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.cornelway.intent.IntentSettings;
+import org.cornelway.role.AgentRole;
+import org.cornelway.role.AgentSettings;
+import org.cornelway.role.CommonSettings;
+
+/** Runs an agent. */
+@Parameters(commandDescription = "Runs an agent beside one backend server")
+final class AgentCommand implements Command {
+    @ParametersDelegate private final CommonFlags mCommon = new CommonFlags();
+
+    @Parameter(names = "--kind", description = "Kind of the backend server, model or plain")
+    private String mKind = "model";
+
+    @Parameter(names = "--service", description = "Name of the plain service; with --kind plain")
+    private String mService = "";
+
+    @Parameter(names = "--backend-server", description = "Address of the backend server, host:port")
+    private String mBackendServer = "127.0.0.1:8000";
+
+    @Parameter(names = "--concurrency", description = "Requests that run at once, 1 to 10000")
+    private String mConcurrency = "32";
+
+    @Parameter(names = "--max-waiting", description = "Requests that wait, 1 to 100000")
+    private String mMaxWaiting = "512";
+
+    @Parameter(
+            names = "--order-timeout-ms",
+            description = "Time after which an engine order is unsettled (ms), 100 to 3600000")
+    private String mOrderTimeout = "120000";
+
+    @Parameter(
+            names = "--call-timeout-ms",
+            description = "Time after which a plain call's outcome is unknown (ms), 10 to 3600000")
+    private String mCallTimeout = "30000";
+
+    @Parameter(
+            names = "--engine-checks-fencing",
+            description = "Whether the engine refuses old fencing numbers; true or false")
+    private String mEngineChecksFencing = "false";
+
+    @Parameter(
+            names = "--urgent-ms",
+            description =
+                    "Time before its deadline from which deferred work is urgent (ms),"
+                            + " 0 to 86400000")
+    private String mUrgent = "60000";
+
+    @Parameter(
+            names = "--intent-shards",
+            description = "Shards of the intent log, the same in all processes, 1 to 1024")
+    private String mIntentShards = "16";
+
+    @Parameter(
+            names = "--intent-write-ms",
+            description = "Least time between two writes of a shard (ms), 0 to 10000")
+    private String mIntentWrite = "50";
+
+    @Parameter(
+            names = "--intent-retain-ms",
+            description = "Time for which an idempotency key is remembered (ms), 1000 to 604800000")
+    private String mIntentRetain = "7200000";
+
+    @Parameter(
+            names = "--intent-body-bytes",
+            description = "Largest answer kept for a repeated key (bytes), 0 to 32768")
+    private String mIntentBody = "4096";
+
+    @Override
+    public String name() {
+        return "agent";
+    }
+
+    @Override
+    public int run() {
+        SettingsChecker checker = new SettingsChecker();
+        CommonSettings common = mCommon.check(checker);
+        String kind = checker.text("--kind", mKind, "model|plain", "model or plain");
+        String service = kind.equals("plain") ? "[A-Za-z0-9._-]{1,64}" : "";
+        String range = kind.equals("plain") ? "a service's name" : "empty for a model engine";
+        AgentSettings settings =
+                new AgentSettings(
+                        common,
+                        kind,
+                        checker.text("--service", mService, service, range),
+                        checker.endpoint("--backend-server", mBackendServer),
+                        checker.integer("--concurrency", mConcurrency, 1, 10_000),
+                        checker.integer("--max-waiting", mMaxWaiting, 1, 100_000),
+                        checker.number("--order-timeout-ms", mOrderTimeout, 100, 3_600_000),
+                        checker.number("--call-timeout-ms", mCallTimeout, 10, 3_600_000),
+                        checker.flag("--engine-checks-fencing", mEngineChecksFencing),
+                        checker.number("--urgent-ms", mUrgent, 0, 86_400_000),
+                        intents(checker));
+        if (checker.hasFaults()) {
+            return EXIT_USAGE;
+        }
+        return RoleRunner.run(new AgentRole(settings), common.drainMillis());
+    }
+
+    private IntentSettings intents(SettingsChecker checker) {
+        return new IntentSettings(
+                checker.integer("--intent-shards", mIntentShards, 1, 1_024),
+                checker.number("--intent-write-ms", mIntentWrite, 0, 10_000),
+                checker.number("--intent-retain-ms", mIntentRetain, 1_000, 604_800_000),
+                checker.integer("--intent-body-bytes", mIntentBody, 0, 32_768));
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/ClientFlags.java
@@ -0,0 +1,57 @@
+package org.cornelway.pgm;
+
+import com.beust.jcommander.Parameter;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+import org.cornelway.admin.AdminClient;
+import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.internal.platform.HttpReply;
+
+/** Flags of commands that call the administration API. */
+final class ClientFlags {
+    @Parameter(names = "--help", help = true, description = "Shows all settings")
+    private boolean mHelp;
+
+    @Parameter(names = "--entry", description = "Address of an entry, host:port")
+    private String mEntry = "127.0.0.1:8080";
+
+    @Parameter(names = "--operator-token", description = "Operator's token; required")
+    private String mToken = "";
+
+    @Parameter(names = "--author", description = "Who makes the change, for the audit trail")
+    private String mAuthor = System.getProperty("user.name", "unnamed");
+
+    /** Makes one call and handles its reply; returns the exit status. */
+    int call(String method, String path, byte[] body, Function<HttpReply, Integer> handler) {
+        SettingsChecker checker = new SettingsChecker();
+        HttpEndpoint entry = checker.endpoint("--entry", mEntry);
+        checker.secret("--operator-token", mToken);
+        Logging.configure("text", "error");
+        if (checker.hasFaults()) {
+            return Command.EXIT_USAGE;
+        }
+        Vertx vertx = Vertx.vertx();
+        try {
+            AdminClient client = new AdminClient(vertx, entry, mToken, mAuthor);
+            return handler.apply(client.send(method, path, body).blockingGet());
+        } catch (RuntimeException e) {
+            Throwable cause = e.getCause() == null ? e : e.getCause();
+            System.err.println("entry " + entry + ": " + cause.getMessage());
+            return Command.EXIT_FAILED;
+        } finally {
+            vertx.close();
+        }
+    }
+
+    /** Prints a reply: to standard output on success, else to standard error. */
+    static int print(HttpReply reply) {
+        String text = new String(reply.body(), StandardCharsets.UTF_8);
+        if (reply.isSuccess()) {
+            System.out.println(PrettyJson.of(text));
+            return Command.EXIT_OK;
+        }
+        System.err.println(PrettyJson.of(text));
+        return Command.EXIT_FAILED;
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/HelpCommand.java
@@ -0,0 +1,29 @@
+package org.cornelway.pgm;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.Map;
+
+/** Prints the help text or the page of settings. */
+@Parameters(commandDescription = "Prints this help")
+final class HelpCommand implements Command {
+    @Parameter(names = "--settings-page", description = "Prints the page of all settings instead")
+    private boolean mSettingsPage;
+
+    @Override
+    public String name() {
+        return "help";
+    }
+
+    @Override
+    public int run() {
+        JCommander parser = Main.parser(Main.commands(), Map.of());
+        if (mSettingsPage) {
+            System.out.print(SettingsPage.of(parser));
+        } else {
+            parser.usage();
+        }
+        return EXIT_OK;
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/PresetCommands.java
@@ -0,0 +1,271 @@
+package org.cornelway.pgm;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cornelway.config.Json;
+import org.cornelway.config.Preset;
+import org.cornelway.config.PresetDifference;
+import org.cornelway.config.StoredPreset;
+import org.cornelway.internal.platform.HttpReply;
+import org.cornelway.result.Result;
+
+/** The commands about presets. */
+final class PresetCommands {
+    private static final byte[] NO_BODY = new byte[0];
+
+    private PresetCommands() {}
+
+    /** Lists the stored presets. */
+    @Parameters(commandDescription = "Lists the stored presets")
+    static final class ListPresets implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Override
+        public String name() {
+            return "preset list";
+        }
+
+        @Override
+        public int run() {
+            return mClient.call("GET", "/presets", NO_BODY, ListPresets::names);
+        }
+
+        private static int names(HttpReply reply) {
+            if (!reply.isSuccess()) {
+                return ClientFlags.print(reply);
+            }
+            for (JsonNode stored : read(reply)) {
+                String name = stored.path("preset").path("name").asText();
+                System.out.println(name + " version " + stored.path("version").asLong());
+            }
+            return EXIT_OK;
+        }
+    }
+
+    /** Shows a stored preset. */
+    @Parameters(commandDescription = "Shows a stored preset")
+    static final class Show implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Parameter(description = "The preset's name", required = true)
+        private String mName;
+
+        @Override
+        public String name() {
+            return "preset show";
+        }
+
+        @Override
+        public int run() {
+            return mClient.call("GET", "/presets/" + mName, NO_BODY, ClientFlags::print);
+        }
+    }
+
+    /** Stores a preset. */
+    @Parameters(commandDescription = "Stores a preset from a file")
+    static final class Put implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Parameter(description = "The preset's file", required = true)
+        private String mFile;
+
+        @Override
+        public String name() {
+            return "preset put";
+        }
+
+        @Override
+        public int run() {
+            Optional<byte[]> file = file(mFile);
+            Optional<Preset> preset =
+                    file.map(Json::readPreset).flatMap(PresetCommands::presetOrTell);
+            if (preset.isEmpty()) {
+                return EXIT_USAGE;
+            }
+            return mClient.call(
+                    "PUT", "/presets/" + preset.get().name(), file.get(), ClientFlags::print);
+        }
+    }
+
+    /** Checks a preset without storing it. */
+    @Parameters(commandDescription = "Checks a preset's file and tells all faults")
+    static final class Validate implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Parameter(description = "The preset's file", required = true)
+        private String mFile;
+
+        @Override
+        public String name() {
+            return "preset validate";
+        }
+
+        @Override
+        public int run() {
+            Optional<byte[]> file = file(mFile);
+            if (file.isEmpty()) {
+                return EXIT_USAGE;
+            }
+            return mClient.call("POST", "/validate", file.get(), Validate::faults);
+        }
+
+        private static int faults(HttpReply reply) {
+            if (!reply.isSuccess()) {
+                return ClientFlags.print(reply);
+            }
+            JsonNode validation = read(reply);
+            validation.path("faults").forEach(fault -> System.out.println(fault.asText()));
+            boolean valid = validation.path("valid").asBoolean();
+            System.out.println(valid ? "valid" : "invalid");
+            return valid ? EXIT_OK : EXIT_FAILED;
+        }
+    }
+
+    /** Compares a preset's file with the stored preset of its name. */
+    @Parameters(commandDescription = "Compares a preset's file with the stored preset")
+    static final class Diff implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Parameter(description = "The preset's file", required = true)
+        private String mFile;
+
+        @Override
+        public String name() {
+            return "preset diff";
+        }
+
+        @Override
+        public int run() {
+            Optional<Preset> preset =
+                    file(mFile).map(Json::readPreset).flatMap(PresetCommands::presetOrTell);
+            if (preset.isEmpty()) {
+                return EXIT_USAGE;
+            }
+            return mClient.call(
+                    "GET",
+                    "/presets/" + preset.get().name(),
+                    NO_BODY,
+                    reply -> differences(reply, preset.get()));
+        }
+
+        private static int differences(HttpReply reply, Preset preset) {
+            if (!reply.isSuccess()) {
+                return ClientFlags.print(reply);
+            }
+            Preset stored = Json.read(reply.body(), StoredPreset.class).orElseThrow().preset();
+            PresetDifference.between(stored, preset).forEach(System.out::println);
+            return EXIT_OK;
+        }
+    }
+
+    /** Puts a stored preset in force. */
+    @Parameters(commandDescription = "Puts a stored preset in force")
+    static final class Switch implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Parameter(description = "The preset's name", required = true)
+        private String mName;
+
+        @Parameter(
+                names = "--expect-revision",
+                description = "Version in force that the operator saw; empty for any")
+        private String mExpected = "";
+
+        @Override
+        public String name() {
+            return "preset switch";
+        }
+
+        @Override
+        public int run() {
+            ObjectNode body = Json.mapper().createObjectNode().put("preset", mName);
+            if (!mExpected.isEmpty()) {
+                SettingsChecker checker = new SettingsChecker();
+                long version = checker.number("--expect-revision", mExpected, 0, Long.MAX_VALUE);
+                if (checker.hasFaults()) {
+                    return EXIT_USAGE;
+                }
+                body.put("expectVersion", version);
+            }
+            return mClient.call("POST", "/switch", Json.write(body), Switch::accepted);
+        }
+
+        private static int accepted(HttpReply reply) {
+            if (!reply.isSuccess()) {
+                return ClientFlags.print(reply);
+            }
+            JsonNode configuration = read(reply);
+            System.out.println(
+                    "preset "
+                            + configuration.path("preset").path("name").asText()
+                            + " in force as version "
+                            + configuration.path("version").asLong());
+            return EXIT_OK;
+        }
+    }
+
+    /** Shows the audit trail. */
+    @Parameters(commandDescription = "Shows all changes, oldest first")
+    static final class History implements Command {
+        @ParametersDelegate private final ClientFlags mClient = new ClientFlags();
+
+        @Override
+        public String name() {
+            return "preset history";
+        }
+
+        @Override
+        public int run() {
+            return mClient.call("GET", "/history", NO_BODY, History::lines);
+        }
+
+        private static int lines(HttpReply reply) {
+            if (!reply.isSuccess()) {
+                return ClientFlags.print(reply);
+            }
+            for (JsonNode entry : read(reply)) {
+                List<String> words = new ArrayList<>();
+                words.add(
+                        java.time.Instant.ofEpochMilli(entry.path("epochMillis").asLong())
+                                .toString());
+                words.add(entry.path("author").asText());
+                words.add(entry.path("kind").asText());
+                words.add(entry.path("from").asText() + " -> " + entry.path("to").asText());
+                words.add("version " + entry.path("version").asLong());
+                System.out.println(String.join("  ", words));
+            }
+            return EXIT_OK;
+        }
+    }
+
+    private static Optional<byte[]> file(String name) {
+        try {
+            return Optional.of(Files.readAllBytes(Path.of(name)));
+        } catch (IOException e) {
+            System.err.println("file " + name + " cannot be read: " + e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<Preset> presetOrTell(Result<Preset> result) {
+        result.failure().ifPresent(refusal -> System.err.println(refusal.message()));
+        return result.toOptional();
+    }
+
+    private static JsonNode read(HttpReply reply) {
+        try {
+            return Json.mapper().readTree(reply.body());
+        } catch (IOException e) {
+            throw new IllegalStateException("the entry's reply is not JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/SettingsChecker.java
@@ -0,0 +1,94 @@
+package org.cornelway.pgm;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.cornelway.internal.platform.HttpEndpoint;
+
+/** Reads settings and collects all faults, so that they can be told at once. */
+final class SettingsChecker {
+    private final List<String> mFaults = new ArrayList<>();
+
+    /** The environment variable of a flag. */
+    static String variable(String flag) {
+        return "CORNELWAY_"
+                + flag.replaceFirst("^--", "").replace('-', '_').toUpperCase(Locale.ROOT);
+    }
+
+    int integer(String flag, String value, int min, int max) {
+        return (int) number(flag, value, min, max);
+    }
+
+    long number(String flag, String value, long min, long max) {
+        try {
+            long number = Long.parseLong(value.trim());
+            if (number >= min && number <= max) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, with the range.
+        }
+        fault(flag, value, "a whole number from " + min + " to " + max);
+        return min;
+    }
+
+    double share(String flag, String value) {
+        try {
+            double number = Double.parseDouble(value.trim());
+            if (number >= 0 && number <= 1) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, with the range.
+        }
+        fault(flag, value, "a number from 0 to 1");
+        return 0;
+    }
+
+    boolean flag(String flag, String value) {
+        if (!value.matches("true|false")) {
+            fault(flag, value, "true or false");
+        }
+        return value.equals("true");
+    }
+
+    String text(String flag, String value, String pattern, String range) {
+        if (!value.matches(pattern)) {
+            fault(flag, value, range);
+        }
+        return value;
+    }
+
+    HttpEndpoint endpoint(String flag, String value) {
+        if (value.matches("[^:\\s]+:[0-9]{1,5}")) {
+            HttpEndpoint endpoint = HttpEndpoint.parse(value);
+            if (endpoint.port() > 0 && endpoint.port() < 65_536) {
+                return endpoint;
+            }
+        }
+        fault(flag, value, "host:port with a port from 1 to 65535");
+        return new HttpEndpoint("127.0.0.1", 1);
+    }
+
+    String secret(String flag, String value) {
+        if (value.length() < 8) {
+            String shown = value.isEmpty() ? "" : "(secret)";
+            fault(flag, shown, "at least 8 characters");
+        }
+        return value;
+    }
+
+    private void fault(String flag, String value, String range) {
+        mFaults.add(flag + " (" + variable(flag) + "): '" + value + "', must be " + range);
+    }
+
+    List<String> faults() {
+        return mFaults;
+    }
+
+    /** Tells the faults on standard error; true if there are any. */
+    boolean hasFaults() {
+        mFaults.forEach(System.err::println);
+        return !mFaults.isEmpty();
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/StatusScreen.java
@@ -0,0 +1,136 @@
+package org.cornelway.pgm;
+
+import java.util.List;
+import org.cornelway.admin.ModelCapacity;
+import org.cornelway.admin.ProcessStatus;
+import org.cornelway.admin.SystemStatus;
+
+/** Lays the system's status out as text. Stateless and thread-safe. */
+final class StatusScreen {
+    private static final double BYTES_PER_GIB = 1L << 30;
+
+    private StatusScreen() {}
+
+    static String of(SystemStatus status, long nowMillis) {
+        StringBuilder screen = new StringBuilder();
+        screen.append(
+                String.format(
+                        "preset %s  version %d  revision %d  placement %d%n",
+                        status.preset().isEmpty() ? "(none)" : status.preset(),
+                        status.configurationVersion(),
+                        status.configurationRevision(),
+                        status.placementFencingNumber()));
+        screen.append(controller(status.processes()));
+        screen.append(keyValueService(status.processes()));
+        models(screen, status.models());
+        processes(screen, status, nowMillis);
+        return screen.toString();
+    }
+
+    private static String controller(List<ProcessStatus> processes) {
+        return processes.stream()
+                .filter(ProcessStatus::controller)
+                .findFirst()
+                .map(
+                        p ->
+                                String.format(
+                                        "controller %s for %d s%n",
+                                        p.instance(), p.controllerLeaseAgeMillis() / 1_000))
+                .orElse(String.format("controller (none)%n"));
+    }
+
+    private static String keyValueService(List<ProcessStatus> processes) {
+        long up = processes.stream().filter(p -> p.reachable() && p.keyValueServiceUp()).count();
+        return String.format(
+                "key-value service %s (answered %d of %d processes)%n",
+                up > 0 ? "up" : "down", up, processes.size());
+    }
+
+    private static void models(StringBuilder screen, List<ModelCapacity> models) {
+        screen.append(
+                String.format(
+                        "%n%-24s %5s %5s %6s %7s  %s%n",
+                        "model", "warm", "limit", "loaded", "loading", "where"));
+        for (ModelCapacity model : models) {
+            screen.append(
+                    String.format(
+                            "%-24s %5d %5d %6d %7d  %s%s%n",
+                            model.model(),
+                            model.warm(),
+                            model.limit(),
+                            model.loaded(),
+                            model.loading(),
+                            String.join(",", model.where()),
+                            difference(model)));
+        }
+    }
+
+    /** Why capacity differs from what was decided. */
+    private static String difference(ModelCapacity model) {
+        int held = model.loaded() + model.loading();
+        if (held > model.limit()) {
+            return "  OVER LIMIT";
+        }
+        if (model.loaded() < model.warm()) {
+            return model.slots().size() < model.warm() ? "  short: no server" : "  short: loading";
+        }
+        return "";
+    }
+
+    private static void processes(StringBuilder screen, SystemStatus status, long nowMillis) {
+        screen.append(
+                String.format(
+                        "%n%-16s %-6s %9s %9s %6s %7s %10s  %s%n",
+                        "instance",
+                        "role",
+                        "revision",
+                        "placement",
+                        "active",
+                        "waiting",
+                        "memory GiB",
+                        "notes"));
+        for (ProcessStatus process : status.processes()) {
+            screen.append(
+                    String.format(
+                            "%-16s %-6s %9d %9d %6d %7d %10s  %s%n",
+                            process.instance(),
+                            process.role(),
+                            process.configurationRevision(),
+                            process.placementFencingNumber(),
+                            process.active(),
+                            process.waiting(),
+                            memory(process),
+                            notes(process, status, nowMillis)));
+        }
+    }
+
+    private static String memory(ProcessStatus process) {
+        if (process.capacityBytes() == 0) {
+            return "-";
+        }
+        return String.format(
+                "%.1f/%.1f",
+                process.reservedBytes() / BYTES_PER_GIB, process.capacityBytes() / BYTES_PER_GIB);
+    }
+
+    private static String notes(ProcessStatus process, SystemStatus status, long nowMillis) {
+        StringBuilder notes = new StringBuilder();
+        if (!process.reachable()) {
+            return "UNREACHABLE";
+        }
+        if (process.configurationRevision() < status.configurationRevision()) {
+            notes.append("lags ");
+        }
+        if (process.leaving()) {
+            notes.append("leaving ");
+        }
+        if (process.slow()) {
+            notes.append("slow ");
+        }
+        if (process.oldestDeadlineMillis() > 0) {
+            long left = process.oldestDeadlineMillis() - nowMillis;
+            notes.append("oldest deadline in ").append(left).append(" ms");
+        }
+        return notes.toString().trim();
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/VersionCommand.java
@@ -0,0 +1,22 @@
+package org.cornelway.pgm;
+
+import com.beust.jcommander.Parameters;
+import java.util.Optional;
+
+/** Prints the version. */
+@Parameters(commandDescription = "Prints the version")
+final class VersionCommand implements Command {
+    private static final String UNPACKAGED = "unpackaged";
+
+    @Override
+    public String name() {
+        return "version";
+    }
+
+    @Override
+    public int run() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        System.out.println("cornelway " + Optional.ofNullable(version).orElse(UNPACKAGED));
+        return EXIT_OK;
+    }
+}
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class a command. */
+package org.cornelway.pgm;
--- /dev/null
+++ b/org.cornelway.standin/src/org/cornelway/standin/InMemoryKeyValueStore.java
@@ -0,0 +1,119 @@
+package org.cornelway.standin;
+
+import io.reactivex.rxjava3.core.BackpressureStrategy;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.KeyValueStore;
+import org.cornelway.platform.SwapResult;
+
+/**
+ * A key-value service in memory whose calls take time and fail as told; for tests in virtual time.
+ *
+ * <p>Confined to the thread of its scheduler.
+ */
+public final class InMemoryKeyValueStore implements KeyValueStore {
+    private static final IOException DOWN = new IOException("key-value service is down");
+
+    private final KeyValueEngine mEngine;
+    private final Scheduler mScheduler;
+    private final Supplier<CallFault> mFaults;
+
+    /**
+     * What happens to one call. Immutable.
+     *
+     * @param delayMillis time until it takes effect, and again until its answer arrives
+     * @param lost whether it never takes effect
+     * @param answerLost whether its answer is lost
+     */
+    public record CallFault(long delayMillis, boolean lost, boolean answerLost) {
+        public static final CallFault NONE = new CallFault(1, false, false);
+    }
+
+    /**
+     * @param faults asked once a call
+     */
+    public InMemoryKeyValueStore(
+            KeyValueEngine engine, Scheduler scheduler, Supplier<CallFault> faults) {
+        mEngine = engine;
+        mScheduler = scheduler;
+        mFaults = faults;
+    }
+
+    private <T> Single<T> call(Supplier<T> effect) {
+        return Single.defer(
+                () -> {
+                    CallFault fault = mFaults.get();
+                    Single<Long> delay =
+                            Single.timer(fault.delayMillis(), TimeUnit.MILLISECONDS, mScheduler);
+                    if (fault.lost()) {
+                        return delay.flatMap(tick -> Single.error(DOWN));
+                    }
+                    return delay.map(tick -> effect.get())
+                            .delay(fault.delayMillis(), TimeUnit.MILLISECONDS, mScheduler)
+                            .flatMap(
+                                    value ->
+                                            fault.answerLost()
+                                                    ? Single.error(DOWN)
+                                                    : Single.just(value));
+                });
+    }
+
+    @Override
+    public Single<Optional<KeyValue>> get(String key) {
+        return call(() -> mEngine.get(key));
+    }
+
+    @Override
+    public Single<List<KeyValue>> list(String prefix) {
+        return call(() -> mEngine.list(prefix));
+    }
+
+    @Override
+    public Single<SwapResult> compareAndSwap(
+            String key, long expectedRevision, byte[] value, long leaseId) {
+        return call(() -> mEngine.compareAndSwap(key, expectedRevision, value, leaseId))
+                .onErrorReturn(e -> new SwapResult.Ambiguous(e.getMessage()));
+    }
+
+    @Override
+    public Completable delete(String key, long expectedRevision) {
+        return call(() -> mEngine.delete(key, expectedRevision)).ignoreElement();
+    }
+
+    @Override
+    public Single<Long> grantLease(long ttlSeconds) {
+        return call(() -> mEngine.grant(ttlSeconds));
+    }
+
+    @Override
+    public Single<Boolean> keepAlive(long leaseId) {
+        return call(() -> mEngine.keepAlive(leaseId));
+    }
+
+    @Override
+    public Completable revokeLease(long leaseId) {
+        return call(() -> {
+                    mEngine.revoke(leaseId);
+                    return true;
+                })
+                .ignoreElement();
+    }
+
+    @Override
+    public Flowable<KeyValue> watch(String prefix, long afterRevision) {
+        return Flowable.<KeyValue>create(
+                        emitter ->
+                                emitter.setCancellable(
+                                        mEngine.watch(prefix, afterRevision, emitter::onNext)::run),
+                        BackpressureStrategy.BUFFER)
+                .delay(1, TimeUnit.MILLISECONDS, mScheduler);
+    }
+}
--- /dev/null
+++ b/org.cornelway.standin/src/org/cornelway/standin/KeyValueEngine.java
@@ -0,0 +1,152 @@
+package org.cornelway.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.SwapResult;
+import org.cornelway.time.Clock;
+
+/** The state of a key-value service: revisions, leases and watchers. Thread-safe. */
+public final class KeyValueEngine {
+    private final Clock mClock;
+    private final TreeMap<String, KeyValue> mValues = new TreeMap<>();
+    private final Map<String, Long> mKeyLeases = new HashMap<>();
+    private final Map<Long, Lease> mLeases = new HashMap<>();
+    private final List<Watcher> mWatchers = new CopyOnWriteArrayList<>();
+    private long mRevision;
+    private long mNextLease = 1;
+
+    /** A lease with its end. */
+    private static final class Lease {
+        private final long mTtlMillis;
+        private long mEndsMillis;
+
+        Lease(long ttlMillis, long endsMillis) {
+            mTtlMillis = ttlMillis;
+            mEndsMillis = endsMillis;
+        }
+    }
+
+    /** A prefix that somebody watches. */
+    private record Watcher(String prefix, Consumer<KeyValue> consumer) {}
+
+    /**
+     * @param clock tells when leases end
+     */
+    public KeyValueEngine(Clock clock) {
+        mClock = clock;
+    }
+
+    /** Reads a key. */
+    public synchronized Optional<KeyValue> get(String key) {
+        expireLeases();
+        return Optional.ofNullable(mValues.get(key));
+    }
+
+    /** Reads all keys with a prefix. */
+    public synchronized List<KeyValue> list(String prefix) {
+        expireLeases();
+        return new ArrayList<>(mValues.subMap(prefix, prefix + Character.MAX_VALUE).values());
+    }
+
+    /** Writes a key if its revision is as expected. */
+    public synchronized SwapResult compareAndSwap(
+            String key, long expectedRevision, byte[] value, long leaseId) {
+        expireLeases();
+        KeyValue current = mValues.get(key);
+        long revision = current == null ? 0 : current.revision();
+        boolean leaseKnown = leaseId == 0 || mLeases.containsKey(leaseId);
+        if (revision != expectedRevision || !leaseKnown) {
+            return new SwapResult.Conflict(Optional.ofNullable(current));
+        }
+        KeyValue written = new KeyValue(key, value, ++mRevision);
+        mValues.put(key, written);
+        mKeyLeases.remove(key);
+        if (leaseId != 0) {
+            mKeyLeases.put(key, leaseId);
+        }
+        mWatchers.stream()
+                .filter(watcher -> key.startsWith(watcher.prefix()))
+                .forEach(watcher -> watcher.consumer().accept(written));
+        return new SwapResult.Swapped(written.revision());
+    }
+
+    /** Deletes a key if its revision is as expected. */
+    public synchronized boolean delete(String key, long expectedRevision) {
+        KeyValue current = mValues.get(key);
+        if (current == null || current.revision() != expectedRevision) {
+            return false;
+        }
+        mRevision++;
+        mValues.remove(key);
+        mKeyLeases.remove(key);
+        return true;
+    }
+
+    /** Grants a lease. */
+    public synchronized long grant(long ttlSeconds) {
+        long id = mNextLease++;
+        long ttlMillis = ttlSeconds * 1_000;
+        mLeases.put(id, new Lease(ttlMillis, mClock.nowMillis() + ttlMillis));
+        return id;
+    }
+
+    /** Renews a lease; false if it has ended. */
+    public synchronized boolean keepAlive(long id) {
+        expireLeases();
+        Lease lease = mLeases.get(id);
+        if (lease == null) {
+            return false;
+        }
+        lease.mEndsMillis = mClock.nowMillis() + lease.mTtlMillis;
+        return true;
+    }
+
+    /** Ends a lease. */
+    public synchronized void revoke(long id) {
+        mLeases.remove(id);
+        dropKeysOfEndedLeases();
+    }
+
+    private void expireLeases() {
+        long now = mClock.nowMillis();
+        if (mLeases.values().removeIf(lease -> lease.mEndsMillis <= now)) {
+            dropKeysOfEndedLeases();
+        }
+    }
+
+    private void dropKeysOfEndedLeases() {
+        List<String> keys = new ArrayList<>();
+        mKeyLeases.forEach(
+                (key, lease) -> {
+                    if (!mLeases.containsKey(lease)) {
+                        keys.add(key);
+                    }
+                });
+        for (String key : keys) {
+            mRevision++;
+            mKeyLeases.remove(key);
+            mValues.remove(key);
+        }
+    }
+
+    /** The revision of the last change. */
+    public synchronized long revision() {
+        return mRevision;
+    }
+
+    /** Tells a consumer of each write under a prefix, earlier ones after a revision first. */
+    public synchronized Runnable watch(
+            String prefix, long afterRevision, Consumer<KeyValue> consumer) {
+        list(prefix).stream().filter(value -> value.revision() > afterRevision).forEach(consumer);
+        Watcher watcher = new Watcher(prefix, consumer);
+        mWatchers.add(watcher);
+        return () -> mWatchers.remove(watcher);
+    }
+}
--- /dev/null
+++ b/org.cornelway.standin/src/org/cornelway/standin/KeyValueStandin.java
@@ -0,0 +1,177 @@
+package org.cornelway.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cornelway.config.Json;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.SwapResult;
+
+/** Serves the JSON form of the etcd v3 interface, as far as the system uses it. */
+public final class KeyValueStandin {
+    private final KeyValueEngine mEngine;
+    private final FaultSwitch mFaults;
+    private final Map<String, Long> mCalls = new TreeMap<>();
+    private int mOpenWatches;
+
+    /**
+     * @param engine the state
+     */
+    public KeyValueStandin(Vertx vertx, KeyValueEngine engine) {
+        mEngine = engine;
+        mFaults = new FaultSwitch(vertx);
+    }
+
+    /** Adds the routes. */
+    public void add(Router router) {
+        mFaults.add(router);
+        router.route("/v3/*").handler(BodyHandler.create(false).setBodyLimit(4 << 20));
+        route(router, "/v3/kv/range", this::range);
+        route(router, "/v3/kv/txn", this::transaction);
+        route(router, "/v3/lease/grant", this::grant);
+        route(router, "/v3/lease/keepalive", this::keepAlive);
+        route(router, "/v3/lease/revoke", this::revoke);
+        router.post("/v3/watch").handler(mFaults.guard(this::watch));
+        router.get("/calls")
+                .handler(
+                        context -> {
+                            mCalls.put("openWatches", (long) mOpenWatches);
+                            context.response().end(Buffer.buffer(Json.write(mCalls)));
+                        });
+    }
+
+    /** Computes the answer to one kind of call. */
+    private interface Call {
+        ObjectNode answer(JsonNode request);
+    }
+
+    private void route(Router router, String path, Call call) {
+        router.post(path)
+                .handler(
+                        mFaults.guard(
+                                context -> {
+                                    mCalls.merge(path, 1L, Long::sum);
+                                    mFaults.answer(context, call.answer(body(context)));
+                                }));
+    }
+
+    private static JsonNode body(RoutingContext context) {
+        try {
+            return Json.mapper().readTree(context.body().buffer().getBytes());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private ObjectNode range(JsonNode request) {
+        String key = text(request, "key");
+        ObjectNode answer = header();
+        if (request.has("range_end")) {
+            mEngine.list(key).forEach(value -> answer.withArray("kvs").add(keyValue(value)));
+        } else {
+            mEngine.get(key).ifPresent(value -> answer.withArray("kvs").add(keyValue(value)));
+        }
+        return answer;
+    }
+
+    private ObjectNode transaction(JsonNode request) {
+        JsonNode compare = request.path("compare").path(0);
+        JsonNode success = request.path("success").path(0);
+        String key = text(compare, "key");
+        long expected = compare.path("mod_revision").asLong();
+        if (success.has("request_delete_range")) {
+            boolean deleted = mEngine.delete(key, expected);
+            return header().put("succeeded", deleted);
+        }
+        JsonNode put = success.path("request_put");
+        byte[] value = Base64.getDecoder().decode(put.path("value").asText());
+        SwapResult result =
+                mEngine.compareAndSwap(key, expected, value, put.path("lease").asLong());
+        ObjectNode answer = header().put("succeeded", result instanceof SwapResult.Swapped);
+        if (result instanceof SwapResult.Conflict conflict) {
+            ObjectNode range = answer.putArray("responses").addObject().putObject("response_range");
+            conflict.current().ifPresent(current -> range.putArray("kvs").add(keyValue(current)));
+        }
+        return answer;
+    }
+
+    private ObjectNode grant(JsonNode request) {
+        long ttl = request.path("TTL").asLong();
+        return header().put("ID", Long.toString(mEngine.grant(ttl))).put("TTL", "" + ttl);
+    }
+
+    private ObjectNode keepAlive(JsonNode request) {
+        boolean alive = mEngine.keepAlive(request.path("ID").asLong());
+        ObjectNode answer = Json.mapper().createObjectNode();
+        answer.putObject("result").put("TTL", alive ? "1" : "0");
+        return answer;
+    }
+
+    private ObjectNode revoke(JsonNode request) {
+        mEngine.revoke(request.path("ID").asLong());
+        return header();
+    }
+
+    private void watch(RoutingContext context) {
+        mCalls.merge("/v3/watch", 1L, Long::sum);
+        mOpenWatches++;
+        JsonNode create = body(context).path("create_request");
+        context.response().setChunked(true);
+        context.response().write("{\"result\":{\"created\":true}}\n");
+        Context loop = context.vertx().getOrCreateContext();
+        Runnable cancel =
+                mEngine.watch(
+                        text(create, "key"),
+                        create.path("start_revision").asLong() - 1,
+                        value -> loop.runOnContext(v -> event(context, value)));
+        context.response()
+                .closeHandler(
+                        closed -> {
+                            mOpenWatches--;
+                            cancel.run();
+                        });
+    }
+
+    private static void event(RoutingContext context, KeyValue value) {
+        ObjectNode message = Json.mapper().createObjectNode();
+        message.putObject("result")
+                .putArray("events")
+                .addObject()
+                .put("type", "PUT")
+                .set("kv", keyValue(value));
+        if (!context.response().closed()) {
+            context.response().write(Buffer.buffer(Json.write(message)).appendString("\n"));
+        }
+    }
+
+    private ObjectNode header() {
+        ObjectNode answer = Json.mapper().createObjectNode();
+        answer.putObject("header").put("revision", Long.toString(mEngine.revision()));
+        return answer;
+    }
+
+    private static ObjectNode keyValue(KeyValue value) {
+        Base64.Encoder encoder = Base64.getEncoder();
+        return Json.mapper()
+                .createObjectNode()
+                .put("key", encoder.encodeToString(value.key().getBytes(StandardCharsets.UTF_8)))
+                .put("value", encoder.encodeToString(value.value()))
+                .put("mod_revision", Long.toString(value.revision()));
+    }
+
+    private static String text(JsonNode node, String field) {
+        return new String(
+                Base64.getDecoder().decode(node.path(field).asText()), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/docs/PagesTest.java
@@ -0,0 +1,44 @@
+package org.cornelway.docs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import org.cornelway.Repository;
+import org.cornelway.pgm.SettingsPage;
+import org.cornelway.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** The generated and checked pages. */
+public final class PagesTest {
+    @Test
+    public void resultCodesPageListsEveryCode() {
+        String page = Repository.read("docs/RESULT-CODES.md");
+        for (ResultCode code : ResultCode.values()) {
+            String row =
+                    String.format(
+                            "| %d | %s | %d | %s | %s |",
+                            code.number(),
+                            code.name(),
+                            code.httpStatus(),
+                            code.certainty(),
+                            code.description());
+            assertThat(page).contains(row);
+        }
+        assertThat(page.lines().filter(line -> line.matches("\\| \\d+ \\|.*")))
+                .hasSameSizeAs(Arrays.asList(ResultCode.values()));
+    }
+
+    @Test
+    public void settingsPageIsTheGeneratedOne() {
+        assertThat(Repository.read("docs/SETTINGS.md")).isEqualTo(SettingsPage.generate());
+    }
+
+    @Test
+    public void glossaryNamesEveryWordOfTheBrief() {
+        String page = Repository.read("docs/GLOSSARY.md");
+        List<String> words =
+                List.of("instance", "availability zone", "caller", "backend server", "preset");
+        assertThat(words).allSatisfy(word -> assertThat(page).contains("| " + word + " |"));
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the system's decisions, and of its processes. */
+package org.cornelway;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/admin/StatusCollector.java
@@ -0,0 +1,120 @@
+package org.cornelway.admin;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.cornelway.config.Configuration;
+import org.cornelway.config.Json;
+import org.cornelway.config.ModelRule;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.SlotBinding;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.Member;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.relay.DocumentKeys;
+import org.cornelway.relay.MemberTable;
+import org.cornelway.relay.PeerClient;
+import org.cornelway.residency.ModelPhase;
+import org.cornelway.rpc.DescribeReply;
+
+/** Asks all processes what they hold and puts it together. Thread-safe. */
+public final class StatusCollector {
+    private static final int PARALLEL_CALLS = 64;
+
+    private final MemberTable mMembers;
+    private final DocumentCache mCache;
+    private final PeerClient mPeers;
+
+    /**
+     * @param peers asks the processes
+     */
+    public StatusCollector(MemberTable members, DocumentCache cache, PeerClient peers) {
+        mMembers = members;
+        mCache = cache;
+        mPeers = peers;
+    }
+
+    /** Collects the status now. */
+    public Single<SystemStatus> collect() {
+        return Flowable.fromIterable(mMembers.all().values())
+                .flatMapSingle(this::describe, false, PARALLEL_CALLS)
+                .toSortedList(Comparator.comparing(ProcessStatus::instance))
+                .map(this::status);
+    }
+
+    private Single<ProcessStatus> describe(Member member) {
+        return mPeers.describe(member)
+                .map(reply -> process(member, true, reply))
+                .onErrorReturn(e -> process(member, false, DescribeReply.getDefaultInstance()));
+    }
+
+    private static ProcessStatus process(Member member, boolean reachable, DescribeReply reply) {
+        List<ProcessStatus.ModelLine> models =
+                reply.getModelsList().stream()
+                        .map(m -> new ProcessStatus.ModelLine(m.getModel(), m.getState()))
+                        .toList();
+        return new ProcessStatus(
+                member.id(),
+                member.role(),
+                reachable,
+                reply.getConfigurationRevision(),
+                reply.getPlacementFencingNumber(),
+                models,
+                reply.getCapacityBytes(),
+                reply.getReservedBytes(),
+                reply.getActive(),
+                reply.getWaiting(),
+                reply.getOldestDeadlineMillis(),
+                member.leaving() || reply.getLeaving(),
+                reply.getHoldsControllerLease(),
+                reply.getControllerLeaseAgeMillis(),
+                reply.getKeyValueServiceUp(),
+                reply.getSlow());
+    }
+
+    private SystemStatus status(List<ProcessStatus> processes) {
+        Optional<KeyValue> kv = mCache.find(DocumentKeys.CONFIGURATION);
+        Optional<Configuration> configuration =
+                kv.flatMap(v -> Json.read(v.value(), Configuration.class));
+        PlacementDocument placement =
+                mCache.find(DocumentKeys.PLACEMENT)
+                        .flatMap(v -> Json.read(v.value(), PlacementDocument.class))
+                        .orElse(PlacementDocument.empty(0));
+        List<ModelCapacity> models = new ArrayList<>();
+        configuration.ifPresent(
+                c ->
+                        c.preset()
+                                .models()
+                                .forEach(rule -> models.add(model(rule, placement, processes))));
+        return new SystemStatus(
+                configuration.map(c -> c.preset().name()).orElse(""),
+                configuration.map(Configuration::version).orElse(0L),
+                kv.map(KeyValue::revision).orElse(0L),
+                placement.fencingNumber(),
+                models,
+                processes);
+    }
+
+    private static ModelCapacity model(
+            ModelRule rule, PlacementDocument placement, List<ProcessStatus> processes) {
+        int loaded = 0;
+        int loading = 0;
+        List<String> where = new ArrayList<>();
+        for (ProcessStatus process : processes) {
+            for (ProcessStatus.ModelLine line : process.models()) {
+                if (line.model().equals(rule.name())) {
+                    boolean ready = line.state().equals(ModelPhase.LOADED.name());
+                    loaded += ready ? 1 : 0;
+                    loading += ready ? 0 : 1;
+                    where.add(process.instance());
+                }
+            }
+        }
+        List<String> slots = placement.held(rule.name()).stream().map(SlotBinding::server).toList();
+        return new ModelCapacity(
+                rule.name(), rule.warm(), rule.limit(), loaded, loading, where, slots);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/agent/AgentCore.java
@@ -0,0 +1,130 @@
+package org.cornelway.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.cornelway.exchange.AnswerSink;
+import org.cornelway.exchange.Ending;
+import org.cornelway.result.ResultCode;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.WithdrawReply;
+import org.cornelway.time.Deadline;
+
+/**
+ * Takes requests, withdrawals and attachments, and ends each request once.
+ *
+ * <p>Confined to the control thread.
+ */
+public final class AgentCore {
+    private final ExchangeTable mTable = new ExchangeTable();
+    private final WorkHandler mHandler;
+    private final Scheduler mControl;
+    private final BooleanSupplier mInstanceLeaving;
+    private final MetricRegistry mMetrics;
+    private boolean mDraining;
+
+    /**
+     * @param instanceLeaving whether the platform is taking the instance away
+     */
+    public AgentCore(
+            WorkHandler handler,
+            Scheduler control,
+            BooleanSupplier instanceLeaving,
+            MetricRegistry metrics) {
+        mHandler = handler;
+        mControl = control;
+        mInstanceLeaving = instanceLeaving;
+        mMetrics = metrics;
+    }
+
+    /** Starts a request, or attaches to one that is known; returns it if it is known now. */
+    public Optional<AgentExchange> exchange(ExchangeRequest request, AnswerSink sink) {
+        Optional<AgentExchange> known = mTable.find(request.getRequestId());
+        if (known.isPresent()) {
+            known.get().answer().attach(sink, request.getNextSequence());
+            return known;
+        }
+        Optional<Ending> refusal = refusal(request);
+        if (refusal.isPresent()) {
+            mMetrics.counter("agent.refused." + refusal.get().code()).inc();
+            sink.end(refusal.get());
+            return Optional.empty();
+        }
+        AgentExchange exchange = new AgentExchange(request);
+        mTable.add(exchange);
+        exchange.answer().attach(sink, request.getNextSequence());
+        mMetrics.counter("agent.accepted").inc();
+        mHandler.accept(exchange);
+        return Optional.of(exchange);
+    }
+
+    private Optional<Ending> refusal(ExchangeRequest request) {
+        if (request.getAttach()) {
+            return refuse(ResultCode.UNKNOWN_EXCHANGE, "request is not known here");
+        }
+        if (mTable.isWithdrawn(request.getRequestId())) {
+            return refuse(ResultCode.WITHDRAWN, "request was withdrawn before it arrived");
+        }
+        if (isLeaving()) {
+            return refuse(ResultCode.AGENT_LEAVING, "this backend server is leaving");
+        }
+        if (new Deadline(request.getDeadlineMillis()).isPast(now())) {
+            return refuse(ResultCode.DEADLINE_PASSED, "deadline passed before arrival");
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Ending> refuse(ResultCode code, String message) {
+        return Optional.of(Ending.refused(code, message));
+    }
+
+    /** Withdraws a request; a confirmed withdrawal means that its id can never start. */
+    public WithdrawReply.Outcome withdraw(String id, Deadline deadline) {
+        Optional<AgentExchange> known = mTable.find(id);
+        if (known.isEmpty()) {
+            mTable.noteWithdrawn(id, deadline);
+            return WithdrawReply.Outcome.WITHDRAWN;
+        }
+        AgentExchange exchange = known.get();
+        if (mHandler.withdraw(exchange)) {
+            exchange.end(Ending.refused(ResultCode.WITHDRAWN, "withdrawn while waiting"), true);
+        }
+        exchange.cancel();
+        return exchange.isNotRun()
+                ? WithdrawReply.Outcome.WITHDRAWN
+                : WithdrawReply.Outcome.STARTED;
+    }
+
+    /** Refuses new work from now on, and the work that waits. */
+    public void beginDrain() {
+        mDraining = true;
+        mHandler.refuseWaiting(ResultCode.AGENT_LEAVING, "this backend server is leaving");
+    }
+
+    /** Whether new work is refused. */
+    public boolean isLeaving() {
+        return mDraining || mInstanceLeaving.getAsBoolean();
+    }
+
+    /** Whether no request is open. */
+    public boolean isIdle() {
+        return mTable.open().isEmpty();
+    }
+
+    /** Does what has become due. */
+    public void tick() {
+        mHandler.tick();
+        mTable.forgetPast(now());
+    }
+
+    /** The handler. */
+    public WorkHandler handler() {
+        return mHandler;
+    }
+
+    private long now() {
+        return mControl.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/agent/ModelWorkHandler.java
@@ -0,0 +1,326 @@
+package org.cornelway.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cornelway.admission.AdmissionQueue;
+import org.cornelway.admission.WaitingWork;
+import org.cornelway.admission.WorkClass;
+import org.cornelway.exchange.Ending;
+import org.cornelway.platform.CompletionCall;
+import org.cornelway.platform.EngineOrder;
+import org.cornelway.platform.ModelEngine;
+import org.cornelway.platform.OrderOutcome;
+import org.cornelway.residency.Demand;
+import org.cornelway.residency.ModelStatus;
+import org.cornelway.residency.Residency;
+import org.cornelway.result.Refusal;
+import org.cornelway.result.ResultCode;
+import org.cornelway.rpc.ModelWork;
+import org.cornelway.rpc.RequestClass;
+import org.cornelway.time.Deadline;
+
+/**
+ * Runs completions on one model engine and keeps the models loaded that they need.
+ *
+ * <p>Confined to the control thread; chunks are appended on the engine client's threads.
+ */
+public final class ModelWorkHandler implements WorkHandler {
+    private static final Logger LOG = LogManager.getLogger(ModelWorkHandler.class);
+    private static final long TRUTH_INTERVAL_MILLIS = 10_000;
+    private static final long TRUTH_RETRY_MILLIS = 500;
+    private static final int INTERACTIVE_PRIORITY = 0;
+    private static final int DEFERRED_PRIORITY = 10;
+
+    /** Time before a deadline at which waiting work is refused, so that the refusal arrives. */
+    private static final long REFUSAL_MARGIN_MILLIS = 20;
+
+    private final Residency mResidency;
+    private final AdmissionQueue mQueue;
+    private final ModelEngine mEngine;
+    private final Scheduler mControl;
+    private final MetricRegistry mMetrics;
+    private final Map<String, AgentExchange> mOpen = new HashMap<>();
+    private long mNextTruthMillis;
+    private boolean mReadingTruth;
+
+    /**
+     * @param residency decides loads and unloads
+     */
+    public ModelWorkHandler(
+            Residency residency,
+            AdmissionQueue queue,
+            ModelEngine engine,
+            Scheduler control,
+            MetricRegistry metrics) {
+        mResidency = residency;
+        mQueue = queue;
+        mEngine = engine;
+        mControl = control;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void accept(AgentExchange exchange) {
+        ModelWork work = exchange.request().getModelWork();
+        if (!mResidency.holdsSlot(work.getModel())) {
+            String message = "model " + work.getModel() + " has no slot on this backend server";
+            end(exchange, Ending.refused(ResultCode.SLOT_NOT_HELD, message), true);
+            return;
+        }
+        boolean deferred = exchange.request().getRequestClass() == RequestClass.DEFERRED;
+        WaitingWork waiting =
+                new WaitingWork(
+                        exchange.id(),
+                        deferred ? WorkClass.DEFERRED : WorkClass.INTERACTIVE,
+                        exchange.deadline().minus(REFUSAL_MARGIN_MILLIS),
+                        work.getModel(),
+                        work.getAdapter(),
+                        work.getPredictedTokens(),
+                        now());
+        Optional<Refusal> refusal = mQueue.offer(waiting, now());
+        if (refusal.isPresent()) {
+            Refusal why = refusal.get();
+            end(exchange, Ending.refused(why.code(), why.message()), true);
+            return;
+        }
+        mOpen.put(exchange.id(), exchange);
+        pump();
+    }
+
+    @Override
+    public boolean withdraw(AgentExchange exchange) {
+        boolean wasWaiting = mQueue.withdraw(exchange.id());
+        if (wasWaiting) {
+            mOpen.remove(exchange.id());
+        }
+        return wasWaiting;
+    }
+
+    @Override
+    public void refuseWaiting(ResultCode code, String message) {
+        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
+            mQueue.withdraw(work.requestId());
+            end(mOpen.remove(work.requestId()), Ending.refused(code, message), true);
+        }
+    }
+
+    @Override
+    public void tick() {
+        for (AgentExchange exchange : List.copyOf(mOpen.values())) {
+            boolean late = exchange.deadline().isPast(now());
+            if (late && exchange.state() == AgentExchange.State.STARTED) {
+                exchange.cancel();
+            }
+        }
+        pump();
+    }
+
+    /** Brings orders and work forward as far as they go now. */
+    public void pump() {
+        for (WaitingWork work : mQueue.expire(now())) {
+            String message = "deadline passed while model " + work.model() + " was awaited";
+            end(
+                    mOpen.remove(work.requestId()),
+                    Ending.refused(ResultCode.DEADLINE_PASSED, message),
+                    true);
+        }
+        refuseUnheld();
+        Optional<WaitingWork> next = takeNext();
+        while (next.isPresent()) {
+            start(mOpen.get(next.get().requestId()));
+            next = takeNext();
+        }
+        readTruthIfDue();
+        if (!mReadingTruth) {
+            List<Demand> demands = demands();
+            mResidency.nextModelOrder(demands, now()).ifPresent(this::send);
+            mResidency.nextAdapterOrder(demands).ifPresent(this::send);
+        }
+    }
+
+    private Optional<WaitingWork> takeNext() {
+        return mQueue.take(work -> mResidency.canStart(work.model(), work.adapter()), now());
+    }
+
+    private void refuseUnheld() {
+        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
+            if (!mResidency.holdsSlot(work.model())) {
+                mQueue.withdraw(work.requestId());
+                String message = "the slot of model " + work.model() + " moved away";
+                end(
+                        mOpen.remove(work.requestId()),
+                        Ending.refused(ResultCode.SLOT_NOT_HELD, message),
+                        true);
+            }
+        }
+    }
+
+    private List<Demand> demands() {
+        Map<String, Demand> demands = new HashMap<>();
+        for (WaitingWork work : mQueue.waiting()) {
+            String key = work.model() + "/" + work.adapter();
+            Demand demand =
+                    new Demand(work.model(), work.adapter(), work.deadline(), work.arrivedMillis());
+            demands.merge(key, demand, ModelWorkHandler::earlier);
+        }
+        return List.copyOf(demands.values());
+    }
+
+    private static Demand earlier(Demand a, Demand b) {
+        Deadline deadline = a.deadline().compareTo(b.deadline()) <= 0 ? a.deadline() : b.deadline();
+        long since = Math.min(a.waitingSinceMillis(), b.waitingSinceMillis());
+        return new Demand(a.model(), a.adapter(), deadline, since);
+    }
+
+    private void readTruthIfDue() {
+        boolean due = mResidency.needsTruth() || now() >= mNextTruthMillis;
+        if (!due || mReadingTruth || mResidency.hasOutstandingOrder()) {
+            return;
+        }
+        mReadingTruth = true;
+        mEngine.truth()
+                .observeOn(mControl)
+                .subscribe(
+                        truth -> {
+                            mReadingTruth = false;
+                            mNextTruthMillis = now() + TRUTH_INTERVAL_MILLIS;
+                            mResidency.reconcile(truth, now());
+                            if (mResidency.needsTruth()) {
+                                retryTruthLater();
+                            }
+                            pump();
+                        },
+                        e -> {
+                            LOG.warn("engine's account not read: {}", e.getMessage());
+                            retryTruthLater();
+                        });
+    }
+
+    private void retryTruthLater() {
+        mReadingTruth = true;
+        mControl.scheduleDirect(
+                () -> {
+                    mReadingTruth = false;
+                    pump();
+                },
+                TRUTH_RETRY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void send(EngineOrder order) {
+        LOG.info("order {} {} {}", order.kind(), order.model(), order.adapter());
+        mMetrics.counter("engine.orders." + order.kind()).inc();
+        long sentMillis = now();
+        mEngine.order(order)
+                .observeOn(mControl)
+                .subscribe(outcome -> settled(order, outcome, sentMillis));
+    }
+
+    private void settled(EngineOrder order, OrderOutcome outcome, long sentMillis) {
+        if (!(outcome instanceof OrderOutcome.Done)) {
+            LOG.warn("order {} {}: {}", order.kind(), order.model(), outcome);
+            mMetrics.counter("engine.orders.unconfirmed").inc();
+        }
+        mMetrics.timer("engine.order." + order.kind())
+                .update(now() - sentMillis, TimeUnit.MILLISECONDS);
+        mResidency.settle(order, outcome, now());
+        pump();
+    }
+
+    private void start(AgentExchange exchange) {
+        exchange.start();
+        ModelWork work = exchange.request().getModelWork();
+        mResidency.begin(work.getModel(), now());
+        boolean deferred = exchange.request().getRequestClass() == RequestClass.DEFERRED;
+        CompletionCall call =
+                new CompletionCall(
+                        exchange.id(),
+                        work.getModel(),
+                        work.getAdapter(),
+                        work.getPath(),
+                        work.getBody().toByteArray(),
+                        deferred ? DEFERRED_PRIORITY : INTERACTIVE_PRIORITY);
+        Disposable running =
+                mEngine.complete(call)
+                        .doOnNext(exchange.answer()::append)
+                        .ignoreElements()
+                        .observeOn(mControl)
+                        .subscribe(
+                                () -> finished(exchange, ok()), e -> finished(exchange, failed(e)));
+        exchange.onCancel(
+                () -> {
+                    if (exchange.state() == AgentExchange.State.STARTED) {
+                        running.dispose();
+                        String message = "cancelled while running";
+                        finished(
+                                exchange,
+                                Ending.refused(ResultCode.DEADLINE_PASSED_RUNNING, message));
+                    }
+                });
+    }
+
+    private static Ending ok() {
+        return new Ending(0, ResultCode.OK, "", 200, "text/event-stream");
+    }
+
+    private static Ending failed(Throwable e) {
+        return Ending.refused(ResultCode.BACKEND_FAILED, "model engine: " + e.getMessage());
+    }
+
+    private void finished(AgentExchange exchange, Ending ending) {
+        if (mOpen.remove(exchange.id()) == null) {
+            return;
+        }
+        mQueue.finish(exchange.id(), now());
+        mResidency.end(exchange.request().getModelWork().getModel(), now());
+        end(exchange, ending, false);
+        pump();
+    }
+
+    private void end(AgentExchange exchange, Ending ending, boolean notRun) {
+        exchange.end(ending, notRun);
+        mMetrics.counter("agent.ended." + ending.code()).inc();
+    }
+
+    @Override
+    public int active() {
+        return mQueue.active();
+    }
+
+    @Override
+    public int waiting() {
+        return mQueue.waiting().size();
+    }
+
+    @Override
+    public int capacity() {
+        return mQueue.capacity();
+    }
+
+    @Override
+    public long oldestDeadlineMillis() {
+        return mQueue.oldestDeadline().map(Deadline::epochMillis).orElse(0L);
+    }
+
+    @Override
+    public boolean isResident(AgentExchange exchange) {
+        return mResidency.isLoaded(exchange.request().getModelWork().getModel());
+    }
+
+    @Override
+    public List<ModelStatus> models() {
+        return mResidency.held();
+    }
+
+    private long now() {
+        return mControl.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/agent/PlainWorkHandler.java
@@ -0,0 +1,290 @@
+package org.cornelway.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.admission.AdmissionQueue;
+import org.cornelway.admission.WaitingWork;
+import org.cornelway.admission.WorkClass;
+import org.cornelway.exchange.Ending;
+import org.cornelway.intent.IntentDecision;
+import org.cornelway.intent.IntentLog;
+import org.cornelway.intent.IntentRequest;
+import org.cornelway.intent.RecordedOutcome;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.platform.PlainAnswer;
+import org.cornelway.platform.PlainCall;
+import org.cornelway.platform.PlainService;
+import org.cornelway.residency.ModelStatus;
+import org.cornelway.result.Refusal;
+import org.cornelway.result.Result;
+import org.cornelway.result.ResultCode;
+import org.cornelway.rpc.PlainWork;
+import org.cornelway.time.Deadline;
+
+/**
+ * Runs calls on one plain service.
+ *
+ * <p>Invariant: a call that may not be repeated is sent at most once for each request id, and at
+ * most once for each idempotency key over all agents. Confined to the control thread.
+ */
+public final class PlainWorkHandler implements WorkHandler {
+    private static final long REFUSAL_MARGIN_MILLIS = 20;
+
+    private final AdmissionQueue mQueue;
+    private final PlainService mService;
+    private final IntentLog mIntents;
+    private final Scheduler mControl;
+    private final Invariants mInvariants;
+    private final MetricRegistry mMetrics;
+    private final Map<String, AgentExchange> mOpen = new HashMap<>();
+
+    /**
+     * @param intents records calls that may not be repeated
+     */
+    public PlainWorkHandler(
+            AdmissionQueue queue,
+            PlainService service,
+            IntentLog intents,
+            Scheduler control,
+            Invariants invariants,
+            MetricRegistry metrics) {
+        mQueue = queue;
+        mService = service;
+        mIntents = intents;
+        mControl = control;
+        mInvariants = invariants;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void accept(AgentExchange exchange) {
+        PlainWork work = exchange.request().getPlainWork();
+        WaitingWork waiting =
+                new WaitingWork(
+                        exchange.id(),
+                        WorkClass.INTERACTIVE,
+                        exchange.deadline().minus(REFUSAL_MARGIN_MILLIS),
+                        work.getService(),
+                        "",
+                        0,
+                        now());
+        Optional<Refusal> refusal = mQueue.offer(waiting, now());
+        if (refusal.isPresent()) {
+            end(exchange, refusal.get());
+            return;
+        }
+        mOpen.put(exchange.id(), exchange);
+        tick();
+    }
+
+    @Override
+    public void tick() {
+        for (WaitingWork work : mQueue.expire(now())) {
+            end(
+                    mOpen.remove(work.requestId()),
+                    Refusal.of(ResultCode.DEADLINE_PASSED, "deadline passed in the queue"));
+        }
+        Optional<WaitingWork> next = mQueue.take(work -> true, now());
+        while (next.isPresent()) {
+            begin(mOpen.get(next.get().requestId()));
+            next = mQueue.take(work -> true, now());
+        }
+    }
+
+    private void begin(AgentExchange exchange) {
+        PlainWork work = exchange.request().getPlainWork();
+        boolean recorded = !work.getRepeatable() && !work.getIdempotencyKey().isEmpty();
+        if (!recorded) {
+            send(exchange, Optional.empty());
+            return;
+        }
+        IntentRequest intent =
+                new IntentRequest(
+                        exchange.request().getTeam() + "/" + work.getIdempotencyKey(),
+                        fingerprint(work),
+                        exchange.id(),
+                        exchange.deadline().minus(REFUSAL_MARGIN_MILLIS));
+        mIntents.begin(intent)
+                .observeOn(mControl)
+                .subscribe(decision -> decided(exchange, intent, decision));
+    }
+
+    private void decided(AgentExchange exchange, IntentRequest intent, IntentDecision decision) {
+        if (decision instanceof IntentDecision.Granted) {
+            sendGranted(exchange, intent);
+        } else if (decision instanceof IntentDecision.Running running) {
+            running.end().observeOn(mControl).subscribe(end -> decided(exchange, intent, end));
+        } else if (decision instanceof IntentDecision.Recorded recorded) {
+            finish(exchange, recorded.outcome());
+        } else if (decision instanceof IntentDecision.KeyReused) {
+            refuse(exchange, ResultCode.KEY_REUSED, "idempotency key of another call");
+        } else if (decision instanceof IntentDecision.OutcomeUnknown unknown) {
+            refuse(exchange, ResultCode.OUTCOME_UNKNOWN, unknown.message());
+        } else if (decision instanceof IntentDecision.NotRecorded notRecorded) {
+            refuse(exchange, ResultCode.NOT_DURABLE, notRecorded.message());
+        }
+    }
+
+    private void sendGranted(AgentExchange exchange, IntentRequest intent) {
+        boolean late = exchange.deadline().isPast(now());
+        boolean open = mOpen.containsKey(exchange.id());
+        if (late || !open) {
+            mIntents.abandon(intent);
+            refuse(exchange, ResultCode.DEADLINE_PASSED, "deadline passed before the call");
+            return;
+        }
+        send(exchange, Optional.of(intent));
+    }
+
+    private void send(AgentExchange exchange, Optional<IntentRequest> intent) {
+        PlainWork work = exchange.request().getPlainWork();
+        boolean first = exchange.start();
+        mInvariants.check(first, "call " + exchange.id() + " was to be sent again");
+        if (!first) {
+            return;
+        }
+        mMetrics.counter("plain.calls").inc();
+        PlainCall call =
+                new PlainCall(
+                        exchange.id(),
+                        work.getMethod(),
+                        work.getPath(),
+                        work.getContentType(),
+                        work.getBody().toByteArray(),
+                        work.getIdempotencyKey());
+        mService.call(call)
+                .observeOn(mControl)
+                .subscribe(result -> answered(exchange, intent, result));
+    }
+
+    private void answered(
+            AgentExchange exchange, Optional<IntentRequest> intent, Result<PlainAnswer> result) {
+        if (result instanceof Result.Ok<PlainAnswer> ok) {
+            PlainAnswer answer = ok.value();
+            RecordedOutcome outcome =
+                    new RecordedOutcome(answer.status(), answer.contentType(), answer.body(), true);
+            intent.ifPresent(request -> mIntents.finish(request, outcome));
+            finish(exchange, outcome);
+            return;
+        }
+        Refusal refusal = result.failure().orElseThrow();
+        boolean notRun = refusal instanceof Refusal.NotRun;
+        intent.ifPresent(
+                request -> {
+                    if (notRun) {
+                        mIntents.abandon(request);
+                    } else {
+                        mIntents.lose(request);
+                    }
+                });
+        refuse(exchange, refusal.code(), refusal.message());
+    }
+
+    private void finish(AgentExchange exchange, RecordedOutcome outcome) {
+        if (mOpen.remove(exchange.id()) == null) {
+            return;
+        }
+        mQueue.finish(exchange.id(), now());
+        if (outcome.body().length > 0) {
+            exchange.answer().append(outcome.body());
+        }
+        ResultCode code = outcome.retained() ? ResultCode.OK : ResultCode.ANSWER_NOT_RETAINED;
+        exchange.end(new Ending(0, code, "", outcome.status(), outcome.contentType()), false);
+        mMetrics.counter("agent.ended." + code).inc();
+        tick();
+    }
+
+    private void refuse(AgentExchange exchange, ResultCode code, String message) {
+        if (mOpen.remove(exchange.id()) == null) {
+            return;
+        }
+        mQueue.finish(exchange.id(), now());
+        end(exchange, Refusal.of(code, message));
+        tick();
+    }
+
+    private void end(AgentExchange exchange, Refusal refusal) {
+        boolean notRun = refusal instanceof Refusal.NotRun;
+        exchange.end(Ending.refused(refusal.code(), refusal.message()), notRun);
+        mMetrics.counter("agent.ended." + refusal.code()).inc();
+    }
+
+    @Override
+    public boolean withdraw(AgentExchange exchange) {
+        if (mQueue.withdraw(exchange.id())) {
+            mOpen.remove(exchange.id());
+            return true;
+        }
+        boolean recording = exchange.state() == AgentExchange.State.WAITING;
+        if (recording && mOpen.remove(exchange.id()) != null) {
+            mQueue.finish(exchange.id(), now());
+            return true;
+        }
+        return false;
+    }
+
+    @Override
+    public void refuseWaiting(ResultCode code, String message) {
+        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
+            mQueue.withdraw(work.requestId());
+            end(mOpen.remove(work.requestId()), Refusal.of(code, message));
+        }
+    }
+
+    private static String fingerprint(PlainWork work) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String call = work.getService() + "\n" + work.getMethod() + "\n" + work.getPath();
+            digest.update(call.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+            return HexFormat.of()
+                    .formatHex(digest.digest(work.getBody().toByteArray()))
+                    .substring(0, 32);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public int active() {
+        return mQueue.active();
+    }
+
+    @Override
+    public int waiting() {
+        return mQueue.waiting().size();
+    }
+
+    @Override
+    public int capacity() {
+        return mQueue.capacity();
+    }
+
+    @Override
+    public long oldestDeadlineMillis() {
+        return mQueue.oldestDeadline().map(Deadline::epochMillis).orElse(0L);
+    }
+
+    @Override
+    public boolean isResident(AgentExchange exchange) {
+        return true;
+    }
+
+    @Override
+    public List<ModelStatus> models() {
+        return List.of();
+    }
+
+    private long now() {
+        return mControl.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent: the only way to its backend server. */
+package org.cornelway.agent;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/config/Json.java
@@ -0,0 +1,62 @@
+package org.cornelway.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.cornelway.result.Result;
+import org.cornelway.result.ResultCode;
+
+/** Reads and writes records as JSON. Stateless and thread-safe. */
+public final class Json {
+    private static final ObjectMapper STRICT =
+            JsonMapper.builder()
+                    .addModule(new Jdk8Module())
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .build();
+    private static final ObjectMapper LENIENT =
+            JsonMapper.builder()
+                    .addModule(new Jdk8Module())
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .build();
+
+    private Json() {}
+
+    /** The mapper for documents of other systems, which may carry unknown fields. */
+    public static ObjectMapper mapper() {
+        return LENIENT;
+    }
+
+    /** Writes a value. */
+    public static byte[] write(Object value) {
+        try {
+            return LENIENT.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads a value that this system wrote, perhaps in a newer version; empty if malformed. */
+    public static <T> Optional<T> read(byte[] bytes, Class<T> type) {
+        try {
+            return Optional.ofNullable(LENIENT.readValue(bytes, type));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Reads an operator's preset; unknown fields and missing numbers are faults. */
+    public static Result<Preset> readPreset(byte[] bytes) {
+        try {
+            return Result.ok(STRICT.readValue(bytes, Preset.class));
+        } catch (JsonProcessingException e) {
+            return Result.failed(ResultCode.INVALID_PRESET, e.getOriginalMessage());
+        } catch (IOException e) {
+            return Result.failed(ResultCode.INVALID_PRESET, String.valueOf(e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/config/PresetDifference.java
@@ -0,0 +1,49 @@
+package org.cornelway.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+/** Lists what differs between two presets. Stateless and thread-safe. */
+public final class PresetDifference {
+    private PresetDifference() {}
+
+    /** One line for each difference, none if the presets are equal. */
+    public static List<String> between(Preset before, Preset after) {
+        List<String> lines = new ArrayList<>();
+        rules(lines, "model", before.models(), after.models(), ModelRule::name);
+        rules(lines, "adapters", before.adapters(), after.adapters(), AdapterRule::base);
+        rules(lines, "service", before.services(), after.services(), ServiceRule::name);
+        rules(lines, "team", before.teams(), after.teams(), TeamRule::name);
+        value(lines, "idleUnloadMillis", before.idleUnloadMillis(), after.idleUnloadMillis());
+        value(lines, "deferredShare", before.deferredShare(), after.deferredShare());
+        return lines;
+    }
+
+    private static <T> void rules(
+            List<String> lines,
+            String what,
+            List<T> before,
+            List<T> after,
+            Function<T, String> name) {
+        TreeSet<String> names = new TreeSet<>();
+        before.forEach(rule -> names.add(name.apply(rule)));
+        after.forEach(rule -> names.add(name.apply(rule)));
+        for (String each : names) {
+            List<T> old = before.stream().filter(r -> name.apply(r).equals(each)).toList();
+            List<T> now = after.stream().filter(r -> name.apply(r).equals(each)).toList();
+            if (!old.equals(now)) {
+                old.forEach(rule -> lines.add("- " + what + " " + rule));
+                now.forEach(rule -> lines.add("+ " + what + " " + rule));
+            }
+        }
+    }
+
+    private static void value(List<String> lines, String what, Object before, Object after) {
+        if (!before.equals(after)) {
+            lines.add("- " + what + " " + before);
+            lines.add("+ " + what + " " + after);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/config/StoredPreset.java
@@ -0,0 +1,17 @@
+package org.cornelway.config;
+
+import java.util.List;
+
+/**
+ * A preset as stored, with the changes made to it. Immutable.
+ *
+ * @param preset the preset
+ * @param version rises by one with each put
+ * @param audit the latest puts, oldest first
+ */
+public record StoredPreset(Preset preset, long version, List<AuditEntry> audit) {
+    /** Copies the list. */
+    public StoredPreset {
+        audit = List.copyOf(audit);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/config/TeamRule.java
@@ -0,0 +1,23 @@
+package org.cornelway.config;
+
+import java.util.List;
+
+/**
+ * What one team may call. Immutable.
+ *
+ * @param name the team's name
+ * @param keySha256 SHA-256 of the team's key, in lower-case hexadecimal
+ * @param allowed models and services, or {@code *} for all
+ * @param maxWaiting requests that the team may have open at one entry
+ */
+public record TeamRule(String name, String keySha256, List<String> allowed, int maxWaiting) {
+    /** Copies the list. */
+    public TeamRule {
+        allowed = allowed == null ? List.of("*") : List.copyOf(allowed);
+    }
+
+    /** Whether the team may call a model or service. */
+    public boolean allows(String target) {
+        return allowed.contains("*") || allowed.contains(target);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/controller/PlacementController.java
@@ -0,0 +1,219 @@
+package org.cornelway.controller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cornelway.config.Configuration;
+import org.cornelway.config.Json;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.PlacementPlanner;
+import org.cornelway.placement.Release;
+import org.cornelway.placement.ServerView;
+import org.cornelway.placement.SlotBinding;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.KeyValueStore;
+import org.cornelway.platform.Member;
+import org.cornelway.platform.SwapResult;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.relay.DocumentKeys;
+import org.cornelway.relay.MemberTable;
+import org.cornelway.relay.PeerClient;
+import org.cornelway.rpc.DescribeReply;
+import org.cornelway.supervisor.Component;
+
+/**
+ * Carries out the configuration in force while this process holds the controller's lease.
+ *
+ * <p>Each step reads what changed, plans, and writes the next placement document under the revision
+ * it was planned from. The agents act on the document; there are no orders from here. Confined to
+ * the control thread.
+ */
+public final class PlacementController implements Component {
+    private static final Logger LOG = LogManager.getLogger(PlacementController.class);
+    private static final long STEP_MILLIS = 1_000;
+    private static final int CANDIDATES = 3;
+    private static final int PARALLEL_CALLS = 32;
+
+    private final MemberTable mMembers;
+    private final DocumentCache mCache;
+    private final KeyValueStore mStore;
+    private final PeerClient mPeers;
+    private final PlacementPlanner mPlanner;
+    private final ControllerLease mLease;
+    private final Scheduler mControl;
+    private final Invariants mInvariants;
+    private final MetricRegistry mMetrics;
+    private final ServerTracker mServers = new ServerTracker();
+    private final CompositeDisposable mTasks = new CompositeDisposable();
+    private boolean mBusy;
+
+    /**
+     * @param planner decides the next document
+     */
+    public PlacementController(
+            MemberTable members,
+            DocumentCache cache,
+            KeyValueStore store,
+            PeerClient peers,
+            PlacementPlanner planner,
+            Scheduler control,
+            Invariants invariants,
+            MetricRegistry metrics) {
+        mMembers = members;
+        mCache = cache;
+        mStore = store;
+        mPeers = peers;
+        mPlanner = planner;
+        mLease = new ControllerLease(members.self(), store, control);
+        mControl = control;
+        mInvariants = invariants;
+        mMetrics = metrics;
+    }
+
+    /** The lease. */
+    public ControllerLease lease() {
+        return mLease;
+    }
+
+    @Override
+    public String name() {
+        return "placement-controller";
+    }
+
+    @Override
+    public Completable start() {
+        return Completable.fromAction(
+                () ->
+                        mTasks.add(
+                                mControl.schedulePeriodicallyDirect(
+                                        this::step,
+                                        STEP_MILLIS,
+                                        STEP_MILLIS,
+                                        TimeUnit.MILLISECONDS)));
+    }
+
+    @Override
+    public Completable stop() {
+        return Completable.fromAction(
+                () -> {
+                    mTasks.dispose();
+                    mLease.release();
+                });
+    }
+
+    private void step() {
+        Optional<String> agents = Optional.of(Member.ROLE_AGENT);
+        boolean candidate = mMembers.isAmongFirst("controller", CANDIDATES, agents);
+        mLease.step(candidate);
+        Optional<Configuration> configuration =
+                mCache.find(DocumentKeys.CONFIGURATION)
+                        .flatMap(kv -> Json.read(kv.value(), Configuration.class));
+        if (!mLease.isHeld() || mBusy || configuration.isEmpty()) {
+            return;
+        }
+        mBusy = true;
+        Optional<KeyValue> held = mCache.find(DocumentKeys.PLACEMENT);
+        PlacementDocument current =
+                held.flatMap(kv -> Json.read(kv.value(), PlacementDocument.class))
+                        .orElse(PlacementDocument.empty(0));
+        long revision = held.map(KeyValue::revision).orElse(KeyValueStore.ABSENT);
+        releases(current)
+                .observeOn(mControl)
+                .flatMap(releases -> write(current, revision, configuration.get(), releases))
+                .observeOn(mControl)
+                .doFinally(() -> mBusy = false)
+                .subscribe(done -> {}, e -> LOG.warn("placement step failed", e));
+    }
+
+    /** Asks the servers with slots being released whether they hold the model still. */
+    private Single<Set<Release>> releases(PlacementDocument document) {
+        Set<String> servers =
+                document.bindings().stream()
+                        .filter(SlotBinding::releasing)
+                        .map(SlotBinding::server)
+                        .collect(Collectors.toSet());
+        return Flowable.fromIterable(servers)
+                .flatMap(server -> Flowable.fromStream(mMembers.find(server).stream()))
+                .flatMapSingle(
+                        member ->
+                                mPeers.describe(member)
+                                        .map(reply -> confirmed(document, member.id(), reply))
+                                        .onErrorReturnItem(Set.of()),
+                        false,
+                        PARALLEL_CALLS)
+                .collect(HashSet::new, Set::addAll);
+    }
+
+    private static Set<Release> confirmed(
+            PlacementDocument document, String server, DescribeReply reply) {
+        boolean current =
+                reply.getRecovered()
+                        && reply.getInstance().equals(server)
+                        && reply.getPlacementFencingNumber() >= document.fencingNumber();
+        if (!current) {
+            return Set.of();
+        }
+        Set<String> held =
+                reply.getModelsList().stream()
+                        .map(model -> model.getModel())
+                        .collect(Collectors.toSet());
+        return document.bindings().stream()
+                .filter(binding -> binding.releasing() && binding.server().equals(server))
+                .filter(binding -> !held.contains(binding.model()))
+                .map(binding -> new Release(binding.model(), server))
+                .collect(Collectors.toSet());
+    }
+
+    private Single<Boolean> write(
+            PlacementDocument current,
+            long revision,
+            Configuration configuration,
+            Set<Release> releases) {
+        Set<String> bound =
+                current.bindings().stream().map(SlotBinding::server).collect(Collectors.toSet());
+        if (mMembers.all().isEmpty()) {
+            return Single.just(false);
+        }
+        List<ServerView> servers = mServers.read(mMembers.all(), bound);
+        Optional<PlacementDocument> next =
+                mPlanner.plan(current, configuration, servers, releases, mMembers.self());
+        if (next.isEmpty() || !mLease.isHeld()) {
+            return Single.just(false);
+        }
+        next.get().check(mInvariants);
+        byte[] value = Json.write(next.get());
+        return mStore.compareAndSwap(
+                        DocumentKeys.PLACEMENT, revision, value, KeyValueStore.NO_LEASE)
+                .observeOn(mControl)
+                .flatMap(result -> written(next.get(), value, result));
+    }
+
+    private Single<Boolean> written(PlacementDocument next, byte[] value, SwapResult result) {
+        if (result instanceof SwapResult.Swapped swapped) {
+            mMetrics.counter("placement.writes").inc();
+            LOG.info(
+                    "placement {} written: {} bindings for configuration {}",
+                    next.fencingNumber(),
+                    next.bindings().size(),
+                    next.configurationVersion());
+            mCache.offerVerified(new KeyValue(DocumentKeys.PLACEMENT, value, swapped.revision()));
+            return Single.just(true);
+        }
+        LOG.warn("placement {} not written: {}", next.fencingNumber(), result);
+        return mStore.get(DocumentKeys.PLACEMENT)
+                .doOnSuccess(kv -> kv.ifPresent(mCache::offerVerified))
+                .map(kv -> false);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/controller/ServerTracker.java
@@ -0,0 +1,52 @@
+package org.cornelway.controller;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cornelway.placement.ServerView;
+import org.cornelway.platform.Member;
+
+/**
+ * Tells a server that is gone from one that the list left out for a moment.
+ *
+ * <p>A server counts as gone after it was absent from several reads in a row; until then it keeps
+ * its slots. Not thread-safe; confined to the control thread.
+ */
+public final class ServerTracker {
+    /** Reads in a row without a server after which it is gone. */
+    public static final int ABSENT_READS = 3;
+
+    private final Map<String, ServerView> mLastSeen = new HashMap<>();
+    private final Map<String, Integer> mAbsent = new HashMap<>();
+
+    /**
+     * Takes one read of the list.
+     *
+     * @param bound the servers that hold slots
+     * @return the servers to plan with
+     */
+    public List<ServerView> read(Map<String, Member> members, Set<String> bound) {
+        Map<String, ServerView> views = new TreeMap<>();
+        for (Member member : members.values()) {
+            if (member.isModelAgent()) {
+                ServerView view =
+                        new ServerView(
+                                member.id(), member.zone(), member.memoryBytes(), member.leaving());
+                views.put(member.id(), view);
+                mLastSeen.put(member.id(), view);
+                mAbsent.remove(member.id());
+            }
+        }
+        for (String server : bound) {
+            boolean absent = !views.containsKey(server);
+            if (absent && mAbsent.merge(server, 1, Integer::sum) < ABSENT_READS) {
+                ServerView unseen = new ServerView(server, "", 0, false);
+                views.put(server, mLastSeen.getOrDefault(server, unseen));
+            }
+        }
+        return new ArrayList<>(views.values());
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/controller/package-info.java
@@ -0,0 +1,2 @@
+/** The controller: carries out the configuration in force by writing placement documents. */
+package org.cornelway.controller;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/CallerSink.java
@@ -0,0 +1,15 @@
+package org.cornelway.entry;
+
+import org.cornelway.exchange.Ending;
+
+/**
+ * Receives one request's answer. Called by one thread at a time; {@code end} is called exactly once
+ * and last.
+ */
+public interface CallerSink {
+    /** Receives the next part of the answer. */
+    void chunk(byte[] data);
+
+    /** Receives the ending. */
+    void end(Ending ending);
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/EntryExchange.java
@@ -0,0 +1,387 @@
+package org.cornelway.entry;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.SerialDisposable;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cornelway.exchange.Ending;
+import org.cornelway.platform.Member;
+import org.cornelway.result.ResultCode;
+import org.cornelway.rpc.Chunk;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.Final;
+import org.cornelway.rpc.Frame;
+import org.cornelway.rpc.WithdrawReply;
+
+/**
+ * Brings one request to an agent and its whole answer back.
+ *
+ * <p>Invariants: the sink's end is called once; a request that may not be repeated is submitted
+ * again only after proof that it did not run, or under a key that the intent log guards; "not run"
+ * is told only if it holds for every submission.
+ *
+ * <p>Confined to one worker of the traffic scheduler; lives until the end was told.
+ */
+public final class EntryExchange {
+    private static final Logger LOG = LogManager.getLogger(EntryExchange.class);
+    private static final long CHECK_MILLIS = 250;
+    private static final long SILENCE_MILLIS = 1_500;
+    private static final long ATTACH_BACKOFF_MILLIS = 100;
+    private static final int ATTACHES_BEFORE_MOVING_ON = 3;
+    private static final int FIRST_BACKOFF_MILLIS = 20;
+    private static final int MAX_BACKOFF_MILLIS = 400;
+
+    private final EntryRequest mRequest;
+    private final CallerSink mSink;
+    private final EntryServices mServices;
+    private final Runnable mOnEnd;
+    private final Scheduler.Worker mWorker;
+    private final SerialDisposable mCall = new SerialDisposable();
+    private final Set<String> mExcluded = new HashSet<>();
+    private Optional<Submission> mSubmission = Optional.empty();
+    private int mSubmissions;
+    private int mRefusals;
+    private boolean mDelivered;
+    private boolean mMayHaveRun;
+    private boolean mEnded;
+
+    /**
+     * @param onEnd told after the end
+     */
+    public EntryExchange(
+            EntryRequest request, CallerSink sink, EntryServices services, Runnable onEnd) {
+        mRequest = request;
+        mSink = sink;
+        mServices = services;
+        mOnEnd = onEnd;
+        mWorker = services.traffic().createWorker();
+    }
+
+    /** Starts; called once. */
+    public void start() {
+        long left = mRequest.deadline().remainingMillis(now());
+        mWorker.schedule(this::submit);
+        mWorker.schedule(this::deadlinePassed, left, TimeUnit.MILLISECONDS);
+        mWorker.schedulePeriodically(
+                this::checkSilence, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The caller went away; withdraws the request. */
+    public void cancel() {
+        mWorker.schedule(
+                () -> {
+                    if (!mEnded) {
+                        withdraw();
+                        end(Ending.refused(ResultCode.OUTCOME_UNKNOWN, "the caller went away"));
+                    }
+                });
+    }
+
+    private void submit() {
+        if (mEnded) {
+            return;
+        }
+        Optional<Member> agent =
+                mServices
+                        .chooser()
+                        .choose(
+                                mRequest.target(),
+                                mServices.view().get(),
+                                mServices.loads(),
+                                mExcluded);
+        if (agent.isEmpty()) {
+            mExcluded.clear();
+            refused(ResultCode.NO_REPLICA, "no live backend server for the request");
+            return;
+        }
+        mSubmissions++;
+        Submission submission =
+                new Submission(
+                        mRequest.id() + "-" + mSubmissions,
+                        agent.get(),
+                        mServices.loads().incarnation(agent.get().id()),
+                        now());
+        mSubmission = Optional.of(submission);
+        mServices.loads().begin(agent.get().id());
+        LOG.debug("{} goes to {}", submission.id(), agent.get().id());
+        call(submission, false, false);
+    }
+
+    private void call(Submission submission, boolean attach, boolean fresh) {
+        submission.noteCall(now());
+        ExchangeRequest request =
+                mRequest.template().toBuilder()
+                        .setRequestId(submission.id())
+                        .setAttach(attach)
+                        .setNextSequence(submission.assembler().nextSequence())
+                        .setConfigurationRevision(mServices.hints().configurationRevision())
+                        .setPlacementRevision(mServices.hints().placementRevision())
+                        .build();
+        int call = submission.calls();
+        FrameListener listener =
+                new FrameListener() {
+                    @Override
+                    public void frame(Frame frame) {
+                        mWorker.schedule(() -> onFrame(submission, frame));
+                    }
+
+                    @Override
+                    public void broken(boolean notSent, String reason) {
+                        mWorker.schedule(() -> onBroken(submission, call, notSent, reason));
+                    }
+                };
+        mCall.set(mServices.gateway().exchange(submission.agent(), request, listener, fresh));
+    }
+
+    private boolean isCurrent(Submission submission) {
+        return !mEnded && mSubmission.isPresent() && mSubmission.get() == submission;
+    }
+
+    private void onFrame(Submission submission, Frame frame) {
+        if (!isCurrent(submission)) {
+            mServices.metrics().counter("entry.frames.late").inc();
+            return;
+        }
+        submission.noteFrame(now());
+        if (frame.hasLoad()) {
+            Member agent = submission.agent();
+            mServices.loads().report(agent.id(), mRequest.target().model(), frame.getLoad());
+            mServices.hints().seen(agent, frame.getLoad());
+        }
+        if (frame.hasChunk()) {
+            onChunk(submission, frame.getRequestId(), frame.getChunk());
+        } else if (frame.hasFinal()) {
+            onFinal(submission, frame.getRequestId(), frame.getFinal());
+        }
+    }
+
+    private void onChunk(Submission submission, String id, Chunk chunk) {
+        switch (submission.assembler().chunk(id, chunk.getSequence())) {
+            case DELIVER -> {
+                mDelivered = true;
+                mSink.chunk(chunk.getData().toByteArray());
+            }
+            case GAP -> attach(submission, "gap before chunk " + chunk.getSequence());
+            default -> mServices.metrics().counter("entry.frames.dropped").inc();
+        }
+    }
+
+    private void onFinal(Submission submission, String id, Final mark) {
+        ResultCode code = ResultCode.ofNumber(mark.getResultCode()).orElse(ResultCode.INTERNAL);
+        if (code == ResultCode.UNKNOWN_EXCHANGE) {
+            lost(submission);
+            return;
+        }
+        switch (submission.assembler().end(id, mark.getChunkCount())) {
+            case DELIVER -> onEnding(submission, code, mark);
+            case GAP -> attach(submission, "final mark counts " + mark.getChunkCount());
+            default -> mServices.metrics().counter("entry.frames.dropped").inc();
+        }
+    }
+
+    private void onEnding(Submission submission, ResultCode code, Final mark) {
+        leave(submission);
+        boolean notRun = code.certainty() == ResultCode.Certainty.NOT_RUN;
+        if (notRun) {
+            mRefusals++;
+            mExcluded.add(submission.agent().id());
+        }
+        if (notRun && RetryRule.triesElsewhere(code, mRefusals)) {
+            refused(code, mark.getMessage());
+            return;
+        }
+        boolean failedEarly = code == ResultCode.BACKEND_FAILED && !mDelivered;
+        if (failedEarly && mRequest.repeatable() && mServices.retries().tryRetry()) {
+            mMayHaveRun = true;
+            mExcluded.add(submission.agent().id());
+            submitLater();
+            return;
+        }
+        end(
+                new Ending(
+                        mark.getChunkCount(),
+                        code,
+                        mark.getMessage(),
+                        mark.getHttpStatus(),
+                        mark.getContentType()));
+    }
+
+    /** Tries another agent after a refusal that says "not run". */
+    private void refused(ResultCode code, String message) {
+        boolean preset = mServices.view().get().preset().isPresent();
+        if (mRequest.deadline().remainingMillis(now()) <= MAX_BACKOFF_MILLIS || !preset) {
+            end(Ending.refused(code, message));
+            return;
+        }
+        submitLater();
+    }
+
+    private void submitLater() {
+        mSubmission = Optional.empty();
+        mServices.metrics().counter("entry.retries").inc();
+        int doublings = Math.min(mSubmissions + mRefusals, 5);
+        int limit = Math.min(MAX_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS << doublings);
+        long delay = limit / 2 + mServices.random().applyAsInt(limit / 2 + 1);
+        mWorker.schedule(this::submit, delay, TimeUnit.MILLISECONDS);
+    }
+
+    private void onBroken(Submission submission, int call, boolean notSent, String reason) {
+        if (!isCurrent(submission) || call != submission.calls()) {
+            return;
+        }
+        mServices.loads().failed(submission.agent().id());
+        if (notSent && call == 1) {
+            leave(submission);
+            mExcluded.add(submission.agent().id());
+            refused(ResultCode.NO_REPLICA, reason);
+            return;
+        }
+        attach(submission, reason);
+    }
+
+    private void checkSilence() {
+        mSubmission
+                .filter(submission -> !mEnded)
+                .filter(submission -> now() - submission.heardMillis() > SILENCE_MILLIS)
+                .ifPresent(submission -> attach(submission, "silence"));
+    }
+
+    /** Attaches again on a fresh connection, or moves on if that is safe and does not help. */
+    private void attach(Submission submission, String reason) {
+        mServices.metrics().counter("entry.attaches").inc();
+        LOG.info("{} attaches again: {}", submission.id(), reason);
+        if (submission.calls() > ATTACHES_BEFORE_MOVING_ON && mayMoveOn()) {
+            moveOn(submission);
+            return;
+        }
+        long delay = ATTACH_BACKOFF_MILLIS * submission.calls();
+        submission.noteCall(now() + delay);
+        int call = submission.calls();
+        mCall.set(io.reactivex.rxjava3.disposables.Disposable.empty());
+        mWorker.schedule(
+                () -> {
+                    if (isCurrent(submission) && submission.calls() == call) {
+                        call(submission, true, true);
+                    }
+                },
+                delay,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private boolean mayMoveOn() {
+        boolean again = mRequest.repeatable() && !mDelivered;
+        return again || mRequest.keyed();
+    }
+
+    private void moveOn(Submission submission) {
+        withdraw();
+        leave(submission);
+        mMayHaveRun = true;
+        mExcluded.add(submission.agent().id());
+        if (mRequest.keyed() || mServices.retries().tryRetry()) {
+            submitLater();
+        } else {
+            end(Ending.refused(ResultCode.BACKEND_FAILED, "agent lost, retry budget spent"));
+        }
+    }
+
+    /** The agent does not know the request: it never arrived, or the agent was restarted. */
+    private void lost(Submission submission) {
+        if (mayMoveOn()) {
+            moveOn(submission);
+        } else if (mDelivered) {
+            end(Ending.refused(ResultCode.ANSWER_INCOMPLETE, "the agent was restarted"));
+        } else {
+            proveNotRun(submission);
+        }
+    }
+
+    private void proveNotRun(Submission submission) {
+        long deadline = mRequest.deadline().epochMillis();
+        mServices
+                .gateway()
+                .withdraw(submission.agent(), submission.id(), deadline)
+                .subscribe(
+                        reply -> mWorker.schedule(() -> onProof(submission, reply)),
+                        e -> mWorker.schedule(() -> attach(submission, "withdrawal failed")));
+    }
+
+    private void onProof(Submission submission, WithdrawReply reply) {
+        if (!isCurrent(submission)) {
+            return;
+        }
+        boolean sameProcess =
+                submission.incarnation().filter(reply.getIncarnation()::equals).isPresent();
+        if (reply.getOutcome() == WithdrawReply.Outcome.WITHDRAWN && sameProcess) {
+            leave(submission);
+            submitLater();
+        } else {
+            end(Ending.refused(ResultCode.OUTCOME_UNKNOWN, "the agent was restarted"));
+        }
+    }
+
+    private void deadlinePassed() {
+        if (mEnded) {
+            return;
+        }
+        boolean open = mSubmission.isPresent();
+        withdraw();
+        if (!open && !mMayHaveRun) {
+            end(Ending.refused(ResultCode.DEADLINE_PASSED, "no backend server took it in time"));
+        } else if (mRequest.repeatable()) {
+            end(Ending.refused(ResultCode.DEADLINE_PASSED_RUNNING, "deadline passed"));
+        } else {
+            end(Ending.refused(ResultCode.OUTCOME_UNKNOWN, "deadline passed before the answer"));
+        }
+    }
+
+    private void withdraw() {
+        mSubmission.ifPresent(
+                submission ->
+                        mServices
+                                .gateway()
+                                .withdraw(
+                                        submission.agent(),
+                                        submission.id(),
+                                        mRequest.deadline().epochMillis())
+                                .subscribe(reply -> {}, e -> {}));
+    }
+
+    private void leave(Submission submission) {
+        if (mSubmission.isPresent()) {
+            mServices.loads().end(submission.agent().id());
+            mSubmission = Optional.empty();
+            mCall.set(io.reactivex.rxjava3.disposables.Disposable.empty());
+        }
+    }
+
+    private void end(Ending ending) {
+        mServices.invariants().check(!mEnded, "request " + mRequest.id() + " ended twice");
+        mEnded = true;
+        mSubmission.ifPresent(this::leave);
+        Ending told = mMayHaveRun ? withoutNotRun(ending) : ending;
+        mServices.metrics().counter("entry.ended." + told.code()).inc();
+        mSink.end(told);
+        mCall.dispose();
+        mOnEnd.run();
+        mWorker.dispose();
+    }
+
+    /** A refusal of the last submission says nothing about the earlier ones. */
+    private Ending withoutNotRun(Ending ending) {
+        if (ending.code().certainty() != ResultCode.Certainty.NOT_RUN) {
+            return ending;
+        }
+        ResultCode code =
+                mRequest.repeatable() ? ResultCode.BACKEND_FAILED : ResultCode.OUTCOME_UNKNOWN;
+        return Ending.refused(code, "an earlier try may have run; then: " + ending.message());
+    }
+
+    private long now() {
+        return mServices.traffic().now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/EntryRequest.java
@@ -0,0 +1,25 @@
+package org.cornelway.entry;
+
+import org.cornelway.routing.Target;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.time.Deadline;
+
+/**
+ * A caller's request, checked. Immutable.
+ *
+ * @param id unique id, over restarts too
+ * @param target what it is for
+ * @param team the calling team, or empty
+ * @param deadline when it must have ended
+ * @param repeatable whether it may be sent more than once
+ * @param keyed whether the agents' intent log keeps it from running twice
+ * @param template the request for the agent, without id and revisions
+ */
+public record EntryRequest(
+        String id,
+        Target target,
+        String team,
+        Deadline deadline,
+        boolean repeatable,
+        boolean keyed,
+        ExchangeRequest template) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/FrameListener.java
@@ -0,0 +1,16 @@
+package org.cornelway.entry;
+
+import org.cornelway.rpc.Frame;
+
+/** Receives what comes back on one call to an agent. Called on any thread. */
+public interface FrameListener {
+    /** Receives a frame. */
+    void frame(Frame frame);
+
+    /**
+     * The call ended; ignored after the final mark.
+     *
+     * @param notSent whether no byte of the request can have left
+     */
+    void broken(boolean notSent, String reason);
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/RevisionHints.java
@@ -0,0 +1,16 @@
+package org.cornelway.entry;
+
+import org.cornelway.platform.Member;
+import org.cornelway.rpc.AgentLoad;
+
+/** Tells what revisions this entry has, and learns of newer ones. Thread-safe. */
+public interface RevisionHints {
+    /** Revision of the configuration held. */
+    long configurationRevision();
+
+    /** Revision of the placement held. */
+    long placementRevision();
+
+    /** Learns what an agent holds. */
+    void seen(Member agent, AgentLoad load);
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/Submission.java
@@ -0,0 +1,59 @@
+package org.cornelway.entry;
+
+import java.util.Optional;
+import org.cornelway.exchange.AnswerAssembler;
+import org.cornelway.platform.Member;
+
+/** One try of a request at one agent. Confined to the exchange's worker. */
+final class Submission {
+    private final String mId;
+    private final Member mAgent;
+    private final Optional<String> mIncarnation;
+    private final AnswerAssembler mAssembler;
+    private int mCalls;
+    private long mHeardMillis;
+
+    /**
+     * @param incarnation the agent's incarnation known before the request was sent
+     */
+    Submission(String id, Member agent, Optional<String> incarnation, long nowMillis) {
+        mId = id;
+        mAgent = agent;
+        mIncarnation = incarnation;
+        mAssembler = new AnswerAssembler(id);
+        mHeardMillis = nowMillis;
+    }
+
+    String id() {
+        return mId;
+    }
+
+    Member agent() {
+        return mAgent;
+    }
+
+    Optional<String> incarnation() {
+        return mIncarnation;
+    }
+
+    AnswerAssembler assembler() {
+        return mAssembler;
+    }
+
+    int calls() {
+        return mCalls;
+    }
+
+    void noteCall(long nowMillis) {
+        mCalls++;
+        mHeardMillis = nowMillis;
+    }
+
+    long heardMillis() {
+        return mHeardMillis;
+    }
+
+    void noteFrame(long nowMillis) {
+        mHeardMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry: takes callers' requests and brings them their answers. */
+package org.cornelway.entry;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/AdminRoutes.java
@@ -0,0 +1,178 @@
+package org.cornelway.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cornelway.admin.ConfigurationEditor;
+import org.cornelway.admin.StatusCollector;
+import org.cornelway.config.Json;
+import org.cornelway.config.Preset;
+import org.cornelway.result.Refusal;
+import org.cornelway.result.Result;
+import org.cornelway.result.ResultCode;
+
+/** The administration API; docs/ADMIN-API.md describes it. Thread-safe. */
+public final class AdminRoutes {
+    private static final Logger LOG = LogManager.getLogger(AdminRoutes.class);
+    private static final String PREFIX = "/admin/v1";
+    private static final String AUTHOR = "X-Author";
+    private static final long MAX_BODY_BYTES = 1 << 20;
+
+    private final ConfigurationEditor mEditor;
+    private final StatusCollector mStatus;
+    private final byte[] mToken;
+
+    /**
+     * @param token what operators must show
+     */
+    public AdminRoutes(ConfigurationEditor editor, StatusCollector status, String token) {
+        mEditor = editor;
+        mStatus = status;
+        mToken = token.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Adds the routes. */
+    public void add(Router router) {
+        router.route(PREFIX + "/*").handler(this::authenticate);
+        router.route(PREFIX + "/*").handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        router.get(PREFIX + "/presets").handler(c -> answer(c, mEditor::presets));
+        router.get(PREFIX + "/presets/:name").handler(this::preset);
+        router.put(PREFIX + "/presets/:name").handler(this::put);
+        router.post(PREFIX + "/validate").handler(this::validate);
+        router.post(PREFIX + "/switch").handler(this::switchTo);
+        router.get(PREFIX + "/configuration").handler(this::configuration);
+        router.get(PREFIX + "/history").handler(c -> answer(c, mEditor::history));
+        router.get(PREFIX + "/status").handler(c -> answer(c, mStatus::collect));
+    }
+
+    private void authenticate(RoutingContext context) {
+        String given = RequestReader.bearer(context.request()).orElse("");
+        if (MessageDigest.isEqual(given.getBytes(StandardCharsets.UTF_8), mToken)) {
+            context.next();
+        } else {
+            refuse(context, Refusal.of(ResultCode.UNAUTHENTICATED, "operator token is wrong"));
+        }
+    }
+
+    private void preset(RoutingContext context) {
+        String name = context.pathParam("name");
+        result(
+                context,
+                () ->
+                        mEditor.preset(name)
+                                .map(
+                                        stored ->
+                                                stored.map(Result::ok)
+                                                        .orElse(
+                                                                Result.failed(
+                                                                        ResultCode.UNKNOWN_PRESET,
+                                                                        "no preset " + name))));
+    }
+
+    private void configuration(RoutingContext context) {
+        result(
+                context,
+                () ->
+                        mEditor.configuration()
+                                .map(
+                                        c ->
+                                                c.map(Result::ok)
+                                                        .orElse(
+                                                                Result.failed(
+                                                                        ResultCode.NOT_CONFIGURED,
+                                                                        "nothing in force"))));
+    }
+
+    private void put(RoutingContext context) {
+        Result<Preset> preset = Json.readPreset(body(context));
+        if (preset.failure().isPresent()) {
+            refuse(context, preset.failure().get());
+            return;
+        }
+        Preset value = preset.toOptional().orElseThrow();
+        if (!value.name().equals(context.pathParam("name"))) {
+            refuse(
+                    context,
+                    Refusal.of(ResultCode.BAD_REQUEST, "name differs from the path's name"));
+            return;
+        }
+        result(context, () -> mEditor.put(value, author(context)));
+    }
+
+    /** What a validation found. */
+    private record Validation(boolean valid, List<String> faults) {}
+
+    private void validate(RoutingContext context) {
+        Result<Preset> preset = Json.readPreset(body(context));
+        List<String> faults =
+                preset instanceof Result.Ok<Preset> ok
+                        ? mEditor.validate(ok.value())
+                        : List.of(preset.failure().orElseThrow().message());
+        OperationalRoutes.json(context, 200, new Validation(faults.isEmpty(), faults));
+    }
+
+    private void switchTo(RoutingContext context) {
+        try {
+            JsonNode json = Json.mapper().readTree(body(context));
+            String name = json.path("preset").asText("");
+            Optional<Long> expected =
+                    json.hasNonNull("expectVersion")
+                            ? Optional.of(json.get("expectVersion").asLong())
+                            : Optional.empty();
+            result(context, () -> mEditor.switchTo(name, expected, author(context)));
+        } catch (IOException e) {
+            refuse(context, Refusal.of(ResultCode.BAD_REQUEST, "body is not JSON"));
+        }
+    }
+
+    private static byte[] body(RoutingContext context) {
+        return context.body().buffer() == null ? new byte[0] : context.body().buffer().getBytes();
+    }
+
+    private static String author(RoutingContext context) {
+        String author = context.request().getHeader(AUTHOR);
+        return author == null ? "unnamed" : author;
+    }
+
+    private <T> void answer(RoutingContext context, Supplier<Single<T>> call) {
+        call.get()
+                .subscribe(
+                        value -> OperationalRoutes.json(context, 200, value),
+                        e -> unavailable(context, e));
+    }
+
+    private <T> void result(RoutingContext context, Supplier<Single<Result<T>>> call) {
+        call.get()
+                .subscribe(
+                        result -> {
+                            if (result instanceof Result.Ok<T> ok) {
+                                OperationalRoutes.json(context, 200, ok.value());
+                            } else {
+                                refuse(context, result.failure().orElseThrow());
+                            }
+                        },
+                        e -> unavailable(context, e));
+    }
+
+    private static void unavailable(RoutingContext context, Throwable e) {
+        LOG.warn("{} failed: {}", context.request().path(), e.getMessage());
+        refuse(context, Refusal.of(ResultCode.STORE_UNAVAILABLE, String.valueOf(e.getMessage())));
+    }
+
+    private static void refuse(RoutingContext context, Refusal refusal) {
+        OperationalRoutes.json(
+                context,
+                refusal.code().httpStatus(),
+                ErrorBody.of(refusal.code(), refusal.message(), ""));
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/CallerRoutes.java
@@ -0,0 +1,143 @@
+package org.cornelway.http;
+
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cornelway.config.ModelRule;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.config.TeamRule;
+import org.cornelway.entry.CallerSink;
+import org.cornelway.entry.EntryCore;
+import org.cornelway.entry.EntryRequest;
+import org.cornelway.exchange.Ending;
+import org.cornelway.result.Refusal;
+import org.cornelway.result.Result;
+import org.cornelway.result.ResultCode;
+import org.cornelway.time.Clock;
+
+/** The callers' side: completions, the list of models, and plain services. Thread-safe. */
+public final class CallerRoutes {
+    private static final Logger LOG = LogManager.getLogger(CallerRoutes.class);
+    private static final long MAX_BODY_BYTES = 4 << 20;
+    private static final String CHAT = "/v1/chat/completions";
+
+    private final EntryCore mCore;
+    private final RequestReader mReader;
+    private final String mIdPrefix = UUID.randomUUID().toString().substring(0, 18);
+    private final AtomicLong mNextId = new AtomicLong();
+
+    /**
+     * @param defaultDeadlineMillis deadline of a request that names none, from its arrival
+     * @param maxDeadlineMillis longest deadline, from a request's arrival
+     */
+    public CallerRoutes(
+            EntryCore core, Clock clock, long defaultDeadlineMillis, long maxDeadlineMillis) {
+        mCore = core;
+        mReader = new RequestReader(clock, defaultDeadlineMillis, maxDeadlineMillis);
+    }
+
+    /** Adds the routes. */
+    public void add(Router router) {
+        BodyHandler body = BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES);
+        router.post("/v1/completions").handler(body).handler(this::completion);
+        router.post(CHAT).handler(body).handler(this::completion);
+        router.get("/v1/models").handler(this::models);
+        router.route("/services/:service").handler(body).handler(this::plain);
+        router.route("/services/:service/*").handler(body).handler(this::plain);
+    }
+
+    /** Reads one kind of request. */
+    private interface Reader {
+        Result<EntryRequest> read(String id, PresetIndex preset, Optional<TeamRule> team);
+    }
+
+    private void completion(RoutingContext context) {
+        String id = nextId();
+        boolean streamed = isStreamed(context);
+        boolean chat = context.request().path().equals(CHAT);
+        CallerSink sink =
+                streamed
+                        ? new StreamedCompletionSink(context.response(), id)
+                        : new WholeCompletionSink(context.response(), id, chat);
+        submit(
+                context,
+                id,
+                sink,
+                (i, preset, team) -> mReader.completion(context, i, preset, team));
+    }
+
+    private static boolean isStreamed(RoutingContext context) {
+        try {
+            return context.body().buffer() != null
+                    && context.body().asJsonObject().getBoolean("stream", false);
+        } catch (RuntimeException e) {
+            // The reader tells the caller what is wrong with the body.
+            return false;
+        }
+    }
+
+    private void plain(RoutingContext context) {
+        String id = nextId();
+        CallerSink sink = new PlainSink(context.response(), id);
+        submit(context, id, sink, (i, preset, team) -> mReader.plain(context, i, preset, team));
+    }
+
+    private void submit(RoutingContext context, String id, CallerSink sink, Reader reader) {
+        Optional<PresetIndex> preset = mCore.services().view().get().preset();
+        if (preset.isEmpty()) {
+            sink.end(Ending.refused(ResultCode.NOT_CONFIGURED, "no preset is in force"));
+            return;
+        }
+        Result<Optional<TeamRule>> team = mReader.team(context.request(), preset.get());
+        if (team.failure().isPresent()) {
+            refuse(sink, id, team.failure().get());
+            return;
+        }
+        Optional<TeamRule> rule = team.toOptional().orElseThrow();
+        Result<EntryRequest> request = reader.read(id, preset.get(), rule);
+        if (request.failure().isPresent()) {
+            refuse(sink, id, request.failure().get());
+            return;
+        }
+        LOG.debug("{} {} {}", id, context.request().method(), context.request().path());
+        Runnable cancel = mCore.submit(request.toOptional().orElseThrow(), rule, sink);
+        context.response().closeHandler(closed -> cancel.run());
+    }
+
+    private static void refuse(CallerSink sink, String id, Refusal refusal) {
+        LOG.debug("{} refused: {} {}", id, refusal.code(), refusal.message());
+        sink.end(Ending.refused(refusal.code(), refusal.message()));
+    }
+
+    /** The list of models in the form that callers know. */
+    private record ModelList(String object, List<ModelEntry> data) {}
+
+    /** One model of the list. */
+    private record ModelEntry(String id, String object, String ownedBy) {}
+
+    private void models(RoutingContext context) {
+        List<ModelEntry> entries = new ArrayList<>();
+        mCore.services()
+                .view()
+                .get()
+                .preset()
+                .ifPresent(
+                        preset -> {
+                            for (ModelRule rule : preset.models()) {
+                                entries.add(new ModelEntry(rule.name(), "model", "cornelway"));
+                            }
+                        });
+        OperationalRoutes.json(context, 200, new ModelList("list", entries));
+    }
+
+    private String nextId() {
+        return mIdPrefix + "-" + mNextId.incrementAndGet();
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/OperationalRoutes.java
@@ -0,0 +1,57 @@
+package org.cornelway.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.cornelway.config.Json;
+
+/** Liveness, readiness and metrics. Stateless and thread-safe. */
+public final class OperationalRoutes {
+    private static final ObjectMapper METRICS =
+            new ObjectMapper()
+                    .registerModule(
+                            new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+    private OperationalRoutes() {}
+
+    /** Whether a process is ready. */
+    private record Readiness(boolean ready) {}
+
+    /**
+     * Adds the routes.
+     *
+     * @param ready whether new work is taken
+     */
+    public static void add(Router router, MetricRegistry metrics, BooleanSupplier ready) {
+        router.get("/livez").handler(context -> json(context, 200, new Readiness(true)));
+        router.get("/readyz")
+                .handler(
+                        context -> {
+                            boolean isReady = ready.getAsBoolean();
+                            json(context, isReady ? 200 : 503, new Readiness(isReady));
+                        });
+        router.get("/metrics").handler(context -> metrics(context, metrics));
+    }
+
+    private static void metrics(RoutingContext context, MetricRegistry metrics) {
+        try {
+            Buffer body = Buffer.buffer(METRICS.writeValueAsBytes(metrics));
+            context.response().putHeader("Content-Type", "application/json").end(body);
+        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+            context.fail(e);
+        }
+    }
+
+    /** Answers with a value as JSON. */
+    static void json(RoutingContext context, int status, Object value) {
+        context.response()
+                .setStatusCode(status)
+                .putHeader("Content-Type", "application/json")
+                .end(Buffer.buffer(Json.write(value)));
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/RequestReader.java
@@ -0,0 +1,247 @@
+package org.cornelway.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.RoutingContext;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.cornelway.config.Json;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.config.ServiceRule;
+import org.cornelway.config.TeamRule;
+import org.cornelway.entry.EntryRequest;
+import org.cornelway.result.Result;
+import org.cornelway.result.ResultCode;
+import org.cornelway.routing.Target;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.ModelWork;
+import org.cornelway.rpc.PlainWork;
+import org.cornelway.rpc.RequestClass;
+import org.cornelway.time.Clock;
+import org.cornelway.time.Deadline;
+
+/** Checks callers' requests. Thread-safe. */
+final class RequestReader {
+    private static final String BEARER = "Bearer ";
+    private static final String ADAPTER_SEPARATOR = ":";
+    private static final int MAX_KEY_LENGTH = 200;
+
+    private final Clock mClock;
+    private final long mDefaultDeadlineMillis;
+    private final long mMaxDeadlineMillis;
+
+    RequestReader(Clock clock, long defaultDeadlineMillis, long maxDeadlineMillis) {
+        mClock = clock;
+        mDefaultDeadlineMillis = defaultDeadlineMillis;
+        mMaxDeadlineMillis = maxDeadlineMillis;
+    }
+
+    /** The caller's team: empty if none is needed, a refusal if the key is wrong. */
+    Result<Optional<TeamRule>> team(HttpServerRequest request, PresetIndex preset) {
+        if (!preset.needsTeam()) {
+            return Result.ok(Optional.empty());
+        }
+        Optional<TeamRule> team =
+                bearer(request).map(RequestReader::sha256).flatMap(preset::teamOfKey);
+        if (team.isEmpty()) {
+            return Result.failed(ResultCode.UNAUTHENTICATED, "team key missing or wrong");
+        }
+        return Result.ok(team);
+    }
+
+    static Optional<String> bearer(HttpServerRequest request) {
+        return Optional.ofNullable(request.getHeader(HttpHeaders.AUTHORIZATION))
+                .filter(value -> value.startsWith(BEARER))
+                .map(value -> value.substring(BEARER.length()).trim());
+    }
+
+    /** Reads a completion. */
+    Result<EntryRequest> completion(
+            RoutingContext context, String id, PresetIndex preset, Optional<TeamRule> team) {
+        Result<JsonNode> body = body(context);
+        if (body.failure().isPresent()) {
+            return new Result.Failed<>(body.failure().get());
+        }
+        JsonNode json = body.toOptional().orElseThrow();
+        Result<ModelName> name = modelName(json.path("model").asText(""), preset);
+        if (name.failure().isPresent()) {
+            return new Result.Failed<>(name.failure().get());
+        }
+        ModelName model = name.toOptional().orElseThrow();
+        if (!allows(team, model.model())) {
+            return forbidden(team, model.model());
+        }
+        ModelWork work =
+                ModelWork.newBuilder()
+                        .setModel(model.model())
+                        .setAdapter(model.adapter())
+                        .setPath(context.request().path())
+                        .setBody(bytes(context))
+                        .setPredictedTokens(json.path("max_tokens").asInt(0))
+                        .build();
+        Target target = Target.ofModel(model.model());
+        ExchangeRequest.Builder template = ExchangeRequest.newBuilder().setModelWork(work);
+        return request(context, id, team, target, template, true, false);
+    }
+
+    /** A model with one of its adapters or none. */
+    private record ModelName(String model, String adapter) {}
+
+    private static Result<ModelName> modelName(String name, PresetIndex preset) {
+        if (name.isEmpty()) {
+            return Result.failed(ResultCode.BAD_REQUEST, "field 'model' is missing");
+        }
+        if (preset.model(name).isPresent()) {
+            return Result.ok(new ModelName(name, ""));
+        }
+        Optional<String> base = preset.baseOfAdapter(name);
+        if (base.isPresent()) {
+            return Result.ok(new ModelName(base.get(), name));
+        }
+        int separator = name.indexOf(ADAPTER_SEPARATOR);
+        if (separator < 0) {
+            return Result.failed(ResultCode.UNKNOWN_MODEL, "model '" + name + "' is not known");
+        }
+        String model = name.substring(0, separator);
+        String adapter = name.substring(separator + 1);
+        if (preset.adapterBytes(model, adapter).isEmpty()) {
+            return Result.failed(ResultCode.UNKNOWN_ADAPTER, "adapter '" + name + "' is not known");
+        }
+        return Result.ok(new ModelName(model, adapter));
+    }
+
+    private static Result<JsonNode> body(RoutingContext context) {
+        try {
+            JsonNode json = Json.mapper().readTree(bytes(context).toByteArray());
+            if (json == null || !json.isObject()) {
+                return Result.failed(ResultCode.BAD_REQUEST, "body is not a JSON object");
+            }
+            return Result.ok(json);
+        } catch (IOException e) {
+            return Result.failed(ResultCode.BAD_REQUEST, "body is not JSON");
+        }
+    }
+
+    /** Reads a call to a plain service. */
+    Result<EntryRequest> plain(
+            RoutingContext context, String id, PresetIndex preset, Optional<TeamRule> team) {
+        String service = context.pathParam("service");
+        Optional<ServiceRule> rule = preset.service(service);
+        if (rule.isEmpty()) {
+            return Result.failed(
+                    ResultCode.UNKNOWN_SERVICE, "service '" + service + "' is not known");
+        }
+        if (!allows(team, service)) {
+            return forbidden(team, service);
+        }
+        HttpServerRequest request = context.request();
+        String key = header(request, HttpHeaders.IDEMPOTENCY_KEY);
+        if (key.length() > MAX_KEY_LENGTH) {
+            return Result.failed(
+                    ResultCode.BAD_REQUEST,
+                    HttpHeaders.IDEMPOTENCY_KEY + " is longer than " + MAX_KEY_LENGTH);
+        }
+        String uri = request.uri().substring(("/services/" + service).length());
+        String path = uri.startsWith("/") ? uri : "/" + uri;
+        String method = request.method().name();
+        boolean repeatable = rule.get().isRepeatable(method, path);
+        boolean keyed = !repeatable && !key.isEmpty();
+        PlainWork work =
+                PlainWork.newBuilder()
+                        .setService(service)
+                        .setMethod(method)
+                        .setPath(path)
+                        .setContentType(header(request, "Content-Type"))
+                        .setBody(bytes(context))
+                        .setRepeatable(repeatable)
+                        .setIdempotencyKey(key)
+                        .build();
+        String affinity = keyed ? team.map(TeamRule::name).orElse("") + "/" + key : "";
+        Target target = Target.ofService(service, affinity);
+        ExchangeRequest.Builder template = ExchangeRequest.newBuilder().setPlainWork(work);
+        return request(context, id, team, target, template, repeatable, keyed);
+    }
+
+    private Result<EntryRequest> request(
+            RoutingContext context,
+            String id,
+            Optional<TeamRule> team,
+            Target target,
+            ExchangeRequest.Builder template,
+            boolean repeatable,
+            boolean keyed) {
+        Result<Deadline> deadline = deadline(context.request());
+        if (deadline.failure().isPresent()) {
+            return new Result.Failed<>(deadline.failure().get());
+        }
+        String requestClass = header(context.request(), HttpHeaders.REQUEST_CLASS);
+        if (!requestClass.matches("|interactive|deferred")) {
+            return Result.failed(
+                    ResultCode.BAD_REQUEST,
+                    HttpHeaders.REQUEST_CLASS + " is neither interactive nor deferred");
+        }
+        String teamName = team.map(TeamRule::name).orElse("");
+        Deadline until = deadline.toOptional().orElseThrow();
+        template.setTeam(teamName)
+                .setDeadlineMillis(until.epochMillis())
+                .setRequestClass(
+                        requestClass.equals("deferred")
+                                ? RequestClass.DEFERRED
+                                : RequestClass.INTERACTIVE);
+        return Result.ok(
+                new EntryRequest(id, target, teamName, until, repeatable, keyed, template.build()));
+    }
+
+    private Result<Deadline> deadline(HttpServerRequest request) {
+        long now = mClock.nowMillis();
+        try {
+            String timeout = header(request, HttpHeaders.TIMEOUT);
+            String absolute = header(request, HttpHeaders.DEADLINE);
+            long millis = now + mDefaultDeadlineMillis;
+            if (!timeout.isEmpty()) {
+                millis = Math.addExact(now, Long.parseLong(timeout));
+            }
+            if (!absolute.isEmpty()) {
+                millis = Long.parseLong(absolute);
+            }
+            return Result.ok(new Deadline(Math.min(millis, now + mMaxDeadlineMillis)));
+        } catch (NumberFormatException | ArithmeticException e) {
+            return Result.failed(ResultCode.BAD_REQUEST, "deadline is not a whole number");
+        }
+    }
+
+    private static boolean allows(Optional<TeamRule> team, String target) {
+        return team.isEmpty() || team.get().allows(target);
+    }
+
+    private static Result<EntryRequest> forbidden(Optional<TeamRule> team, String target) {
+        return Result.failed(
+                ResultCode.TEAM_FORBIDDEN,
+                "team " + team.map(TeamRule::name).orElse("") + " may not call " + target);
+    }
+
+    private static com.google.protobuf.ByteString bytes(RoutingContext context) {
+        byte[] body =
+                context.body().buffer() == null ? new byte[0] : context.body().buffer().getBytes();
+        return com.google.protobuf.ByteString.copyFrom(body);
+    }
+
+    private static String header(HttpServerRequest request, String name) {
+        String value = request.getHeader(name);
+        return value == null ? "" : value;
+    }
+
+    static String sha256(String text) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            byte[] hash = digest.digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/StreamedCompletionSink.java
@@ -0,0 +1,51 @@
+package org.cornelway.http;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import org.cornelway.exchange.Ending;
+
+/** Passes a completion's events on as they come. Called by one thread at a time. */
+final class StreamedCompletionSink extends ResponseSink {
+    private static final String DATA = "data: ";
+    private static final String END_OF_EVENT = "\n\n";
+
+    private boolean mBegun;
+
+    StreamedCompletionSink(HttpServerResponse response, String requestId) {
+        super(response, requestId);
+    }
+
+    @Override
+    public void chunk(byte[] data) {
+        if (isGone()) {
+            return;
+        }
+        if (!mBegun) {
+            mBegun = true;
+            begin(200, "text/event-stream");
+            response().setChunked(true);
+        }
+        write(Buffer.buffer(data));
+    }
+
+    private void write(Buffer data) {
+        response().write(Buffer.buffer(DATA).appendBuffer(data).appendString(END_OF_EVENT));
+    }
+
+    @Override
+    public void end(Ending ending) {
+        if (!mBegun && !isDone(ending)) {
+            refuse(ending);
+            return;
+        }
+        if (isGone()) {
+            return;
+        }
+        if (isDone(ending)) {
+            response().end(DATA + "[DONE]" + END_OF_EVENT);
+        } else {
+            write(error(ending));
+            response().end();
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/WebServer.java
@@ -0,0 +1,44 @@
+package org.cornelway.http;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+import org.cornelway.supervisor.Component;
+
+/** Listens for HTTP. Used by its supervisor only. */
+public final class WebServer implements Component {
+    private static final int IDLE_SECONDS = 300;
+
+    private final HttpServer mServer;
+
+    /**
+     * @param port TCP port, 0 for any
+     */
+    public WebServer(Vertx vertx, String host, int port, Router router) {
+        HttpServerOptions options =
+                new HttpServerOptions().setHost(host).setPort(port).setIdleTimeout(IDLE_SECONDS);
+        mServer = vertx.createHttpServer(options).requestHandler(router);
+    }
+
+    @Override
+    public String name() {
+        return "web-server";
+    }
+
+    @Override
+    public Completable start() {
+        return Completable.create(
+                emitter ->
+                        mServer.listen()
+                                .onSuccess(server -> emitter.onComplete())
+                                .onFailure(emitter::tryOnError));
+    }
+
+    @Override
+    public Completable stop() {
+        return Completable.create(
+                emitter -> mServer.close().onComplete(result -> emitter.onComplete()));
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers, operators and monitoring. */
+package org.cornelway.http;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/intent/IntentIndex.java
@@ -0,0 +1,41 @@
+package org.cornelway.intent;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The latest entry of each key, replayed from segments.
+ *
+ * <p>Not thread-safe; confined to the control thread.
+ */
+final class IntentIndex {
+    private final Map<String, IntentRecord> mLatest = new HashMap<>();
+
+    void clear() {
+        mLatest.clear();
+    }
+
+    void apply(Collection<IntentRecord> records, long nowMillis) {
+        for (IntentRecord record : records) {
+            if (record.expiresMillis() > nowMillis) {
+                mLatest.put(record.key(), record);
+            }
+        }
+    }
+
+    /** The latest entry of a key; an abandoned attempt counts as none. */
+    Optional<IntentRecord> find(String key) {
+        return Optional.ofNullable(mLatest.get(key))
+                .filter(record -> record.kind() != IntentRecord.Kind.ABANDONED);
+    }
+
+    void expire(long nowMillis) {
+        mLatest.values().removeIf(record -> record.expiresMillis() <= nowMillis);
+    }
+
+    int size() {
+        return mLatest.size();
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/intent/RecordedOutcome.java
@@ -0,0 +1,11 @@
+package org.cornelway.intent;
+
+/**
+ * The answer of a call that ran. Immutable by convention.
+ *
+ * @param status HTTP status
+ * @param contentType media type
+ * @param body the body, empty when it was too large to keep
+ * @param retained whether the body was kept
+ */
+public record RecordedOutcome(int status, String contentType, byte[] body, boolean retained) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/intent/ShardedIntentLog.java
@@ -0,0 +1,67 @@
+package org.cornelway.intent;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.platform.KeyValueStore;
+
+/**
+ * Splits the intent log by key, so that its writes are bounded by the number of shards and not by
+ * the load or the fleet.
+ *
+ * <p>Confined to the control thread.
+ */
+public final class ShardedIntentLog implements IntentLog {
+    private final List<IntentShard> mShards = new ArrayList<>();
+
+    /**
+     * @param service the plain service whose calls are recorded
+     */
+    public ShardedIntentLog(
+            String service,
+            KeyValueStore store,
+            Scheduler control,
+            IntentSettings settings,
+            Invariants invariants) {
+        for (int shard = 0; shard < settings.shards(); shard++) {
+            String prefix = "cornelway/intents/" + service + "/" + shard + "/";
+            mShards.add(new IntentShard(prefix, store, control, settings, invariants));
+        }
+    }
+
+    /** The shard of a key. */
+    public static int shardOf(String key, int shards) {
+        return Math.floorMod(key.hashCode(), shards);
+    }
+
+    @Override
+    public Single<IntentDecision> begin(IntentRequest request) {
+        return shard(request).begin(request);
+    }
+
+    @Override
+    public void finish(IntentRequest request, RecordedOutcome outcome) {
+        shard(request).finish(request, outcome);
+    }
+
+    @Override
+    public void abandon(IntentRequest request) {
+        shard(request).abandon(request);
+    }
+
+    @Override
+    public void lose(IntentRequest request) {
+        shard(request).lose(request);
+    }
+
+    /** Number of keys remembered. */
+    public int size() {
+        return mShards.stream().mapToInt(IntentShard::indexSize).sum();
+    }
+
+    private IntentShard shard(IntentRequest request) {
+        return mShards.get(shardOf(request.key(), mShards.size()));
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/intent/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps calls that may not be repeated from running twice, across agents and crashes. */
+package org.cornelway.intent;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/AgentServer.java
@@ -0,0 +1,113 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.cornelway.agent.AgentCore;
+import org.cornelway.agent.AgentExchange;
+import org.cornelway.rpc.AgentLoad;
+import org.cornelway.rpc.AgentServiceGrpc;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.Frame;
+import org.cornelway.rpc.WithdrawReply;
+import org.cornelway.rpc.WithdrawRequest;
+import org.cornelway.time.Deadline;
+
+/**
+ * Serves the entries.
+ *
+ * <p>Thread-safe; requests are handed to the control thread.
+ */
+public final class AgentServer extends AgentServiceGrpc.AgentServiceImplBase {
+    private final AgentCore mCore;
+    private final Scheduler mControl;
+    private final String mIncarnation;
+    private final Function<Optional<AgentExchange>, AgentLoad> mLoad;
+    private final BiConsumer<Long, Long> mRevisionHint;
+    private final Map<FrameWriter, AgentExchange> mOpen = new ConcurrentHashMap<>();
+
+    /**
+     * @param load makes the load report; called on any thread
+     * @param revisionHint told the entry's configuration and placement revisions
+     */
+    public AgentServer(
+            AgentCore core,
+            Scheduler control,
+            String incarnation,
+            Function<Optional<AgentExchange>, AgentLoad> load,
+            BiConsumer<Long, Long> revisionHint) {
+        mCore = core;
+        mControl = control;
+        mIncarnation = incarnation;
+        mLoad = load;
+        mRevisionHint = revisionHint;
+    }
+
+    @Override
+    public void exchange(ExchangeRequest request, StreamObserver<Frame> observer) {
+        ServerCallStreamObserver<Frame> call = (ServerCallStreamObserver<Frame>) observer;
+        AgentExchange[] known = new AgentExchange[1];
+        FrameWriter writer =
+                new FrameWriter(
+                        request.getRequestId(),
+                        call,
+                        () -> mLoad.apply(Optional.ofNullable(known[0])));
+        call.setOnCancelHandler(() -> closed(writer));
+        call.setOnCloseHandler(() -> closed(writer));
+        mRevisionHint.accept(request.getConfigurationRevision(), request.getPlacementRevision());
+        mControl.scheduleDirect(() -> start(request, writer, known));
+    }
+
+    private void start(ExchangeRequest request, FrameWriter writer, AgentExchange[] known) {
+        Optional<AgentExchange> exchange = mCore.exchange(request, writer);
+        exchange.ifPresent(
+                value -> {
+                    known[0] = value;
+                    mOpen.put(writer, value);
+                    writer.progress(value.state() != AgentExchange.State.WAITING);
+                    if (writer.isClosed()) {
+                        closed(writer);
+                    }
+                });
+    }
+
+    private void closed(FrameWriter writer) {
+        writer.close();
+        AgentExchange exchange = mOpen.remove(writer);
+        if (exchange != null) {
+            exchange.answer().detach(writer);
+        }
+    }
+
+    /** Tells the entries of all open exchanges that they are alive. */
+    public void sendProgress() {
+        mOpen.forEach(
+                (writer, exchange) ->
+                        writer.progress(exchange.state() != AgentExchange.State.WAITING));
+    }
+
+    /** Number of calls whose final mark was not written yet. */
+    public int openCalls() {
+        return mOpen.size();
+    }
+
+    @Override
+    public void withdraw(WithdrawRequest request, StreamObserver<WithdrawReply> observer) {
+        mControl.scheduleDirect(
+                () -> {
+                    Deadline deadline = new Deadline(request.getDeadlineMillis());
+                    WithdrawReply reply =
+                            WithdrawReply.newBuilder()
+                                    .setOutcome(mCore.withdraw(request.getRequestId(), deadline))
+                                    .setIncarnation(mIncarnation)
+                                    .build();
+                    observer.onNext(reply);
+                    observer.onCompleted();
+                });
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/ClusterKey.java
@@ -0,0 +1,56 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.CallCredentials;
+import io.grpc.Context;
+import io.grpc.Contexts;
+import io.grpc.Metadata;
+import io.grpc.ServerCall;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptor;
+import io.grpc.Status;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.concurrent.Executor;
+
+/**
+ * Lets only processes that know the cluster key call each other.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class ClusterKey extends CallCredentials implements ServerInterceptor {
+    private static final Metadata.Key<String> HEADER =
+            Metadata.Key.of("x-cornelway-cluster-key", Metadata.ASCII_STRING_MARSHALLER);
+
+    private final String mKey;
+
+    /**
+     * @param key the secret that all processes share
+     */
+    public ClusterKey(String key) {
+        mKey = key;
+    }
+
+    @Override
+    public void applyRequestMetadata(RequestInfo info, Executor executor, MetadataApplier applier) {
+        Metadata headers = new Metadata();
+        headers.put(HEADER, mKey);
+        applier.apply(headers);
+    }
+
+    @Override
+    public <Q, R> ServerCall.Listener<Q> interceptCall(
+            ServerCall<Q, R> call, Metadata headers, ServerCallHandler<Q, R> next) {
+        String given = headers.get(HEADER);
+        byte[] expected = mKey.getBytes(StandardCharsets.UTF_8);
+        boolean right =
+                given != null
+                        && MessageDigest.isEqual(given.getBytes(StandardCharsets.UTF_8), expected);
+        if (!right) {
+            call.close(
+                    Status.UNAUTHENTICATED.withDescription("cluster key missing or wrong"),
+                    new Metadata());
+            return new ServerCall.Listener<>() {};
+        }
+        return Contexts.interceptCall(Context.current(), call, headers, next);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/FrameWriter.java
@@ -0,0 +1,81 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.stub.ServerCallStreamObserver;
+import java.util.function.Supplier;
+import org.cornelway.exchange.AnswerSink;
+import org.cornelway.exchange.Ending;
+import org.cornelway.rpc.AgentLoad;
+import org.cornelway.rpc.Chunk;
+import org.cornelway.rpc.Final;
+import org.cornelway.rpc.Frame;
+import org.cornelway.rpc.Progress;
+
+/**
+ * Writes an answer's parts as frames of one gRPC call.
+ *
+ * <p>Thread-safe. Nothing is written after the final mark or after the entry went away.
+ */
+final class FrameWriter implements AnswerSink {
+    private final String mRequestId;
+    private final ServerCallStreamObserver<Frame> mObserver;
+    private final Supplier<AgentLoad> mLoad;
+    private boolean mClosed;
+
+    FrameWriter(
+            String requestId, ServerCallStreamObserver<Frame> observer, Supplier<AgentLoad> load) {
+        mRequestId = requestId;
+        mObserver = observer;
+        mLoad = load;
+    }
+
+    @Override
+    public synchronized void chunk(long sequence, byte[] data) {
+        Chunk chunk =
+                Chunk.newBuilder()
+                        .setSequence(sequence)
+                        .setData(com.google.protobuf.ByteString.copyFrom(data))
+                        .build();
+        write(frame().setChunk(chunk));
+    }
+
+    @Override
+    public synchronized void end(Ending ending) {
+        Final mark =
+                Final.newBuilder()
+                        .setChunkCount(ending.chunkCount())
+                        .setResultCode(ending.code().number())
+                        .setMessage(ending.message())
+                        .setHttpStatus(ending.httpStatus())
+                        .setContentType(ending.contentType())
+                        .build();
+        write(frame().setFinal(mark).setLoad(mLoad.get()));
+        if (!mClosed) {
+            mClosed = true;
+            mObserver.onCompleted();
+        }
+    }
+
+    /** Tells the entry that the exchange is alive. */
+    synchronized void progress(boolean started) {
+        Progress progress = Progress.newBuilder().setStarted(started).build();
+        write(frame().setProgress(progress).setLoad(mLoad.get()));
+    }
+
+    synchronized void close() {
+        mClosed = true;
+    }
+
+    synchronized boolean isClosed() {
+        return mClosed;
+    }
+
+    private Frame.Builder frame() {
+        return Frame.newBuilder().setRequestId(mRequestId);
+    }
+
+    private void write(Frame.Builder frame) {
+        if (!mClosed && !mObserver.isCancelled()) {
+            mObserver.onNext(frame.build());
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcAgentGateway.java
@@ -0,0 +1,119 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.ManagedChannel;
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientResponseObserver;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.entry.AgentGateway;
+import org.cornelway.entry.FrameListener;
+import org.cornelway.platform.Member;
+import org.cornelway.rpc.AgentServiceGrpc;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.Frame;
+import org.cornelway.rpc.WithdrawReply;
+import org.cornelway.rpc.WithdrawRequest;
+
+/** Reaches agents over gRPC. Thread-safe. */
+public final class GrpcAgentGateway implements AgentGateway {
+    private static final long WITHDRAW_TIMEOUT_MILLIS = 1_000;
+
+    private final ChannelPool mChannels;
+    private final ClusterKey mKey;
+
+    /**
+     * @param channels connections to the agents
+     */
+    public GrpcAgentGateway(ChannelPool channels, ClusterKey key) {
+        mChannels = channels;
+        mKey = key;
+    }
+
+    @Override
+    public Disposable exchange(
+            Member agent, ExchangeRequest request, FrameListener listener, boolean fresh) {
+        if (fresh) {
+            mChannels.replace(agent);
+        }
+        CompositeDisposable running = new CompositeDisposable();
+        running.add(
+                mChannels
+                        .connected(agent)
+                        .subscribe(
+                                channel -> call(channel, request, listener, running),
+                                e -> listener.broken(true, "no connection to " + agent.address())));
+        return running;
+    }
+
+    private void call(
+            ManagedChannel channel,
+            ExchangeRequest request,
+            FrameListener listener,
+            CompositeDisposable running) {
+        Observer observer = new Observer(listener);
+        running.add(Disposable.fromRunnable(observer::cancel));
+        if (!running.isDisposed()) {
+            AgentServiceGrpc.newStub(channel).withCallCredentials(mKey).exchange(request, observer);
+        }
+    }
+
+    @Override
+    public Single<WithdrawReply> withdraw(Member agent, String requestId, long deadlineMillis) {
+        WithdrawRequest request =
+                WithdrawRequest.newBuilder()
+                        .setRequestId(requestId)
+                        .setDeadlineMillis(deadlineMillis)
+                        .build();
+        return Single.create(
+                emitter ->
+                        AgentServiceGrpc.newStub(mChannels.channel(agent))
+                                .withCallCredentials(mKey)
+                                .withDeadlineAfter(WITHDRAW_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                                .withdraw(request, new GrpcPeerClient.OneReply<>(emitter)));
+    }
+
+    /** Hands frames on; thread-safe as far as cancelling goes. */
+    private static final class Observer implements ClientResponseObserver<ExchangeRequest, Frame> {
+        private final FrameListener mListener;
+        private volatile ClientCallStreamObserver<ExchangeRequest> mCall;
+        private volatile boolean mCancelled;
+
+        Observer(FrameListener listener) {
+            mListener = listener;
+        }
+
+        @Override
+        public void beforeStart(ClientCallStreamObserver<ExchangeRequest> call) {
+            mCall = call;
+        }
+
+        void cancel() {
+            mCancelled = true;
+            ClientCallStreamObserver<ExchangeRequest> call = mCall;
+            if (call != null) {
+                call.cancel("no longer wanted", null);
+            }
+        }
+
+        @Override
+        public void onNext(Frame frame) {
+            mListener.frame(frame);
+        }
+
+        @Override
+        public void onError(Throwable e) {
+            if (!mCancelled) {
+                mListener.broken(false, String.valueOf(e.getMessage()));
+            }
+        }
+
+        @Override
+        public void onCompleted() {
+            if (!mCancelled) {
+                mListener.broken(false, "the call ended");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcPeerClient.java
@@ -0,0 +1,71 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.stub.StreamObserver;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.platform.Member;
+import org.cornelway.relay.PeerClient;
+import org.cornelway.rpc.DescribeReply;
+import org.cornelway.rpc.DescribeRequest;
+import org.cornelway.rpc.PeerServiceGrpc;
+import org.cornelway.rpc.RelayReply;
+import org.cornelway.rpc.RelayRequest;
+
+/** Calls peers over gRPC. Thread-safe. */
+public final class GrpcPeerClient implements PeerClient {
+    private static final long TIMEOUT_MILLIS = 1_500;
+
+    private final ChannelPool mChannels;
+    private final ClusterKey mKey;
+
+    /**
+     * @param channels connections to the peers
+     */
+    public GrpcPeerClient(ChannelPool channels, ClusterKey key) {
+        mChannels = channels;
+        mKey = key;
+    }
+
+    @Override
+    public Single<RelayReply> relay(Member peer, RelayRequest request) {
+        return Single.<RelayReply>create(e -> stub(peer).relay(request, new OneReply<>(e)))
+                .doOnError(e -> mChannels.replace(peer));
+    }
+
+    @Override
+    public Single<DescribeReply> describe(Member peer) {
+        DescribeRequest request = DescribeRequest.getDefaultInstance();
+        return Single.create(e -> stub(peer).describe(request, new OneReply<>(e)));
+    }
+
+    private PeerServiceGrpc.PeerServiceStub stub(Member peer) {
+        return PeerServiceGrpc.newStub(mChannels.channel(peer))
+                .withCallCredentials(mKey)
+                .withDeadlineAfter(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Hands a unary call's reply to an emitter. */
+    static final class OneReply<T> implements StreamObserver<T> {
+        private final SingleEmitter<T> mEmitter;
+
+        OneReply(SingleEmitter<T> emitter) {
+            mEmitter = emitter;
+        }
+
+        @Override
+        public void onNext(T reply) {
+            mEmitter.onSuccess(reply);
+        }
+
+        @Override
+        public void onError(Throwable e) {
+            mEmitter.tryOnError(e);
+        }
+
+        @Override
+        public void onCompleted() {
+            // The reply came before.
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcServer.java
@@ -0,0 +1,58 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.reactivex.rxjava3.core.Completable;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.supervisor.Component;
+
+/** Serves this process's gRPC services. Used by its supervisor only. */
+public final class GrpcServer implements Component {
+    private static final int MAX_MESSAGE_BYTES = 8 << 20;
+    private static final int THREADS = 4;
+    private static final int WINDOW_BYTES = 256 << 10;
+
+    private final Server mServer;
+    private final ExecutorService mExecutor;
+
+    /**
+     * @param services the services, open only to callers that know the cluster key
+     */
+    public GrpcServer(String host, int port, ClusterKey key, List<BindableService> services) {
+        mExecutor = Executors.newFixedThreadPool(THREADS, r -> new Thread(r, "grpc-server"));
+        NettyServerBuilder builder =
+                NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
+                        .executor(mExecutor)
+                        .intercept(key)
+                        .flowControlWindow(WINDOW_BYTES)
+                        .permitKeepAliveTime(5, TimeUnit.SECONDS)
+                        .permitKeepAliveWithoutCalls(true)
+                        .maxInboundMessageSize(MAX_MESSAGE_BYTES);
+        services.forEach(builder::addService);
+        mServer = builder.build();
+    }
+
+    @Override
+    public String name() {
+        return "grpc-server";
+    }
+
+    @Override
+    public Completable start() {
+        return Completable.fromAction(mServer::start);
+    }
+
+    @Override
+    public Completable stop() {
+        return Completable.fromAction(
+                () -> {
+                    mServer.shutdownNow();
+                    mExecutor.shutdownNow();
+                });
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/PeerServer.java
@@ -0,0 +1,43 @@
+package org.cornelway.internal.grpc;
+
+import io.grpc.stub.StreamObserver;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.function.Supplier;
+import org.cornelway.relay.RelayExchange;
+import org.cornelway.rpc.DescribeReply;
+import org.cornelway.rpc.DescribeRequest;
+import org.cornelway.rpc.PeerServiceGrpc;
+import org.cornelway.rpc.RelayReply;
+import org.cornelway.rpc.RelayRequest;
+
+/** Answers peers. Thread-safe; descriptions are made on the control thread. */
+public final class PeerServer extends PeerServiceGrpc.PeerServiceImplBase {
+    private final RelayExchange mExchange;
+    private final Scheduler mControl;
+    private final Supplier<DescribeReply> mDescription;
+
+    /**
+     * @param description makes this process's description; called on the control thread
+     */
+    public PeerServer(
+            RelayExchange exchange, Scheduler control, Supplier<DescribeReply> description) {
+        mExchange = exchange;
+        mControl = control;
+        mDescription = description;
+    }
+
+    @Override
+    public void relay(RelayRequest request, StreamObserver<RelayReply> observer) {
+        observer.onNext(mExchange.answer(request));
+        observer.onCompleted();
+    }
+
+    @Override
+    public void describe(DescribeRequest request, StreamObserver<DescribeReply> observer) {
+        mControl.scheduleDirect(
+                () -> {
+                    observer.onNext(mDescription.get());
+                    observer.onCompleted();
+                });
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/grpc/package-info.java
@@ -0,0 +1,2 @@
+/** gRPC between the system's own processes; not API. */
+package org.cornelway.internal.grpc;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -0,0 +1,222 @@
+package org.cornelway.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.reactivex.rxjava3.core.BackpressureStrategy;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.FlowableEmitter;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import org.cornelway.config.Json;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.KeyValueStore;
+import org.cornelway.platform.SwapResult;
+
+/**
+ * Speaks the JSON form of the etcd v3 interface.
+ *
+ * <p>Thread-safe. Each call but a watch ends within the timeout given at construction.
+ */
+public final class EtcdKeyValueStore implements KeyValueStore {
+    private static final String JSON = "application/json";
+    private static final int MAX_CONNECTIONS = 8;
+
+    private final HttpCaller mHttp;
+    private final long mTimeoutMillis;
+
+    /**
+     * @param timeoutMillis time limit of each call
+     */
+    public EtcdKeyValueStore(Vertx vertx, HttpEndpoint endpoint, long timeoutMillis) {
+        mHttp = new HttpCaller(vertx, endpoint, MAX_CONNECTIONS, timeoutMillis, true);
+        mTimeoutMillis = timeoutMillis;
+    }
+
+    @Override
+    public Single<Optional<KeyValue>> get(String key) {
+        return range(object().put("key", encode(key)))
+                .map(list -> list.isEmpty() ? Optional.empty() : Optional.of(list.get(0)));
+    }
+
+    @Override
+    public Single<List<KeyValue>> list(String prefix) {
+        return range(
+                object().put("key", encode(prefix)).put("range_end", encode(endOfPrefix(prefix))));
+    }
+
+    @Override
+    public Single<SwapResult> compareAndSwap(
+            String key, long expectedRevision, byte[] value, long leaseId) {
+        ObjectNode transaction = object();
+        transaction
+                .putArray("compare")
+                .addObject()
+                .put("key", encode(key))
+                .put("target", "MOD")
+                .put("result", "EQUAL")
+                .put("mod_revision", Long.toString(expectedRevision));
+        ObjectNode put = object().put("key", encode(key));
+        put.put("value", Base64.getEncoder().encodeToString(value));
+        if (leaseId != NO_LEASE) {
+            put.put("lease", Long.toString(leaseId));
+        }
+        transaction.putArray("success").addObject().set("request_put", put);
+        transaction
+                .putArray("failure")
+                .addObject()
+                .set("request_range", object().put("key", encode(key)));
+        return post("/v3/kv/txn", transaction)
+                .map(EtcdKeyValueStore::swapResult)
+                .onErrorReturn(EtcdKeyValueStore::failedSwap);
+    }
+
+    @Override
+    public Completable delete(String key, long expectedRevision) {
+        ObjectNode transaction = object();
+        transaction
+                .putArray("compare")
+                .addObject()
+                .put("key", encode(key))
+                .put("target", "MOD")
+                .put("result", "EQUAL")
+                .put("mod_revision", Long.toString(expectedRevision));
+        transaction
+                .putArray("success")
+                .addObject()
+                .set("request_delete_range", object().put("key", encode(key)));
+        return post("/v3/kv/txn", transaction).ignoreElement();
+    }
+
+    @Override
+    public Single<Long> grantLease(long ttlSeconds) {
+        return post("/v3/lease/grant", object().put("TTL", Long.toString(ttlSeconds)))
+                .map(node -> node.path("ID").asLong());
+    }
+
+    @Override
+    public Single<Boolean> keepAlive(long leaseId) {
+        return post("/v3/lease/keepalive", object().put("ID", Long.toString(leaseId)))
+                .map(node -> node.path("result").path("TTL").asLong() > 0);
+    }
+
+    @Override
+    public Completable revokeLease(long leaseId) {
+        return post("/v3/lease/revoke", object().put("ID", Long.toString(leaseId))).ignoreElement();
+    }
+
+    @Override
+    public Flowable<KeyValue> watch(String prefix, long afterRevision) {
+        ObjectNode create = object();
+        create.putObject("create_request")
+                .put("key", encode(prefix))
+                .put("range_end", encode(endOfPrefix(prefix)))
+                .put("start_revision", Long.toString(afterRevision + 1));
+        return Flowable.create(
+                emitter ->
+                        mHttp.open("POST", "/v3/watch")
+                                .subscribe(
+                                        request -> watch(request, Json.write(create), emitter),
+                                        emitter::tryOnError),
+                BackpressureStrategy.BUFFER);
+    }
+
+    private static void watch(
+            HttpClientRequest request, byte[] body, FlowableEmitter<KeyValue> emitter) {
+        emitter.setCancellable(request::reset);
+        request.putHeader("Content-Type", JSON)
+                .send(Buffer.buffer(body))
+                .onSuccess(response -> readEvents(response, emitter))
+                .onFailure(emitter::tryOnError);
+    }
+
+    private static void readEvents(HttpClientResponse response, FlowableEmitter<KeyValue> emitter) {
+        RecordParser lines = RecordParser.newDelimited("\n", line -> emitLine(line, emitter));
+        response.handler(lines)
+                .exceptionHandler(emitter::tryOnError)
+                .endHandler(end -> emitter.tryOnError(new IOException("the watch ended")));
+    }
+
+    private static void emitLine(Buffer line, FlowableEmitter<KeyValue> emitter) {
+        if (line.length() == 0) {
+            return;
+        }
+        try {
+            JsonNode events = Json.mapper().readTree(line.getBytes()).path("result").path("events");
+            for (JsonNode event : events) {
+                if (!"DELETE".equals(event.path("type").asText())) {
+                    emitter.onNext(keyValue(event.path("kv")));
+                }
+            }
+        } catch (IOException e) {
+            emitter.tryOnError(e);
+        }
+    }
+
+    private Single<List<KeyValue>> range(ObjectNode request) {
+        return post("/v3/kv/range", request)
+                .map(
+                        node -> {
+                            List<KeyValue> list = new ArrayList<>();
+                            node.path("kvs").forEach(kv -> list.add(keyValue(kv)));
+                            return list;
+                        });
+    }
+
+    private Single<JsonNode> post(String path, ObjectNode body) {
+        return mHttp.send("POST", path, JSON, Json.write(body), mTimeoutMillis)
+                .map(
+                        reply -> {
+                            if (!reply.isSuccess()) {
+                                throw new IOException(path + " answered status " + reply.status());
+                            }
+                            return Json.mapper().readTree(reply.body());
+                        });
+    }
+
+    private static SwapResult swapResult(JsonNode node) {
+        if (node.path("succeeded").asBoolean()) {
+            return new SwapResult.Swapped(node.path("header").path("revision").asLong());
+        }
+        JsonNode current = node.path("responses").path(0).path("response_range").path("kvs");
+        return new SwapResult.Conflict(
+                current.isEmpty() ? Optional.empty() : Optional.of(keyValue(current.get(0))));
+    }
+
+    private static SwapResult failedSwap(Throwable e) {
+        String reason = String.valueOf(e.getMessage());
+        return e instanceof NotSentException
+                ? new SwapResult.NotSent(reason)
+                : new SwapResult.Ambiguous(reason);
+    }
+
+    private static KeyValue keyValue(JsonNode kv) {
+        Base64.Decoder decoder = Base64.getDecoder();
+        String key = new String(decoder.decode(kv.path("key").asText()), StandardCharsets.UTF_8);
+        byte[] value = decoder.decode(kv.path("value").asText());
+        return new KeyValue(key, value, kv.path("mod_revision").asLong());
+    }
+
+    private static ObjectNode object() {
+        return Json.mapper().createObjectNode();
+    }
+
+    private static String encode(String key) {
+        return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String endOfPrefix(String prefix) {
+        int last = prefix.length() - 1;
+        return prefix.substring(0, last) + (char) (prefix.charAt(last) + 1);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpCaller.java
@@ -0,0 +1,112 @@
+package org.cornelway.internal.platform;
+
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Sends HTTP requests to one endpoint and collects whole responses.
+ *
+ * <p>Thread-safe. Lives as long as its Vert.x instance.
+ */
+public final class HttpCaller {
+    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
+    private final HttpClient mClient;
+    private final HttpEndpoint mEndpoint;
+    private final long mConnectTimeoutMillis;
+
+    /**
+     * @param keepAlive false opens a connection for each request, so that a connection that went
+     *     silent is found out before a byte is sent on it
+     */
+    public HttpCaller(
+            Vertx vertx,
+            HttpEndpoint endpoint,
+            int maxConnections,
+            long connectTimeoutMillis,
+            boolean keepAlive) {
+        mEndpoint = endpoint;
+        mConnectTimeoutMillis = connectTimeoutMillis;
+        mClient =
+                vertx.createHttpClient(
+                        new HttpClientOptions()
+                                .setKeepAlive(keepAlive)
+                                .setConnectTimeout((int) connectTimeoutMillis),
+                        new PoolOptions().setHttp1MaxSize(maxConnections));
+    }
+
+    /** Opens a request; fails with {@link NotSentException} if there is no connection. */
+    public Single<HttpClientRequest> open(String method, String path) {
+        return Single.create(
+                emitter -> {
+                    RequestOptions options =
+                            new RequestOptions()
+                                    .setMethod(HttpMethod.valueOf(method))
+                                    .setHost(mEndpoint.host())
+                                    .setPort(mEndpoint.port())
+                                    .setConnectTimeout(mConnectTimeoutMillis)
+                                    .setURI(path);
+                    mClient.request(options)
+                            .onSuccess(emitter::onSuccess)
+                            .onFailure(e -> emitter.tryOnError(notSent(e)));
+                });
+    }
+
+    /** Sends a request and collects the response, within a time limit. */
+    public Single<HttpReply> send(
+            String method, String path, String contentType, byte[] body, long timeoutMillis) {
+        return open(method, path)
+                .flatMap(request -> exchange(request, contentType, body, timeoutMillis));
+    }
+
+    private Single<HttpReply> exchange(
+            HttpClientRequest request, String contentType, byte[] body, long timeoutMillis) {
+        if (!contentType.isEmpty()) {
+            request.putHeader("Content-Type", contentType);
+        }
+        return collect(request, body)
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .doOnError(
+                        e -> {
+                            if (e instanceof TimeoutException) {
+                                request.reset();
+                            }
+                        });
+    }
+
+    /** Sends the body on an open request and collects the response. */
+    public Single<HttpReply> collect(HttpClientRequest request, byte[] body) {
+        return Single.create(
+                emitter ->
+                        request.send(Buffer.buffer(body))
+                                .compose(
+                                        response ->
+                                                response.body()
+                                                        .map(bytes -> reply(response, bytes)))
+                                .onSuccess(emitter::onSuccess)
+                                .onFailure(emitter::tryOnError));
+    }
+
+    private static HttpReply reply(HttpClientResponse response, Buffer body) {
+        if (body.length() > MAX_RESPONSE_BYTES) {
+            throw new IllegalStateException(
+                    "response of " + body.length() + " bytes, at most " + MAX_RESPONSE_BYTES);
+        }
+        String type = response.getHeader("Content-Type");
+        return new HttpReply(response.statusCode(), type == null ? "" : type, body.getBytes());
+    }
+
+    private Throwable notSent(Throwable cause) {
+        return new NotSentException("no connection to " + mEndpoint + ": " + cause.getMessage());
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpEndpoint.java
@@ -0,0 +1,24 @@
+package org.cornelway.internal.platform;
+
+/**
+ * Host and port of an HTTP server. Immutable.
+ *
+ * @param host name or IP number
+ * @param port TCP port
+ */
+public record HttpEndpoint(String host, int port) {
+    /** Reads {@code host:port}. */
+    public static HttpEndpoint parse(String address) {
+        int colon = address.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("'" + address + "' is not host:port");
+        }
+        return new HttpEndpoint(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
