--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
@@ -0,0 +1,192 @@
+package org.cornelway.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.reactivex.rxjava3.core.BackpressureStrategy;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.FlowableEmitter;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cornelway.config.Json;
+import org.cornelway.platform.CompletionCall;
+import org.cornelway.platform.EngineOrder;
+import org.cornelway.platform.EngineTruth;
+import org.cornelway.platform.ModelEngine;
+import org.cornelway.platform.OrderOutcome;
+
+/**
+ * Speaks the completions interface with server-sent events, the model repository extension of the
+ * open inference protocol for models, and the usual pair of calls for adapters.
+ *
+ * <p>Thread-safe.
+ */
+public final class HttpModelEngine implements ModelEngine {
+    private static final String JSON = "application/json";
+    private static final String DATA = "data:";
+    private static final String FINAL_MARK = "[DONE]";
+    private static final int MAX_CONNECTIONS = 512;
+    private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final long TRUTH_TIMEOUT_MILLIS = 3_000;
+    private static final int CONFLICT = 409;
+
+    private final HttpCaller mHttp;
+    private final long mOrderTimeoutMillis;
+
+    /**
+     * @param orderTimeoutMillis time after which an order counts as unsettled
+     */
+    public HttpModelEngine(Vertx vertx, HttpEndpoint endpoint, long orderTimeoutMillis) {
+        mHttp = new HttpCaller(vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS, true);
+        mOrderTimeoutMillis = orderTimeoutMillis;
+    }
+
+    @Override
+    public Single<EngineTruth> truth() {
+        Single<JsonNode> server = json("GET", "/v2", new byte[0]);
+        Single<JsonNode> index = json("POST", "/v2/repository/index", Json.write(object()));
+        return server.zipWith(index, HttpModelEngine::truth);
+    }
+
+    @Override
+    public Single<OrderOutcome> order(EngineOrder order) {
+        return mHttp.send("POST", path(order), JSON, orderBody(order), mOrderTimeoutMillis)
+                .map(HttpModelEngine::outcome)
+                .onErrorReturn(HttpModelEngine::failedOrder);
+    }
+
+    @Override
+    public Flowable<byte[]> complete(CompletionCall call) {
+        return Flowable.create(
+                emitter ->
+                        mHttp.open("POST", call.path())
+                                .subscribe(
+                                        request -> stream(request, call, emitter),
+                                        emitter::tryOnError),
+                BackpressureStrategy.BUFFER);
+    }
+
+    private static void stream(
+            HttpClientRequest request, CompletionCall call, FlowableEmitter<byte[]> emitter)
+            throws IOException {
+        ObjectNode body = (ObjectNode) Json.mapper().readTree(call.body());
+        body.put("model", call.adapter().isEmpty() ? call.model() : call.adapter());
+        body.put("stream", true);
+        body.put("priority", call.priority());
+        AtomicBoolean ended = new AtomicBoolean();
+        emitter.setCancellable(
+                () -> {
+                    if (!ended.get()) {
+                        request.reset();
+                    }
+                });
+        request.putHeader("Content-Type", JSON)
+                .putHeader("X-Request-Id", call.requestId())
+                .send(Buffer.buffer(Json.write(body)))
+                .onSuccess(response -> read(response, emitter, ended))
+                .onFailure(emitter::tryOnError);
+    }
+
+    private static void read(
+            HttpClientResponse response, FlowableEmitter<byte[]> emitter, AtomicBoolean ended) {
+        if (response.statusCode() != 200) {
+            emitter.tryOnError(new IOException("engine answered status " + response.statusCode()));
+            return;
+        }
+        RecordParser lines = RecordParser.newDelimited("\n", line -> emit(line, emitter, ended));
+        response.handler(lines)
+                .exceptionHandler(emitter::tryOnError)
+                .endHandler(
+                        end -> emitter.tryOnError(new IOException("answer without a final mark")));
+    }
+
+    private static void emit(Buffer line, FlowableEmitter<byte[]> emitter, AtomicBoolean ended) {
+        String text = line.toString(StandardCharsets.UTF_8).trim();
+        if (!text.startsWith(DATA)) {
+            return;
+        }
+        String data = text.substring(DATA.length()).trim();
+        if (data.equals(FINAL_MARK)) {
+            ended.set(true);
+            emitter.onComplete();
+        } else {
+            emitter.onNext(data.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private Single<JsonNode> json(String method, String path, byte[] body) {
+        return mHttp.send(method, path, JSON, body, TRUTH_TIMEOUT_MILLIS)
+                .map(
+                        reply -> {
+                            if (!reply.isSuccess()) {
+                                throw new IOException(path + " answered status " + reply.status());
+                            }
+                            return Json.mapper().readTree(reply.body());
+                        });
+    }
+
+    private static EngineTruth truth(JsonNode server, JsonNode index) {
+        List<EngineTruth.HeldModel> models = new ArrayList<>();
+        for (JsonNode entry : index) {
+            List<String> adapters = new ArrayList<>();
+            entry.path("adapters").forEach(adapter -> adapters.add(adapter.asText()));
+            models.add(
+                    new EngineTruth.HeldModel(
+                            entry.path("name").asText(),
+                            entry.path("state").asText().equals("READY"),
+                            entry.path("bytes").asLong(),
+                            adapters));
+        }
+        return new EngineTruth(server.path("memory_bytes").asLong(), models);
+    }
+
+    private static String path(EngineOrder order) {
+        return switch (order.kind()) {
+            case LOAD -> "/v2/repository/models/" + order.model() + "/load";
+            case UNLOAD -> "/v2/repository/models/" + order.model() + "/unload";
+            case LOAD_ADAPTER -> "/v1/load_lora_adapter";
+            case UNLOAD_ADAPTER -> "/v1/unload_lora_adapter";
+        };
+    }
+
+    private static byte[] orderBody(EngineOrder order) {
+        ObjectNode body = object();
+        body.putObject("parameters")
+                .put("shard", order.shard())
+                .put("fencing_number", order.fencingNumber());
+        if (!order.adapter().isEmpty()) {
+            body.put("lora_name", order.adapter()).put("base_model_name", order.model());
+        }
+        return Json.write(body);
+    }
+
+    private static OrderOutcome outcome(HttpReply reply) throws IOException {
+        if (reply.isSuccess()) {
+            return new OrderOutcome.Done();
+        }
+        if (reply.status() == CONFLICT) {
+            JsonNode body = Json.mapper().readTree(reply.body());
+            return new OrderOutcome.Fenced(body.path("highest").asLong());
+        }
+        return new OrderOutcome.Rejected("engine answered status " + reply.status());
+    }
+
+    private static OrderOutcome failedOrder(Throwable e) {
+        String reason = String.valueOf(e.getMessage());
+        return e instanceof NotSentException
+                ? new OrderOutcome.Rejected(reason)
+                : new OrderOutcome.Unsettled(reason);
+    }
+
+    private static ObjectNode object() {
+        return Json.mapper().createObjectNode();
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpReply.java
@@ -0,0 +1,15 @@
+package org.cornelway.internal.platform;
+
+/**
+ * A whole HTTP response. Immutable by convention.
+ *
+ * @param status HTTP status
+ * @param contentType media type, or empty
+ * @param body the body
+ */
+public record HttpReply(int status, String contentType, byte[] body) {
+    /** Whether the status is 2xx. */
+    public boolean isSuccess() {
+        return status / 100 == 2;
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpWeightStore.java
@@ -0,0 +1,39 @@
+package org.cornelway.internal.platform;
+
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.util.Optional;
+import org.cornelway.config.Json;
+import org.cornelway.platform.WeightStore;
+
+/** Asks the weight store over HTTP for a checkpoint's size. Thread-safe. */
+public final class HttpWeightStore implements WeightStore {
+    private static final long TIMEOUT_MILLIS = 2_000;
+    private static final int NOT_FOUND = 404;
+
+    private final HttpCaller mHttp;
+
+    /**
+     * @param endpoint where the platform serves the weights
+     */
+    public HttpWeightStore(Vertx vertx, HttpEndpoint endpoint) {
+        mHttp = new HttpCaller(vertx, endpoint, 2, TIMEOUT_MILLIS, true);
+    }
+
+    @Override
+    public Single<Optional<Long>> checkpointBytes(String model) {
+        return mHttp.send("GET", "/v1/checkpoints/" + model, "", new byte[0], TIMEOUT_MILLIS)
+                .map(HttpWeightStore::bytes);
+    }
+
+    private static Optional<Long> bytes(HttpReply reply) throws IOException {
+        if (reply.status() == NOT_FOUND) {
+            return Optional.empty();
+        }
+        if (!reply.isSuccess()) {
+            throw new IOException("weight store answered status " + reply.status());
+        }
+        return Optional.of(Json.mapper().readTree(reply.body()).path("bytes").asLong());
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/invariant/package-info.java
@@ -0,0 +1,2 @@
+/** Checks of what must always hold, made while the program runs. */
+package org.cornelway.invariant;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Accounts for a backend server's memory. */
+package org.cornelway.memory;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions and roles of cornelway, a serving system for rarely used language models. */
+package org.cornelway;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/placement/FirstFitPlacement.java
@@ -0,0 +1,13 @@
+package org.cornelway.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.cornelway.config.ModelRule;
+
+/** Takes the first server with room; the baseline. Stateless and thread-safe. */
+public final class FirstFitPlacement implements PlacementPolicy {
+    @Override
+    public Optional<ServerLoad> choose(ModelRule rule, boolean warm, List<ServerLoad> candidates) {
+        return candidates.stream().filter(load -> !warm || load.fitsWarm(rule.bytes())).findFirst();
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/placement/SlotBinding.java
@@ -0,0 +1,22 @@
+package org.cornelway.placement;
+
+/**
+ * Binds one of a model's slots to one backend server. Immutable.
+ *
+ * @param model the model
+ * @param slot index of the slot, from 0
+ * @param server instance id of the backend server
+ * @param warm whether the replica is kept loaded
+ * @param releasing whether the backend server must unload the model and confirm it
+ */
+public record SlotBinding(String model, int slot, String server, boolean warm, boolean releasing) {
+    /** The same binding, being released. */
+    public SlotBinding toReleasing() {
+        return new SlotBinding(model, slot, server, false, true);
+    }
+
+    /** The same binding in use. */
+    public SlotBinding toHeld(boolean isWarm) {
+        return new SlotBinding(model, slot, server, isWarm, false);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which backend servers may hold which models. */
+package org.cornelway.placement;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/platform/KeyValue.java
@@ -0,0 +1,10 @@
+package org.cornelway.platform;
+
+/**
+ * A key with its value at one revision. Immutable by convention: the value is never written to.
+ *
+ * @param key the key
+ * @param value the value
+ * @param revision revision of the service at which the value was written; positive
+ */
+public record KeyValue(String key, byte[] value, long revision) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/platform/KeyValueStore.java
@@ -0,0 +1,53 @@
+package org.cornelway.platform;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The platform's key-value service.
+ *
+ * <p>Reads are linearizable. Implementations are thread-safe; every call fails or answers within a
+ * bounded time, watches excepted.
+ */
+public interface KeyValueStore {
+    /** Expected revision of a key that must be absent. */
+    long ABSENT = 0;
+
+    /** Lease id of a write bound to no lease. */
+    long NO_LEASE = 0;
+
+    /** Reads one key. */
+    Single<Optional<KeyValue>> get(String key);
+
+    /** Reads all keys with a prefix, ordered by key. */
+    Single<List<KeyValue>> list(String prefix);
+
+    /**
+     * Writes a key if its revision is as expected. Never fails; failures are results.
+     *
+     * @param expectedRevision the revision, or {@link #ABSENT}
+     * @param leaseId the lease that the key ends with, or {@link #NO_LEASE}
+     */
+    Single<SwapResult> compareAndSwap(
+            String key, long expectedRevision, byte[] value, long leaseId);
+
+    /** Deletes a key if its revision is as expected. */
+    Completable delete(String key, long expectedRevision);
+
+    /** Grants a lease; answers its id. */
+    Single<Long> grantLease(long ttlSeconds);
+
+    /** Renews a lease; answers false when it has lapsed. */
+    Single<Boolean> keepAlive(long leaseId);
+
+    /** Ends a lease and deletes its keys. */
+    Completable revokeLease(long leaseId);
+
+    /**
+     * Emits each write under a prefix after a revision; ends with an error when the watch breaks.
+     */
+    Flowable<KeyValue> watch(String prefix, long afterRevision);
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/platform/Member.java
@@ -0,0 +1,40 @@
+package org.cornelway.platform;
+
+/**
+ * An instance that the platform lists. Immutable.
+ *
+ * @param id unique id of the instance; a replacement has another
+ * @param role {@code entry} or {@code agent}
+ * @param address host and port of the system's own process there
+ * @param region the region
+ * @param zone the availability zone
+ * @param leaving whether the platform is taking the instance away
+ * @param kind for an agent, {@code model} or {@code plain}
+ * @param service for an agent of a plain service, the service's name
+ * @param memoryBytes for an agent of a model engine, the engine's memory
+ */
+public record Member(
+        String id,
+        String role,
+        String address,
+        String region,
+        String zone,
+        boolean leaving,
+        String kind,
+        String service,
+        long memoryBytes) {
+    public static final String ROLE_ENTRY = "entry";
+    public static final String ROLE_AGENT = "agent";
+    public static final String KIND_MODEL = "model";
+    public static final String KIND_PLAIN = "plain";
+
+    /** Whether this is an agent beside a model engine. */
+    public boolean isModelAgent() {
+        return ROLE_AGENT.equals(role) && KIND_MODEL.equals(kind);
+    }
+
+    /** Whether this is an agent beside a plain service of a name. */
+    public boolean isAgentOf(String serviceName) {
+        return ROLE_AGENT.equals(role) && KIND_PLAIN.equals(kind) && serviceName.equals(service);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/relay/DocumentKeys.java
@@ -0,0 +1,15 @@
+package org.cornelway.relay;
+
+/** Names of the documents in the key-value service that every process holds. */
+public final class DocumentKeys {
+    /** Prefix of the documents that are relayed. */
+    public static final String PREFIX = "cornelway/documents/";
+
+    /** The configuration in force. */
+    public static final String CONFIGURATION = PREFIX + "configuration";
+
+    /** The placement of shard 0. */
+    public static final String PLACEMENT = PREFIX + "placement/0";
+
+    private DocumentKeys() {}
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/relay/MemberTable.java
@@ -0,0 +1,85 @@
+package org.cornelway.relay;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.processors.BehaviorProcessor;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cornelway.platform.Member;
+
+/**
+ * The members of the system as last listed by the platform.
+ *
+ * <p>Thread-safe; readers see immutable snapshots.
+ */
+public final class MemberTable {
+    private final String mSelf;
+    private final BehaviorProcessor<Map<String, Member>> mMembers =
+            BehaviorProcessor.createDefault(Map.of());
+
+    /**
+     * @param self this process's instance id
+     */
+    public MemberTable(String self) {
+        mSelf = self;
+    }
+
+    /** Replaces the members. */
+    public void update(List<Member> members) {
+        Map<String, Member> byId = new TreeMap<>();
+        members.forEach(member -> byId.put(member.id(), member));
+        mMembers.onNext(byId);
+    }
+
+    /** This process's instance id. */
+    public String self() {
+        return mSelf;
+    }
+
+    /** All members by instance id. */
+    public Map<String, Member> all() {
+        return mMembers.getValue();
+    }
+
+    /** Emits the members now and after each update. */
+    public Flowable<Map<String, Member>> updates() {
+        return mMembers.onBackpressureLatest();
+    }
+
+    /** A member by instance id. */
+    public Optional<Member> find(String id) {
+        return Optional.ofNullable(all().get(id));
+    }
+
+    /** All members but this process. */
+    public List<Member> peers() {
+        return all().values().stream().filter(member -> !member.id().equals(mSelf)).toList();
+    }
+
+    /** Whether the platform is taking this process's own instance away. */
+    public boolean isSelfLeaving() {
+        return find(mSelf).map(Member::leaving).orElse(false);
+    }
+
+    /**
+     * Whether this process is among the first of a role by the hash of its id and a purpose, so
+     * that all processes agree on a few without asking anyone.
+     */
+    public boolean isAmongFirst(String purpose, int count, Optional<String> role) {
+        List<String> first =
+                all().values().stream()
+                        .filter(member -> !member.leaving())
+                        .filter(member -> role.isEmpty() || member.role().equals(role.get()))
+                        .sorted(
+                                Comparator.comparingLong(
+                                                (Member m) ->
+                                                        RendezvousHash.weight(m.id(), purpose))
+                                        .thenComparing(Member::id))
+                        .limit(count)
+                        .map(Member::id)
+                        .toList();
+        return first.contains(mSelf);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/relay/RendezvousHash.java
@@ -0,0 +1,23 @@
+package org.cornelway.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/** Weights for rendezvous hashing. Stateless and thread-safe. */
+public final class RendezvousHash {
+    private RendezvousHash() {}
+
+    /** A well-spread number that depends on a member and a purpose only. */
+    public static long weight(String member, String purpose) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(purpose.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+            byte[] hash = digest.digest(member.getBytes(StandardCharsets.UTF_8));
+            return java.nio.ByteBuffer.wrap(hash).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/residency/LeastRecentlyUsedEviction.java
@@ -0,0 +1,40 @@
+package org.cornelway.residency;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Evicts the replica that was used longest ago; drains a busy one for work that has waited long.
+ *
+ * <p>Stateless.
+ */
+public final class LeastRecentlyUsedEviction implements EvictionPolicy {
+    /** Waiting time after which a busy replica is drained for a model that waits. */
+    public static final long PATIENCE_MILLIS = 2_000;
+
+    private static final Comparator<Replica> ORDER =
+            Comparator.comparingLong(Replica::lastUsedMillis).thenComparing(Replica::model);
+
+    @Override
+    public Optional<Replica> forDemand(
+            List<Replica> evictable, Demand demand, List<Demand> demands, long nowMillis) {
+        Optional<Replica> victim =
+                evictable.stream()
+                        .filter(Replica::isIdle)
+                        .filter(r -> r.isDraining() || !Demand.anyFor(r.model(), demands))
+                        .min(ORDER);
+        boolean impatient = nowMillis - demand.waitingSinceMillis() > PATIENCE_MILLIS;
+        if (victim.isPresent() || !impatient || evictable.stream().anyMatch(Replica::isDraining)) {
+            return victim;
+        }
+        Optional<Replica> oldest = evictable.stream().min(ORDER);
+        oldest.ifPresent(replica -> replica.setDraining(true));
+        return oldest.filter(Replica::isIdle);
+    }
+
+    @Override
+    public Optional<Replica> idle(List<Replica> evictable) {
+        return evictable.stream().filter(Replica::isIdle).min(ORDER);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/residency/Residency.java
@@ -0,0 +1,386 @@
+package org.cornelway.residency;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cornelway.config.ModelRule;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.memory.MemoryLedger;
+import org.cornelway.memory.ResidentKey;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.SlotBinding;
+import org.cornelway.platform.EngineOrder;
+import org.cornelway.platform.EngineTruth;
+import org.cornelway.platform.OrderOutcome;
+
+/**
+ * Decides the next order to one engine from the placement, the waiting work and the memory ledger.
+ *
+ * <p>Invariants: a model is loaded only while this server holds a slot of it; memory is reserved
+ * before an order and released after the engine's confirmation; at most one model order and one
+ * adapter order are outstanding; an order whose outcome is unknown is settled by the engine's own
+ * account before the next.
+ *
+ * <p>Not thread-safe; confined to the control thread.
+ */
+public final class Residency {
+    private static final Comparator<Demand> BY_DEADLINE =
+            Comparator.comparing(Demand::deadline).thenComparing(Demand::model);
+    private final String mServer;
+    private final MemoryLedger mLedger;
+    private final Invariants mInvariants;
+    private final EvictionPolicy mEviction;
+    private final Map<String, Replica> mReplicas = new TreeMap<>();
+    private final Map<String, SlotBinding> mBindings = new HashMap<>();
+    private Optional<PresetIndex> mPreset = Optional.empty();
+    private Optional<EngineOrder> mModelOrder = Optional.empty();
+    private Optional<EngineOrder> mAdapterOrder = Optional.empty();
+    private long mFencingNumber;
+    private int mShard;
+    private boolean mMayLoad;
+    private boolean mRecovered;
+    private boolean mUnsettled;
+
+    /**
+     * @param server instance id of this backend server
+     */
+    public Residency(
+            String server, MemoryLedger ledger, EvictionPolicy eviction, Invariants invariants) {
+        mServer = server;
+        mEviction = eviction;
+        mLedger = ledger;
+        mInvariants = invariants;
+    }
+
+    /** Adopts the engine's own account, at start and after an order of unknown outcome. */
+    public void reconcile(EngineTruth truth, long nowMillis) {
+        mLedger.setCapacityBytes(truth.capacityBytes());
+        Map<String, EngineTruth.HeldModel> held = new HashMap<>();
+        truth.models().forEach(model -> held.put(model.name(), model));
+        boolean settled = true;
+        for (EngineTruth.HeldModel model : truth.models()) {
+            settled &= model.settled();
+            adopt(model, nowMillis);
+        }
+        for (Replica replica : mReplicas.values()) {
+            boolean lost = replica.phase().holdsMemory() && !held.containsKey(replica.model());
+            if (lost) {
+                mLedger.releaseModel(replica.model());
+                replica.setPhase(ModelPhase.ABSENT);
+            }
+        }
+        mUnsettled = !settled;
+        mRecovered = true;
+    }
+
+    private void adopt(EngineTruth.HeldModel model, long nowMillis) {
+        Replica replica = replica(model.name());
+        if (!replica.phase().holdsMemory()) {
+            replica.touch(nowMillis);
+        }
+        replica.setPhase(model.settled() ? ModelPhase.LOADED : ModelPhase.UNSETTLED);
+        replica.setBytes(model.bytes());
+        mLedger.releaseModel(model.name());
+        mLedger.adopt(ResidentKey.ofModel(model.name()), model.bytes());
+        replica.adapters().clear();
+        for (String adapter : model.adapters()) {
+            replica.adapters().add(adapter);
+            long bytes = adapterBytes(model.name(), adapter);
+            mLedger.adopt(new ResidentKey(model.name(), adapter), bytes);
+        }
+    }
+
+    /** Applies a preset. */
+    public void applyPreset(PresetIndex preset) {
+        mPreset = Optional.of(preset);
+    }
+
+    /**
+     * Applies a placement document; an older one than applied is ignored.
+     *
+     * @param mayLoad whether the document is known to be no older than any that this server
+     *     confirmed releases under
+     */
+    public void applyPlacement(PlacementDocument document, boolean mayLoad) {
+        if (document.fencingNumber() < mFencingNumber) {
+            return;
+        }
+        mFencingNumber = document.fencingNumber();
+        mShard = document.shard();
+        mMayLoad = mayLoad;
+        mBindings.clear();
+        for (SlotBinding binding : document.bindings()) {
+            if (binding.server().equals(mServer)) {
+                mBindings.put(binding.model(), binding);
+            }
+        }
+    }
+
+    /** Whether the placement applied allows loads. */
+    public boolean mayLoad() {
+        return mMayLoad;
+    }
+
+    /** Whether this server holds a slot of a model that may serve. */
+    public boolean holdsSlot(String model) {
+        SlotBinding binding = mBindings.get(model);
+        return binding != null && !binding.releasing();
+    }
+
+    /** Whether a model is loaded. */
+    public boolean isLoaded(String model) {
+        Replica replica = mReplicas.get(model);
+        return replica != null && replica.phase() == ModelPhase.LOADED;
+    }
+
+    /** Whether work on a model and adapter can start now. */
+    public boolean canStart(String model, String adapter) {
+        if (!isLoaded(model) || !holdsSlot(model)) {
+            return false;
+        }
+        Replica replica = mReplicas.get(model);
+        boolean adapterReady = adapter.isEmpty() || replica.adapters().contains(adapter);
+        return adapterReady && !replica.isDraining();
+    }
+
+    /** Notes that work started on a model. */
+    public void begin(String model, long nowMillis) {
+        mInvariants.check(isLoaded(model), "work started on model " + model + ", not loaded");
+        replica(model).begin(nowMillis);
+    }
+
+    /** Notes that work on a model ended. */
+    public void end(String model, long nowMillis) {
+        replica(model).end(nowMillis);
+    }
+
+    /** Whether an order is outstanding. */
+    public boolean hasOutstandingOrder() {
+        return mModelOrder.isPresent() || mAdapterOrder.isPresent();
+    }
+
+    /** Whether the engine's own account must be read before the next order. */
+    public boolean needsTruth() {
+        return !mRecovered || mUnsettled;
+    }
+
+    /** Whether the engine's own account was read since start. */
+    public boolean isRecovered() {
+        return mRecovered;
+    }
+
+    /** Fencing number of the placement applied. */
+    public long fencingNumber() {
+        return mFencingNumber;
+    }
+
+    /** The models that may hold memory in the engine. */
+    public List<ModelStatus> held() {
+        return mReplicas.values().stream()
+                .filter(replica -> replica.phase().holdsMemory())
+                .map(Replica::status)
+                .toList();
+    }
+
+    /**
+     * Decides the next order about a model and reserves its memory.
+     *
+     * @param demands what waits, one entry a model and adapter
+     */
+    public Optional<EngineOrder> nextModelOrder(List<Demand> demands, long nowMillis) {
+        if (needsTruth() || mModelOrder.isPresent()) {
+            return Optional.empty();
+        }
+        Optional<EngineOrder> order = unloadReleased();
+        if (order.isEmpty()) {
+            order = loadDemanded(demands, nowMillis);
+        }
+        if (order.isEmpty()) {
+            order = loadWarm();
+        }
+        if (order.isEmpty()) {
+            order = unloadIdle(demands, nowMillis);
+        }
+        mModelOrder = order;
+        return order;
+    }
+
+    private Optional<EngineOrder> unloadReleased() {
+        return mReplicas.values().stream()
+                .filter(replica -> replica.isIdle() && !holdsSlot(replica.model()))
+                .findFirst()
+                .map(this::unload);
+    }
+
+    private Optional<EngineOrder> loadDemanded(List<Demand> demands, long nowMillis) {
+        List<Demand> cold =
+                demands.stream()
+                        .filter(demand -> mayLoad(demand.model()))
+                        .sorted(BY_DEADLINE)
+                        .toList();
+        for (Demand demand : cold) {
+            long bytes = modelBytes(demand.model());
+            if (mLedger.reserve(ResidentKey.ofModel(demand.model()), bytes).isPresent()) {
+                return Optional.of(load(demand.model(), bytes));
+            }
+            Optional<Replica> victim = mEviction.forDemand(evictable(), demand, demands, nowMillis);
+            if (victim.isPresent()) {
+                return victim.map(this::unload);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<EngineOrder> loadWarm() {
+        for (SlotBinding binding : mBindings.values()) {
+            if (binding.warm() && mayLoad(binding.model())) {
+                long bytes = modelBytes(binding.model());
+                if (mLedger.reserve(ResidentKey.ofModel(binding.model()), bytes).isPresent()) {
+                    return Optional.of(load(binding.model(), bytes));
+                }
+                Optional<Replica> idle = mEviction.idle(evictable());
+                if (idle.isPresent()) {
+                    return idle.map(this::unload);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<EngineOrder> unloadIdle(List<Demand> demands, long nowMillis) {
+        long idleMillis = mPreset.map(PresetIndex::idleUnloadMillis).orElse(Long.MAX_VALUE);
+        return mReplicas.values().stream()
+                .filter(replica -> replica.isIdle() && !isWarm(replica.model()))
+                .filter(replica -> nowMillis - replica.lastUsedMillis() >= idleMillis)
+                .filter(replica -> !Demand.anyFor(replica.model(), demands))
+                .findFirst()
+                .map(this::unload);
+    }
+
+    /** Decides the next order about an adapter and reserves its memory. */
+    public Optional<EngineOrder> nextAdapterOrder(List<Demand> demands) {
+        if (needsTruth() || mAdapterOrder.isPresent()) {
+            return Optional.empty();
+        }
+        mAdapterOrder =
+                demands.stream()
+                        .filter(demand -> !demand.adapter().isEmpty())
+                        .filter(demand -> isLoaded(demand.model()))
+                        .filter(demand -> holdsSlot(demand.model()))
+                        .filter(d -> !replica(d.model()).adapters().contains(d.adapter()))
+                        .sorted(BY_DEADLINE)
+                        .map(this::adapterOrder)
+                        .flatMap(Optional::stream)
+                        .findFirst();
+        return mAdapterOrder;
+    }
+
+    private Optional<EngineOrder> adapterOrder(Demand demand) {
+        ResidentKey key = new ResidentKey(demand.model(), demand.adapter());
+        long bytes = adapterBytes(demand.model(), demand.adapter());
+        if (mLedger.reserve(key, bytes).isPresent()) {
+            return Optional.of(order(EngineOrder.Kind.LOAD_ADAPTER, key));
+        }
+        Replica replica = replica(demand.model());
+        return replica.adapters().stream()
+                .filter(adapter -> replica.active() == 0)
+                .sorted()
+                .findFirst()
+                .map(adapter -> new ResidentKey(demand.model(), adapter))
+                .map(victim -> order(EngineOrder.Kind.UNLOAD_ADAPTER, victim));
+    }
+
+    /** Applies the outcome of an order. */
+    public void settle(EngineOrder order, OrderOutcome outcome, long nowMillis) {
+        boolean isModelOrder = order.adapter().isEmpty();
+        if (isModelOrder) {
+            mModelOrder = Optional.empty();
+        } else {
+            mAdapterOrder = Optional.empty();
+            replica(order.model()).setPinned(false);
+        }
+        if (outcome instanceof OrderOutcome.Done) {
+            confirm(order, nowMillis);
+            return;
+        }
+        // The engine's own account decides what an order that was not confirmed has left behind.
+        mUnsettled = true;
+        if (isModelOrder) {
+            replica(order.model()).setPhase(ModelPhase.UNSETTLED);
+        }
+    }
+
+    private void confirm(EngineOrder order, long nowMillis) {
+        Replica replica = replica(order.model());
+        switch (order.kind()) {
+            case LOAD -> {
+                replica.setPhase(ModelPhase.LOADED);
+                replica.touch(nowMillis);
+            }
+            case UNLOAD -> {
+                replica.setPhase(ModelPhase.ABSENT);
+                mLedger.releaseModel(order.model());
+            }
+            case LOAD_ADAPTER -> replica.adapters().add(order.adapter());
+            case UNLOAD_ADAPTER -> mLedger.release(new ResidentKey(order.model(), order.adapter()));
+            default -> throw new IllegalStateException("order " + order.kind());
+        }
+    }
+
+    private EngineOrder load(String model, long bytes) {
+        mInvariants.check(holdsSlot(model), "load of model " + model + " without a slot");
+        Replica replica = replica(model);
+        replica.setBytes(bytes);
+        replica.setPhase(ModelPhase.LOADING);
+        return order(EngineOrder.Kind.LOAD, ResidentKey.ofModel(model));
+    }
+
+    private EngineOrder unload(Replica replica) {
+        mInvariants.check(replica.active() == 0, "unload of busy model " + replica.model());
+        replica.setPhase(ModelPhase.UNLOADING);
+        return order(EngineOrder.Kind.UNLOAD, ResidentKey.ofModel(replica.model()));
+    }
+
+    private EngineOrder order(EngineOrder.Kind kind, ResidentKey key) {
+        if (!key.adapter().isEmpty()) {
+            replica(key.model()).setPinned(true);
+        }
+        if (kind == EngineOrder.Kind.UNLOAD_ADAPTER) {
+            replica(key.model()).adapters().remove(key.adapter());
+        }
+        return new EngineOrder(kind, key.model(), key.adapter(), mShard, mFencingNumber);
+    }
+
+    private boolean mayLoad(String model) {
+        boolean absent = replica(model).phase() == ModelPhase.ABSENT;
+        return absent && mMayLoad && holdsSlot(model) && modelBytes(model) > 0;
+    }
+
+    private List<Replica> evictable() {
+        return mReplicas.values().stream()
+                .filter(replica -> replica.phase() == ModelPhase.LOADED)
+                .filter(replica -> !isWarm(replica.model()))
+                .toList();
+    }
+
+    private boolean isWarm(String model) {
+        SlotBinding binding = mBindings.get(model);
+        return binding != null && binding.warm();
+    }
+
+    private long modelBytes(String model) {
+        return mPreset.flatMap(preset -> preset.model(model)).map(ModelRule::bytes).orElse(0L);
+    }
+
+    private long adapterBytes(String model, String adapter) {
+        return mPreset.flatMap(preset -> preset.adapterBytes(model, adapter)).orElse(0L);
+    }
+
+    private Replica replica(String model) {
+        return mReplicas.computeIfAbsent(model, Replica::new);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/result/Result.java
@@ -0,0 +1,47 @@
+package org.cornelway.result;
+
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Either a value or the refusal that stands in its place.
+ *
+ * <p>Immutable when the value is.
+ *
+ * @param <T> type of the value
+ */
+public sealed interface Result<T> {
+    /** Success. */
+    record Ok<T>(T value) implements Result<T> {}
+
+    /** Failure. */
+    record Failed<T>(Refusal refusal) implements Result<T> {}
+
+    /** Wraps a value. */
+    static <T> Result<T> ok(T value) {
+        return new Ok<>(value);
+    }
+
+    /** Wraps a refusal. */
+    static <T> Result<T> failed(ResultCode code, String message) {
+        return new Failed<>(Refusal.of(code, message));
+    }
+
+    /** The value, or empty on failure. */
+    default Optional<T> toOptional() {
+        return this instanceof Ok<T> ok ? Optional.of(ok.value()) : Optional.empty();
+    }
+
+    /** The refusal, or empty on success. */
+    default Optional<Refusal> failure() {
+        return this instanceof Failed<T> failed ? Optional.of(failed.refusal()) : Optional.empty();
+    }
+
+    /** Applies a function to the value, if there is one. */
+    default <R> Result<R> map(Function<T, R> function) {
+        if (this instanceof Ok<T> ok) {
+            return new Ok<>(function.apply(ok.value()));
+        }
+        return new Failed<>(((Failed<T>) this).refusal());
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/role/CommonSettings.java
@@ -0,0 +1,34 @@
+package org.cornelway.role;
+
+import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.relay.RelaySettings;
+
+/**
+ * Settings that every role has, checked. Immutable.
+ *
+ * @param instanceId this instance's id in the platform's list
+ * @param host IP number to listen on
+ * @param httpPort port of the HTTP server
+ * @param rpcPort port of the gRPC server
+ * @param keyValueService address of the key-value service
+ * @param keyValueTimeoutMillis time limit of each of its calls
+ * @param instanceList address of the platform's instance list
+ * @param instancePollMillis time between two reads of the list
+ * @param clusterKey secret that all processes share
+ * @param drainMillis time that a graceful stop may take
+ * @param strictInvariants whether a violated invariant throws
+ * @param relay settings of the relay
+ */
+public record CommonSettings(
+        String instanceId,
+        String host,
+        int httpPort,
+        int rpcPort,
+        HttpEndpoint keyValueService,
+        long keyValueTimeoutMillis,
+        HttpEndpoint instanceList,
+        long instancePollMillis,
+        String clusterKey,
+        long drainMillis,
+        boolean strictInvariants,
+        RelaySettings relay) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/role/Description.java
@@ -0,0 +1,63 @@
+package org.cornelway.role;
+
+import java.util.Optional;
+import org.cornelway.agent.AgentCore;
+import org.cornelway.agent.WorkHandler;
+import org.cornelway.controller.PlacementController;
+import org.cornelway.memory.MemoryLedger;
+import org.cornelway.relay.DocumentKeys;
+import org.cornelway.residency.ModelStatus;
+import org.cornelway.residency.Residency;
+import org.cornelway.rpc.DescribeReply;
+import org.cornelway.rpc.ModelState;
+
+/** Describes a process to its peers. Confined to the control thread. */
+final class Description {
+    private final ProcessBase mBase;
+
+    Description(ProcessBase base) {
+        mBase = base;
+    }
+
+    DescribeReply.Builder common(String role) {
+        return DescribeReply.newBuilder()
+                .setInstance(mBase.members().self())
+                .setRole(role)
+                .setConfigurationRevision(mBase.cache().revision(DocumentKeys.CONFIGURATION))
+                .setPlacementRevision(mBase.cache().revision(DocumentKeys.PLACEMENT))
+                .setKeyValueServiceUp(mBase.store().isUp());
+    }
+
+    DescribeReply agent(
+            AgentCore core,
+            Optional<Residency> residency,
+            Optional<MemoryLedger> ledger,
+            PlacementController controller) {
+        WorkHandler handler = core.handler();
+        DescribeReply.Builder reply =
+                common("agent")
+                        .setActive(handler.active())
+                        .setWaiting(handler.waiting())
+                        .setOldestDeadlineMillis(handler.oldestDeadlineMillis())
+                        .setLeaving(core.isLeaving())
+                        .setHoldsControllerLease(controller.lease().isHeld())
+                        .setControllerLeaseAgeMillis(controller.lease().ageMillis());
+        handler.models().forEach(model -> reply.addModels(state(model)));
+        residency.ifPresent(
+                r ->
+                        reply.setRecovered(r.isRecovered())
+                                .setPlacementFencingNumber(r.fencingNumber()));
+        ledger.ifPresent(
+                l -> reply.setCapacityBytes(l.capacityBytes()).setReservedBytes(l.reservedBytes()));
+        return reply.build();
+    }
+
+    private static ModelState state(ModelStatus model) {
+        return ModelState.newBuilder()
+                .setModel(model.model())
+                .setState(model.phase().name())
+                .setBytes(model.bytes())
+                .setBusy(model.active() > 0)
+                .build();
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/role/EntryRole.java
@@ -0,0 +1,234 @@
+package org.cornelway.role;
+
+import io.grpc.BindableService;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.ext.web.Router;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
+import org.cornelway.admin.ConfigurationEditor;
+import org.cornelway.admin.StatusCollector;
+import org.cornelway.config.Configuration;
+import org.cornelway.config.Json;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.entry.EntryCore;
+import org.cornelway.entry.EntryServices;
+import org.cornelway.entry.RetryBudget;
+import org.cornelway.entry.RevisionHints;
+import org.cornelway.http.AdminRoutes;
+import org.cornelway.http.CallerRoutes;
+import org.cornelway.http.OperationalRoutes;
+import org.cornelway.http.WebServer;
+import org.cornelway.internal.grpc.GrpcAgentGateway;
+import org.cornelway.internal.grpc.GrpcServer;
+import org.cornelway.internal.grpc.PeerServer;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.Member;
+import org.cornelway.relay.DocumentKeys;
+import org.cornelway.relay.RelayExchange;
+import org.cornelway.routing.AgentLoadTable;
+import org.cornelway.routing.FreshLoadChooser;
+import org.cornelway.routing.RoutingView;
+import org.cornelway.rpc.AgentLoad;
+import org.cornelway.rpc.DescribeReply;
+import org.cornelway.supervisor.Component;
+import org.cornelway.supervisor.Polling;
+import org.cornelway.supervisor.Supervisor;
+import org.cornelway.time.Clock;
+import org.cornelway.time.Deadline;
+
+/**
+ * An entry behind the balancer.
+ *
+ * <p>Starts the relay, the routing view and the servers, in that order, and stops them in reverse.
+ * Used by the thread that starts and stops it.
+ */
+public final class EntryRole implements Component {
+    private static final int TRAFFIC_THREADS = 2;
+    private static final double RETRY_BURST = 50;
+
+    private final EntrySettings mSettings;
+    private final ProcessBase mBase;
+    private final AgentLoadTable mLoads;
+    private final EntryCore mCore;
+    private final Supervisor mSupervisor;
+    private volatile RoutingView mView = RoutingView.empty();
+    private Optional<PresetIndex> mPreset = Optional.empty();
+    private PlacementDocument mPlacement = PlacementDocument.empty(0);
+
+    /**
+     * @param settings checked settings
+     */
+    public EntryRole(EntrySettings settings) {
+        mSettings = settings;
+        mBase = new ProcessBase(settings.common());
+        Clock clock = () -> mBase.control().now(TimeUnit.MILLISECONDS);
+        mLoads = new AgentLoadTable(clock);
+        Scheduler traffic =
+                Schedulers.from(
+                        Executors.newScheduledThreadPool(
+                                TRAFFIC_THREADS, task -> new Thread(task, "traffic")));
+        IntUnaryOperator random = bound -> ThreadLocalRandom.current().nextInt(bound);
+        EntryServices services =
+                new EntryServices(
+                        new GrpcAgentGateway(mBase.channels(), mBase.key()),
+                        new FreshLoadChooser(random, settings.intentShards()),
+                        mLoads,
+                        () -> mView,
+                        new Hints(),
+                        new RetryBudget(settings.retryShare(), RETRY_BURST),
+                        traffic,
+                        random,
+                        mBase.invariants(),
+                        mBase.metrics());
+        mCore = new EntryCore(services, settings.maxOpen());
+        mSupervisor = supervise(clock);
+    }
+
+    private Supervisor supervise(Clock clock) {
+        CommonSettings common = mSettings.common();
+        Description description = new Description(mBase);
+        PeerServer peers =
+                new PeerServer(
+                        new RelayExchange(common.instanceId(), mBase.cache()),
+                        mBase.control(),
+                        () -> describe(description));
+        List<BindableService> services = List.of(peers);
+        ConfigurationEditor editor =
+                new ConfigurationEditor(
+                        mBase.store(), mBase.cache(), mBase.members(), mBase.control());
+        StatusCollector status = new StatusCollector(mBase.members(), mBase.cache(), mBase.peers());
+        Router router = Router.router(mBase.vertx());
+        OperationalRoutes.add(router, mBase.metrics(), this::isReady);
+        new AdminRoutes(editor, status, mSettings.operatorToken()).add(router);
+        new CallerRoutes(
+                        mCore,
+                        clock,
+                        mSettings.defaultDeadlineMillis(),
+                        mSettings.maxDeadlineMillis())
+                .add(router);
+        return mBase.supervise("entry")
+                .add(mBase.relay())
+                .add(new ViewUpdater())
+                .add(new GrpcServer(common.host(), common.rpcPort(), mBase.key(), services))
+                .add(new WebServer(mBase.vertx(), common.host(), common.httpPort(), router));
+    }
+
+    private DescribeReply describe(Description description) {
+        return description
+                .common("entry")
+                .setActive(mCore.open())
+                .setLeaving(mCore.isDraining())
+                .setPlacementFencingNumber(mPlacement.fencingNumber())
+                .build();
+    }
+
+    private boolean isReady() {
+        return !mCore.isDraining() && mView.preset().isPresent();
+    }
+
+    private void apply(KeyValue document) {
+        if (document.key().equals(DocumentKeys.CONFIGURATION)) {
+            Json.read(document.value(), Configuration.class)
+                    .ifPresent(c -> mPreset = Optional.of(new PresetIndex(c.preset())));
+        } else if (document.key().equals(DocumentKeys.PLACEMENT)) {
+            Json.read(document.value(), PlacementDocument.class).ifPresent(p -> mPlacement = p);
+        }
+        refresh(mBase.members().all());
+    }
+
+    private void refresh(Map<String, Member> members) {
+        mView = new RoutingView(mPreset, mPlacement, members);
+    }
+
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public Completable start() {
+        return mSupervisor.start();
+    }
+
+    @Override
+    public Completable drain(Deadline deadline) {
+        return Completable.fromAction(mCore::beginDrain)
+                .andThen(Polling.until(mBase.control(), () -> isDrained(deadline)))
+                .andThen(mSupervisor.drain(deadline));
+    }
+
+    private boolean isDrained(Deadline deadline) {
+        boolean past = deadline.isPast(mBase.control().now(TimeUnit.MILLISECONDS));
+        return mCore.open() == 0 || past;
+    }
+
+    @Override
+    public Completable stop() {
+        return mSupervisor.stop().andThen(Completable.fromAction(() -> mBase.vertx().close()));
+    }
+
+    /** Keeps the routing view current. */
+    private final class ViewUpdater implements Component {
+        @Override
+        public String name() {
+            return "view-updater";
+        }
+
+        @Override
+        public Completable start() {
+            return Completable.fromAction(
+                    () -> {
+                        mBase.cache()
+                                .changes()
+                                .observeOn(mBase.control())
+                                .subscribe(EntryRole.this::apply);
+                        mBase.control()
+                                .scheduleDirect(
+                                        () -> mBase.cache().all().forEach(EntryRole.this::apply));
+                        mBase.members()
+                                .updates()
+                                .observeOn(mBase.control())
+                                .subscribe(this::membersChanged);
+                    });
+        }
+
+        private void membersChanged(Map<String, Member> members) {
+            refresh(members);
+            mLoads.retain(members);
+            mBase.channels().retain(members);
+        }
+
+        @Override
+        public Completable stop() {
+            return Completable.complete();
+        }
+    }
+
+    /** Document revisions, told and learned with each request. */
+    private final class Hints implements RevisionHints {
+        @Override
+        public long configurationRevision() {
+            return mBase.cache().revision(DocumentKeys.CONFIGURATION);
+        }
+
+        @Override
+        public long placementRevision() {
+            return mBase.cache().revision(DocumentKeys.PLACEMENT);
+        }
+
+        @Override
+        public void seen(Member agent, AgentLoad load) {
+            Optional<Member> holder = Optional.of(agent);
+            mBase.relay().hint(DocumentKeys.CONFIGURATION, load.getConfigurationRevision(), holder);
+            mBase.relay().hint(DocumentKeys.PLACEMENT, load.getPlacementRevision(), holder);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/role/ProcessBase.java
@@ -0,0 +1,154 @@
+package org.cornelway.role;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import org.cornelway.internal.grpc.ChannelPool;
+import org.cornelway.internal.grpc.ClusterKey;
+import org.cornelway.internal.grpc.GrpcPeerClient;
+import org.cornelway.internal.platform.EtcdKeyValueStore;
+import org.cornelway.internal.platform.HttpInstanceList;
+import org.cornelway.internal.platform.MeteredKeyValueStore;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.relay.DocumentRelay;
+import org.cornelway.relay.MemberPoller;
+import org.cornelway.relay.MemberTable;
+import org.cornelway.supervisor.Supervisor;
+
+/**
+ * The parts that every role has. Built once at start; the parts say themselves how they may be
+ * used.
+ */
+public final class ProcessBase {
+    private static final int EVENT_LOOPS = 2;
+    private static final int WORKERS = 2;
+    private static final int BLOCKING_THREADS = 2;
+
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final Invariants mInvariants;
+    private final Vertx mVertx;
+    private final Scheduler mControl;
+    private final MeteredKeyValueStore mStore;
+    private final MemberTable mMembers;
+    private final DocumentCache mCache;
+    private final ChannelPool mChannels = new ChannelPool();
+    private final ClusterKey mKey;
+    private final GrpcPeerClient mPeers;
+    private final DocumentRelay mRelay;
+    private final MemberPoller mPoller;
+
+    /**
+     * @param settings settings of every role
+     */
+    public ProcessBase(CommonSettings settings) {
+        mInvariants = new Invariants(mMetrics, settings.strictInvariants());
+        mVertx = newVertx();
+        mControl = newControl();
+        mStore =
+                new MeteredKeyValueStore(
+                        new EtcdKeyValueStore(
+                                mVertx,
+                                settings.keyValueService(),
+                                settings.keyValueTimeoutMillis()),
+                        mMetrics);
+        mMembers = new MemberTable(settings.instanceId());
+        mCache = new DocumentCache(mInvariants, mMetrics);
+        mKey = new ClusterKey(settings.clusterKey());
+        mPeers = new GrpcPeerClient(mChannels, mKey);
+        mRelay =
+                new DocumentRelay(
+                        mCache,
+                        mMembers,
+                        mPeers,
+                        mStore,
+                        mControl,
+                        settings.relay(),
+                        new Random(),
+                        mMetrics);
+        mPoller =
+                new MemberPoller(
+                        new HttpInstanceList(mVertx, settings.instanceList()),
+                        mMembers,
+                        mControl,
+                        settings.instancePollMillis(),
+                        mMetrics);
+    }
+
+    private static Vertx newVertx() {
+        return Vertx.vertx(
+                new VertxOptions()
+                        .setEventLoopPoolSize(EVENT_LOOPS)
+                        .setWorkerPoolSize(WORKERS)
+                        .setInternalBlockingPoolSize(BLOCKING_THREADS));
+    }
+
+    private static Scheduler newControl() {
+        return Schedulers.from(
+                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control")));
+    }
+
+    /** Adds the parts that start before a role's own. */
+    public Supervisor supervise(String name) {
+        return new Supervisor(name, mMetrics).add(mChannels).add(mPoller);
+    }
+
+    /** The metrics. */
+    public MetricRegistry metrics() {
+        return mMetrics;
+    }
+
+    /** The invariants. */
+    public Invariants invariants() {
+        return mInvariants;
+    }
+
+    /** Vert.x. */
+    public Vertx vertx() {
+        return mVertx;
+    }
+
+    /** The scheduler of the control thread. */
+    public Scheduler control() {
+        return mControl;
+    }
+
+    /** The key-value service. */
+    public MeteredKeyValueStore store() {
+        return mStore;
+    }
+
+    /** The members. */
+    public MemberTable members() {
+        return mMembers;
+    }
+
+    /** The documents. */
+    public DocumentCache cache() {
+        return mCache;
+    }
+
+    /** Connections to other processes. */
+    public ChannelPool channels() {
+        return mChannels;
+    }
+
+    /** The cluster key. */
+    public ClusterKey key() {
+        return mKey;
+    }
+
+    /** Calls to peers. */
+    public GrpcPeerClient peers() {
+        return mPeers;
+    }
+
+    /** The relay. */
+    public DocumentRelay relay() {
+        return mRelay;
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/role/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of each process together. */
+package org.cornelway.role;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/routing/AgentChooser.java
@@ -0,0 +1,17 @@
+package org.cornelway.routing;
+
+import java.util.Optional;
+import java.util.Set;
+import org.cornelway.platform.Member;
+
+/** Chooses the agent for a request. Implementations are thread-safe. */
+public interface AgentChooser {
+    /**
+     * Chooses an agent.
+     *
+     * @param excluded agents that refused this request already
+     * @return the agent, or empty if none is left
+     */
+    Optional<Member> choose(
+            Target target, RoutingView view, AgentLoadTable loads, Set<String> excluded);
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/routing/RoutingView.java
@@ -0,0 +1,67 @@
+package org.cornelway.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.SlotBinding;
+import org.cornelway.platform.Member;
+
+/** What routing decisions are made from. Immutable snapshot. */
+public final class RoutingView {
+    private final Optional<PresetIndex> mPreset;
+    private final Map<String, List<Member>> mModelAgents = new HashMap<>();
+    private final Map<String, List<Member>> mServiceAgents = new HashMap<>();
+    private final Map<String, Member> mMembers;
+
+    /**
+     * @param members the members by instance id
+     */
+    public RoutingView(
+            Optional<PresetIndex> preset,
+            PlacementDocument placement,
+            Map<String, Member> members) {
+        mPreset = preset;
+        mMembers = members;
+        for (SlotBinding binding : placement.bindings()) {
+            Member member = members.get(binding.server());
+            if (member != null && !member.leaving() && !binding.releasing()) {
+                mModelAgents
+                        .computeIfAbsent(binding.model(), model -> new ArrayList<>())
+                        .add(member);
+            }
+        }
+        for (Member member : members.values()) {
+            if (Member.KIND_PLAIN.equals(member.kind()) && !member.leaving()) {
+                mServiceAgents
+                        .computeIfAbsent(member.service(), service -> new ArrayList<>())
+                        .add(member);
+            }
+        }
+    }
+
+    /** A view of nothing. */
+    public static RoutingView empty() {
+        return new RoutingView(Optional.empty(), PlacementDocument.empty(0), Map.of());
+    }
+
+    /** The preset in force. */
+    public Optional<PresetIndex> preset() {
+        return mPreset;
+    }
+
+    /** The agents that may take a request; those of a model in the order of its slots. */
+    public List<Member> agents(Target target) {
+        return target.isModel()
+                ? mModelAgents.getOrDefault(target.model(), List.of())
+                : mServiceAgents.getOrDefault(target.service(), List.of());
+    }
+
+    /** All members by instance id. */
+    public Map<String, Member> members() {
+        return mMembers;
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the agent for each request. */
+package org.cornelway.routing;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/supervisor/Supervisor.java
@@ -0,0 +1,138 @@
+package org.cornelway.supervisor;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cornelway.time.Deadline;
+
+/**
+ * Starts components in order, restarts those that fail to start, and drains and stops them in
+ * reverse.
+ *
+ * <p>A supervisor is a component itself, so supervisors form a tree. A component's failure is
+ * logged, counted and contained. Not thread-safe; used by the thread that starts and stops it.
+ */
+public final class Supervisor implements Component {
+    private static final Logger LOG = LogManager.getLogger(Supervisor.class);
+    private static final int START_ATTEMPTS = 5;
+    private static final long FIRST_BACKOFF_MILLIS = 200;
+    private static final long START_LIMIT_MILLIS = 30_000;
+    private static final long STOP_LIMIT_MILLIS = 5_000;
+
+    private final String mName;
+    private final MetricRegistry mMetrics;
+    private final List<Component> mComponents = new ArrayList<>();
+    private final CompositeDisposable mTasks = new CompositeDisposable();
+
+    /**
+     * @param name name in logs and metrics
+     */
+    public Supervisor(String name, MetricRegistry metrics) {
+        mName = name;
+        mMetrics = metrics;
+    }
+
+    /** Adds a component; it starts after those added before. */
+    public Supervisor add(Component component) {
+        mComponents.add(component);
+        return this;
+    }
+
+    /** Runs a task again and again on a scheduler; a failure ends that run only. */
+    public void every(String task, long periodMillis, Scheduler scheduler, Runnable body) {
+        mTasks.add(
+                scheduler.schedulePeriodicallyDirect(
+                        () -> contain(task, body),
+                        periodMillis,
+                        periodMillis,
+                        TimeUnit.MILLISECONDS));
+    }
+
+    private void contain(String task, Runnable body) {
+        try {
+            body.run();
+        } catch (RuntimeException e) {
+            mMetrics.counter("supervisor.failures").inc();
+            LOG.error("task {} of {} failed", task, mName, e);
+        }
+    }
+
+    @Override
+    public String name() {
+        return mName;
+    }
+
+    @Override
+    public Completable start() {
+        return Completable.concat(mComponents.stream().map(this::start).toList());
+    }
+
+    private Completable start(Component component) {
+        return Completable.defer(component::start)
+                .timeout(START_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+                .doOnError(e -> noteFailure(component, "start", e))
+                .retryWhen(Supervisor::backoff)
+                .doOnComplete(() -> LOG.debug("{} started", component.name()));
+    }
+
+    private static Flowable<Long> backoff(Flowable<Throwable> failures) {
+        return failures.zipWith(
+                        Flowable.range(1, START_ATTEMPTS),
+                        (failure, attempt) -> {
+                            if (attempt == START_ATTEMPTS) {
+                                throw new IllegalStateException(failure);
+                            }
+                            return FIRST_BACKOFF_MILLIS << (attempt - 1);
+                        })
+                .flatMap(millis -> Flowable.timer(millis, TimeUnit.MILLISECONDS));
+    }
+
+    @Override
+    public Completable drain(Deadline deadline) {
+        return inReverse("drain", component -> component.drain(deadline));
+    }
+
+    @Override
+    public Completable stop() {
+        return Completable.fromAction(mTasks::dispose)
+                .andThen(
+                        inReverse(
+                                "stop",
+                                component ->
+                                        component
+                                                .stop()
+                                                .timeout(
+                                                        STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)));
+    }
+
+    /** One step of ending a component. */
+    private interface Step {
+        Completable of(Component component);
+    }
+
+    private Completable inReverse(String what, Step step) {
+        List<Component> reversed = new ArrayList<>(mComponents);
+        Collections.reverse(reversed);
+        return Completable.concat(
+                reversed.stream()
+                        .map(
+                                component ->
+                                        Completable.defer(() -> step.of(component))
+                                                .doOnError(e -> noteFailure(component, what, e))
+                                                .onErrorComplete())
+                        .toList());
+    }
+
+    private void noteFailure(Component component, String what, Throwable e) {
+        mMetrics.counter("supervisor.failures").inc();
+        LOG.error("{} of {} failed", what, component.name(), e);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/supervisor/package-info.java
@@ -0,0 +1,2 @@
+/** Starts, watches and stops the components of a process. */
+package org.cornelway.supervisor;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/time/package-info.java
@@ -0,0 +1,2 @@
+/** Points in time and the clocks that give them. */
+package org.cornelway.time;
