Find a change by its audit entry when its answer was lost

Ruled out: the archive's race (a page is written before its entries leave) and the retried write (its condition holds at most once). Change: audit pages are an AuditArchive of their own, the settling read asks it as well, and puts of presets are archived the same way instead of losing entries beyond 64.

--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/IntentRun.java
@@ -0,0 +1,194 @@
+package org.cornelway.bench.soak;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.intent.IntentDecision;
+import org.cornelway.intent.IntentLog;
+import org.cornelway.intent.IntentRequest;
+import org.cornelway.intent.IntentSettings;
+import org.cornelway.intent.RecordedOutcome;
+import org.cornelway.intent.ShardedIntentLog;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.standin.InMemoryKeyValueStore;
+import org.cornelway.standin.KeyValueEngine;
+import org.cornelway.time.Deadline;
+
+/**
+ * Several agents record and run calls under few keys while the key-value service fails and agents
+ * die between recording and running.
+ */
+public final class IntentRun implements RandomRun {
+    private static final int AGENTS = 3;
+    private static final int KEYS_AT_ONCE = 4;
+    private static final int STEPS_PER_KEY = 8;
+    private static final int MAX_STEP_MILLIS = 60;
+    private static final int MAX_RUN_MILLIS = 100;
+    private static final long QUIET_MILLIS = 120_000;
+
+    private final IntentLogFactory mFactory;
+
+    /** Runs the sharded log. */
+    public IntentRun() {
+        this(
+                (store, control) ->
+                        new ShardedIntentLog(
+                                "s",
+                                store,
+                                control,
+                                new IntentSettings(2, 50, 7_200_000, 64),
+                                Invariants.strict()));
+    }
+
+    /** Runs a log of choice. */
+    public IntentRun(IntentLogFactory factory) {
+        mFactory = factory;
+    }
+
+    @Override
+    public String name() {
+        return "intents";
+    }
+
+    @Override
+    public RunReport run(long seed, int steps, FaultMix mix) {
+        World world = new World(seed, mix);
+        world.run(steps);
+        return world.mReport;
+    }
+
+    /** One agent's life; a killed one does nothing any more. */
+    private static final class Agent {
+        private final IntentLog mLog;
+        private boolean mAlive = true;
+
+        Agent(IntentLog log) {
+            mLog = log;
+        }
+    }
+
+    /** The state of one run. */
+    private final class World {
+        private final RunReport mReport = new RunReport();
+        private final TestScheduler mScheduler = new TestScheduler();
+        private final KeyValueEngine mEngine = new KeyValueEngine(this::now);
+        private final Random mRandom;
+        private final FaultMix mMix;
+        private final StoreFaults mFaults;
+        private final List<Agent> mAgents = new ArrayList<>();
+        private final Map<String, Integer> mRuns = new TreeMap<>();
+        private int mAttempts;
+
+        World(long seed, FaultMix mix) {
+            mRandom = new Random(seed);
+            mMix = mix;
+            mFaults = new StoreFaults(mRandom, mix, mReport);
+            for (int i = 0; i < AGENTS; i++) {
+                mAgents.add(newAgent());
+            }
+        }
+
+        private Agent newAgent() {
+            InMemoryKeyValueStore store = new InMemoryKeyValueStore(mEngine, mScheduler, mFaults);
+            return new Agent(mFactory.create(store, mScheduler));
+        }
+
+        void run(int steps) {
+            int keys = 0;
+            for (int step = 0; step < steps; step++) {
+                mScheduler.advanceTimeBy(
+                        1 + mRandom.nextInt(MAX_STEP_MILLIS), TimeUnit.MILLISECONDS);
+                keys = KEYS_AT_ONCE + step / STEPS_PER_KEY;
+                String key = "k" + (keys - 1 - mRandom.nextInt(KEYS_AT_ONCE));
+                begin(mAgents.get(mRandom.nextInt(AGENTS)), key);
+                if (mRandom.nextDouble() < mMix.agentKilled()) {
+                    kill(mRandom.nextInt(AGENTS));
+                }
+                if (mMix.callLost() > 0 && step % 200 == 100) {
+                    mFaults.setOutage(true);
+                } else if (step % 200 == 120) {
+                    mFaults.setOutage(false);
+                }
+            }
+            mFaults.setQuiet();
+            mScheduler.advanceTimeBy(QUIET_MILLIS, TimeUnit.MILLISECONDS);
+            for (int key = 0; key < keys; key++) {
+                begin(mAgents.get(key % AGENTS), "k" + key);
+                mScheduler.advanceTimeBy(1_000, TimeUnit.MILLISECONDS);
+            }
+            mScheduler.advanceTimeBy(QUIET_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void kill(int index) {
+            mReport.fault(RunReport.FaultKind.AGENT_KILLED);
+            mAgents.get(index).mAlive = false;
+            mAgents.set(index, newAgent());
+        }
+
+        private void begin(Agent agent, String key) {
+            mReport.operation();
+            String attempt = "a" + mAttempts++;
+            Deadline deadline = Deadline.after(now(), 50 + mRandom.nextInt(3_000));
+            IntentRequest request = new IntentRequest(key, "f-" + key, attempt, deadline);
+            boolean[] decided = new boolean[1];
+            agent.mLog
+                    .begin(request)
+                    .observeOn(mScheduler)
+                    .filter(decision -> agent.mAlive)
+                    .subscribe(
+                            decision -> {
+                                mReport.check(!decided[0], attempt + " was decided twice");
+                                decided[0] = true;
+                                decided(agent, request, decision);
+                            });
+        }
+
+        private void decided(Agent agent, IntentRequest request, IntentDecision decision) {
+            if (decision instanceof IntentDecision.Granted) {
+                granted(agent, request);
+            } else if (decision instanceof IntentDecision.Recorded recorded) {
+                mReport.check(
+                        mRuns.getOrDefault(request.key(), 0) == 1,
+                        request.key() + " has an outcome but did not run once");
+                String body = new String(recorded.outcome().body(), StandardCharsets.UTF_8);
+                mReport.check(
+                        body.equals("ran " + request.key()),
+                        request.key() + " got the outcome '" + body + "'");
+            }
+        }
+
+        private void granted(Agent agent, IntentRequest request) {
+            if (request.deadline().isPast(now())) {
+                agent.mLog.abandon(request);
+                return;
+            }
+            int runs = mRuns.merge(request.key(), 1, Integer::sum);
+            mReport.check(runs == 1, request.key() + " ran " + runs + " times");
+            mScheduler.scheduleDirect(
+                    () -> ended(agent, request),
+                    1 + mRandom.nextInt(MAX_RUN_MILLIS),
+                    TimeUnit.MILLISECONDS);
+        }
+
+        private void ended(Agent agent, IntentRequest request) {
+            if (!agent.mAlive) {
+                return;
+            }
+            if (mRandom.nextDouble() < mMix.answerLost()) {
+                agent.mLog.lose(request);
+                return;
+            }
+            byte[] body = ("ran " + request.key()).getBytes(StandardCharsets.UTF_8);
+            agent.mLog.finish(request, new RecordedOutcome(200, "text/plain", body, true));
+        }
+
+        private long now() {
+            return mScheduler.now(TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/RunReport.java
@@ -0,0 +1,69 @@
+package org.cornelway.bench.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a random run did and found. Not thread-safe; used by the thread of its run. */
+public final class RunReport {
+    private final Map<FaultKind, Long> mFaults = new EnumMap<>(FaultKind.class);
+    private final List<String> mViolations = new ArrayList<>();
+    private long mOperations;
+
+    /** Kinds of faults that runs inject. */
+    public enum FaultKind {
+        CALL_LOST,
+        ANSWER_LOST,
+        SLOW_CALL,
+        OUTAGE,
+        AGENT_KILLED,
+        AGENT_FROZEN,
+        INSTANCE_REPLACED,
+        CONNECTION_SILENT,
+        CONNECTION_BROKEN,
+        FRAME_REPEATED,
+        ORDER_ANSWER_LOST,
+        PRESET_SWITCHED,
+        OPERATORS_RACED
+    }
+
+    /** Counts an operation. */
+    public void operation() {
+        mOperations++;
+    }
+
+    /** Counts a fault. */
+    public void fault(FaultKind kind) {
+        mFaults.merge(kind, 1L, Long::sum);
+    }
+
+    /** Notes a violation unless a condition holds. */
+    public void check(boolean holds, String message) {
+        if (!holds) {
+            mViolations.add(message);
+        }
+    }
+
+    /** Adds another run's findings. */
+    public void add(RunReport other) {
+        mOperations += other.mOperations;
+        other.mFaults.forEach((kind, count) -> mFaults.merge(kind, count, Long::sum));
+        mViolations.addAll(other.mViolations);
+    }
+
+    /** Operations done. */
+    public long operations() {
+        return mOperations;
+    }
+
+    /** Faults by kind. */
+    public Map<FaultKind, Long> faults() {
+        return mFaults;
+    }
+
+    /** What was violated. */
+    public List<String> violations() {
+        return mViolations;
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/StoreFaults.java
@@ -0,0 +1,57 @@
+package org.cornelway.bench.soak;
+
+import java.util.Random;
+import java.util.function.Supplier;
+import org.cornelway.standin.InMemoryKeyValueStore.CallFault;
+
+/** Chooses what happens to each call to the key-value service. Used by the thread of its run. */
+final class StoreFaults implements Supplier<CallFault> {
+    private static final int MAX_DELAY_MILLIS = 5;
+    private static final int MAX_SLOW_MILLIS = 4_000;
+
+    private final Random mRandom;
+    private final FaultMix mMix;
+    private final RunReport mReport;
+    private boolean mOutage;
+    private boolean mQuiet;
+
+    StoreFaults(Random random, FaultMix mix, RunReport report) {
+        mRandom = random;
+        mMix = mix;
+        mReport = report;
+    }
+
+    void setOutage(boolean outage) {
+        if (outage && !mOutage) {
+            mReport.fault(RunReport.FaultKind.OUTAGE);
+        }
+        mOutage = outage;
+    }
+
+    /** Ends all faults. */
+    void setQuiet() {
+        mQuiet = true;
+        mOutage = false;
+    }
+
+    @Override
+    public CallFault get() {
+        long delay = 1 + mRandom.nextInt(MAX_DELAY_MILLIS);
+        if (mQuiet) {
+            return new CallFault(delay, false, false);
+        }
+        if (mRandom.nextDouble() < mMix.slowCall()) {
+            mReport.fault(RunReport.FaultKind.SLOW_CALL);
+            delay = 1 + mRandom.nextInt(MAX_SLOW_MILLIS);
+        }
+        boolean lost = mOutage || mRandom.nextDouble() < mMix.callLost();
+        boolean answerLost = !lost && mRandom.nextDouble() < mMix.answerLost();
+        if (lost) {
+            mReport.fault(RunReport.FaultKind.CALL_LOST);
+        }
+        if (answerLost) {
+            mReport.fault(RunReport.FaultKind.ANSWER_LOST);
+        }
+        return new CallFault(delay, lost, answerLost);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/soak/RandomRunsTest.java
@@ -0,0 +1,41 @@
+package org.cornelway.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.cornelway.bench.soak.ConfigurationRun;
+import org.cornelway.bench.soak.FaultMix;
+import org.cornelway.bench.soak.IntentRun;
+import org.cornelway.bench.soak.RandomRun;
+import org.cornelway.bench.soak.RunReport;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The random runs, without faults and with them. */
+public final class RandomRunsTest {
+    private static final int STEPS = 600;
+    private static final int SEEDS = 10;
+
+    @DataProvider
+    public Object[][] runs() {
+        return new Object[][] {
+            {new IntentRun()}, {new ConfigurationRun()},
+        };
+    }
+
+    @Test(dataProvider = "runs")
+    public void holdsWithoutFaults(RandomRun run) {
+        RunReport report = run.run(1, STEPS, FaultMix.none());
+        assertThat(report.violations()).isEmpty();
+        assertThat(report.operations()).isGreaterThanOrEqualTo(STEPS);
+    }
+
+    @Test(dataProvider = "runs")
+    public void holdsUnderFaults(RandomRun run) {
+        RunReport all = new RunReport();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            all.add(run.run(seed, STEPS, FaultMix.rough()));
+        }
+        assertThat(all.violations()).isEmpty();
+        assertThat(all.faults()).isNotEmpty();
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Short random runs with fixed seeds. */
+package org.cornelway.soak;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/admin/AuditArchive.java
@@ -0,0 +1,67 @@
+package org.cornelway.admin;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.List;
+import org.cornelway.config.AuditEntry;
+import org.cornelway.config.AuditPage;
+import org.cornelway.config.Json;
+import org.cornelway.platform.KeyValueStore;
+
+/**
+ * Keeps the audit entries that have left their documents, in pages that are never changed.
+ *
+ * <p>Invariant: an entry leaves its document only after its page was written, so document and pages
+ * together always hold every accepted change. Confined to the control thread.
+ */
+final class AuditArchive {
+    private static final int MAX_ENTRIES = 64;
+    private static final int PAGE_ENTRIES = 32;
+
+    private final KeyValueStore mStore;
+    private final Scheduler mControl;
+    private final String mPrefix;
+
+    /**
+     * @param prefix prefix of the pages' keys
+     */
+    AuditArchive(KeyValueStore store, Scheduler control, String prefix) {
+        mStore = store;
+        mControl = control;
+        mPrefix = prefix;
+    }
+
+    /** Moves the oldest entries to a page of their own before the list grows too long. */
+    Single<AuditPage.Split> trimmed(List<AuditEntry> audit, int archivedPages) {
+        if (audit.size() < MAX_ENTRIES) {
+            return Single.just(new AuditPage.Split(audit, archivedPages));
+        }
+        AuditPage page = new AuditPage(audit.subList(0, PAGE_ENTRIES));
+        String key = mPrefix + String.format("%010d", archivedPages);
+        AuditPage.Split rest =
+                new AuditPage.Split(audit.subList(PAGE_ENTRIES, audit.size()), archivedPages + 1);
+        // The same page comes out of every try, so a page that is there already is the right one.
+        return mStore.compareAndSwap(
+                        key, KeyValueStore.ABSENT, Json.write(page), KeyValueStore.NO_LEASE)
+                .flatMap(result -> mStore.get(key))
+                .observeOn(mControl)
+                .map(
+                        stored -> {
+                            if (stored.isEmpty()) {
+                                throw new IllegalStateException("audit page was not written");
+                            }
+                            return rest;
+                        });
+    }
+
+    /** All archived entries. */
+    Single<List<AuditEntry>> entries() {
+        return mStore.list(mPrefix)
+                .observeOn(mControl)
+                .map(
+                        pages ->
+                                pages.stream()
+                                        .flatMap(page -> AuditPage.entries(page.value()))
+                                        .toList());
+    }
+}
--- a/org.cornelway/src/org/cornelway/admin/ConfigurationEditor.java
+++ b/org.cornelway/src/org/cornelway/admin/ConfigurationEditor.java
@@ -34,8 +34,10 @@
 public final class ConfigurationEditor {
     private static final String PRESET_PREFIX = "cornelway/presets/";
     private static final String AUDIT_PREFIX = "cornelway/audit/";
-    private static final int MAX_AUDIT_ENTRIES = 64;
-    private static final int PAGE_ENTRIES = 32;
+
+    /** Not a preset's name, which never begins with a colon. */
+    private static final String SWITCHES = ":switches";
+
     private static final String KIND_SWITCH = "switch";
     private static final String KIND_PUT = "put";
 
@@ -84,16 +86,28 @@
                         kv -> {
                             Optional<StoredPreset> before =
                                     kv.flatMap(v -> Json.read(v.value(), StoredPreset.class));
-                            StoredPreset after = after(before, preset, author);
-                            return write(key, kv, after, after.audit(), StoredPreset.class);
+                            return archive(preset.name())
+                                    .trimmed(
+                                            before.map(StoredPreset::audit).orElse(List.of()),
+                                            before.map(StoredPreset::archivedPages).orElse(0))
+                                    .map(kept -> after(before, kept, preset, author))
+                                    .flatMap(
+                                            after ->
+                                                    write(
+                                                            key,
+                                                            kv,
+                                                            after,
+                                                            after.audit(),
+                                                            archive(preset.name())));
                         })
                 .map(result -> result.map(Written::value))
                 .onErrorReturn(e -> unavailable(e));
     }
 
-    private StoredPreset after(Optional<StoredPreset> before, Preset preset, String author) {
+    private StoredPreset after(
+            Optional<StoredPreset> before, AuditPage.Split kept, Preset preset, String author) {
         long version = before.map(StoredPreset::version).orElse(0L);
-        List<AuditEntry> audit = new ArrayList<>(before.map(StoredPreset::audit).orElse(List.of()));
+        List<AuditEntry> audit = new ArrayList<>(kept.audit());
         audit.add(
                 new AuditEntry(
                         UUID.randomUUID().toString(),
@@ -103,8 +117,11 @@
                         preset.name() + "@" + version,
                         preset.name() + "@" + (version + 1),
                         version + 1));
-        int from = Math.max(0, audit.size() - MAX_AUDIT_ENTRIES);
-        return new StoredPreset(preset, version + 1, audit.subList(from, audit.size()));
+        return new StoredPreset(preset, version + 1, audit, kept.archivedPages());
+    }
+
+    private AuditArchive archive(String name) {
+        return new AuditArchive(mStore, mControl, AUDIT_PREFIX + name + "/");
     }
 
     /**
@@ -156,7 +173,10 @@
                         before.map(c -> c.preset().name()).orElse(""),
                         stored.preset().name() + "@" + stored.version(),
                         version + 1);
-        return archived(before)
+        AuditArchive archive = archive(SWITCHES);
+        return archive.trimmed(
+                        before.map(Configuration::audit).orElse(List.of()),
+                        before.map(Configuration::archivedPages).orElse(0))
                 .flatMap(
                         base -> {
                             List<AuditEntry> audit = new ArrayList<>(base.audit());
@@ -167,12 +187,7 @@
                                             stored.preset(),
                                             audit,
                                             base.archivedPages());
-                            return write(
-                                    DocumentKeys.CONFIGURATION,
-                                    kv,
-                                    after,
-                                    audit,
-                                    Configuration.class);
+                            return write(DocumentKeys.CONFIGURATION, kv, after, audit, archive);
                         })
                 .map(this::accepted)
                 .flatMap(result -> namingTheWinner(result, version));
@@ -210,37 +225,12 @@
                 .orElse("expected version " + expected + ", but nothing is in force");
     }
 
-    /** Moves the oldest entries to a page of their own before the list grows too long. */
-    private Single<AuditPage.Split> archived(Optional<Configuration> before) {
-        if (before.isEmpty()) {
-            return Single.just(new AuditPage.Split(List.of(), 0));
-        }
-        Configuration current = before.get();
-        List<AuditEntry> audit = current.audit();
-        if (audit.size() < MAX_AUDIT_ENTRIES) {
-            return Single.just(new AuditPage.Split(audit, current.archivedPages()));
-        }
-        AuditPage page = new AuditPage(audit.subList(0, PAGE_ENTRIES));
-        String key = AUDIT_PREFIX + String.format("%010d", current.archivedPages());
-        AuditPage.Split rest =
-                new AuditPage.Split(
-                        audit.subList(PAGE_ENTRIES, audit.size()), current.archivedPages() + 1);
-        // The same page comes out of every try, so a page that is there already is the right one.
-        return mStore.compareAndSwap(
-                        key, KeyValueStore.ABSENT, Json.write(page), KeyValueStore.NO_LEASE)
-                .flatMap(result -> mStore.get(key))
-                .observeOn(mControl)
-                .map(
-                        stored -> {
-                            if (stored.isEmpty()) {
-                                throw new IllegalStateException("audit page was not written");
-                            }
-                            return rest;
-                        });
-    }
-
     private <T> Single<Result<Written<T>>> write(
-            String key, Optional<KeyValue> before, T after, List<AuditEntry> audit, Class<T> type) {
+            String key,
+            Optional<KeyValue> before,
+            T after,
+            List<AuditEntry> audit,
+            AuditArchive archive) {
         String changeId = audit.get(audit.size() - 1).changeId();
         byte[] value = Json.write(after);
         if (value.length > SettledWriter.MAX_VALUE_BYTES) {
@@ -249,7 +239,7 @@
                     value.length + " bytes, at most " + SettledWriter.MAX_VALUE_BYTES);
         }
         long revision = before.map(KeyValue::revision).orElse(KeyValueStore.ABSENT);
-        return mWriter.write(key, revision, value, changeId)
+        return mWriter.write(key, revision, value, changeId, archive)
                 .map(result -> result.map(stored -> new Written<>(after, stored)));
     }
 
@@ -286,30 +276,32 @@
 
     /** All changes, oldest first. */
     public Single<List<AuditEntry>> history() {
-        Single<List<AuditEntry>> pages =
-                mStore.list(AUDIT_PREFIX)
-                        .map(
-                                list ->
-                                        list.stream()
-                                                .flatMap(v -> AuditPage.entries(v.value()))
-                                                .toList());
-        Single<List<AuditEntry>> current =
-                configuration().map(c -> c.map(Configuration::audit).orElse(List.of()));
-        Single<List<AuditEntry>> puts =
-                presets().map(list -> list.stream().flatMap(p -> p.audit().stream()).toList());
-        return Single.zip(
-                        pages,
-                        current,
-                        puts,
-                        (a, b, c) -> {
-                            List<AuditEntry> all = new ArrayList<>(a);
-                            all.addAll(b);
-                            all.addAll(c);
+        // The pages are read last: an entry leaves its document only after its page was written.
+        return configuration()
+                .map(c -> c.map(Configuration::audit).orElse(List.of()))
+                .zipWith(
+                        presets().map(ConfigurationEditor::puts),
+                        (switches, puts) -> {
+                            List<AuditEntry> all = new ArrayList<>(switches);
+                            all.addAll(puts);
                             return all;
                         })
+                .flatMap(
+                        entries ->
+                                new AuditArchive(mStore, mControl, AUDIT_PREFIX)
+                                        .entries()
+                                        .map(
+                                                archived -> {
+                                                    entries.addAll(archived);
+                                                    return entries;
+                                                }))
                 .map(ConfigurationEditor::distinctByTime);
     }
 
+    private static List<AuditEntry> puts(List<StoredPreset> presets) {
+        return presets.stream().flatMap(preset -> preset.audit().stream()).toList();
+    }
+
     private static List<AuditEntry> distinctByTime(List<AuditEntry> entries) {
         List<AuditEntry> distinct = new ArrayList<>();
         entries.stream()
--- a/org.cornelway/src/org/cornelway/admin/SettledWriter.java
+++ b/org.cornelway/src/org/cornelway/admin/SettledWriter.java
@@ -35,56 +35,76 @@
     /**
      * Writes.
      *
-     * @param changeId unique text in the value, kept by later values for some time
+     * @param changeId id of the audit entry in the value
+     * @param archive where audit entries go that leave the value
      */
-    Single<Result<KeyValue>> write(String key, long revision, byte[] value, String changeId) {
+    Single<Result<KeyValue>> write(
+            String key, long revision, byte[] value, String changeId, AuditArchive archive) {
         Deadline limit = Deadline.after(now(), LIMIT_MILLIS);
-        return attempt(key, revision, value, changeId, limit, false);
+        return attempt(new Change(key, revision, value, changeId, archive, limit), false);
     }
 
-    private Single<Result<KeyValue>> attempt(
+    /** A change on its way. Immutable by convention. */
+    private record Change(
             String key,
             long revision,
             byte[] value,
             String changeId,
-            Deadline limit,
-            boolean inDoubt) {
-        return mStore.compareAndSwap(key, revision, value, KeyValueStore.NO_LEASE)
+            AuditArchive archive,
+            Deadline limit) {}
+
+    private Single<Result<KeyValue>> attempt(Change change, boolean inDoubt) {
+        return mStore.compareAndSwap(
+                        change.key(), change.revision(), change.value(), KeyValueStore.NO_LEASE)
                 .observeOn(mControl)
-                .flatMap(
-                        result -> {
-                            if (result instanceof SwapResult.Swapped swapped) {
-                                return stored(new KeyValue(key, value, swapped.revision()));
-                            }
-                            if (result instanceof SwapResult.Conflict conflict) {
-                                return conflict(conflict.current(), changeId, inDoubt);
-                            }
-                            boolean unsent = result instanceof SwapResult.NotSent && !inDoubt;
-                            if (unsent) {
-                                return failed(
-                                        ResultCode.STORE_UNAVAILABLE,
-                                        "the key-value service cannot be reached");
-                            }
-                            if (limit.isPast(now())) {
-                                return failed(
-                                        ResultCode.CHANGE_UNKNOWN,
-                                        "change " + changeId + " may have been accepted");
-                            }
-                            return Single.timer(RETRY_MILLIS, TimeUnit.MILLISECONDS, mControl)
-                                    .flatMap(
-                                            tick ->
-                                                    attempt(
-                                                            key, revision, value, changeId, limit,
-                                                            true));
-                        });
+                .flatMap(result -> settle(change, result, inDoubt));
+    }
+
+    private Single<Result<KeyValue>> settle(Change change, SwapResult result, boolean inDoubt) {
+        if (result instanceof SwapResult.Swapped swapped) {
+            return stored(new KeyValue(change.key(), change.value(), swapped.revision()));
+        }
+        if (result instanceof SwapResult.Conflict conflict) {
+            return inDoubt
+                    ? settleConflict(change, conflict.current())
+                    : lostRace(conflict.current());
+        }
+        if (result instanceof SwapResult.NotSent && !inDoubt) {
+            return failed(ResultCode.STORE_UNAVAILABLE, "the key-value service cannot be reached");
+        }
+        if (change.limit().isPast(now())) {
+            return unknown(change);
+        }
+        return Single.timer(RETRY_MILLIS, TimeUnit.MILLISECONDS, mControl)
+                .flatMap(tick -> attempt(change, true));
     }
 
-    private static Single<Result<KeyValue>> conflict(
-            Optional<KeyValue> current, String changeId, boolean inDoubt) {
-        boolean ours = inDoubt && current.filter(kv -> contains(kv, changeId)).isPresent();
-        if (ours) {
+    /** Another value is there: ours was there before it if the audit trail has its entry. */
+    private Single<Result<KeyValue>> settleConflict(Change change, Optional<KeyValue> current) {
+        if (current.filter(kv -> contains(kv, change.changeId())).isPresent()) {
             return stored(current.get());
         }
+        return change.archive()
+                .entries()
+                .map(
+                        entries ->
+                                entries.stream()
+                                        .anyMatch(e -> e.changeId().equals(change.changeId())))
+                .flatMap(
+                        accepted ->
+                                accepted && current.isPresent()
+                                        ? stored(current.get())
+                                        : lostRace(current))
+                .onErrorResumeNext(e -> unknown(change));
+    }
+
+    private static Single<Result<KeyValue>> unknown(Change change) {
+        return failed(
+                ResultCode.CHANGE_UNKNOWN,
+                "change " + change.changeId() + " may have been accepted");
+    }
+
+    private static Single<Result<KeyValue>> lostRace(Optional<KeyValue> current) {
         return failed(
                 ResultCode.REVISION_CONFLICT,
                 "another change was accepted first, at revision "
--- a/org.cornelway/src/org/cornelway/config/StoredPreset.java
+++ b/org.cornelway/src/org/cornelway/config/StoredPreset.java
@@ -8,8 +8,9 @@
  * @param preset the preset
  * @param version rises by one with each put
  * @param audit the latest puts, oldest first
+ * @param archivedPages audit pages written before the entries in {@code audit}
  */
-public record StoredPreset(Preset preset, long version, List<AuditEntry> audit) {
+public record StoredPreset(Preset preset, long version, List<AuditEntry> audit, int archivedPages) {
     /** Copies the list. */
     public StoredPreset {
         audit = List.copyOf(audit);
