Check placement in long random runs, and wait out orders in flight at start

PlacementRun lets agents host the controller and load and unload on engines of both kinds while agents are killed and frozen, instances leave and are replaced, presets are switched and the key-value service fails. At each load it checks limits and memory.

Cause of the memory faults it showed: (1) an order sent by an agent just before it was killed reached the engine after its successor had read the engine's account; (2) the fake let a dead agent go on sending orders. Change: (1) an agent sends orders and confirms releases only after a second reading of the account, 1 s after the first; (2) a dead life is cut off from its engine in the fake, as the death of a process does.

--- a/org.cornelway.bench/src/org/cornelway/bench/soak/RunReport.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/RunReport.java
@@ -20,6 +20,7 @@
         AGENT_KILLED,
         AGENT_FROZEN,
         INSTANCE_REPLACED,
+        INSTANCE_LEAVING,
         CONNECTION_SILENT,
         CONNECTION_BROKEN,
         FRAME_REPEATED,
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedServer.java
@@ -0,0 +1,352 @@
+package org.cornelway.bench.soak;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cornelway.admission.AdmissionQueue;
+import org.cornelway.admission.ClassDeadlineQueuePolicy;
+import org.cornelway.agent.AgentCore;
+import org.cornelway.agent.ModelWorkHandler;
+import org.cornelway.config.Configuration;
+import org.cornelway.config.Json;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.controller.PlacementController;
+import org.cornelway.exchange.AnswerSink;
+import org.cornelway.exchange.Ending;
+import org.cornelway.memory.MemoryLedger;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.Planner;
+import org.cornelway.platform.CompletionCall;
+import org.cornelway.platform.EngineOrder;
+import org.cornelway.platform.EngineTruth;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.KeyValueStore;
+import org.cornelway.platform.Member;
+import org.cornelway.platform.ModelEngine;
+import org.cornelway.platform.OrderOutcome;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.relay.DocumentKeys;
+import org.cornelway.relay.DocumentRelay;
+import org.cornelway.relay.MemberTable;
+import org.cornelway.relay.PeerClient;
+import org.cornelway.relay.RelayExchange;
+import org.cornelway.relay.RelaySettings;
+import org.cornelway.residency.LeastRecentlyUsedEviction;
+import org.cornelway.residency.Residency;
+import org.cornelway.rpc.DescribeReply;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.ModelState;
+import org.cornelway.rpc.ModelWork;
+import org.cornelway.rpc.RelayReply;
+import org.cornelway.rpc.RelayRequest;
+import org.cornelway.standin.EngineProfile;
+import org.cornelway.standin.InMemoryModelEngine;
+
+/**
+ * One backend server: an engine that outlives its agents, and the agent's own parts.
+ *
+ * <p>A frozen agent's periodic work stands still and its peers get no answer. Used by the thread of
+ * its run.
+ */
+final class SimulatedServer {
+    static final long MEMORY_BYTES = 40L << 30;
+
+    private static final long TICK_MILLIS = 100;
+    private static final long ORDER_MILLIS = 1_500;
+
+    private final String mId;
+    private final boolean mChecksFencing;
+    private final TestScheduler mScheduler;
+    private final Random mRandom;
+    private final FaultMix mMix;
+    private final RunReport mReport;
+    private final KeyValueStore mStore;
+    private final PeerClient mPeers;
+    private final Planner mPlanner;
+    private final InMemoryModelEngine mEngine;
+    private List<Member> mListed = List.of();
+    private Life mLife;
+    private long mFrozenUntilMillis;
+    private boolean mQuiet;
+    private int mRequests;
+    private int mListVersion;
+    private boolean mLeaving;
+
+    SimulatedServer(
+            String id,
+            boolean checksFencing,
+            TestScheduler scheduler,
+            Random random,
+            FaultMix mix,
+            RunReport report,
+            KeyValueStore store,
+            PeerClient peers,
+            Planner planner,
+            Consumer<String> onLoad) {
+        mId = id;
+        mChecksFencing = checksFencing;
+        mScheduler = scheduler;
+        mRandom = random;
+        mMix = mix;
+        mReport = report;
+        mStore = store;
+        mPeers = peers;
+        mPlanner = planner;
+        mEngine =
+                new InMemoryModelEngine(
+                        new EngineProfile(
+                                MEMORY_BYTES, 16L << 30, 0, checksFencing, 20, 5, 20, 8, 4),
+                        scheduler,
+                        this::orderFault,
+                        onLoad);
+        mLife = new Life();
+    }
+
+    private InMemoryModelEngine.OrderFault orderFault() {
+        boolean lost = !mQuiet && mRandom.nextDouble() < mMix.answerLost();
+        if (lost) {
+            mReport.fault(RunReport.FaultKind.ORDER_ANSWER_LOST);
+        }
+        return new InMemoryModelEngine.OrderFault(1 + mRandom.nextInt((int) ORDER_MILLIS), lost);
+    }
+
+    /** One run of the agent process. */
+    private final class Life {
+        private final MemberTable mMembers = new MemberTable(mId);
+        private final DocumentCache mCache =
+                new DocumentCache(PlacementRun.invariants(), PlacementRun.metrics());
+        private final Residency mResidency =
+                new Residency(
+                        mId,
+                        new MemoryLedger(0, PlacementRun.invariants()),
+                        new LeastRecentlyUsedEviction(),
+                        PlacementRun.invariants());
+        private final AgentCore mCore;
+        private final PlacementController mController;
+        private final DocumentRelay mRelay;
+        private final List<io.reactivex.rxjava3.disposables.Disposable> mTasks = new ArrayList<>();
+        private boolean mAlive = true;
+
+        Life() {
+            mMembers.update(mListed);
+            AdmissionQueue queue =
+                    new AdmissionQueue(
+                            new ClassDeadlineQueuePolicy(1_000), 8, 64, PlacementRun.invariants());
+            ModelWorkHandler handler =
+                    new ModelWorkHandler(
+                            mResidency,
+                            queue,
+                            new OwnEngine(this),
+                            mScheduler,
+                            PlacementRun.metrics());
+            mCore = new AgentCore(handler, mScheduler, () -> false, PlacementRun.metrics());
+            mController =
+                    new PlacementController(
+                            mMembers,
+                            mCache,
+                            mStore,
+                            mPeers,
+                            mPlanner,
+                            mScheduler,
+                            PlacementRun.invariants(),
+                            PlacementRun.metrics());
+            mRelay =
+                    new DocumentRelay(
+                            mCache,
+                            mMembers,
+                            mPeers,
+                            mStore,
+                            mScheduler,
+                            new RelaySettings(2, 1_000, 2),
+                            mRandom,
+                            PlacementRun.metrics());
+            mRelay.start().subscribe();
+            mController.start().subscribe();
+            mTasks.add(
+                    mScheduler.schedulePeriodicallyDirect(
+                            this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS));
+        }
+
+        private void tick() {
+            if (mAlive && !isFrozen()) {
+                mCache.all().forEach(this::apply);
+                mCore.tick();
+            }
+        }
+
+        private void apply(KeyValue document) {
+            if (document.key().equals(DocumentKeys.CONFIGURATION)) {
+                Json.read(document.value(), Configuration.class)
+                        .ifPresent(c -> mResidency.applyPreset(new PresetIndex(c.preset())));
+            } else {
+                boolean mayLoad = mChecksFencing || mCache.isVerified(DocumentKeys.PLACEMENT);
+                Json.read(document.value(), PlacementDocument.class)
+                        .ifPresent(d -> mResidency.applyPlacement(d, mayLoad));
+            }
+        }
+
+        void end() {
+            mAlive = false;
+            mTasks.forEach(io.reactivex.rxjava3.disposables.Disposable::dispose);
+            mRelay.stop().subscribe();
+            mController.kill();
+        }
+    }
+
+    /** The engine as one life of the agent reaches it: a dead one not at all, a frozen one late. */
+    private final class OwnEngine implements ModelEngine {
+        private final Life mOwner;
+
+        OwnEngine(Life owner) {
+            mOwner = owner;
+        }
+
+        private <T> Single<T> reach(Single<T> call) {
+            return Single.defer(() -> mOwner.mAlive ? call : Single.never())
+                    .flatMap(value -> arrive(value));
+        }
+
+        private <T> Single<T> arrive(T value) {
+            long now = mScheduler.now(TimeUnit.MILLISECONDS);
+            long wait = Math.max(0, mFrozenUntilMillis - now);
+            return Single.timer(wait, TimeUnit.MILLISECONDS, mScheduler)
+                    .flatMap(tick -> mOwner.mAlive ? Single.just(value) : Single.never());
+        }
+
+        @Override
+        public Single<EngineTruth> truth() {
+            return reach(mEngine.truth());
+        }
+
+        @Override
+        public Single<OrderOutcome> order(EngineOrder order) {
+            return reach(mEngine.order(order));
+        }
+
+        @Override
+        public Flowable<byte[]> complete(CompletionCall call) {
+            return mOwner.mAlive ? mEngine.complete(call) : Flowable.never();
+        }
+    }
+
+    String id() {
+        return mId;
+    }
+
+    InMemoryModelEngine engine() {
+        return mEngine;
+    }
+
+    Member member() {
+        return new Member(
+                mId,
+                Member.ROLE_AGENT,
+                mId,
+                "r",
+                "z" + mId.hashCode() % 3,
+                mLeaving,
+                Member.KIND_MODEL,
+                "",
+                MEMORY_BYTES);
+    }
+
+    /** Shows a version of the instance list, which lags but never goes back. */
+    void list(int version, List<Member> members) {
+        if (version > mListVersion) {
+            mListVersion = version;
+            mListed = members;
+            mLife.mMembers.update(members);
+        }
+    }
+
+    void setLeaving() {
+        mLeaving = true;
+    }
+
+    void restartAgent() {
+        mLife.end();
+        mLife = new Life();
+    }
+
+    void stop() {
+        mLife.end();
+        mEngine.held().stream().toList().forEach(this::drop);
+    }
+
+    private void drop(String model) {
+        EngineOrder order = new EngineOrder(EngineOrder.Kind.UNLOAD, model, "", 0, Long.MAX_VALUE);
+        mEngine.order(order).subscribe();
+    }
+
+    void freeze(long untilMillis) {
+        mFrozenUntilMillis = untilMillis;
+    }
+
+    boolean isFrozen() {
+        return mScheduler.now(TimeUnit.MILLISECONDS) < mFrozenUntilMillis;
+    }
+
+    void setQuiet() {
+        mQuiet = true;
+        mFrozenUntilMillis = 0;
+    }
+
+    /** Asks for a short answer from a model. */
+    void demand(String model) {
+        if (isFrozen()) {
+            return;
+        }
+        long deadline = mScheduler.now(TimeUnit.MILLISECONDS) + 1_000 + mRandom.nextInt(20_000);
+        ExchangeRequest request =
+                ExchangeRequest.newBuilder()
+                        .setRequestId(mId + "-" + mRequests++)
+                        .setDeadlineMillis(deadline)
+                        .setModelWork(ModelWork.newBuilder().setModel(model))
+                        .build();
+        mLife.mCore.exchange(request, new EndsOnce(request, mReport));
+    }
+
+    /** Checks that an exchange ends once. */
+    private static final class EndsOnce implements AnswerSink {
+        private final ExchangeRequest mRequest;
+        private final RunReport mReport;
+        private boolean mEnded;
+
+        EndsOnce(ExchangeRequest request, RunReport report) {
+            mRequest = request;
+            mReport = report;
+        }
+
+        @Override
+        public void chunk(long sequence, byte[] data) {
+            mReport.check(!mEnded, mRequest.getRequestId() + " got a chunk after its end");
+        }
+
+        @Override
+        public void end(Ending ending) {
+            mReport.check(!mEnded, mRequest.getRequestId() + " ended twice");
+            mEnded = true;
+        }
+    }
+
+    DescribeReply describe() {
+        DescribeReply.Builder reply =
+                DescribeReply.newBuilder()
+                        .setInstance(mId)
+                        .setRecovered(mLife.mResidency.isRecovered())
+                        .setPlacementFencingNumber(mLife.mResidency.fencingNumber());
+        mLife.mResidency
+                .held()
+                .forEach(held -> reply.addModels(ModelState.newBuilder().setModel(held.model())));
+        return reply.build();
+    }
+
+    RelayReply relay(RelayRequest request) {
+        return new RelayExchange(mId, mLife.mCache).answer(request);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/soak/NaiveVersionsTest.java
@@ -0,0 +1,68 @@
+package org.cornelway.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.core.Single;
+import java.util.HashMap;
+import java.util.Map;
+import org.cornelway.bench.soak.FaultMix;
+import org.cornelway.bench.soak.IntentRun;
+import org.cornelway.bench.soak.PlacementRun;
+import org.cornelway.bench.soak.RunReport;
+import org.cornelway.intent.IntentDecision;
+import org.cornelway.intent.IntentLog;
+import org.cornelway.intent.IntentRequest;
+import org.cornelway.intent.RecordedOutcome;
+import org.cornelway.placement.SpreadPlacement;
+import org.cornelway.placement.UnconfirmedMovePlanner;
+import org.testng.annotations.Test;
+
+/** The checks of the random runs can fail: naive versions violate them under the same faults. */
+public final class NaiveVersionsTest {
+    private static final int STEPS = 600;
+    private static final int SEEDS = 10;
+
+    /** Remembers keys in the agent's own memory only. */
+    private static final class OwnMemoryIntentLog implements IntentLog {
+        private final Map<String, RecordedOutcome> mOutcomes = new HashMap<>();
+
+        @Override
+        public Single<IntentDecision> begin(IntentRequest request) {
+            RecordedOutcome known = mOutcomes.get(request.key());
+            return Single.just(
+                    known == null
+                            ? new IntentDecision.Granted()
+                            : new IntentDecision.Recorded(known));
+        }
+
+        @Override
+        public void finish(IntentRequest request, RecordedOutcome outcome) {
+            mOutcomes.put(request.key(), outcome);
+        }
+
+        @Override
+        public void abandon(IntentRequest request) {}
+
+        @Override
+        public void lose(IntentRequest request) {}
+    }
+
+    @Test
+    public void memoryOfOneAgentDoublesCalls() {
+        RunReport report =
+                new IntentRun((store, control) -> new OwnMemoryIntentLog())
+                        .run(1, STEPS, FaultMix.rough());
+        assertThat(report.violations()).anyMatch(message -> message.contains("ran 2 times"));
+    }
+
+    @Test
+    public void movingWithoutConfirmationExceedsLimits() {
+        RunReport all = new RunReport();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            all.add(
+                    new PlacementRun(() -> new UnconfirmedMovePlanner(new SpreadPlacement()))
+                            .run(seed, STEPS, FaultMix.rough()));
+        }
+        assertThat(all.violations()).anyMatch(message -> message.contains("replicas of"));
+    }
+}
--- a/org.cornelway.test/tst/org/cornelway/soak/RandomRunsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/soak/RandomRunsTest.java
@@ -5,6 +5,7 @@
 import org.cornelway.bench.soak.ConfigurationRun;
 import org.cornelway.bench.soak.FaultMix;
 import org.cornelway.bench.soak.IntentRun;
+import org.cornelway.bench.soak.PlacementRun;
 import org.cornelway.bench.soak.RandomRun;
 import org.cornelway.bench.soak.RunReport;
 import org.testng.annotations.DataProvider;
@@ -18,7 +19,7 @@
     @DataProvider
     public Object[][] runs() {
         return new Object[][] {
-            {new IntentRun()}, {new ConfigurationRun()},
+            {new IntentRun()}, {new ConfigurationRun()}, {new PlacementRun()},
         };
     }
 
--- a/org.cornelway/src/org/cornelway/controller/PlacementController.java
+++ b/org.cornelway/src/org/cornelway/controller/PlacementController.java
@@ -18,7 +18,7 @@
 import org.cornelway.config.Json;
 import org.cornelway.invariant.Invariants;
 import org.cornelway.placement.PlacementDocument;
-import org.cornelway.placement.PlacementPlanner;
+import org.cornelway.placement.Planner;
 import org.cornelway.placement.Release;
 import org.cornelway.placement.ServerView;
 import org.cornelway.placement.SlotBinding;
@@ -50,7 +50,7 @@
     private final DocumentCache mCache;
     private final KeyValueStore mStore;
     private final PeerClient mPeers;
-    private final PlacementPlanner mPlanner;
+    private final Planner mPlanner;
     private final ControllerLease mLease;
     private final Scheduler mControl;
     private final Invariants mInvariants;
@@ -67,7 +67,7 @@
             DocumentCache cache,
             KeyValueStore store,
             PeerClient peers,
-            PlacementPlanner planner,
+            Planner planner,
             Scheduler control,
             Invariants invariants,
             MetricRegistry metrics) {
@@ -113,6 +113,11 @@
                 });
     }
 
+    /** Ends all work without giving the lease up, as a killed process does. */
+    public void kill() {
+        mTasks.dispose();
+    }
+
     private void step() {
         Optional<String> agents = Optional.of(Member.ROLE_AGENT);
         boolean candidate = mMembers.isAmongFirst("controller", CANDIDATES, agents);
--- a/org.cornelway/src/org/cornelway/placement/PlacementPlanner.java
+++ b/org.cornelway/src/org/cornelway/placement/PlacementPlanner.java
@@ -19,7 +19,7 @@
  * <p>A slot is bound anew only after its old server confirmed the unload or is gone. Bindings that
  * still fit stay where they are. Stateless and thread-safe.
  */
-public final class PlacementPlanner {
+public final class PlacementPlanner implements Planner {
     private static final Comparator<SlotBinding> ORDER =
             Comparator.comparing(SlotBinding::model).thenComparingInt(SlotBinding::slot);
 
@@ -32,16 +32,7 @@
         mPolicy = policy;
     }
 
-    /**
-     * Plans one step.
-     *
-     * @param current the document in force
-     * @param configuration the configuration to carry out
-     * @param servers all model servers that the platform lists, leaving ones included
-     * @param releases confirmed unloads of bindings that were being released in {@code current}
-     * @param holder instance id of the controller
-     * @return the next document, or empty if nothing changes
-     */
+    @Override
     public Optional<PlacementDocument> plan(
             PlacementDocument current,
             Configuration configuration,
--- a/org.cornelway/src/org/cornelway/residency/Residency.java
+++ b/org.cornelway/src/org/cornelway/residency/Residency.java
@@ -28,6 +28,12 @@
  * <p>Not thread-safe; confined to the control thread.
  */
 public final class Residency {
+    /**
+     * Time between the first and the last reading of the engine's account at start. An order that
+     * an earlier agent sent just before its end reaches the engine in between.
+     */
+    public static final long RECOVERY_QUIET_MILLIS = 1_000;
+
     private static final Comparator<Demand> BY_DEADLINE =
             Comparator.comparing(Demand::deadline).thenComparing(Demand::model);
     private final String mServer;
@@ -40,6 +46,7 @@
     private Optional<EngineOrder> mModelOrder = Optional.empty();
     private Optional<EngineOrder> mAdapterOrder = Optional.empty();
     private long mFencingNumber;
+    private long mFirstTruthMillis = Long.MAX_VALUE;
     private int mShard;
     private boolean mMayLoad;
     private boolean mRecovered;
@@ -74,7 +81,8 @@
             }
         }
         mUnsettled = !settled;
-        mRecovered = true;
+        mFirstTruthMillis = Math.min(mFirstTruthMillis, nowMillis);
+        mRecovered |= nowMillis - mFirstTruthMillis >= RECOVERY_QUIET_MILLIS;
     }
 
     private void adopt(EngineTruth.HeldModel model, long nowMillis) {
