Add random runs of exchanges and of the relay, and bin/soak

ExchangeRun takes requests of all kinds over connections that break, go silent and repeat or cross frames; RelayRun changes the configuration while processes restart and freeze and the key-value service goes down right after. bin/soak repeats all runs with rising seeds and exits non-zero on violations.

--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedAgent.java
@@ -0,0 +1,113 @@
+package org.cornelway.bench.soak;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.cornelway.agent.AgentCore;
+import org.cornelway.agent.WorkHandler;
+import org.cornelway.exchange.AnswerSink;
+import org.cornelway.platform.Member;
+import org.cornelway.rpc.AgentLoad;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.WithdrawReply;
+import org.cornelway.time.Deadline;
+
+/** An agent that can be killed and frozen. Used by the thread of its run. */
+final class SimulatedAgent {
+    private static final long TICK_MILLIS = 20;
+
+    private final Member mMember;
+    private final Scheduler mScheduler;
+    private final Function<Life, WorkHandler> mHandlers;
+    private Life mLife;
+    private int mLives;
+    private long mFrozenUntilMillis;
+
+    SimulatedAgent(Member member, Scheduler scheduler, Function<Life, WorkHandler> handlers) {
+        mMember = member;
+        mScheduler = scheduler;
+        mHandlers = handlers;
+        mLife = new Life();
+    }
+
+    /** One run of the agent process. */
+    final class Life {
+        private final String mIncarnation = mMember.id() + "#" + mLives++;
+        private final AgentCore mCore;
+        private boolean mAlive = true;
+
+        Life() {
+            mCore =
+                    new AgentCore(
+                            mHandlers.apply(this), mScheduler, () -> false, PlacementRun.metrics());
+            mScheduler.scheduleDirect(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void tick() {
+            if (mAlive) {
+                if (!isFrozen()) {
+                    mCore.tick();
+                }
+                mScheduler.scheduleDirect(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        boolean isAlive() {
+            return mAlive;
+        }
+
+        /** Answers a request unless this life has ended. */
+        void exchange(ExchangeRequest request, AnswerSink sink) {
+            if (mAlive) {
+                mCore.exchange(request, sink);
+            }
+        }
+
+        Optional<WithdrawReply> withdraw(String id, long deadlineMillis) {
+            if (!mAlive) {
+                return Optional.empty();
+            }
+            return Optional.of(
+                    WithdrawReply.newBuilder()
+                            .setOutcome(mCore.withdraw(id, new Deadline(deadlineMillis)))
+                            .setIncarnation(mIncarnation)
+                            .build());
+        }
+
+        AgentLoad load() {
+            return AgentLoad.newBuilder()
+                    .setCapacity(8)
+                    .setActive(mCore.handler().active())
+                    .setResident(true)
+                    .setIncarnation(mIncarnation)
+                    .build();
+        }
+    }
+
+    Member member() {
+        return mMember;
+    }
+
+    Life life() {
+        return mLife;
+    }
+
+    void restart() {
+        mLife.mAlive = false;
+        mLife = new Life();
+    }
+
+    void freeze(long untilMillis) {
+        mFrozenUntilMillis = untilMillis;
+    }
+
+    boolean isFrozen() {
+        return frozenMillis() > 0;
+    }
+
+    /** Milliseconds until the agent goes on. */
+    long frozenMillis() {
+        return Math.max(0, mFrozenUntilMillis - mScheduler.now(TimeUnit.MILLISECONDS));
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/SoakProgram.java
@@ -0,0 +1,83 @@
+package org.cornelway.bench.soak;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Repeats the random runs with rising seeds until the time is up. */
+public final class SoakProgram {
+    private static final int SHOWN_VIOLATIONS = 20;
+
+    @Parameter(names = "--seed", description = "First seed")
+    private long mSeed = 1;
+
+    @Parameter(names = "--minutes", description = "Length of the soak (min)")
+    private double mMinutes = 1;
+
+    @Parameter(names = "--steps", description = "Length of each run")
+    private int mSteps = 600;
+
+    @Parameter(names = "--run", description = "One run's name, or all")
+    private String mRun = "all";
+
+    @Parameter(names = "--call-lost", description = "Share of lost calls to the store")
+    private double mCallLost = FaultMix.rough().callLost();
+
+    @Parameter(names = "--answer-lost", description = "Share of lost answers")
+    private double mAnswerLost = FaultMix.rough().answerLost();
+
+    @Parameter(names = "--slow-call", description = "Share of slow calls to the store")
+    private double mSlowCall = FaultMix.rough().slowCall();
+
+    @Parameter(names = "--killed", description = "Share of steps at which an agent is killed")
+    private double mKilled = FaultMix.rough().agentKilled();
+
+    @Parameter(names = "--connection", description = "Share of frames with a connection fault")
+    private double mConnection = FaultMix.rough().connection();
+
+    /** All runs. */
+    public static List<RandomRun> runs() {
+        return List.of(
+                new IntentRun(),
+                new PlacementRun(),
+                new ExchangeRun(),
+                new RelayRun(),
+                new ConfigurationRun());
+    }
+
+    /** Runs; exits with 1 if anything was violated. */
+    public static void main(String[] arguments) {
+        SoakProgram program = new SoakProgram();
+        JCommander.newBuilder().addObject(program).build().parse(arguments);
+        System.exit(program.soak() ? 0 : 1);
+    }
+
+    private boolean soak() {
+        FaultMix mix = new FaultMix(mCallLost, mAnswerLost, mSlowCall, mKilled, mConnection);
+        long end = System.nanoTime() + (long) (mMinutes * TimeUnit.MINUTES.toNanos(1));
+        RunReport all = new RunReport();
+        long seed = mSeed;
+        do {
+            for (RandomRun run : runs()) {
+                if (mRun.equals("all") || mRun.equals(run.name())) {
+                    all.add(run(run, seed, mix));
+                }
+            }
+            seed++;
+        } while (System.nanoTime() < end);
+        System.out.println("seeds " + mSeed + " to " + (seed - 1) + ", " + mix);
+        System.out.println("operations " + all.operations());
+        all.faults().forEach((kind, count) -> System.out.println("fault " + kind + " " + count));
+        System.out.println("violations " + all.violations().size());
+        return all.violations().isEmpty();
+    }
+
+    private RunReport run(RandomRun run, long seed, FaultMix mix) {
+        RunReport report = run.run(seed, mSteps, mix);
+        report.violations().stream()
+                .limit(SHOWN_VIOLATIONS)
+                .forEach(v -> System.out.println(run.name() + " seed " + seed + ": " + v));
+        return report;
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/StreamingHandler.java
@@ -0,0 +1,91 @@
+package org.cornelway.bench.soak;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.agent.AgentExchange;
+import org.cornelway.agent.WorkHandler;
+import org.cornelway.exchange.Ending;
+import org.cornelway.residency.ModelStatus;
+import org.cornelway.result.ResultCode;
+import org.cornelway.standin.InMemoryModelEngine;
+
+/** Streams a fixed number of tokens for each request. Used by the thread of its run. */
+final class StreamingHandler implements WorkHandler {
+    static final int TOKENS = 12;
+
+    private static final int MAX_TOKEN_MILLIS = 60;
+
+    private final Scheduler mScheduler;
+    private final Random mRandom;
+    private int mActive;
+
+    StreamingHandler(Scheduler scheduler, Random random) {
+        mScheduler = scheduler;
+        mRandom = random;
+    }
+
+    @Override
+    public void accept(AgentExchange exchange) {
+        mActive++;
+        exchange.start();
+        emit(exchange, 0);
+    }
+
+    private void emit(AgentExchange exchange, int index) {
+        if (index == TOKENS) {
+            mActive--;
+            exchange.end(new Ending(0, ResultCode.OK, "", 200, "text/event-stream"), false);
+            return;
+        }
+        mScheduler.scheduleDirect(
+                () -> {
+                    exchange.answer().append(InMemoryModelEngine.token(exchange.id(), index));
+                    emit(exchange, index + 1);
+                },
+                1 + mRandom.nextInt(MAX_TOKEN_MILLIS),
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public boolean withdraw(AgentExchange exchange) {
+        return false;
+    }
+
+    @Override
+    public void refuseWaiting(ResultCode code, String message) {}
+
+    @Override
+    public void tick() {}
+
+    @Override
+    public int active() {
+        return mActive;
+    }
+
+    @Override
+    public int waiting() {
+        return 0;
+    }
+
+    @Override
+    public int capacity() {
+        return TOKENS;
+    }
+
+    @Override
+    public long oldestDeadlineMillis() {
+        return 0;
+    }
+
+    @Override
+    public boolean isResident(AgentExchange exchange) {
+        return true;
+    }
+
+    @Override
+    public List<ModelStatus> models() {
+        return List.of();
+    }
+}
--- a/org.cornelway.test/tst/org/cornelway/soak/RandomRunsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/soak/RandomRunsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.cornelway.bench.soak.ConfigurationRun;
+import org.cornelway.bench.soak.ExchangeRun;
 import org.cornelway.bench.soak.FaultMix;
 import org.cornelway.bench.soak.IntentRun;
 import org.cornelway.bench.soak.PlacementRun;
@@ -19,7 +20,7 @@
     @DataProvider
     public Object[][] runs() {
         return new Object[][] {
-            {new IntentRun()}, {new ConfigurationRun()}, {new PlacementRun()},
+            {new IntentRun()}, {new ConfigurationRun()}, {new PlacementRun()}, {new ExchangeRun()},
         };
     }
 
