Take back a partial answer before a keyed call is submitted again

Ruled out: the assembler (each submission has its own and both were whole). Change: a sink says whether it can take back what it received; an exchange moves on after a delivered chunk only then, and restarts the sink. The check of 'not run' now covers repeatable calls as well.

--- a/org.cornelway.bench/src/org/cornelway/bench/soak/ExchangeRun.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/ExchangeRun.java
@@ -293,6 +293,16 @@
                 mChunks.add(new String(data, StandardCharsets.UTF_8));
             }
 
+            @Override
+            public boolean canRestart() {
+                return !mBody.isEmpty();
+            }
+
+            @Override
+            public void restart() {
+                mChunks.clear();
+            }
+
             @Override
             public void end(Ending ending) {
                 mReport.check(!mDone, mId + " ended twice");
@@ -300,7 +310,7 @@
                 mDone = true;
                 mEnded++;
                 boolean notRun = ending.code().certainty() == ResultCode.Certainty.NOT_RUN;
-                if (notRun && !mRepeatable && mBody.equals(mId)) {
+                if (notRun && mBody.equals(mId)) {
                     mToldNotRun.add(mBody);
                 }
                 if (!mRepeatable) {
--- a/org.cornelway/src/org/cornelway/entry/CallerSink.java
+++ b/org.cornelway/src/org/cornelway/entry/CallerSink.java
@@ -10,6 +10,12 @@
     /** Receives the next part of the answer. */
     void chunk(byte[] data);
 
+    /** Whether what was received so far can be taken back. */
+    boolean canRestart();
+
+    /** Takes back what was received so far; the answer starts anew. */
+    void restart();
+
     /** Receives the ending. */
     void end(Ending ending);
 }
--- a/org.cornelway/src/org/cornelway/entry/EntryExchange.java
+++ b/org.cornelway/src/org/cornelway/entry/EntryExchange.java
@@ -194,10 +194,11 @@
             refused(code, mark.getMessage());
             return;
         }
-        boolean failedEarly = code == ResultCode.BACKEND_FAILED && !mDelivered;
-        if (failedEarly && mRequest.repeatable() && mServices.retries().tryRetry()) {
+        boolean failed = code == ResultCode.BACKEND_FAILED && mRequest.repeatable();
+        if (failed && mayMoveOn() && mServices.retries().tryRetry()) {
             mMayHaveRun = true;
             mExcluded.add(submission.agent().id());
+            restartAnswer();
             submitLater();
             return;
         }
@@ -273,8 +274,8 @@
     }
 
     private boolean mayMoveOn() {
-        boolean again = mRequest.repeatable() && !mDelivered;
-        return again || mRequest.keyed();
+        boolean again = mRequest.repeatable() || mRequest.keyed();
+        return again && (!mDelivered || mSink.canRestart());
     }
 
     private void moveOn(Submission submission) {
@@ -282,6 +283,7 @@
         leave(submission);
         mMayHaveRun = true;
         mExcluded.add(submission.agent().id());
+        restartAnswer();
         if (mRequest.keyed() || mServices.retries().tryRetry()) {
             submitLater();
         } else {
@@ -289,6 +291,13 @@
         }
     }
 
+    private void restartAnswer() {
+        if (mDelivered) {
+            mSink.restart();
+            mDelivered = false;
+        }
+    }
+
     /** The agent does not know the request: it never arrived, or the agent was restarted. */
     private void lost(Submission submission) {
         if (mayMoveOn()) {
--- a/org.cornelway/src/org/cornelway/http/PlainSink.java
+++ b/org.cornelway/src/org/cornelway/http/PlainSink.java
@@ -6,7 +6,7 @@
 
 /** Passes a plain service's whole answer on. Called by one thread at a time. */
 final class PlainSink extends ResponseSink {
-    private final Buffer mBody = Buffer.buffer();
+    private Buffer mBody = Buffer.buffer();
 
     PlainSink(HttpServerResponse response, String requestId) {
         super(response, requestId);
@@ -17,6 +17,16 @@
         mBody.appendBytes(data);
     }
 
+    @Override
+    public boolean canRestart() {
+        return true;
+    }
+
+    @Override
+    public void restart() {
+        mBody = Buffer.buffer();
+    }
+
     @Override
     public void end(Ending ending) {
         if (!isDone(ending)) {
--- a/org.cornelway/src/org/cornelway/http/StreamedCompletionSink.java
+++ b/org.cornelway/src/org/cornelway/http/StreamedCompletionSink.java
@@ -28,6 +28,16 @@
         write(Buffer.buffer(data));
     }
 
+    @Override
+    public boolean canRestart() {
+        return !mBegun;
+    }
+
+    @Override
+    public void restart() {
+        // Nothing was written yet.
+    }
+
     private void write(Buffer data) {
         response().write(Buffer.buffer(DATA).appendBuffer(data).appendString(END_OF_EVENT));
     }
--- a/org.cornelway/src/org/cornelway/http/WholeCompletionSink.java
+++ b/org.cornelway/src/org/cornelway/http/WholeCompletionSink.java
@@ -48,6 +48,18 @@
         }
     }
 
+    @Override
+    public boolean canRestart() {
+        return true;
+    }
+
+    @Override
+    public void restart() {
+        mChoices.clear();
+        mFirst = Json.mapper().createObjectNode();
+        mUsage = Json.mapper().nullNode();
+    }
+
     private void add(JsonNode part) {
         Choice choice =
                 mChoices.computeIfAbsent(part.path("index").asInt(0), index -> new Choice());
