--- a/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
@@ -32,7 +32,7 @@
 
     private static int size(FleetShape shape) {
         int servers = shape.engines() + shape.plain();
-        return StandinProgram.PLATFORM_PORTS + servers + 2 * (servers + shape.entries());
+        return StandinProgram.PLATFORM_PORTS + servers + 2 * (servers + shape.entries()) + servers;
     }
 
     private static boolean areFree(int base, int count) {
@@ -79,6 +79,10 @@
         return entryRpc(index) + 1;
     }
 
+    int agentLink(int index) {
+        return entryRpc(mShape.entries()) + index;
+    }
+
     private int roles() {
         return mBase + StandinProgram.PLATFORM_PORTS + mShape.engines() + mShape.plain();
     }
--- a/org.cornelway.bench/src/org/cornelway/bench/ProcessFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/ProcessFleet.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -37,6 +38,7 @@
     private final LoopbackHttp mHttp = new LoopbackHttp(mVertx);
     private final Map<String, Process> mProcesses = new TreeMap<>();
     private final List<String> mExtraFlags = new ArrayList<>();
+    private Optional<LinkFactory> mLinks = Optional.empty();
 
     /**
      * @param root the repository's root, built
@@ -54,6 +56,22 @@
         return this;
     }
 
+    /** Puts something between the entries and each agent. */
+    @FunctionalInterface
+    public interface LinkFactory {
+        /** Carries connections from one port to another. */
+        void link(int listenPort, int targetPort);
+    }
+
+    /** Lists agents under the ports of links that lead to them. */
+    public ProcessFleet withAgentLinks(LinkFactory links) {
+        mLinks = Optional.of(links);
+        for (int i = 0; i < mShape.engines() + mShape.plain(); i++) {
+            links.link(mPorts.agentLink(i), mPorts.agentRpc(i));
+        }
+        return this;
+    }
+
     /** HTTP calls to the fleet. */
     public LoopbackHttp http() {
         return mHttp;
@@ -173,7 +191,7 @@
         return new Member(
                 agentId(index),
                 Member.ROLE_AGENT,
-                address(mPorts.agentRpc(index)),
+                address(mLinks.isPresent() ? mPorts.agentLink(index) : mPorts.agentRpc(index)),
                 "r1",
                 zone(index),
                 leaving,
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/process/PlacementProcessTest.java
@@ -0,0 +1,141 @@
+package org.cornelway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelway.bench.DemoPresets;
+import org.cornelway.bench.LoopbackHttp.Reply;
+import org.cornelway.bench.ProcessFleet;
+import org.testng.annotations.Test;
+
+/** Replica limits and memory, while agents, the controller and the weight store fail. */
+public final class PlacementProcessTest extends ProcessTestBase {
+    private static final int LIMIT = 2;
+    private static final int MODELS = 4;
+
+    private String controller() {
+        for (JsonNode process : status().path("processes")) {
+            if (process.path("controller").asBoolean()) {
+                return process.path("instance").asText();
+            }
+        }
+        return "";
+    }
+
+    private static int index(String agent) {
+        return Integer.parseInt(agent.substring("agent-".length()));
+    }
+
+    private void touchAllModels(int entry) {
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int model = 0; model < MODELS; model++) {
+            replies.add(
+                    fleet().http()
+                            .send(
+                                    "POST",
+                                    fleet().entryPort(entry),
+                                    "/v1/completions",
+                                    body("model-" + model, 4),
+                                    timeout(40_000)));
+        }
+        replies.forEach(reply -> assertWhole(reply.join(), 4));
+    }
+
+    @Test
+    public void killedControllerIsReplaced() {
+        ProcessFleet.await("a controller", () -> !controller().isEmpty());
+        String before = controller();
+        fleet().kill(before);
+        fleet().putInForce("peak", DemoPresets.json(DemoPresets.preset("peak", MODELS, 2, 2)));
+        ProcessFleet.await(
+                "another controller",
+                () -> !controller().isEmpty() && !controller().equals(before));
+        fleet().startAgent(index(before));
+        ProcessFleet.await("two warm replicas", () -> loaded("model-0") == 2);
+        touchAllModels(0);
+        assertWithinLimits(LIMIT);
+    }
+
+    @Test
+    public void frozenControllerDoesNotUndoItsSuccessor() {
+        ProcessFleet.await("a controller", () -> !controller().isEmpty());
+        String before = controller();
+        fleet().freeze(before);
+        fleet().putInForce("peak", DemoPresets.json(DemoPresets.preset("peak", MODELS, 2, 2)));
+        ProcessFleet.await(
+                "another controller",
+                () -> !controller().isEmpty() && !controller().equals(before));
+        ProcessFleet.await(
+                "the new placement", () -> status().path("placementFencingNumber").asLong() >= 2);
+        fleet().thaw(before);
+        ProcessFleet.await("two warm replicas", () -> loaded("model-0") == 2);
+        touchAllModels(1);
+        assertWithinLimits(LIMIT);
+    }
+
+    @Test
+    public void agentKilledMidLoadRecoversFromTheEngine() {
+        fleet().http().call("POST", fleet().weightStorePort(), "/speed", "{\"slowFactor\":3}");
+        CompletableFuture<Reply> cold =
+                fleet().http()
+                        .send(
+                                "POST",
+                                fleet().entryPort(0),
+                                "/v1/completions",
+                                body("model-1", 8),
+                                timeout(40_000));
+        ProcessFleet.await("the load", () -> census().path("now").path("model-1").asInt() == 1);
+        for (int i = 0; i < shape().engines(); i++) {
+            fleet().kill(ProcessFleet.agentId(i));
+        }
+        for (int i = 0; i < shape().engines(); i++) {
+            fleet().startAgent(i);
+        }
+        assertWhole(cold.join(), 8);
+        touchAllModels(1);
+        assertWithinLimits(LIMIT);
+    }
+
+    @Test
+    public void leavingServerGivesItsSlotsUpAfterUnloading() {
+        String holder = "";
+        for (JsonNode model : status().path("models")) {
+            if (model.path("model").asText().equals("model-0")) {
+                holder = model.path("where").path(0).asText();
+            }
+        }
+        String leaving = holder;
+        fleet().listLeaving(index(leaving));
+        ProcessFleet.await(
+                "the slots to move",
+                () -> {
+                    for (JsonNode model : status().path("models")) {
+                        boolean here =
+                                model.path("slots").toString().contains(leaving)
+                                        || model.path("where").toString().contains(leaving);
+                        if (here) {
+                            return false;
+                        }
+                    }
+                    return true;
+                });
+        ProcessFleet.await("the warm replica elsewhere", () -> loaded("model-0") == 1);
+        touchAllModels(0);
+        assertWithinLimits(LIMIT);
+        assertThat(fleet().terminate(leaving)).isEqualTo(143);
+    }
+
+    @Test
+    public void replacedInstanceStartsWithNothing() {
+        touchAllModels(0);
+        String gone = ProcessFleet.agentId(0);
+        fleet().kill(gone);
+        fleet().unlist(gone);
+        ProcessFleet.await(
+                "its slots to move", () -> !status().path("models").toString().contains(gone));
+        touchAllModels(1);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/process/ShutdownProcessTest.java
@@ -0,0 +1,66 @@
+package org.cornelway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelway.bench.LoopbackHttp.Reply;
+import org.cornelway.bench.ProcessFleet;
+import org.testng.annotations.Test;
+
+/** Planned stops under load. */
+public final class ShutdownProcessTest extends ProcessTestBase {
+    private static final int TOKENS = 300;
+    private static final int REQUESTS = 20;
+    private static final int TERMINATED = 143;
+
+    private List<CompletableFuture<Reply>> load(int entry, String model) {
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            replies.add(
+                    fleet().http()
+                            .send(
+                                    "POST",
+                                    fleet().entryPort(entry),
+                                    "/v1/completions",
+                                    body(model, TOKENS)));
+        }
+        return replies;
+    }
+
+    private int active(String instance) {
+        return status().path("processes").findParents("instance").stream()
+                .filter(process -> process.path("instance").asText().equals(instance))
+                .mapToInt(process -> process.path("active").asInt())
+                .sum();
+    }
+
+    @Test
+    public void stoppedEntryCutsNoAnswer() {
+        List<CompletableFuture<Reply>> replies = load(1, "model-0");
+        ProcessFleet.await("load", () -> active("entry-1") == REQUESTS);
+        assertThat(fleet().terminate("entry-1")).isEqualTo(TERMINATED);
+        replies.forEach(reply -> assertWhole(reply.join(), TOKENS));
+    }
+
+    @Test
+    public void stoppedAgentsCutNoAnswerAndLoseNoRequest() {
+        List<CompletableFuture<Reply>> replies = load(0, "model-0");
+        replies.addAll(load(1, "model-1"));
+        ProcessFleet.await("load", () -> active("entry-0") == REQUESTS);
+        for (int i = 0; i < shape().engines(); i++) {
+            assertThat(fleet().terminate(ProcessFleet.agentId(i))).isEqualTo(TERMINATED);
+            fleet().startAgent(i);
+        }
+        replies.forEach(reply -> assertWhole(reply.join(), TOKENS));
+    }
+
+    @Test
+    public void everythingStopsGracefully() {
+        assertWhole(complete(0, "model-1", 4), 4);
+        for (String name : List.of("entry-0", "agent-0", "agent-1", "agent-3")) {
+            assertThat(fleet().terminate(name)).as(name).isEqualTo(TERMINATED);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/process/SilentConnectionProcessTest.java
@@ -0,0 +1,64 @@
+package org.cornelway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelway.bench.LoopbackHttp.Reply;
+import org.cornelway.bench.ProcessFleet;
+import org.cornelway.standin.SilentLink;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Connections between entries and agents that go silent for good while new ones work. */
+public final class SilentConnectionProcessTest extends ProcessTestBase {
+    private static final int TOKENS = 400;
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final List<SilentLink> mLinks = new ArrayList<>();
+
+    @Override
+    void prepare(ProcessFleet fleet) {
+        mLinks.clear();
+        fleet.withAgentLinks(
+                (listen, target) -> {
+                    SilentLink link = new SilentLink(mVertx, target);
+                    link.listen(listen);
+                    mLinks.add(link);
+                });
+    }
+
+    @AfterClass
+    public void closeLinks() {
+        mVertx.close().await();
+    }
+
+    @Test
+    public void answersGoOnWholeOnFreshConnections() {
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            replies.add(
+                    fleet().http()
+                            .send(
+                                    "POST",
+                                    fleet().entryPort(i % 2),
+                                    "/v1/completions",
+                                    body("model-0", TOKENS)));
+        }
+        ProcessFleet.await(
+                "the answers to begin",
+                () ->
+                        status().path("processes").findValues("active").stream()
+                                        .mapToInt(active -> active.asInt())
+                                        .sum()
+                                >= 20);
+        mLinks.forEach(SilentLink::silence);
+        replies.forEach(reply -> assertWhole(reply.join(), TOKENS));
+        assertThat(book(0, "k1").status()).isEqualTo(OK);
+        mLinks.forEach(SilentLink::silence);
+        assertThat(book(1, "k1").body()).contains("\"runs\":1");
+        assertThat(runs("k1")).isEqualTo(1);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/process/package-info.java
@@ -0,0 +1,2 @@
+/** Tests with the real processes. */
+package org.cornelway.process;
