Send documents only to peers that lack them, and rank members once a change

Four faults, each found by a test or by working out the target's figures: - The relay pushed whole documents to random peers. Now a process announces revisions, sends what the peer lacks, and gRPC compresses it. - The instance list was read whole each second; it is asked for with its entity tag now. - MemberTable ranked all members by hash at each step of each process: with 1,310 members the virtual run of the relay did not end within ten minutes.

--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/slopes/SlopeTable.java
@@ -0,0 +1,61 @@
+package org.cornelway.bench.slopes;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Rows of measurements, written as a Markdown table. Not thread-safe. */
+final class SlopeTable {
+    private static final int BYTES_PER_MIB = 1 << 20;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final List<String> mRows = new ArrayList<>();
+
+    /** Adds the averages of one role between two samplings of its processes. */
+    void add(String point, String role, List<ProcessSample> from, List<ProcessSample> to) {
+        double seconds = 0;
+        double cpu = 0;
+        double bytes = 0;
+        double documents = 0;
+        long resident = 0;
+        long mostResident = 0;
+        long heap = 0;
+        int count = to.size();
+        for (int i = 0; i < count; i++) {
+            ProcessSample a = from.get(i);
+            ProcessSample b = to.get(i);
+            seconds += (b.atNanos() - a.atNanos()) / NANOS_PER_SECOND / count;
+            cpu += (double) (b.cpuMillis() - a.cpuMillis()) / count;
+            bytes += (double) (b.controlBytes() - a.controlBytes()) / count;
+            documents += (double) (b.documents() - a.documents()) / count;
+            resident += b.residentBytes() / count;
+            mostResident = Math.max(mostResident, b.residentBytes());
+            heap += b.heapBytes() / count;
+        }
+        row(
+                point,
+                role,
+                count,
+                String.format("%.2f", cpu / seconds / 10),
+                String.format("%.0f", bytes / seconds),
+                String.format("%.2f", documents / seconds),
+                resident / BYTES_PER_MIB,
+                mostResident / BYTES_PER_MIB,
+                heap / BYTES_PER_MIB);
+    }
+
+    private void row(Object... cells) {
+        StringBuilder row = new StringBuilder("|");
+        for (Object cell : cells) {
+            row.append(' ').append(cell).append(" |");
+        }
+        mRows.add(row.toString());
+    }
+
+    String text() {
+        return "| point | role | processes | % of a core | control bytes/s | documents sent/s |"
+                + " resident MiB, mean | most | heap MiB |\n"
+                + "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
+                + String.join("\n", mRows)
+                + "\n";
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/slopes/SlopesProgram.java
@@ -0,0 +1,271 @@
+package org.cornelway.bench.slopes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.cornelway.bench.DemoPresets;
+import org.cornelway.bench.FleetShape;
+import org.cornelway.bench.ProcessFleet;
+import org.cornelway.bench.soak.RelayRun;
+import org.cornelway.config.AdapterRule;
+import org.cornelway.config.AuditEntry;
+import org.cornelway.config.Configuration;
+import org.cornelway.config.Json;
+import org.cornelway.config.ModelRule;
+import org.cornelway.config.Preset;
+import org.cornelway.config.ServiceRule;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.PlacementPlanner;
+import org.cornelway.placement.ServerView;
+import org.cornelway.placement.SpreadPlacement;
+
+/** Measures the slopes that docs/CAPACITY.md is worked out from, and writes docs/SLOPES.md. */
+public final class SlopesProgram {
+    private static final long SETTLE_SECONDS = 10;
+    private static final long WINDOW_SECONDS = 20;
+    private static final long ADAPTER_BYTES = 256L << 20;
+    private static final int ENTRIES = 2;
+
+    private final Path mRoot =
+            Path.of(System.getProperty("cornelway.root", ".")).toAbsolutePath().normalize();
+    private final SlopeTable mTable = new SlopeTable();
+    private final StringBuilder mCalls =
+            new StringBuilder(
+                    "| point | reads/s | writes/s | lease calls/s | open watches |\n"
+                            + "| --- | --- | --- | --- | --- |\n");
+
+    private SlopesProgram() {}
+
+    /** Runs all measurements. */
+    public static void main(String[] arguments) {
+        new SlopesProgram().run();
+        System.exit(0);
+    }
+
+    private void run() {
+        for (int agents : new int[] {6, 12, 24}) {
+            measureFleet(agents);
+        }
+        measureConfigurations();
+        String page =
+                "# Raw slopes\n\nWritten by `bin/slopes` on "
+                        + Runtime.getRuntime().availableProcessors()
+                        + " cores; docs/CAPACITY.md cites it. Processes are real and on loopback."
+                        + " Heap is what is in use between collections. The last two tables are"
+                        + " runs of the decision code in virtual time.\n\n"
+                        + mTable.text()
+                        + "\n## Calls to the key-value service, all processes together\n\n"
+                        + mCalls
+                        + "\n## Relay of one change, virtual time\n\n"
+                        + relays()
+                        + "\n## Planner and documents\n\n"
+                        + planners();
+        try {
+            Files.writeString(mRoot.resolve("docs").resolve("SLOPES.md"), page);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        System.out.println(page);
+    }
+
+    private static FleetShape shape(int agents) {
+        int plain = Math.max(1, agents / 6);
+        return new FleetShape(ENTRIES, agents - plain, plain, agents / 2, 200, 100);
+    }
+
+    private void measureFleet(int agents) {
+        try (ProcessFleet fleet = new ProcessFleet(mRoot, shape(agents))) {
+            fleet.startAll();
+            fleet.putInForce("p", DemoPresets.json(preset("p", 10, 0)));
+            measure(fleet, agents + " agents at rest");
+        }
+    }
+
+    private void measureConfigurations() {
+        try (ProcessFleet fleet = new ProcessFleet(mRoot, shape(12))) {
+            fleet.startAll();
+            fleet.putInForce("a", DemoPresets.json(preset("a", 40, 95)));
+            measure(fleet, "12 agents, 40 models, 95 adapters");
+            fleet.putInForce("b", DemoPresets.json(preset("b", 100, 8_000)));
+            measure(fleet, "12 agents, 100 models, 8,000 adapters");
+            fleet.putInForce("c", DemoPresets.json(preset("c", 160, 26_000)));
+            fleet.putInForce("d", DemoPresets.json(preset("d", 160, 25_000)));
+            measure(fleet, "12 agents, 160 models, 26,000 adapters");
+            measureChanges(fleet, 10);
+            measureChanges(fleet, 5);
+            measureChanges(fleet, 2);
+        }
+    }
+
+    private void measureChanges(ProcessFleet fleet, int seconds) {
+        Thread operator =
+                new Thread(
+                        () -> {
+                            for (int i = 0; !Thread.currentThread().isInterrupted(); i++) {
+                                String body = "{\"preset\":\"" + (i % 2 == 0 ? "c" : "d") + "\"}";
+                                fleet.admin(0, "POST", "/switch", body);
+                                sleep(seconds);
+                            }
+                        });
+        operator.start();
+        measure(fleet, "the same, one change in " + seconds + " s");
+        operator.interrupt();
+        try {
+            operator.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void measure(ProcessFleet fleet, String point) {
+        System.out.println("measuring: " + point);
+        sleep(SETTLE_SECONDS);
+        JsonNode callsBefore = calls(fleet);
+        List<ProcessSample> agentsBefore = agents(fleet);
+        List<ProcessSample> entriesBefore = entries(fleet);
+        sleep(WINDOW_SECONDS);
+        mTable.add(point, "agent", agentsBefore, agents(fleet));
+        mTable.add(point, "entry", entriesBefore, entries(fleet));
+        JsonNode callsAfter = calls(fleet);
+        mCalls.append(
+                String.format(
+                        "| %s | %.2f | %.2f | %.2f | %d |%n",
+                        point,
+                        rate(callsBefore, callsAfter, "/v3/kv/range"),
+                        rate(callsBefore, callsAfter, "/v3/kv/txn"),
+                        rate(callsBefore, callsAfter, "/v3/lease/keepalive")
+                                + rate(callsBefore, callsAfter, "/v3/lease/grant"),
+                        callsAfter.path("openWatches").asInt()));
+    }
+
+    private static double rate(JsonNode before, JsonNode after, String kind) {
+        return (after.path(kind).asDouble() - before.path(kind).asDouble()) / WINDOW_SECONDS;
+    }
+
+    private static JsonNode calls(ProcessFleet fleet) {
+        try {
+            return Json.mapper()
+                    .readTree(fleet.http().call("GET", fleet.keyValuePort(), "/calls", "").body());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static List<ProcessSample> agents(ProcessFleet fleet) {
+        int count = fleet.shape().engines() + fleet.shape().plain();
+        return IntStream.range(0, count)
+                .mapToObj(
+                        i ->
+                                ProcessSample.read(
+                                        fleet.process(ProcessFleet.agentId(i)),
+                                        fleet.http(),
+                                        fleet.agentPort(i)))
+                .toList();
+    }
+
+    private static List<ProcessSample> entries(ProcessFleet fleet) {
+        return IntStream.range(0, fleet.shape().entries())
+                .mapToObj(
+                        i ->
+                                ProcessSample.read(
+                                        fleet.process(ProcessFleet.entryId(i)),
+                                        fleet.http(),
+                                        fleet.entryPort(i)))
+                .toList();
+    }
+
+    private static Preset preset(String name, int models, int adapters) {
+        List<ModelRule> rules = new ArrayList<>();
+        for (int i = 0; i < models; i++) {
+            rules.add(new ModelRule("model-" + i, DemoPresets.MODEL_BYTES, 0, 4));
+        }
+        List<AdapterRule> adapterRules = new ArrayList<>();
+        for (int base = 0; base < models; base++) {
+            List<String> names = new ArrayList<>();
+            for (int i = base; i < adapters; i += models) {
+                names.add("adapter-" + i);
+            }
+            adapterRules.add(new AdapterRule("model-" + base, ADAPTER_BYTES, names));
+        }
+        List<ServiceRule> services = List.of(new ServiceRule(ProcessFleet.SERVICE, List.of()));
+        return new Preset(name, rules, adapterRules, services, List.of(), 600_000, 0.5);
+    }
+
+    private static String relays() {
+        StringBuilder table =
+                new StringBuilder(
+                        "| processes | ms until all hold it | transfers of the document |"
+                                + " exchanges/s, all | store reads/min, all | watches |\n"
+                                + "| --- | --- | --- | --- | --- | --- |\n");
+        for (int processes : new int[] {60, 300, 1_310}) {
+            RelayRun.Spread spread = new RelayRun(processes).measure(1);
+            table.append(
+                    String.format(
+                            "| %d | %d | %d | %.0f | %d | %d |%n",
+                            processes,
+                            spread.millis(),
+                            spread.documents(),
+                            spread.exchangesPerSecond(),
+                            spread.storeReads(),
+                            spread.watches()));
+        }
+        return table.toString();
+    }
+
+    private static String planners() {
+        StringBuilder table =
+                new StringBuilder(
+                        "| models | servers | adapters | ms a full plan | ms an unchanged plan |"
+                                + " placement bytes | configuration bytes |\n"
+                                + "| --- | --- | --- | --- | --- | --- | --- |\n");
+        int[][] sizes = {{40, 13, 95}, {160, 230, 8_000}, {160, 920, 26_000}};
+        for (int[] size : sizes) {
+            table.append(planner(size[0], size[1], size[2]));
+        }
+        return table.toString();
+    }
+
+    private static String planner(int models, int servers, int adapters) {
+        List<ServerView> views =
+                IntStream.range(0, servers)
+                        .mapToObj(i -> new ServerView("s" + i, "z" + i % 6, 640L << 30, false))
+                        .toList();
+        AuditEntry entry = new AuditEntry("id", "a", 0, "switch", "", "", 1);
+        Configuration configuration =
+                new Configuration(1, preset("p", models, adapters), List.of(entry), 0);
+        PlacementPlanner planner = new PlacementPlanner(new SpreadPlacement());
+        PlacementDocument empty = PlacementDocument.empty(0);
+        planner.plan(empty, configuration, views, Set.of(), "c");
+        long start = System.nanoTime();
+        PlacementDocument plan =
+                planner.plan(empty, configuration, views, Set.of(), "c").orElseThrow();
+        long full = System.nanoTime() - start;
+        start = System.nanoTime();
+        planner.plan(plan, configuration, views, Set.of(), "c");
+        long unchanged = System.nanoTime() - start;
+        return String.format(
+                "| %d | %d | %d | %.1f | %.1f | %d | %d |%n",
+                models,
+                servers,
+                adapters,
+                full / 1e6,
+                unchanged / 1e6,
+                Json.write(plan).length,
+                Json.write(configuration).length);
+    }
+
+    private static void sleep(long seconds) {
+        try {
+            TimeUnit.SECONDS.sleep(seconds);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/org.cornelway.bench/src/org/cornelway/bench/soak/RelayRun.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/RelayRun.java
@@ -43,7 +43,10 @@
     public static final long BOUND_MILLIS = 5_000;
 
     private static final int PROCESSES = 60;
-    private static final int STEPS_PER_CHANGE = 20;
+
+    /** Steps of a run for each change of the configuration. */
+    public static final int STEPS_PER_CHANGE = 20;
+
     private static final long WARM_UP_MILLIS = 5_000;
 
     private final int mProcesses;
@@ -80,13 +83,17 @@
      * How one change spread. Immutable.
      *
      * @param millis time until every process held it
-     * @param pushes messages with the document
+     * @param documents transfers of the document
      * @param exchangesPerSecond exchanges of revisions by all processes
      * @param storeReads reads of the key-value service in a minute of rest
      * @param watches watches begun
      */
     public record Spread(
-            long millis, long pushes, double exchangesPerSecond, long storeReads, long watches) {}
+            long millis,
+            long documents,
+            double exchangesPerSecond,
+            long storeReads,
+            long watches) {}
 
     /** The state of one run. */
     private static final class World implements PeerClient {
@@ -222,7 +229,7 @@
             mScheduler.advanceTimeBy(60, TimeUnit.SECONDS);
             double perSecond = (count("relay.exchanges") - exchanges) / 60.0;
             reads = count("kv.reads") - reads;
-            long pushes = count("relay.pushes");
+            long pushes = count("relay.documents");
             long start = now();
             change(random());
             while (mAll.values().stream()
@@ -232,7 +239,11 @@
             long millis = now() - start;
             mScheduler.advanceTimeBy(BOUND_MILLIS, TimeUnit.MILLISECONDS);
             return new Spread(
-                    millis, count("relay.pushes") - pushes, perSecond, reads, count("kv.watches"));
+                    millis,
+                    count("relay.documents") - pushes,
+                    perSecond,
+                    reads,
+                    count("kv.watches"));
         }
 
         private long count(String name) {
--- a/org.cornelway.standin/src/org/cornelway/standin/InstanceListStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/InstanceListStandin.java
@@ -16,6 +16,7 @@
     private final Vertx mVertx;
     private final long mLagMillis;
     private final Map<String, Member> mShown = new TreeMap<>();
+    private long mVersion;
 
     /**
      * @param lagMillis time until a change shows
@@ -33,7 +34,13 @@
     }
 
     private void list(RoutingContext context) {
+        String tag = "\"" + mVersion + "\"";
+        if (tag.equals(context.request().getHeader("If-None-Match"))) {
+            context.response().setStatusCode(304).end();
+            return;
+        }
         context.response()
+                .putHeader("ETag", tag)
                 .putHeader("Content-Type", "application/json")
                 .end(Buffer.buffer(Json.write(new ArrayList<>(mShown.values()))));
     }
@@ -53,9 +60,14 @@
 
     private void later(Runnable change) {
         if (mLagMillis == 0) {
-            change.run();
+            show(change);
         } else {
-            mVertx.setTimer(mLagMillis, timer -> change.run());
+            mVertx.setTimer(mLagMillis, timer -> show(change));
         }
     }
+
+    private void show(Runnable change) {
+        change.run();
+        mVersion++;
+    }
 }
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the queue. */
+package org.cornelway.admission;
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/exchange/AnswerBufferTest.java
@@ -0,0 +1,64 @@
+package org.cornelway.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.cornelway.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** Buffer and assembler together, over attachments. */
+public final class AnswerBufferTest {
+    /** Collects sequences. */
+    private static final class Collector implements AnswerSink {
+        private final List<Long> mSequences = new ArrayList<>();
+        private long mCount = -1;
+
+        @Override
+        public void chunk(long sequence, byte[] data) {
+            mSequences.add(sequence);
+        }
+
+        @Override
+        public void end(Ending ending) {
+            mCount = ending.chunkCount();
+        }
+    }
+
+    private static Ending ok() {
+        return new Ending(0, ResultCode.OK, "", 200, "");
+    }
+
+    @Test
+    public void laterSinkResumesWhereTheFirstStopped() {
+        AnswerBuffer buffer = new AnswerBuffer();
+        Collector first = new Collector();
+        Collector second = new Collector();
+        buffer.attach(first, 0);
+        LongStream.range(0, 5).forEach(i -> buffer.append(new byte[] {(byte) i}));
+        buffer.attach(second, 3);
+        buffer.append(new byte[] {5});
+        assertThat(buffer.end(ok())).isTrue();
+        assertThat(buffer.end(ok())).isFalse();
+        buffer.append(new byte[] {6});
+        assertThat(first.mSequences).containsExactly(0L, 1L, 2L, 3L, 4L);
+        assertThat(first.mCount).isEqualTo(-1);
+        assertThat(second.mSequences).containsExactly(3L, 4L, 5L);
+        assertThat(second.mCount).isEqualTo(6);
+    }
+
+    @Test
+    public void assemblerTellsGapsRepeatsAndStrangers() {
+        AnswerAssembler assembler = new AnswerAssembler("r1");
+        assertThat(assembler.chunk("r1", 0)).isEqualTo(AnswerAssembler.Verdict.DELIVER);
+        assertThat(assembler.chunk("r1", 0)).isEqualTo(AnswerAssembler.Verdict.DROP);
+        assertThat(assembler.chunk("r2", 1)).isEqualTo(AnswerAssembler.Verdict.DROP);
+        assertThat(assembler.chunk("r1", 2)).isEqualTo(AnswerAssembler.Verdict.GAP);
+        assertThat(assembler.end("r1", 2)).isEqualTo(AnswerAssembler.Verdict.GAP);
+        assertThat(assembler.chunk("r1", 1)).isEqualTo(AnswerAssembler.Verdict.DELIVER);
+        assertThat(assembler.end("r2", 2)).isEqualTo(AnswerAssembler.Verdict.DROP);
+        assertThat(assembler.end("r1", 2)).isEqualTo(AnswerAssembler.Verdict.DELIVER);
+        assertThat(assembler.chunk("r1", 2)).isEqualTo(AnswerAssembler.Verdict.DROP);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of whole answers. */
+package org.cornelway.exchange;
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/intent/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the intent log. */
+package org.cornelway.intent;
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the memory ledger. */
+package org.cornelway.memory;
--- a/org.cornelway.test/tst/org/cornelway/process/ProcessTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/process/ProcessTestBase.java
@@ -75,6 +75,22 @@
                 .isEqualTo(wholeText(tokens));
     }
 
+    static String streamedBody(String model, int tokens) {
+        return body(model, tokens).replace("{", "{\"stream\":true,");
+    }
+
+    static void assertWholeStream(Reply reply, int tokens) {
+        assertThat(reply.status()).as(reply.body()).isEqualTo(OK);
+        StringBuilder text = new StringBuilder();
+        reply.body()
+                .lines()
+                .filter(line -> line.startsWith("data: {"))
+                .map(line -> json(line.substring("data: ".length())))
+                .forEach(e -> text.append(e.path("choices").path(0).path("text").asText()));
+        assertThat(text.toString()).isEqualTo(wholeText(tokens));
+        assertThat(reply.body()).contains("data: [DONE]");
+    }
+
     static JsonNode json(String text) {
         try {
             return Json.mapper().readTree(text);
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/residency/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what an agent loads and unloads. */
+package org.cornelway.residency;
--- a/org.cornelway/src/org/cornelway/intent/IntentShard.java
+++ b/org.cornelway/src/org/cornelway/intent/IntentShard.java
@@ -279,13 +279,13 @@
     }
 
     private void commit(IntentGroup group, long revision) {
-        mBusy = false;
         mSyncedMillis = now();
         mHead = group.sealed() ? new ArrayList<>() : new ArrayList<>(group.all());
         mHeadNumber = group.sealed() ? mHeadNumber + 1 : mHeadNumber;
         mHeadRevision = group.sealed() ? KeyValueStore.ABSENT : revision;
         mIndex.apply(group.records(), now());
         recorded(group);
+        mBusy = false;
         pump();
     }
 
--- a/org.cornelway/src/org/cornelway/internal/grpc/GrpcPeerClient.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcPeerClient.java
@@ -18,13 +18,16 @@
 
     private final ChannelPool mChannels;
     private final ClusterKey mKey;
+    private final WireBytes mWire;
 
     /**
      * @param channels connections to the peers
+     * @param wire counts what the calls carry
      */
-    public GrpcPeerClient(ChannelPool channels, ClusterKey key) {
+    public GrpcPeerClient(ChannelPool channels, ClusterKey key, WireBytes wire) {
         mChannels = channels;
         mKey = key;
+        mWire = wire;
     }
 
     @Override
@@ -42,6 +45,8 @@
     private PeerServiceGrpc.PeerServiceStub stub(Member peer) {
         return PeerServiceGrpc.newStub(mChannels.channel(peer))
                 .withCallCredentials(mKey)
+                .withCompression("gzip")
+                .withInterceptors(mWire)
                 .withDeadlineAfter(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/org.cornelway/src/org/cornelway/internal/grpc/GrpcServer.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcServer.java
@@ -23,12 +23,14 @@
     /**
      * @param services the services, open only to callers that know the cluster key
      */
-    public GrpcServer(String host, int port, ClusterKey key, List<BindableService> services) {
+    public GrpcServer(
+            String host, int port, ClusterKey key, WireBytes wire, List<BindableService> services) {
         mExecutor = Executors.newFixedThreadPool(THREADS, r -> new Thread(r, "grpc-server"));
         NettyServerBuilder builder =
                 NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
                         .executor(mExecutor)
                         .intercept(key)
+                        .addStreamTracerFactory(wire.server())
                         .flowControlWindow(WINDOW_BYTES)
                         .permitKeepAliveTime(5, TimeUnit.SECONDS)
                         .permitKeepAliveWithoutCalls(true)
--- a/org.cornelway/src/org/cornelway/internal/grpc/PeerServer.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/PeerServer.java
@@ -1,5 +1,6 @@
 package org.cornelway.internal.grpc;
 
+import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.function.Supplier;
@@ -28,6 +29,7 @@
 
     @Override
     public void relay(RelayRequest request, StreamObserver<RelayReply> observer) {
+        ((ServerCallStreamObserver<RelayReply>) observer).setCompression("gzip");
         observer.onNext(mExchange.answer(request));
         observer.onCompleted();
     }
--- a/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -43,6 +43,11 @@
         mTimeoutMillis = timeoutMillis;
     }
 
+    /** Bytes exchanged with the service, watches excepted. */
+    public long bytes() {
+        return mHttp.bytes();
+    }
+
     @Override
     public Single<Optional<KeyValue>> get(String key) {
         return range(object().put("key", encode(key)))
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpCaller.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpCaller.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Sends HTTP requests to one endpoint and collects whole responses.
@@ -20,10 +21,12 @@
  */
 public final class HttpCaller {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    private static final int HEADER_BYTES = 150;
 
     private final HttpClient mClient;
     private final HttpEndpoint mEndpoint;
     private final long mConnectTimeoutMillis;
+    private final LongAdder mBytes = new LongAdder();
 
     /**
      * @param keepAlive false opens a connection for each request, so that a connection that went
@@ -45,6 +48,11 @@
                         new PoolOptions().setHttp1MaxSize(maxConnections));
     }
 
+    /** Bytes of bodies sent and received, with an estimate for each message's headers. */
+    public long bytes() {
+        return mBytes.sum();
+    }
+
     /** Opens a request; fails with {@link NotSentException} if there is no connection. */
     public Single<HttpClientRequest> open(String method, String path) {
         return Single.create(
@@ -92,18 +100,29 @@
                                 .compose(
                                         response ->
                                                 response.body()
+                                                        .map(bytes -> counted(body, bytes))
                                                         .map(bytes -> reply(response, bytes)))
                                 .onSuccess(emitter::onSuccess)
                                 .onFailure(emitter::tryOnError));
     }
 
+    private Buffer counted(byte[] sent, Buffer received) {
+        mBytes.add(2 * HEADER_BYTES + sent.length + received.length());
+        return received;
+    }
+
     private static HttpReply reply(HttpClientResponse response, Buffer body) {
         if (body.length() > MAX_RESPONSE_BYTES) {
             throw new IllegalStateException(
                     "response of " + body.length() + " bytes, at most " + MAX_RESPONSE_BYTES);
         }
         String type = response.getHeader("Content-Type");
-        return new HttpReply(response.statusCode(), type == null ? "" : type, body.getBytes());
+        String tag = response.getHeader("ETag");
+        return new HttpReply(
+                response.statusCode(),
+                type == null ? "" : type,
+                body.getBytes(),
+                tag == null ? "" : tag);
     }
 
     private Throwable notSent(Throwable cause) {
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpInstanceList.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpInstanceList.java
@@ -5,15 +5,26 @@
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.cornelway.config.Json;
 import org.cornelway.platform.InstanceList;
 import org.cornelway.platform.Member;
 
-/** Reads the instance list over HTTP as a JSON array. Thread-safe. */
+/**
+ * Reads the instance list over HTTP as a JSON array, and only its tag while it is unchanged.
+ *
+ * <p>Thread-safe.
+ */
 public final class HttpInstanceList implements InstanceList {
     private static final long TIMEOUT_MILLIS = 2_000;
 
+    private static final int NOT_MODIFIED = 304;
+
     private final HttpCaller mHttp;
+    private volatile Listing mLast = new Listing("", List.of());
+
+    /** A list with the tag under which the platform knows it. */
+    private record Listing(String tag, List<Member> members) {}
 
     /**
      * @param endpoint where the platform serves the list
@@ -22,16 +33,33 @@
         mHttp = new HttpCaller(vertx, endpoint, 1, TIMEOUT_MILLIS, true);
     }
 
+    /** Bytes exchanged with the platform. */
+    public long bytes() {
+        return mHttp.bytes();
+    }
+
     @Override
     public Single<List<Member>> instances() {
-        return mHttp.send("GET", "/v1/instances", "", new byte[0], TIMEOUT_MILLIS)
-                .map(
-                        reply -> {
-                            if (!reply.isSuccess()) {
-                                throw new IOException("status " + reply.status());
-                            }
-                            return Json.mapper()
-                                    .readValue(reply.body(), new TypeReference<List<Member>>() {});
-                        });
+        return mHttp.open("GET", "/v1/instances")
+                .flatMap(
+                        request ->
+                                mHttp.collect(
+                                        request.putHeader("If-None-Match", mLast.tag()),
+                                        new byte[0]))
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .map(this::members);
+    }
+
+    private List<Member> members(HttpReply reply) throws IOException {
+        if (reply.status() == NOT_MODIFIED) {
+            return mLast.members();
+        }
+        if (!reply.isSuccess()) {
+            throw new IOException("status " + reply.status());
+        }
+        List<Member> members =
+                Json.mapper().readValue(reply.body(), new TypeReference<List<Member>>() {});
+        mLast = new Listing(reply.entityTag(), members);
+        return members;
     }
 }
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpReply.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpReply.java
@@ -6,8 +6,9 @@
  * @param status HTTP status
  * @param contentType media type, or empty
  * @param body the body
+ * @param entityTag the entity tag, or empty
  */
-public record HttpReply(int status, String contentType, byte[] body) {
+public record HttpReply(int status, String contentType, byte[] body, String entityTag) {
     /** Whether the status is 2xx. */
     public boolean isSuccess() {
         return status / 100 == 2;
--- a/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
+++ b/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
@@ -24,10 +24,10 @@
 /**
  * Keeps this process's documents current.
  *
- * <p>A few processes watch the key-value service. Each process pushes a document that is new to it
- * to a few random peers, and exchanges revisions with one random peer at a steady slow rate. A
- * process that hears of no peer reads the service itself. Load on the service therefore does not
- * grow with the fleet.
+ * <p>A few processes watch the key-value service. Each process announces a document that is new to
+ * it to a few random peers and sends it to those that lack it, and exchanges revisions with one
+ * random peer at a steady slow rate. A process that hears of no peer reads the service itself. Load
+ * on the service therefore does not grow with the fleet.
  *
  * <p>Confined to the control thread.
  */
@@ -88,7 +88,7 @@
         return Completable.fromAction(
                 () -> {
                     mLastHeardMillis = now();
-                    mTasks.add(mCache.changes().observeOn(mControl).subscribe(this::push));
+                    mTasks.add(mCache.changes().observeOn(mControl).subscribe(this::announce));
                     long period = mSettings.antiEntropyMillis();
                     long first = mRandom.nextInt((int) period);
                     mTasks.add(
@@ -170,14 +170,14 @@
         mNextWatchMillis = now() + WATCH_RETRY_MILLIS + mRandom.nextInt((int) WATCH_RETRY_MILLIS);
     }
 
-    private void push(KeyValue document) {
+    private void announce(KeyValue document) {
         List<Member> peers = new ArrayList<>(mMembers.peers());
         Collections.shuffle(peers, mRandom);
-        peers.stream().limit(mSettings.fanOut()).forEach(peer -> push(peer, List.of(document)));
+        peers.stream().limit(mSettings.fanOut()).forEach(this::exchange);
     }
 
-    private void push(Member peer, List<KeyValue> documents) {
-        mMetrics.counter("relay.pushes").inc();
+    private void send(Member peer, List<KeyValue> documents) {
+        mMetrics.counter("relay.documents").inc(documents.size());
         mPeers.relay(peer, mExchange.request(documents))
                 .observeOn(mControl)
                 .subscribe(this::heard, e -> mMetrics.counter("relay.failures").inc());
@@ -191,7 +191,7 @@
                         reply -> {
                             List<KeyValue> lacking = heard(reply);
                             if (!lacking.isEmpty()) {
-                                push(peer, lacking);
+                                send(peer, lacking);
                             }
                         },
                         e -> mMetrics.counter("relay.failures").inc());
--- a/org.cornelway/src/org/cornelway/relay/MemberTable.java
+++ b/org.cornelway/src/org/cornelway/relay/MemberTable.java
@@ -2,11 +2,11 @@
 
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.processors.BehaviorProcessor;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.cornelway.platform.Member;
 
 /**
@@ -16,6 +16,7 @@
  */
 public final class MemberTable {
     private final String mSelf;
+    private final Map<String, List<String>> mRankings = new ConcurrentHashMap<>();
     private final BehaviorProcessor<Map<String, Member>> mMembers =
             BehaviorProcessor.createDefault(Map.of());
 
@@ -26,11 +27,14 @@
         mSelf = self;
     }
 
-    /** Replaces the members. */
+    /** Replaces the members, if any of them changed. */
     public void update(List<Member> members) {
         Map<String, Member> byId = new TreeMap<>();
         members.forEach(member -> byId.put(member.id(), member));
-        mMembers.onNext(byId);
+        if (!byId.equals(all())) {
+            mRankings.clear();
+            mMembers.onNext(byId);
+        }
     }
 
     /** This process's instance id. */
@@ -68,18 +72,20 @@
      * that all processes agree on a few without asking anyone.
      */
     public boolean isAmongFirst(String purpose, int count, Optional<String> role) {
-        List<String> first =
-                all().values().stream()
-                        .filter(member -> !member.leaving())
-                        .filter(member -> role.isEmpty() || member.role().equals(role.get()))
-                        .sorted(
-                                Comparator.comparingLong(
-                                                (Member m) ->
-                                                        RendezvousHash.weight(m.id(), purpose))
-                                        .thenComparing(Member::id))
-                        .limit(count)
-                        .map(Member::id)
-                        .toList();
-        return first.contains(mSelf);
+        List<String> ranking =
+                mRankings.computeIfAbsent(
+                        purpose + "/" + role.orElse(""), key -> ranking(purpose, role));
+        return ranking.subList(0, Math.min(count, ranking.size())).contains(mSelf);
+    }
+
+    private List<String> ranking(String purpose, Optional<String> role) {
+        Map<Long, String> byWeight = new TreeMap<>();
+        for (Member member : all().values()) {
+            boolean asked = role.isEmpty() || member.role().equals(role.get());
+            if (asked && !member.leaving()) {
+                byWeight.put(RendezvousHash.weight(member.id(), purpose), member.id());
+            }
+        }
+        return List.copyOf(byWeight.values());
     }
 }
--- a/org.cornelway/src/org/cornelway/role/AgentRole.java
+++ b/org.cornelway/src/org/cornelway/role/AgentRole.java
@@ -22,7 +22,6 @@
 import org.cornelway.http.WebServer;
 import org.cornelway.intent.ShardedIntentLog;
 import org.cornelway.internal.grpc.AgentServer;
-import org.cornelway.internal.grpc.GrpcServer;
 import org.cornelway.internal.grpc.PeerServer;
 import org.cornelway.internal.platform.HttpModelEngine;
 import org.cornelway.internal.platform.HttpPlainService;
@@ -147,7 +146,7 @@
                 .add(mBase.relay())
                 .add(new DocumentApplier())
                 .add(controller)
-                .add(new GrpcServer(common.host(), common.rpcPort(), mBase.key(), services))
+                .add(mBase.grpcServer(common, services))
                 .add(new WebServer(mBase.vertx(), common.host(), common.httpPort(), router));
     }
 
--- a/org.cornelway/src/org/cornelway/role/EntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/EntryRole.java
@@ -26,7 +26,6 @@
 import org.cornelway.http.OperationalRoutes;
 import org.cornelway.http.WebServer;
 import org.cornelway.internal.grpc.GrpcAgentGateway;
-import org.cornelway.internal.grpc.GrpcServer;
 import org.cornelway.internal.grpc.PeerServer;
 import org.cornelway.placement.PlacementDocument;
 import org.cornelway.platform.KeyValue;
@@ -117,7 +116,7 @@
         return mBase.supervise("entry")
                 .add(mBase.relay())
                 .add(new ViewUpdater())
-                .add(new GrpcServer(common.host(), common.rpcPort(), mBase.key(), services))
+                .add(mBase.grpcServer(common, services))
                 .add(new WebServer(mBase.vertx(), common.host(), common.httpPort(), router));
     }
 
--- a/org.cornelway/src/org/cornelway/role/ProcessBase.java
+++ b/org.cornelway/src/org/cornelway/role/ProcessBase.java
@@ -1,15 +1,19 @@
 package org.cornelway.role;
 
 import com.codahale.metrics.MetricRegistry;
+import io.grpc.BindableService;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Executors;
 import org.cornelway.internal.grpc.ChannelPool;
 import org.cornelway.internal.grpc.ClusterKey;
 import org.cornelway.internal.grpc.GrpcPeerClient;
+import org.cornelway.internal.grpc.GrpcServer;
+import org.cornelway.internal.grpc.WireBytes;
 import org.cornelway.internal.platform.EtcdKeyValueStore;
 import org.cornelway.internal.platform.HttpInstanceList;
 import org.cornelway.internal.platform.MeteredKeyValueStore;
@@ -18,6 +22,7 @@
 import org.cornelway.relay.DocumentRelay;
 import org.cornelway.relay.MemberPoller;
 import org.cornelway.relay.MemberTable;
+import org.cornelway.relay.RelaySettings;
 import org.cornelway.supervisor.Supervisor;
 
 /**
@@ -38,6 +43,7 @@
     private final DocumentCache mCache;
     private final ChannelPool mChannels = new ChannelPool();
     private final ClusterKey mKey;
+    private final WireBytes mWire;
     private final GrpcPeerClient mPeers;
     private final DocumentRelay mRelay;
     private final MemberPoller mPoller;
@@ -49,34 +55,38 @@
         mInvariants = new Invariants(mMetrics, settings.strictInvariants());
         mVertx = newVertx();
         mControl = newControl();
-        mStore =
-                new MeteredKeyValueStore(
-                        new EtcdKeyValueStore(
-                                mVertx,
-                                settings.keyValueService(),
-                                settings.keyValueTimeoutMillis()),
-                        mMetrics);
+        EtcdKeyValueStore store =
+                new EtcdKeyValueStore(
+                        mVertx, settings.keyValueService(), settings.keyValueTimeoutMillis());
+        HttpInstanceList instances = new HttpInstanceList(mVertx, settings.instanceList());
+        mMetrics.registerGauge("heap.bytes", ProcessBase::heapBytes);
+        mMetrics.registerGauge("kv.bytes", store::bytes);
+        mMetrics.registerGauge("instances.bytes", instances::bytes);
+        mStore = new MeteredKeyValueStore(store, mMetrics);
         mMembers = new MemberTable(settings.instanceId());
         mCache = new DocumentCache(mInvariants, mMetrics);
         mKey = new ClusterKey(settings.clusterKey());
-        mPeers = new GrpcPeerClient(mChannels, mKey);
-        mRelay =
-                new DocumentRelay(
-                        mCache,
-                        mMembers,
-                        mPeers,
-                        mStore,
-                        mControl,
-                        settings.relay(),
-                        new Random(),
-                        mMetrics);
+        mWire = new WireBytes(mMetrics);
+        mPeers = new GrpcPeerClient(mChannels, mKey, mWire);
+        mRelay = newRelay(settings.relay());
         mPoller =
                 new MemberPoller(
-                        new HttpInstanceList(mVertx, settings.instanceList()),
-                        mMembers,
-                        mControl,
-                        settings.instancePollMillis(),
-                        mMetrics);
+                        instances, mMembers, mControl, settings.instancePollMillis(), mMetrics);
+    }
+
+    private DocumentRelay newRelay(RelaySettings settings) {
+        return new DocumentRelay(
+                mCache, mMembers, mPeers, mStore, mControl, settings, new Random(), mMetrics);
+    }
+
+    /** Makes the gRPC server of this process. */
+    public GrpcServer grpcServer(CommonSettings settings, List<BindableService> services) {
+        return new GrpcServer(settings.host(), settings.rpcPort(), mKey, mWire, services);
+    }
+
+    private static long heapBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
     }
 
     private static Vertx newVertx() {
