Leave slow backend servers out, read revisions instead of documents

Entries now time the chunks of each agent's answers and leave out those above three times the median, but for one request in 30 s. Ruled out: looking again after 5 s, which would send some 3% of the requests to slow servers and so decide the p99. - a watcher read whole documents every 1 to 2 s: 77 KB/s an agent on average at 160 models and 26,000 adapters with 12 agents. The first naive set placed by first fit and put all slots on two servers, a straw man: both sets place by the same policy now.

--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/measure/PolicySet.java
@@ -0,0 +1,39 @@
+package org.cornelway.bench.measure;
+
+import java.util.function.IntUnaryOperator;
+import java.util.function.Supplier;
+import org.cornelway.admission.ClassDeadlineQueuePolicy;
+import org.cornelway.admission.FifoQueuePolicy;
+import org.cornelway.admission.QueuePolicy;
+import org.cornelway.placement.PlacementPolicy;
+import org.cornelway.placement.SpreadPlacement;
+import org.cornelway.routing.AgentChooser;
+import org.cornelway.routing.FreshLoadChooser;
+import org.cornelway.routing.RoundRobinChooser;
+
+/**
+ * The policies that are compared as a whole. Immutable.
+ *
+ * @param name its name
+ * @param queue order at an agent
+ * @param placement choice of servers for slots
+ * @param chooser makes each entry's choice of agents
+ */
+record PolicySet(
+        String name, QueuePolicy queue, PlacementPolicy placement, Supplier<AgentChooser> chooser) {
+    private static final long URGENT_MILLIS = 60_000;
+    private static final int INTENT_SHARDS = 16;
+
+    static PolicySet naive() {
+        return new PolicySet(
+                "naive", new FifoQueuePolicy(), new SpreadPlacement(), RoundRobinChooser::new);
+    }
+
+    static PolicySet chosen(IntUnaryOperator random) {
+        return new PolicySet(
+                "chosen",
+                new ClassDeadlineQueuePolicy(URGENT_MILLIS),
+                new SpreadPlacement(),
+                () -> new FreshLoadChooser(random, INTENT_SHARDS));
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/measure/Trial.java
@@ -0,0 +1,340 @@
+package org.cornelway.bench.measure;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.admission.AdmissionQueue;
+import org.cornelway.agent.ModelWorkHandler;
+import org.cornelway.bench.soak.FaultMix;
+import org.cornelway.bench.soak.RunReport;
+import org.cornelway.bench.soak.SimulatedAgent;
+import org.cornelway.bench.soak.SimulatedGateway;
+import org.cornelway.config.AuditEntry;
+import org.cornelway.config.Configuration;
+import org.cornelway.config.ModelRule;
+import org.cornelway.config.Preset;
+import org.cornelway.config.PresetIndex;
+import org.cornelway.entry.CallerSink;
+import org.cornelway.entry.EntryCore;
+import org.cornelway.entry.EntryRequest;
+import org.cornelway.entry.EntryServices;
+import org.cornelway.entry.RetryBudget;
+import org.cornelway.entry.RevisionHints;
+import org.cornelway.exchange.Ending;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.memory.MemoryLedger;
+import org.cornelway.placement.PlacementDocument;
+import org.cornelway.placement.PlacementPlanner;
+import org.cornelway.placement.ServerView;
+import org.cornelway.platform.EngineOrder;
+import org.cornelway.platform.Member;
+import org.cornelway.residency.LeastRecentlyUsedEviction;
+import org.cornelway.residency.Residency;
+import org.cornelway.result.ResultCode;
+import org.cornelway.routing.AgentLoadTable;
+import org.cornelway.routing.RoutingView;
+import org.cornelway.routing.Target;
+import org.cornelway.rpc.AgentLoad;
+import org.cornelway.rpc.ExchangeRequest;
+import org.cornelway.rpc.ModelWork;
+import org.cornelway.rpc.RequestClass;
+import org.cornelway.standin.EngineProfile;
+import org.cornelway.standin.InMemoryModelEngine;
+import org.cornelway.time.Deadline;
+
+/**
+ * One seeded load on the real entry and agent code, in virtual time, with engines in memory that
+ * share one weight store.
+ *
+ * <p>Open loop: arrivals do not wait for answers, and latency counts from the intended arrival.
+ * Used by one thread.
+ */
+final class Trial {
+    private static final int ENTRIES = 3;
+    private static final long GIB = 1L << 30;
+    private static final long ENGINE_BYTES = 80 * GIB;
+    private static final long MODEL_BYTES = 16 * GIB;
+    private static final int CONCURRENCY = 8;
+    private static final int TOKEN_MILLIS = 20;
+    private static final int SHORT_TOKENS = 25;
+    private static final int LONG_TOKENS = 1_500;
+    private static final int STORE_PARALLEL = 4;
+    private static final long SHORT_DEADLINE_MILLIS = 30_000;
+    private static final long LONG_DEADLINE_MILLIS = 3_600_000;
+    private static final long UNLOAD_MILLIS = 20;
+    private static final double SLOW_FACTOR = 10;
+
+    private final Deployment mDeployment;
+    private final Scenario mScenario;
+    private final PolicySet mPolicies;
+    private final TestScheduler mScheduler = new TestScheduler();
+    private final Random mArrivals;
+    private final Random mRandom;
+    private final Outcome mOutcome = new Outcome();
+    private final Map<String, SimulatedAgent> mAgents = new TreeMap<>();
+    private final List<InMemoryModelEngine> mEngines = new ArrayList<>();
+    private final List<EntryCore> mEntries = new ArrayList<>();
+    private final Queue<Long> mStoreFreeAt = new ArrayDeque<>();
+    private final PlacementDocument mPlacement;
+    private final Preset mPreset;
+    private int mRequests;
+
+    Trial(Deployment deployment, Scenario scenario, PolicySet policies, long seed) {
+        mDeployment = deployment;
+        mScenario = scenario;
+        mPolicies = policies;
+        mArrivals = new Random(seed);
+        mRandom = new Random(seed + 1);
+        mPreset = preset();
+        mPlacement = placement();
+        for (int i = 0; i < deployment.servers(); i++) {
+            addServer(i);
+        }
+        RoutingView view =
+                new RoutingView(Optional.of(new PresetIndex(mPreset)), mPlacement, members());
+        for (int i = 0; i < ENTRIES; i++) {
+            mEntries.add(entry(view));
+        }
+    }
+
+    private Preset preset() {
+        List<ModelRule> rules = new ArrayList<>();
+        for (int i = 0; i < mDeployment.models(); i++) {
+            int warm = i < mScenario.hotModels() ? mScenario.limit() : 0;
+            rules.add(new ModelRule("m" + i, MODEL_BYTES, warm, mScenario.limit()));
+        }
+        return new Preset("p", rules, List.of(), List.of(), List.of(), 600_000, 0.5);
+    }
+
+    private PlacementDocument placement() {
+        List<ServerView> servers = new ArrayList<>();
+        for (int i = 0; i < mDeployment.servers(); i++) {
+            servers.add(new ServerView("s" + i, "z" + i % 3, ENGINE_BYTES, false));
+        }
+        AuditEntry entry = new AuditEntry("c", "trial", 0, "switch", "", "", 1);
+        return new PlacementPlanner(mPolicies.placement())
+                .plan(
+                        PlacementDocument.empty(0),
+                        new Configuration(1, mPreset, List.of(entry), 0),
+                        servers,
+                        Set.of(),
+                        "trial")
+                .orElseThrow();
+    }
+
+    private void addServer(int index) {
+        InMemoryModelEngine engine =
+                new InMemoryModelEngine(
+                        new EngineProfile(
+                                ENGINE_BYTES, MODEL_BYTES, 0, true, 20, 6, TOKEN_MILLIS, 8, 25),
+                        mScheduler,
+                        this::storeDelay,
+                        model -> {});
+        mEngines.add(engine);
+        String id = "s" + index;
+        Member member =
+                new Member(
+                        id,
+                        Member.ROLE_AGENT,
+                        id,
+                        "r",
+                        "z" + index % 3,
+                        false,
+                        Member.KIND_MODEL,
+                        "",
+                        ENGINE_BYTES);
+        mAgents.put(id, new SimulatedAgent(member, mScheduler, life -> handler(id, engine)));
+    }
+
+    private ModelWorkHandler handler(String id, InMemoryModelEngine engine) {
+        Residency residency =
+                new Residency(
+                        id,
+                        new MemoryLedger(0, Invariants.strict()),
+                        new LeastRecentlyUsedEviction(),
+                        Invariants.strict());
+        residency.applyPreset(new PresetIndex(mPreset));
+        residency.applyPlacement(mPlacement, true);
+        AdmissionQueue queue =
+                new AdmissionQueue(mPolicies.queue(), CONCURRENCY, 512, Invariants.strict());
+        queue.setDeferredShare(mPreset.deferredShare());
+        return new ModelWorkHandler(residency, queue, engine, mScheduler, new MetricRegistry());
+    }
+
+    /** Loads queue for the store's few fast places. */
+    private InMemoryModelEngine.OrderFault storeDelay(EngineOrder order) {
+        if (order.kind() != EngineOrder.Kind.LOAD) {
+            return new InMemoryModelEngine.OrderFault(UNLOAD_MILLIS, false);
+        }
+        long loadMillis = Math.round(STORE_PARALLEL * 1_000 / mDeployment.loadsPerSecond());
+        long start = now();
+        if (mStoreFreeAt.size() >= STORE_PARALLEL) {
+            start = Math.max(start, mStoreFreeAt.remove());
+        }
+        mStoreFreeAt.add(start + loadMillis);
+        return new InMemoryModelEngine.OrderFault(start + loadMillis - now(), false);
+    }
+
+    private Map<String, Member> members() {
+        Map<String, Member> members = new TreeMap<>();
+        mAgents.forEach((id, agent) -> members.put(id, agent.member()));
+        return members;
+    }
+
+    private EntryCore entry(RoutingView view) {
+        EntryServices services =
+                new EntryServices(
+                        new SimulatedGateway(
+                                mAgents, mScheduler, mRandom, FaultMix.none(), new RunReport()),
+                        mPolicies.chooser().get(),
+                        new AgentLoadTable(this::now),
+                        () -> view,
+                        new NoHints(),
+                        new RetryBudget(0.1, 50),
+                        mScheduler,
+                        mRandom::nextInt,
+                        Invariants.strict(),
+                        new MetricRegistry());
+        return new EntryCore(services, 100_000);
+    }
+
+    Outcome run() {
+        mScheduler.advanceTimeBy(5, TimeUnit.MINUTES);
+        for (int i = 0; i < mScenario.slowServers(); i++) {
+            mEngines.get(i).setSlowFactor(SLOW_FACTOR);
+        }
+        double atMillis = 0;
+        while (atMillis < mScenario.seconds() * 1_000L) {
+            double gap = -Math.log(1 - mArrivals.nextDouble()) / mScenario.requestsPerSecond();
+            atMillis += gap * 1_000;
+            mScheduler.scheduleDirect(arrival(), (long) atMillis, TimeUnit.MILLISECONDS);
+        }
+        mScheduler.advanceTimeBy(mScenario.seconds() + 3_600L, TimeUnit.SECONDS);
+        return mOutcome;
+    }
+
+    /** The next request; all that is random in it is drawn now, so all policies see the same. */
+    private Runnable arrival() {
+        boolean cold = mArrivals.nextDouble() < mScenario.coldShare();
+        int hot = mScenario.hotModels();
+        int model =
+                cold ? hot + mArrivals.nextInt(mDeployment.models() - hot) : mArrivals.nextInt(hot);
+        boolean isLong = mArrivals.nextDouble() < mScenario.longShare();
+        int entry = mArrivals.nextInt(ENTRIES);
+        return () -> submit("m" + model, isLong, mEntries.get(entry));
+    }
+
+    private boolean isLoadedSomewhere(String model) {
+        return mEngines.stream().anyMatch(engine -> engine.held().contains(model));
+    }
+
+    private void submit(String model, boolean isLong, EntryCore entry) {
+        boolean coldMeasure = mScenario.measure().equals("cold-start");
+        boolean measured = coldMeasure ? !isLoadedSomewhere(model) : !isLong;
+        long deadlineMillis = isLong ? LONG_DEADLINE_MILLIS : SHORT_DEADLINE_MILLIS;
+        Deadline deadline = Deadline.after(now(), deadlineMillis);
+        int tokens = isLong ? LONG_TOKENS : SHORT_TOKENS;
+        byte[] body = ("{\"max_tokens\":" + tokens + "}").getBytes(StandardCharsets.UTF_8);
+        ExchangeRequest template =
+                ExchangeRequest.newBuilder()
+                        .setDeadlineMillis(deadline.epochMillis())
+                        .setRequestClass(isLong ? RequestClass.DEFERRED : RequestClass.INTERACTIVE)
+                        .setModelWork(
+                                ModelWork.newBuilder()
+                                        .setModel(model)
+                                        .setBody(com.google.protobuf.ByteString.copyFrom(body)))
+                        .build();
+        EntryRequest request =
+                new EntryRequest(
+                        "r" + mRequests++,
+                        Target.ofModel(model),
+                        "",
+                        deadline,
+                        true,
+                        false,
+                        template);
+        mOutcome.begin();
+        entry.submit(
+                request,
+                Optional.empty(),
+                new Caller(measured, coldMeasure, tokens, deadlineMillis));
+    }
+
+    /** Times one request. */
+    private final class Caller implements CallerSink {
+        private final boolean mMeasured;
+        private final boolean mToFirstToken;
+        private final int mTokens;
+        private final long mDeadlineMillis;
+        private final long mStartMillis = now();
+        private long mFirstTokenMillis;
+        private int mReceived;
+
+        Caller(boolean measured, boolean toFirstToken, int tokens, long deadlineMillis) {
+            mMeasured = measured;
+            mToFirstToken = toFirstToken;
+            mTokens = tokens;
+            mDeadlineMillis = deadlineMillis;
+        }
+
+        @Override
+        public void chunk(byte[] data) {
+            if (mReceived++ == 0) {
+                mFirstTokenMillis = now() - mStartMillis;
+            }
+        }
+
+        @Override
+        public boolean canRestart() {
+            return true;
+        }
+
+        @Override
+        public void restart() {
+            mReceived = 0;
+        }
+
+        @Override
+        public void end(Ending ending) {
+            if (ending.code() != ResultCode.OK) {
+                boolean notRun = ending.code().certainty() == ResultCode.Certainty.NOT_RUN;
+                mOutcome.failed(mMeasured, notRun, mDeadlineMillis);
+                return;
+            }
+            if (mReceived != mTokens) {
+                mOutcome.violation();
+            }
+            mOutcome.answered(mMeasured, mToFirstToken ? mFirstTokenMillis : now() - mStartMillis);
+        }
+    }
+
+    private long now() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+
+    /** Knows of no documents. */
+    private static final class NoHints implements RevisionHints {
+        @Override
+        public long configurationRevision() {
+            return 0;
+        }
+
+        @Override
+        public long placementRevision() {
+            return 0;
+        }
+
+        @Override
+        public void seen(Member agent, AgentLoad load) {}
+    }
+}
--- a/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedAgent.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedAgent.java
@@ -8,13 +8,14 @@
 import org.cornelway.agent.WorkHandler;
 import org.cornelway.exchange.AnswerSink;
 import org.cornelway.platform.Member;
+import org.cornelway.residency.ModelPhase;
 import org.cornelway.rpc.AgentLoad;
 import org.cornelway.rpc.ExchangeRequest;
 import org.cornelway.rpc.WithdrawReply;
 import org.cornelway.time.Deadline;
 
 /** An agent that can be killed and frozen. Used by the thread of its run. */
-final class SimulatedAgent {
+public final class SimulatedAgent {
     private static final long TICK_MILLIS = 20;
 
     private final Member mMember;
@@ -24,7 +25,11 @@
     private int mLives;
     private long mFrozenUntilMillis;
 
-    SimulatedAgent(Member member, Scheduler scheduler, Function<Life, WorkHandler> handlers) {
+    /**
+     * @param handlers makes the handler of each run of the agent
+     */
+    public SimulatedAgent(
+            Member member, Scheduler scheduler, Function<Life, WorkHandler> handlers) {
         mMember = member;
         mScheduler = scheduler;
         mHandlers = handlers;
@@ -32,7 +37,7 @@
     }
 
     /** One run of the agent process. */
-    final class Life {
+    public final class Life {
         private final String mIncarnation = mMember.id() + "#" + mLives++;
         private final AgentCore mCore;
         private boolean mAlive = true;
@@ -75,17 +80,24 @@
                             .build());
         }
 
-        AgentLoad load() {
+        AgentLoad load(ExchangeRequest request) {
+            String model = request.getModelWork().getModel();
+            boolean loaded =
+                    mCore.handler().models().stream()
+                            .filter(status -> status.phase() == ModelPhase.LOADED)
+                            .anyMatch(status -> status.model().equals(model));
             return AgentLoad.newBuilder()
-                    .setCapacity(8)
+                    .setCapacity(mCore.handler().capacity())
                     .setActive(mCore.handler().active())
-                    .setResident(true)
+                    .setWaiting(mCore.handler().waiting())
+                    .setResident(loaded)
                     .setIncarnation(mIncarnation)
                     .build();
         }
     }
 
-    Member member() {
+    /** The agent as the platform lists it. */
+    public Member member() {
         return mMember;
     }
 
--- a/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedGateway.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedGateway.java
@@ -26,7 +26,7 @@
  *
  * <p>Used by the thread of its run.
  */
-final class SimulatedGateway implements AgentGateway {
+public final class SimulatedGateway implements AgentGateway {
     private static final int MAX_DELAY_MILLIS = 15;
     private static final long PROGRESS_MILLIS = 500;
 
@@ -39,7 +39,10 @@
     private Optional<Frame> mLastFrame = Optional.empty();
     private boolean mQuiet;
 
-    SimulatedGateway(
+    /**
+     * @param agents the agents by instance id
+     */
+    public SimulatedGateway(
             Map<String, SimulatedAgent> agents,
             Scheduler scheduler,
             Random random,
@@ -137,7 +140,7 @@
                 return;
             }
             Progress progress = Progress.newBuilder().setStarted(true).build();
-            send(frame().setProgress(progress).setLoad(mLife.load()).build());
+            send(frame().setProgress(progress).setLoad(mLife.load(mRequest)).build());
             mScheduler.scheduleDirect(this::progress, PROGRESS_MILLIS, TimeUnit.MILLISECONDS);
         }
 
@@ -165,7 +168,7 @@
                             .setMessage(ending.message())
                             .setHttpStatus(ending.httpStatus())
                             .build();
-            send(frame().setFinal(mark).build());
+            send(frame().setFinal(mark).setLoad(mLife.load(mRequest)).build());
         }
 
         private void send(Frame frame) {
--- a/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedServer.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/SimulatedServer.java
@@ -107,7 +107,7 @@
         mLife = new Life();
     }
 
-    private InMemoryModelEngine.OrderFault orderFault() {
+    private InMemoryModelEngine.OrderFault orderFault(EngineOrder order) {
         boolean lost = !mQuiet && mRandom.nextDouble() < mMix.answerLost();
         if (lost) {
             mReport.fault(RunReport.FaultKind.ORDER_ANSWER_LOST);
--- a/org.cornelway.standin/src/org/cornelway/standin/InMemoryKeyValueStore.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/InMemoryKeyValueStore.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cornelway.platform.KeyRevision;
 import org.cornelway.platform.KeyValue;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
@@ -76,6 +77,15 @@
         return call(() -> mEngine.list(prefix));
     }
 
+    @Override
+    public Single<List<KeyRevision>> revisions(String prefix) {
+        return call(
+                () ->
+                        mEngine.list(prefix).stream()
+                                .map(kv -> new KeyRevision(kv.key(), kv.revision()))
+                                .toList());
+    }
+
     @Override
     public Single<SwapResult> compareAndSwap(
             String key, long expectedRevision, byte[] value, long leaseId) {
--- a/org.cornelway.standin/src/org/cornelway/standin/InMemoryModelEngine.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/InMemoryModelEngine.java
@@ -1,5 +1,6 @@
 package org.cornelway.standin;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
@@ -10,7 +11,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
+import org.cornelway.config.Json;
 import org.cornelway.platform.CompletionCall;
 import org.cornelway.platform.EngineOrder;
 import org.cornelway.platform.EngineTruth;
@@ -26,10 +28,11 @@
 public final class InMemoryModelEngine implements ModelEngine {
     private final EngineProfile mProfile;
     private final Scheduler mScheduler;
-    private final Supplier<OrderFault> mFaults;
+    private final Function<EngineOrder, OrderFault> mFaults;
     private final Consumer<String> mOnLoad;
     private final Map<String, EngineTruth.HeldModel> mModels = new TreeMap<>();
     private long mHighestFencingNumber;
+    private double mSlowFactor = 1;
 
     /**
      * What happens to one order. Immutable.
@@ -46,7 +49,7 @@
     public InMemoryModelEngine(
             EngineProfile profile,
             Scheduler scheduler,
-            Supplier<OrderFault> faults,
+            Function<EngineOrder, OrderFault> faults,
             Consumer<String> onLoad) {
         mProfile = profile;
         mScheduler = scheduler;
@@ -88,7 +91,7 @@
             put(order.model(), false);
             mOnLoad.accept(order.model());
         }
-        OrderFault fault = mFaults.get();
+        OrderFault fault = mFaults.apply(order);
         Single<Long> work =
                 Single.timer(fault.delayMillis(), TimeUnit.MILLISECONDS, mScheduler)
                         .doOnSuccess(tick -> complete(order))
@@ -124,14 +127,25 @@
         }
         return Flowable.intervalRange(
                         0,
-                        mProfile.defaultTokens(),
-                        mProfile.tokenMillis(),
-                        mProfile.tokenMillis(),
+                        tokens(call),
+                        Math.round(mProfile.tokenMillis() * mSlowFactor),
+                        Math.round(mProfile.tokenMillis() * mSlowFactor),
                         TimeUnit.MILLISECONDS,
                         mScheduler)
                 .map(i -> token(call.requestId(), i));
     }
 
+    private int tokens(CompletionCall call) {
+        return Json.read(call.body(), JsonNode.class)
+                .map(body -> body.path("max_tokens").asInt(mProfile.defaultTokens()))
+                .orElse(mProfile.defaultTokens());
+    }
+
+    /** Makes each token take longer by a factor. */
+    public void setSlowFactor(double factor) {
+        mSlowFactor = factor;
+    }
+
     /** The token of an index in the answer to a request. */
     public static byte[] token(String requestId, long index) {
         return (requestId + "." + index).getBytes(StandardCharsets.UTF_8);
--- a/org.cornelway.standin/src/org/cornelway/standin/KeyValueStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/KeyValueStandin.java
@@ -78,7 +78,12 @@
         String key = text(request, "key");
         ObjectNode answer = header();
         if (request.has("range_end")) {
-            mEngine.list(key).forEach(value -> answer.withArray("kvs").add(keyValue(value)));
+            boolean keysOnly = request.path("keys_only").asBoolean();
+            for (KeyValue value : mEngine.list(key)) {
+                byte[] shown = keysOnly ? new byte[0] : value.value();
+                answer.withArray("kvs")
+                        .add(keyValue(new KeyValue(value.key(), shown, value.revision())));
+            }
         } else {
             mEngine.get(key).ifPresent(value -> answer.withArray("kvs").add(keyValue(value)));
         }
--- a/org.cornelway.test/tst/org/cornelway/process/AtMostOnceProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/process/AtMostOnceProcessTest.java
@@ -51,6 +51,27 @@
         assertThat(book(0, "k2").status()).isEqualTo(OK);
     }
 
+    @Test
+    public void killedAgentNeverDoublesUnkeyedBooking() {
+        slowService(1_500);
+        CompletableFuture<Reply> call =
+                fleet().http()
+                        .send(
+                                "POST",
+                                fleet().entryPort(0),
+                                bookingPath(),
+                                "\"k1\"",
+                                timeout(8_000));
+        ProcessFleet.await("the booking to run", () -> runs("k1") == 1);
+        fleet().kill(ProcessFleet.agentId(FIRST_PLAIN));
+        fleet().kill(ProcessFleet.agentId(SECOND_PLAIN));
+        fleet().startAgent(FIRST_PLAIN);
+        fleet().startAgent(SECOND_PLAIN);
+        assertThat(call.join().resultCode()).isEqualTo(ResultCode.OUTCOME_UNKNOWN.number());
+        assertThat(book(0, "k2").status()).isEqualTo(OK);
+        assertThat(runs("k1")).isEqualTo(1);
+    }
+
     @Test
     public void frozenAgentNeverDoublesBooking() {
         slowService(500);
--- a/org.cornelway.test/tst/org/cornelway/process/PlacementProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/process/PlacementProcessTest.java
@@ -25,10 +25,6 @@
         return "";
     }
 
-    private static int index(String agent) {
-        return Integer.parseInt(agent.substring("agent-".length()));
-    }
-
     private void touchAllModels(int entry) {
         List<CompletableFuture<Reply>> replies = new ArrayList<>();
         for (int model = 0; model < MODELS; model++) {
@@ -101,13 +97,7 @@
 
     @Test
     public void leavingServerGivesItsSlotsUpAfterUnloading() {
-        String holder = "";
-        for (JsonNode model : status().path("models")) {
-            if (model.path("model").asText().equals("model-0")) {
-                holder = model.path("where").path(0).asText();
-            }
-        }
-        String leaving = holder;
+        String leaving = holder("model-0");
         fleet().listLeaving(index(leaving));
         ProcessFleet.await(
                 "the slots to move",
@@ -128,6 +118,20 @@
         assertThat(fleet().terminate(leaving)).isEqualTo(143);
     }
 
+    @Test
+    public void leavingServerGetsNoNewWork() {
+        String leaving = holder("model-0");
+        fleet().listLeaving(index(leaving));
+        ProcessFleet.await(
+                "the agent to know",
+                () -> !fleet().http().isOk(fleet().agentPort(index(leaving)), "/readyz"));
+        long before = counter(index(leaving), "agent.accepted");
+        for (int i = 0; i < 10; i++) {
+            assertWhole(complete(i % 2, "model-0", 4), 4);
+        }
+        assertThat(counter(index(leaving), "agent.accepted")).isEqualTo(before);
+    }
+
     @Test
     public void replacedInstanceStartsWithNothing() {
         touchAllModels(0);
--- a/org.cornelway.test/tst/org/cornelway/process/ProcessTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/process/ProcessTestBase.java
@@ -142,6 +142,27 @@
         return 0;
     }
 
+    /** The instance that holds a model. */
+    final String holder(String model) {
+        for (JsonNode each : status().path("models")) {
+            if (each.path("model").asText().equals(model)) {
+                return each.path("where").path(0).asText();
+            }
+        }
+        return "";
+    }
+
+    /** Index of an agent by its instance id. */
+    static int index(String agent) {
+        return Integer.parseInt(agent.substring("agent-".length()));
+    }
+
+    /** A counter of an agent. */
+    final long counter(int agent, String name) {
+        String metrics = mFleet.http().call("GET", mFleet.agentPort(agent), "/metrics", "").body();
+        return json(metrics).path("counters").path(name).path("count").asLong();
+    }
+
     final JsonNode census() {
         return json(mFleet.http().call("GET", mFleet.weightStorePort(), "/census", "").body());
     }
--- a/org.cornelway.test/tst/org/cornelway/process/ShutdownProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/process/ShutdownProcessTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.cornelway.bench.LoopbackHttp.Reply;
 import org.cornelway.bench.ProcessFleet;
+import org.cornelway.result.ResultCode;
 import org.testng.annotations.Test;
 
 /** Planned stops under load. */
@@ -56,6 +57,25 @@
         replies.forEach(reply -> assertWholeStream(reply.join(), TOKENS));
     }
 
+    @Test
+    public void streamOfKilledAgentIsToldAsIncomplete() {
+        int model = index(holder("model-0"));
+        CompletableFuture<Reply> stream =
+                fleet().http()
+                        .send(
+                                "POST",
+                                fleet().entryPort(1),
+                                "/v1/completions",
+                                streamedBody("model-0", 2_000),
+                                timeout(20_000));
+        ProcessFleet.await("the stream", () -> active("entry-1") == 1);
+        fleet().kill(ProcessFleet.agentId(model));
+        fleet().startAgent(model);
+        Reply reply = stream.join();
+        assertThat(reply.body()).contains(ResultCode.ANSWER_INCOMPLETE.name());
+        assertThat(reply.body()).doesNotContain("[DONE]");
+    }
+
     @Test
     public void everythingStopsGracefully() {
         assertWhole(complete(0, "model-1", 4), 4);
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the choice of agents. */
+package org.cornelway.routing;
--- a/org.cornelway/src/org/cornelway/agent/ModelWorkHandler.java
+++ b/org.cornelway/src/org/cornelway/agent/ModelWorkHandler.java
@@ -40,7 +40,7 @@
     private static final int DEFERRED_PRIORITY = 10;
 
     /** Time before a deadline at which waiting work is refused, so that the refusal arrives. */
-    private static final long REFUSAL_MARGIN_MILLIS = 20;
+    private static final long REFUSAL_MARGIN_MILLIS = 70;
 
     private final Residency mResidency;
     private final AdmissionQueue mQueue;
--- a/org.cornelway/src/org/cornelway/agent/PlainWorkHandler.java
+++ b/org.cornelway/src/org/cornelway/agent/PlainWorkHandler.java
@@ -37,7 +37,7 @@
  * most once for each idempotency key over all agents. Confined to the control thread.
  */
 public final class PlainWorkHandler implements WorkHandler {
-    private static final long REFUSAL_MARGIN_MILLIS = 20;
+    private static final long REFUSAL_MARGIN_MILLIS = 70;
 
     private final AdmissionQueue mQueue;
     private final PlainService mService;
--- a/org.cornelway/src/org/cornelway/entry/EntryExchange.java
+++ b/org.cornelway/src/org/cornelway/entry/EntryExchange.java
@@ -1,6 +1,7 @@
 package org.cornelway.entry;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import java.util.HashSet;
 import java.util.Optional;
@@ -163,6 +164,7 @@
         switch (submission.assembler().chunk(id, chunk.getSequence())) {
             case DELIVER -> {
                 mDelivered = true;
+                submission.noteChunk(now(), mServices.loads().progress());
                 mSink.chunk(chunk.getData().toByteArray());
             }
             case GAP -> attach(submission, "gap before chunk " + chunk.getSequence());
@@ -262,7 +264,7 @@
         long delay = ATTACH_BACKOFF_MILLIS * submission.calls();
         submission.noteCall(now() + delay);
         int call = submission.calls();
-        mCall.set(io.reactivex.rxjava3.disposables.Disposable.empty());
+        mCall.set(Disposable.empty());
         mWorker.schedule(
                 () -> {
                     if (isCurrent(submission) && submission.calls() == call) {
@@ -364,7 +366,7 @@
         if (mSubmission.isPresent()) {
             mServices.loads().end(submission.agent().id());
             mSubmission = Optional.empty();
-            mCall.set(io.reactivex.rxjava3.disposables.Disposable.empty());
+            mCall.set(Disposable.empty());
         }
     }
 
--- a/org.cornelway/src/org/cornelway/entry/Submission.java
+++ b/org.cornelway/src/org/cornelway/entry/Submission.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.cornelway.exchange.AnswerAssembler;
 import org.cornelway.platform.Member;
+import org.cornelway.routing.ProgressTable;
 
 /** One try of a request at one agent. Confined to the exchange's worker. */
 final class Submission {
@@ -12,6 +13,8 @@
     private final AnswerAssembler mAssembler;
     private int mCalls;
     private long mHeardMillis;
+    private int mChunkCall;
+    private long mChunkMillis;
 
     /**
      * @param incarnation the agent's incarnation known before the request was sent
@@ -49,6 +52,15 @@
         mHeardMillis = nowMillis;
     }
 
+    /** Notes a chunk, and the time since the one before if it came on the same call. */
+    void noteChunk(long nowMillis, ProgressTable progress) {
+        if (mChunkCall == mCalls) {
+            progress.note(mAgent.id(), nowMillis - mChunkMillis);
+        }
+        mChunkCall = mCalls;
+        mChunkMillis = nowMillis;
+    }
+
     long heardMillis() {
         return mHeardMillis;
     }
--- a/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cornelway.config.Json;
+import org.cornelway.platform.KeyRevision;
 import org.cornelway.platform.KeyValue;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
@@ -60,6 +61,18 @@
                 object().put("key", encode(prefix)).put("range_end", encode(endOfPrefix(prefix))));
     }
 
+    @Override
+    public Single<List<KeyRevision>> revisions(String prefix) {
+        ObjectNode request =
+                object().put("key", encode(prefix)).put("range_end", encode(endOfPrefix(prefix)));
+        return range(request.put("keys_only", true))
+                .map(
+                        list ->
+                                list.stream()
+                                        .map(kv -> new KeyRevision(kv.key(), kv.revision()))
+                                        .toList());
+    }
+
     @Override
     public Single<SwapResult> compareAndSwap(
             String key, long expectedRevision, byte[] value, long leaseId) {
--- a/org.cornelway/src/org/cornelway/internal/platform/MeteredKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/MeteredKeyValueStore.java
@@ -6,6 +6,7 @@
 import io.reactivex.rxjava3.core.Single;
 import java.util.List;
 import java.util.Optional;
+import org.cornelway.platform.KeyRevision;
 import org.cornelway.platform.KeyValue;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
@@ -43,6 +44,11 @@
         return count("kv.reads", mStore.list(prefix));
     }
 
+    @Override
+    public Single<List<KeyRevision>> revisions(String prefix) {
+        return count("kv.reads", mStore.revisions(prefix));
+    }
+
     @Override
     public Single<SwapResult> compareAndSwap(
             String key, long expectedRevision, byte[] value, long leaseId) {
--- a/org.cornelway/src/org/cornelway/platform/KeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/platform/KeyValueStore.java
@@ -25,6 +25,9 @@
     /** Reads all keys with a prefix, ordered by key. */
     Single<List<KeyValue>> list(String prefix);
 
+    /** Reads the revisions of all keys with a prefix, without their values. */
+    Single<List<KeyRevision>> revisions(String prefix);
+
     /**
      * Writes a key if its revision is as expected. Never fails; failures are results.
      *
--- a/org.cornelway/src/org/cornelway/relay/DocumentCache.java
+++ b/org.cornelway/src/org/cornelway/relay/DocumentCache.java
@@ -56,8 +56,8 @@
         return offer(document);
     }
 
-    /** Notes that the key-value service was read and the document was absent. */
-    public synchronized void noteAbsent(String key) {
+    /** Notes that the key-value service was read and held no newer revision than is held here. */
+    public synchronized void noteVerified(String key) {
         mVerified.putIfAbsent(key, 0L);
     }
 
--- a/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
+++ b/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
@@ -15,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cornelway.platform.KeyRevision;
 import org.cornelway.platform.KeyValue;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.Member;
@@ -139,17 +142,28 @@
 
     private void readStore() {
         mNextReadMillis = now() + READ_MILLIS + mRandom.nextInt((int) READ_MILLIS);
-        mStore.list(DocumentKeys.PREFIX)
+        mStore.revisions(DocumentKeys.PREFIX)
+                .flatMap(this::newer)
                 .observeOn(mControl)
                 .subscribe(
                         this::verified,
                         e -> LOG.warn("key-value service not read: {}", e.getMessage()));
     }
 
+    /** Reads the documents of which a newer revision is stored than is held. */
+    private Single<List<KeyValue>> newer(List<KeyRevision> stored) {
+        return Flowable.fromIterable(stored)
+                .filter(each -> each.revision() > mCache.revision(each.key()))
+                .flatMapSingle(each -> mStore.get(each.key()))
+                .flatMap(kv -> Flowable.fromStream(kv.stream()))
+                .toList();
+    }
+
+    /** What is held now is no older than what was stored when the read began. */
     private void verified(List<KeyValue> documents) {
         documents.forEach(mCache::offerVerified);
-        mCache.noteAbsent(DocumentKeys.CONFIGURATION);
-        mCache.noteAbsent(DocumentKeys.PLACEMENT);
+        mCache.noteVerified(DocumentKeys.CONFIGURATION);
+        mCache.noteVerified(DocumentKeys.PLACEMENT);
     }
 
     private void watch() {
--- a/org.cornelway/src/org/cornelway/role/AgentRole.java
+++ b/org.cornelway/src/org/cornelway/role/AgentRole.java
@@ -48,7 +48,7 @@
  * them in reverse. Used by the thread that starts and stops it.
  */
 public final class AgentRole implements Component {
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 50;
     private static final long PROGRESS_MILLIS = 500;
 
     private final AgentSettings mSettings;
--- a/org.cornelway/src/org/cornelway/routing/AgentLoadTable.java
+++ b/org.cornelway/src/org/cornelway/routing/AgentLoadTable.java
@@ -22,12 +22,14 @@
     private final Map<String, AgentLoad> mReports = new ConcurrentHashMap<>();
     private final Map<String, Long> mResidentUntil = new ConcurrentHashMap<>();
     private final Map<String, Long> mAvoidUntil = new ConcurrentHashMap<>();
+    private final ProgressTable mProgress;
 
     /**
      * @param clock tells how old a report is
      */
     public AgentLoadTable(Clock clock) {
         mClock = clock;
+        mProgress = new ProgressTable(clock);
     }
 
     /** Notes that a request was handed to an agent. */
@@ -68,6 +70,11 @@
         return mResidentUntil.getOrDefault(agent + "/" + model, 0L) > mClock.nowMillis();
     }
 
+    /** What is known of the agents' progress on answers. */
+    public ProgressTable progress() {
+        return mProgress;
+    }
+
     /** Load per capacity: the larger of the last report and this entry's own open requests. */
     public double load(String agent) {
         AtomicInteger open = mOpen.get(agent);
@@ -90,6 +97,7 @@
         mOpen.keySet().retainAll(members.keySet());
         mReports.keySet().retainAll(members.keySet());
         mAvoidUntil.keySet().retainAll(members.keySet());
+        mProgress.retain(members);
         long now = mClock.nowMillis();
         mResidentUntil.values().removeIf(until -> until <= now);
     }
--- a/org.cornelway/src/org/cornelway/routing/FreshLoadChooser.java
+++ b/org.cornelway/src/org/cornelway/routing/FreshLoadChooser.java
@@ -14,7 +14,8 @@
  *
  * <p>Requests for a loaded model go to the less loaded of two random replicas. Requests for a cold
  * model go to its first slot, whichever entry they come in at, so that they join one load. Requests
- * with an idempotency key go to the agent that writes the key's shard. Thread-safe.
+ * with an idempotency key go to the agent that writes the key's shard. Agents whose answers come
+ * slowly get only a request now and then, which finds out whether they are slow still. Thread-safe.
  */
 public final class FreshLoadChooser implements AgentChooser {
     private static final double SPILL_LOAD = 1.0;
@@ -41,6 +42,7 @@
         List<Member> preferred =
                 left.stream().filter(member -> !loads.isAvoided(member.id())).toList();
         List<Member> candidates = preferred.isEmpty() ? left : preferred;
+        candidates = withoutSlow(candidates, loads.progress());
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
@@ -53,6 +55,13 @@
                         : byAffinity(target.affinityKey(), candidates));
     }
 
+    /** Leaves slow agents out, if any others are left and their progress need not be looked at. */
+    private static List<Member> withoutSlow(List<Member> candidates, ProgressTable progress) {
+        List<Member> brisk =
+                candidates.stream().filter(member -> !progress.isSlow(member.id())).toList();
+        return brisk.isEmpty() ? candidates : brisk;
+    }
+
     private Member forModel(String model, List<Member> candidates, AgentLoadTable loads) {
         List<Member> loaded =
                 candidates.stream().filter(member -> loads.isResident(member.id(), model)).toList();
