--- a/org.cornelway.bench/src/org/cornelway/bench/measure/Trial.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/measure/Trial.java
@@ -16,6 +16,7 @@
 import org.cornelway.admission.AdmissionQueue;
 import org.cornelway.agent.ModelWorkHandler;
 import org.cornelway.bench.soak.FaultMix;
+import org.cornelway.bench.soak.NoHints;
 import org.cornelway.bench.soak.RunReport;
 import org.cornelway.bench.soak.SimulatedAgent;
 import org.cornelway.bench.soak.SimulatedGateway;
@@ -29,7 +30,6 @@
 import org.cornelway.entry.EntryRequest;
 import org.cornelway.entry.EntryServices;
 import org.cornelway.entry.RetryBudget;
-import org.cornelway.entry.RevisionHints;
 import org.cornelway.exchange.Ending;
 import org.cornelway.invariant.Invariants;
 import org.cornelway.memory.MemoryLedger;
@@ -44,7 +44,6 @@
 import org.cornelway.routing.AgentLoadTable;
 import org.cornelway.routing.RoutingView;
 import org.cornelway.routing.Target;
-import org.cornelway.rpc.AgentLoad;
 import org.cornelway.rpc.ExchangeRequest;
 import org.cornelway.rpc.ModelWork;
 import org.cornelway.rpc.RequestClass;
@@ -321,20 +320,4 @@
     private long now() {
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
-
-    /** Knows of no documents. */
-    private static final class NoHints implements RevisionHints {
-        @Override
-        public long configurationRevision() {
-            return 0;
-        }
-
-        @Override
-        public long placementRevision() {
-            return 0;
-        }
-
-        @Override
-        public void seen(Member agent, AgentLoad load) {}
-    }
 }
--- a/org.cornelway.bench/src/org/cornelway/bench/slopes/SlopesProgram.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/slopes/SlopesProgram.java
@@ -45,7 +45,13 @@
 
     /** Runs all measurements. */
     public static void main(String[] arguments) {
-        new SlopesProgram().run();
+        SlopesProgram program = new SlopesProgram();
+        if (List.of(arguments).contains("--quick")) {
+            program.measureTarget();
+            System.out.println(program.mTable.text());
+        } else {
+            program.run();
+        }
         System.exit(0);
     }
 
@@ -104,6 +110,17 @@
         }
     }
 
+    /** Measures the target's configuration only. */
+    private void measureTarget() {
+        try (ProcessFleet fleet = new ProcessFleet(mRoot, shape(12))) {
+            fleet.startAll();
+            fleet.putInForce("c", DemoPresets.json(preset("c", 160, 26_000)));
+            fleet.putInForce("d", DemoPresets.json(preset("d", 160, 25_000)));
+            measure(fleet, "12 agents, 160 models, 26,000 adapters");
+            measureChanges(fleet, 5);
+        }
+    }
+
     private void measureChanges(ProcessFleet fleet, int seconds) {
         Thread operator =
                 new Thread(
--- a/org.cornelway.bench/src/org/cornelway/bench/soak/ExchangeRun.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/soak/ExchangeRun.java
@@ -22,7 +22,6 @@
 import org.cornelway.entry.EntryRequest;
 import org.cornelway.entry.EntryServices;
 import org.cornelway.entry.RetryBudget;
-import org.cornelway.entry.RevisionHints;
 import org.cornelway.exchange.Ending;
 import org.cornelway.intent.IntentSettings;
 import org.cornelway.intent.ShardedIntentLog;
@@ -37,7 +36,6 @@
 import org.cornelway.routing.FreshLoadChooser;
 import org.cornelway.routing.RoutingView;
 import org.cornelway.routing.Target;
-import org.cornelway.rpc.AgentLoad;
 import org.cornelway.rpc.ExchangeRequest;
 import org.cornelway.rpc.ModelWork;
 import org.cornelway.rpc.PlainWork;
@@ -347,20 +345,4 @@
             return mScheduler.now(TimeUnit.MILLISECONDS);
         }
     }
-
-    /** Knows of no documents. */
-    private static final class NoHints implements RevisionHints {
-        @Override
-        public long configurationRevision() {
-            return 0;
-        }
-
-        @Override
-        public long placementRevision() {
-            return 0;
-        }
-
-        @Override
-        public void seen(Member agent, AgentLoad load) {}
-    }
 }
--- a/org.cornelway.test/tst/org/cornelway/process/PlacementProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/process/PlacementProcessTest.java
@@ -125,11 +125,11 @@
         ProcessFleet.await(
                 "the agent to know",
                 () -> !fleet().http().isOk(fleet().agentPort(index(leaving)), "/readyz"));
-        long before = counter(index(leaving), "agent.accepted");
+        long before = counter(fleet().agentPort(index(leaving)), "agent.accepted");
         for (int i = 0; i < 10; i++) {
             assertWhole(complete(i % 2, "model-0", 4), 4);
         }
-        assertThat(counter(index(leaving), "agent.accepted")).isEqualTo(before);
+        assertThat(counter(fleet().agentPort(index(leaving)), "agent.accepted")).isEqualTo(before);
     }
 
     @Test
--- a/org.cornelway.test/tst/org/cornelway/process/ProcessTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/process/ProcessTestBase.java
@@ -157,9 +157,9 @@
         return Integer.parseInt(agent.substring("agent-".length()));
     }
 
-    /** A counter of an agent. */
-    final long counter(int agent, String name) {
-        String metrics = mFleet.http().call("GET", mFleet.agentPort(agent), "/metrics", "").body();
+    /** A counter of the process with an HTTP port. */
+    final long counter(int port, String name) {
+        String metrics = mFleet.http().call("GET", port, "/metrics", "").body();
         return json(metrics).path("counters").path(name).path("count").asLong();
     }
 
--- a/org.cornelway.test/tst/org/cornelway/process/ShutdownProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/process/ShutdownProcessTest.java
@@ -68,7 +68,7 @@
                                 "/v1/completions",
                                 streamedBody("model-0", 2_000),
                                 timeout(20_000));
-        ProcessFleet.await("the stream", () -> active("entry-1") == 1);
+        ProcessFleet.await("the stream", () -> counter(fleet().entryPort(1), "entry.chunks") > 0);
         fleet().kill(ProcessFleet.agentId(model));
         fleet().startAgent(model);
         Reply reply = stream.join();
--- a/org.cornelway/src/org/cornelway/agent/ModelWorkHandler.java
+++ b/org.cornelway/src/org/cornelway/agent/ModelWorkHandler.java
@@ -32,22 +32,15 @@
  *
  * <p>Confined to the control thread; chunks are appended on the engine client's threads.
  */
-public final class ModelWorkHandler implements WorkHandler {
+public final class ModelWorkHandler extends QueuedWorkHandler {
     private static final Logger LOG = LogManager.getLogger(ModelWorkHandler.class);
     private static final long TRUTH_INTERVAL_MILLIS = 10_000;
     private static final long TRUTH_RETRY_MILLIS = 500;
     private static final int INTERACTIVE_PRIORITY = 0;
     private static final int DEFERRED_PRIORITY = 10;
 
-    /** Time before a deadline at which waiting work is refused, so that the refusal arrives. */
-    private static final long REFUSAL_MARGIN_MILLIS = 70;
-
     private final Residency mResidency;
-    private final AdmissionQueue mQueue;
     private final ModelEngine mEngine;
-    private final Scheduler mControl;
-    private final MetricRegistry mMetrics;
-    private final Map<String, AgentExchange> mOpen = new HashMap<>();
     private long mNextTruthMillis;
     private boolean mReadingTruth;
 
@@ -60,11 +53,9 @@
             ModelEngine engine,
             Scheduler control,
             MetricRegistry metrics) {
+        super(queue, control, metrics);
         mResidency = residency;
-        mQueue = queue;
         mEngine = engine;
-        mControl = control;
-        mMetrics = metrics;
     }
 
     @Override
@@ -85,36 +76,28 @@
                         work.getAdapter(),
                         work.getPredictedTokens(),
                         now());
-        Optional<Refusal> refusal = mQueue.offer(waiting, now());
+        Optional<Refusal> refusal = queue().offer(waiting, now());
         if (refusal.isPresent()) {
             Refusal why = refusal.get();
             end(exchange, Ending.refused(why.code(), why.message()), true);
             return;
         }
-        mOpen.put(exchange.id(), exchange);
+        open().put(exchange.id(), exchange);
         pump();
     }
 
     @Override
     public boolean withdraw(AgentExchange exchange) {
-        boolean wasWaiting = mQueue.withdraw(exchange.id());
+        boolean wasWaiting = queue().withdraw(exchange.id());
         if (wasWaiting) {
-            mOpen.remove(exchange.id());
+            open().remove(exchange.id());
         }
         return wasWaiting;
     }
 
-    @Override
-    public void refuseWaiting(ResultCode code, String message) {
-        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
-            mQueue.withdraw(work.requestId());
-            end(mOpen.remove(work.requestId()), Ending.refused(code, message), true);
-        }
-    }
-
     @Override
     public void tick() {
-        for (AgentExchange exchange : List.copyOf(mOpen.values())) {
+        for (AgentExchange exchange : List.copyOf(open().values())) {
             boolean late = exchange.deadline().isPast(now());
             if (late && exchange.state() == AgentExchange.State.STARTED) {
                 exchange.cancel();
@@ -125,17 +108,17 @@
 
     /** Brings orders and work forward as far as they go now. */
     public void pump() {
-        for (WaitingWork work : mQueue.expire(now())) {
+        for (WaitingWork work : queue().expire(now())) {
             String message = "deadline passed while model " + work.model() + " was awaited";
             end(
-                    mOpen.remove(work.requestId()),
+                    open().remove(work.requestId()),
                     Ending.refused(ResultCode.DEADLINE_PASSED, message),
                     true);
         }
         refuseUnheld();
         Optional<WaitingWork> next = takeNext();
         while (next.isPresent()) {
-            start(mOpen.get(next.get().requestId()));
+            start(open().get(next.get().requestId()));
             next = takeNext();
         }
         readTruthIfDue();
@@ -147,16 +130,16 @@
     }
 
     private Optional<WaitingWork> takeNext() {
-        return mQueue.take(work -> mResidency.canStart(work.model(), work.adapter()), now());
+        return queue().take(work -> mResidency.canStart(work.model(), work.adapter()), now());
     }
 
     private void refuseUnheld() {
-        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
+        for (WaitingWork work : List.copyOf(queue().waiting())) {
             if (!mResidency.holdsSlot(work.model())) {
-                mQueue.withdraw(work.requestId());
+                queue().withdraw(work.requestId());
                 String message = "the slot of model " + work.model() + " moved away";
                 end(
-                        mOpen.remove(work.requestId()),
+                        open().remove(work.requestId()),
                         Ending.refused(ResultCode.SLOT_NOT_HELD, message),
                         true);
             }
@@ -165,7 +148,7 @@
 
     private List<Demand> demands() {
         Map<String, Demand> demands = new HashMap<>();
-        for (WaitingWork work : mQueue.waiting()) {
+        for (WaitingWork work : queue().waiting()) {
             String key = work.model() + "/" + work.adapter();
             Demand demand =
                     new Demand(work.model(), work.adapter(), work.deadline(), work.arrivedMillis());
@@ -187,7 +170,7 @@
         }
         mReadingTruth = true;
         mEngine.truth()
-                .observeOn(mControl)
+                .observeOn(control())
                 .subscribe(
                         truth -> {
                             mReadingTruth = false;
@@ -206,30 +189,32 @@
 
     private void retryTruthLater() {
         mReadingTruth = true;
-        mControl.scheduleDirect(
-                () -> {
-                    mReadingTruth = false;
-                    pump();
-                },
-                TRUTH_RETRY_MILLIS,
-                TimeUnit.MILLISECONDS);
+        control()
+                .scheduleDirect(
+                        () -> {
+                            mReadingTruth = false;
+                            pump();
+                        },
+                        TRUTH_RETRY_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void send(EngineOrder order) {
         LOG.info("order {} {} {}", order.kind(), order.model(), order.adapter());
-        mMetrics.counter("engine.orders." + order.kind()).inc();
+        metrics().counter("engine.orders." + order.kind()).inc();
         long sentMillis = now();
         mEngine.order(order)
-                .observeOn(mControl)
+                .observeOn(control())
                 .subscribe(outcome -> settled(order, outcome, sentMillis));
     }
 
     private void settled(EngineOrder order, OrderOutcome outcome, long sentMillis) {
         if (!(outcome instanceof OrderOutcome.Done)) {
             LOG.warn("order {} {}: {}", order.kind(), order.model(), outcome);
-            mMetrics.counter("engine.orders.unconfirmed").inc();
+            metrics().counter("engine.orders.unconfirmed").inc();
         }
-        mMetrics.timer("engine.order." + order.kind())
+        metrics()
+                .timer("engine.order." + order.kind())
                 .update(now() - sentMillis, TimeUnit.MILLISECONDS);
         mResidency.settle(order, outcome, now());
         pump();
@@ -252,7 +237,7 @@
                 mEngine.complete(call)
                         .doOnNext(exchange.answer()::append)
                         .ignoreElements()
-                        .observeOn(mControl)
+                        .observeOn(control())
                         .subscribe(
                                 () -> finished(exchange, ok()), e -> finished(exchange, failed(e)));
         exchange.onCancel(
@@ -276,40 +261,15 @@
     }
 
     private void finished(AgentExchange exchange, Ending ending) {
-        if (mOpen.remove(exchange.id()) == null) {
+        if (open().remove(exchange.id()) == null) {
             return;
         }
-        mQueue.finish(exchange.id(), now());
+        queue().finish(exchange.id(), now());
         mResidency.end(exchange.request().getModelWork().getModel(), now());
         end(exchange, ending, false);
         pump();
     }
 
-    private void end(AgentExchange exchange, Ending ending, boolean notRun) {
-        exchange.end(ending, notRun);
-        mMetrics.counter("agent.ended." + ending.code()).inc();
-    }
-
-    @Override
-    public int active() {
-        return mQueue.active();
-    }
-
-    @Override
-    public int waiting() {
-        return mQueue.waiting().size();
-    }
-
-    @Override
-    public int capacity() {
-        return mQueue.capacity();
-    }
-
-    @Override
-    public long oldestDeadlineMillis() {
-        return mQueue.oldestDeadline().map(Deadline::epochMillis).orElse(0L);
-    }
-
     @Override
     public boolean isResident(AgentExchange exchange) {
         return mResidency.isLoaded(exchange.request().getModelWork().getModel());
@@ -319,8 +279,4 @@
     public List<ModelStatus> models() {
         return mResidency.held();
     }
-
-    private long now() {
-        return mControl.now(TimeUnit.MILLISECONDS);
-    }
 }
--- a/org.cornelway/src/org/cornelway/agent/PlainWorkHandler.java
+++ b/org.cornelway/src/org/cornelway/agent/PlainWorkHandler.java
@@ -5,12 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.cornelway.admission.AdmissionQueue;
 import org.cornelway.admission.WaitingWork;
 import org.cornelway.admission.WorkClass;
@@ -28,7 +25,6 @@
 import org.cornelway.result.Result;
 import org.cornelway.result.ResultCode;
 import org.cornelway.rpc.PlainWork;
-import org.cornelway.time.Deadline;
 
 /**
  * Runs calls on one plain service.
@@ -36,16 +32,11 @@
  * <p>Invariant: a call that may not be repeated is sent at most once for each request id, and at
  * most once for each idempotency key over all agents. Confined to the control thread.
  */
-public final class PlainWorkHandler implements WorkHandler {
-    private static final long REFUSAL_MARGIN_MILLIS = 70;
+public final class PlainWorkHandler extends QueuedWorkHandler {
 
-    private final AdmissionQueue mQueue;
     private final PlainService mService;
     private final IntentLog mIntents;
-    private final Scheduler mControl;
     private final Invariants mInvariants;
-    private final MetricRegistry mMetrics;
-    private final Map<String, AgentExchange> mOpen = new HashMap<>();
 
     /**
      * @param intents records calls that may not be repeated
@@ -57,12 +48,10 @@
             Scheduler control,
             Invariants invariants,
             MetricRegistry metrics) {
-        mQueue = queue;
+        super(queue, control, metrics);
         mService = service;
         mIntents = intents;
-        mControl = control;
         mInvariants = invariants;
-        mMetrics = metrics;
     }
 
     @Override
@@ -77,26 +66,26 @@
                         "",
                         0,
                         now());
-        Optional<Refusal> refusal = mQueue.offer(waiting, now());
+        Optional<Refusal> refusal = queue().offer(waiting, now());
         if (refusal.isPresent()) {
             end(exchange, refusal.get());
             return;
         }
-        mOpen.put(exchange.id(), exchange);
+        open().put(exchange.id(), exchange);
         tick();
     }
 
     @Override
     public void tick() {
-        for (WaitingWork work : mQueue.expire(now())) {
+        for (WaitingWork work : queue().expire(now())) {
             end(
-                    mOpen.remove(work.requestId()),
+                    open().remove(work.requestId()),
                     Refusal.of(ResultCode.DEADLINE_PASSED, "deadline passed in the queue"));
         }
-        Optional<WaitingWork> next = mQueue.take(work -> true, now());
+        Optional<WaitingWork> next = queue().take(work -> true, now());
         while (next.isPresent()) {
-            begin(mOpen.get(next.get().requestId()));
-            next = mQueue.take(work -> true, now());
+            begin(open().get(next.get().requestId()));
+            next = queue().take(work -> true, now());
         }
     }
 
@@ -114,7 +103,7 @@
                         exchange.id(),
                         exchange.deadline().minus(REFUSAL_MARGIN_MILLIS));
         mIntents.begin(intent)
-                .observeOn(mControl)
+                .observeOn(control())
                 .subscribe(decision -> decided(exchange, intent, decision));
     }
 
@@ -122,7 +111,7 @@
         if (decision instanceof IntentDecision.Granted) {
             sendGranted(exchange, intent);
         } else if (decision instanceof IntentDecision.Running running) {
-            running.end().observeOn(mControl).subscribe(end -> decided(exchange, intent, end));
+            running.end().observeOn(control()).subscribe(end -> decided(exchange, intent, end));
         } else if (decision instanceof IntentDecision.Recorded recorded) {
             finish(exchange, recorded.outcome());
         } else if (decision instanceof IntentDecision.KeyReused) {
@@ -136,7 +125,7 @@
 
     private void sendGranted(AgentExchange exchange, IntentRequest intent) {
         boolean late = exchange.deadline().isPast(now());
-        boolean open = mOpen.containsKey(exchange.id());
+        boolean open = open().containsKey(exchange.id());
         if (late || !open) {
             mIntents.abandon(intent);
             refuse(exchange, ResultCode.DEADLINE_PASSED, "deadline passed before the call");
@@ -152,7 +141,7 @@
         if (!first) {
             return;
         }
-        mMetrics.counter("plain.calls").inc();
+        metrics().counter("plain.calls").inc();
         PlainCall call =
                 new PlainCall(
                         exchange.id(),
@@ -162,7 +151,7 @@
                         work.getBody().toByteArray(),
                         work.getIdempotencyKey());
         mService.call(call)
-                .observeOn(mControl)
+                .observeOn(control())
                 .subscribe(result -> answered(exchange, intent, result));
     }
 
@@ -190,56 +179,47 @@
     }
 
     private void finish(AgentExchange exchange, RecordedOutcome outcome) {
-        if (mOpen.remove(exchange.id()) == null) {
+        if (open().remove(exchange.id()) == null) {
             return;
         }
-        mQueue.finish(exchange.id(), now());
+        queue().finish(exchange.id(), now());
         if (outcome.body().length > 0) {
             exchange.answer().append(outcome.body());
         }
         ResultCode code = outcome.retained() ? ResultCode.OK : ResultCode.ANSWER_NOT_RETAINED;
         exchange.end(new Ending(0, code, "", outcome.status(), outcome.contentType()), false);
-        mMetrics.counter("agent.ended." + code).inc();
+        metrics().counter("agent.ended." + code).inc();
         tick();
     }
 
     private void refuse(AgentExchange exchange, ResultCode code, String message) {
-        if (mOpen.remove(exchange.id()) == null) {
+        if (open().remove(exchange.id()) == null) {
             return;
         }
-        mQueue.finish(exchange.id(), now());
+        queue().finish(exchange.id(), now());
         end(exchange, Refusal.of(code, message));
         tick();
     }
 
     private void end(AgentExchange exchange, Refusal refusal) {
         boolean notRun = refusal instanceof Refusal.NotRun;
-        exchange.end(Ending.refused(refusal.code(), refusal.message()), notRun);
-        mMetrics.counter("agent.ended." + refusal.code()).inc();
+        end(exchange, Ending.refused(refusal.code(), refusal.message()), notRun);
     }
 
     @Override
     public boolean withdraw(AgentExchange exchange) {
-        if (mQueue.withdraw(exchange.id())) {
-            mOpen.remove(exchange.id());
+        if (queue().withdraw(exchange.id())) {
+            open().remove(exchange.id());
             return true;
         }
         boolean recording = exchange.state() == AgentExchange.State.WAITING;
-        if (recording && mOpen.remove(exchange.id()) != null) {
-            mQueue.finish(exchange.id(), now());
+        if (recording && open().remove(exchange.id()) != null) {
+            queue().finish(exchange.id(), now());
             return true;
         }
         return false;
     }
 
-    @Override
-    public void refuseWaiting(ResultCode code, String message) {
-        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
-            mQueue.withdraw(work.requestId());
-            end(mOpen.remove(work.requestId()), Refusal.of(code, message));
-        }
-    }
-
     private static String fingerprint(PlainWork work) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
@@ -254,26 +234,6 @@
         }
     }
 
-    @Override
-    public int active() {
-        return mQueue.active();
-    }
-
-    @Override
-    public int waiting() {
-        return mQueue.waiting().size();
-    }
-
-    @Override
-    public int capacity() {
-        return mQueue.capacity();
-    }
-
-    @Override
-    public long oldestDeadlineMillis() {
-        return mQueue.oldestDeadline().map(Deadline::epochMillis).orElse(0L);
-    }
-
     @Override
     public boolean isResident(AgentExchange exchange) {
         return true;
@@ -283,8 +243,4 @@
     public List<ModelStatus> models() {
         return List.of();
     }
-
-    private long now() {
-        return mControl.now(TimeUnit.MILLISECONDS);
-    }
 }
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/agent/QueuedWorkHandler.java
@@ -0,0 +1,88 @@
+package org.cornelway.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.admission.AdmissionQueue;
+import org.cornelway.admission.WaitingWork;
+import org.cornelway.exchange.Ending;
+import org.cornelway.result.ResultCode;
+import org.cornelway.time.Deadline;
+
+/**
+ * The side of a work handler that faces the queue.
+ *
+ * <p>Invariant: each open exchange waits or runs in the queue. Confined to the control thread.
+ */
+abstract class QueuedWorkHandler implements WorkHandler {
+    /** Time before a deadline at which waiting work is refused, so that the refusal arrives. */
+    static final long REFUSAL_MARGIN_MILLIS = 70;
+
+    private final AdmissionQueue mQueue;
+    private final Scheduler mControl;
+    private final MetricRegistry mMetrics;
+    private final Map<String, AgentExchange> mOpen = new HashMap<>();
+
+    QueuedWorkHandler(AdmissionQueue queue, Scheduler control, MetricRegistry metrics) {
+        mQueue = queue;
+        mControl = control;
+        mMetrics = metrics;
+    }
+
+    final AdmissionQueue queue() {
+        return mQueue;
+    }
+
+    final Scheduler control() {
+        return mControl;
+    }
+
+    final MetricRegistry metrics() {
+        return mMetrics;
+    }
+
+    /** The exchanges that wait or run, by request id. */
+    final Map<String, AgentExchange> open() {
+        return mOpen;
+    }
+
+    final long now() {
+        return mControl.now(TimeUnit.MILLISECONDS);
+    }
+
+    final void end(AgentExchange exchange, Ending ending, boolean notRun) {
+        exchange.end(ending, notRun);
+        mMetrics.counter("agent.ended." + ending.code()).inc();
+    }
+
+    @Override
+    public final void refuseWaiting(ResultCode code, String message) {
+        for (WaitingWork work : List.copyOf(mQueue.waiting())) {
+            mQueue.withdraw(work.requestId());
+            end(mOpen.remove(work.requestId()), Ending.refused(code, message), true);
+        }
+    }
+
+    @Override
+    public final int active() {
+        return mQueue.active();
+    }
+
+    @Override
+    public final int waiting() {
+        return mQueue.waiting().size();
+    }
+
+    @Override
+    public final int capacity() {
+        return mQueue.capacity();
+    }
+
+    @Override
+    public final long oldestDeadlineMillis() {
+        return mQueue.oldestDeadline().map(Deadline::epochMillis).orElse(0L);
+    }
+}
--- a/org.cornelway/src/org/cornelway/entry/EntryExchange.java
+++ b/org.cornelway/src/org/cornelway/entry/EntryExchange.java
@@ -164,6 +164,7 @@
         switch (submission.assembler().chunk(id, chunk.getSequence())) {
             case DELIVER -> {
                 mDelivered = true;
+                mServices.metrics().counter("entry.chunks").inc();
                 submission.noteChunk(now(), mServices.loads().progress());
                 mSink.chunk(chunk.getData().toByteArray());
             }
--- a/org.cornelway/src/org/cornelway/internal/grpc/ChannelPool.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/ChannelPool.java
@@ -27,10 +27,20 @@
     private static final int WINDOW_BYTES = 256 << 10;
     private static final int CALLBACK_THREADS = 2;
 
-    private final Map<String, ManagedChannel> mChannels = new ConcurrentHashMap<>();
+    /** A younger connection was opened after the silence that a caller complains of began. */
+    private static final long LEAST_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
+    private final Map<String, Link> mLinks = new ConcurrentHashMap<>();
     private final ExecutorService mCallbacks =
             Executors.newFixedThreadPool(CALLBACK_THREADS, r -> new Thread(r, "grpc-client"));
 
+    /** A connection with the time at which it was opened. */
+    private record Link(ManagedChannel channel, long openedNanos) {
+        boolean isYoung() {
+            return System.nanoTime() - openedNanos < LEAST_AGE_NANOS;
+        }
+    }
+
     @Override
     public String name() {
         return "channels";
@@ -45,14 +55,14 @@
     public Completable stop() {
         return Completable.fromAction(
                 () -> {
-                    mChannels.values().forEach(ManagedChannel::shutdownNow);
+                    mLinks.values().forEach(link -> link.channel().shutdownNow());
                     mCallbacks.shutdownNow();
                 });
     }
 
     /** The channel to a process; it may not be connected. */
     public ManagedChannel channel(Member member) {
-        return mChannels.computeIfAbsent(member.address(), this::open);
+        return mLinks.computeIfAbsent(member.address(), this::open).channel();
     }
 
     /** The channel to a process once it is connected; fails if that takes too long. */
@@ -72,34 +82,46 @@
         }
     }
 
-    /** Replaces the connection to a process. */
+    /**
+     * Replaces the connection to a process, unless that was done a moment ago: many calls on one
+     * connection find out about its silence at the same time.
+     */
     public void replace(Member member) {
-        ManagedChannel old = mChannels.put(member.address(), open(member.address()));
-        if (old != null) {
-            old.shutdown();
-        }
+        mLinks.compute(
+                member.address(),
+                (address, old) -> {
+                    if (old == null) {
+                        return open(address);
+                    }
+                    if (old.isYoung()) {
+                        return old;
+                    }
+                    old.channel().shutdown();
+                    return open(address);
+                });
     }
 
     /** Closes connections to processes that are no members any more. */
     public void retain(Map<String, Member> members) {
         Set<String> addresses = new HashSet<>();
         members.values().forEach(member -> addresses.add(member.address()));
-        for (String address : mChannels.keySet()) {
+        for (String address : mLinks.keySet()) {
             if (!addresses.contains(address)) {
-                ManagedChannel gone = mChannels.remove(address);
-                gone.shutdown();
+                mLinks.remove(address).channel().shutdown();
             }
         }
     }
 
-    private ManagedChannel open(String address) {
-        return NettyChannelBuilder.forTarget("dns:///" + address)
-                .usePlaintext()
-                .executor(mCallbacks)
-                .flowControlWindow(WINDOW_BYTES)
-                .maxInboundMessageSize(MAX_MESSAGE_BYTES)
-                .keepAliveTime(10, TimeUnit.SECONDS)
-                .keepAliveTimeout(2, TimeUnit.SECONDS)
-                .build();
+    private Link open(String address) {
+        ManagedChannel channel =
+                NettyChannelBuilder.forTarget("dns:///" + address)
+                        .usePlaintext()
+                        .executor(mCallbacks)
+                        .flowControlWindow(WINDOW_BYTES)
+                        .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+                        .keepAliveTime(10, TimeUnit.SECONDS)
+                        .keepAliveTimeout(2, TimeUnit.SECONDS)
+                        .build();
+        return new Link(channel, System.nanoTime());
     }
 }
--- a/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -76,14 +76,7 @@
     @Override
     public Single<SwapResult> compareAndSwap(
             String key, long expectedRevision, byte[] value, long leaseId) {
-        ObjectNode transaction = object();
-        transaction
-                .putArray("compare")
-                .addObject()
-                .put("key", encode(key))
-                .put("target", "MOD")
-                .put("result", "EQUAL")
-                .put("mod_revision", Long.toString(expectedRevision));
+        ObjectNode transaction = conditional(key, expectedRevision);
         ObjectNode put = object().put("key", encode(key));
         put.put("value", Base64.getEncoder().encodeToString(value));
         if (leaseId != NO_LEASE) {
@@ -99,8 +92,7 @@
                 .onErrorReturn(EtcdKeyValueStore::failedSwap);
     }
 
-    @Override
-    public Completable delete(String key, long expectedRevision) {
+    private static ObjectNode conditional(String key, long expectedRevision) {
         ObjectNode transaction = object();
         transaction
                 .putArray("compare")
@@ -109,6 +101,12 @@
                 .put("target", "MOD")
                 .put("result", "EQUAL")
                 .put("mod_revision", Long.toString(expectedRevision));
+        return transaction;
+    }
+
+    @Override
+    public Completable delete(String key, long expectedRevision) {
+        ObjectNode transaction = conditional(key, expectedRevision);
         transaction
                 .putArray("success")
                 .addObject()
