--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -0,0 +1,79 @@
+package org.cornelway.pgm;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import org.cornelway.platform.wire.RoutingCodec;
+import org.cornelway.platform.wire.ServerCodec;
+import org.cornelway.platform.wire.WireCallCodec;
+import org.cornelway.platform.wire.WireEngineControl;
+import org.cornelway.platform.wire.WireSettings;
+import org.cornelway.platform.wire.WireStore;
+import org.cornelway.role.DirectEntryRole;
+import org.cornelway.role.DirectEntrySettings;
+import org.cornelway.role.PlatformPorts;
+
+/** Runs an entry that calls backend servers itself, with the settings that its platform gives. */
+@Parameters(commandDescription = "Runs an entry on the users' platform")
+final class DirectEntryCommand implements Command {
+    /** Name of the variable that the platform sets; it is no setting of the system's own. */
+    private static final String SETTINGS_FILE = "CORNELWAY_SETTINGS";
+
+    /** The store answers in milliseconds; a call that takes longer is lost or the store is. */
+    private static final long STORE_TIMEOUT_MILLIS = 600;
+
+    /** Orders and reports are answered in milliseconds. */
+    private static final long ENGINE_TIMEOUT_MILLIS = 400;
+
+    @Parameter(names = "--help", help = true, description = "Shows all settings")
+    private boolean mHelp;
+
+    @Parameter(
+            names = "--cluster-key",
+            description = "Secret that all processes of the system share; required")
+    private String mClusterKey = "";
+
+    @Parameter(names = "--log-level", description = "error, warn, info or debug")
+    private String mLogLevel = "info";
+
+    @Override
+    public String name() {
+        return "direct-entry";
+    }
+
+    @Override
+    public int run() {
+        Logging.configure("event", mLogLevel);
+        SettingsChecker checker = new SettingsChecker();
+        String key = checker.secret("--cluster-key", mClusterKey);
+        String path = System.getenv(SETTINGS_FILE);
+        if (path == null) {
+            System.err.println(SETTINGS_FILE + ": the path of the settings file is needed");
+            return EXIT_USAGE;
+        }
+        if (checker.hasFaults()) {
+            return EXIT_USAGE;
+        }
+        try {
+            DirectEntrySettings settings = WireSettings.read(Path.of(path), key);
+            return RoleRunner.run(
+                    new DirectEntryRole(settings, ports()), settings.bounds().graceMillis());
+        } catch (IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            return EXIT_USAGE;
+        }
+    }
+
+    private static PlatformPorts ports() {
+        return new PlatformPorts(
+                new WireCallCodec(),
+                new RoutingCodec(),
+                new ServerCodec(),
+                target -> {
+                    WireStore store =
+                            new WireStore(target.caller(), target.endpoint(), STORE_TIMEOUT_MILLIS);
+                    return new PlatformPorts.Store(store, store);
+                },
+                caller -> new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS));
+    }
+}
--- a/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
@@ -26,6 +26,7 @@
     static List<Command> commands() {
         return List.of(
                 new EntryCommand(),
+                new DirectEntryCommand(),
                 new AgentCommand(),
                 new PresetCommands.ListPresets(),
                 new PresetCommands.Show(),
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -111,6 +111,41 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelway_v1_DescribeReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_ModelAsk_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_ModelAsk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_ModelGrant_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_ModelGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_ModelUse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_ModelUse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_UseReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_UseReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_HeldModel_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_HeldModel_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_ServerHoldings_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_ServerHoldings_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_HoldingsReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -175,17 +210,40 @@
       "oller_lease\030\014 \001(\010\022\034\n\024key_value_service_u" +
       "p\030\r \001(\010\022#\n\033controller_lease_age_millis\030\016" +
       " \001(\003\022\014\n\004slow\030\017 \001(\010\022\021\n\trecovered\030\020 \001(\010\022 \n" +
-      "\030placement_fencing_number\030\021 \001(\003*-\n\014Reque" +
-      "stClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFERRED\020\0012\230" +
-      "\001\n\014AgentService\022@\n\010Exchange\022\035.cornelway." +
-      "v1.ExchangeRequest\032\023.cornelway.v1.Frame0" +
-      "\001\022F\n\010Withdraw\022\035.cornelway.v1.WithdrawReq" +
-      "uest\032\033.cornelway.v1.WithdrawReply2\224\001\n\013Pe" +
-      "erService\022=\n\005Relay\022\032.cornelway.v1.RelayR" +
-      "equest\032\030.cornelway.v1.RelayReply\022F\n\010Desc" +
-      "ribe\022\035.cornelway.v1.DescribeRequest\032\033.co" +
-      "rnelway.v1.DescribeReplyB\025\n\021org.cornelwa" +
-      "y.rpcP\001b\006proto3"
+      "\030placement_fencing_number\030\021 \001(\003\"\212\001\n\010Mode" +
+      "lAsk\022\014\n\004from\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005m" +
+      "odel\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\030\n\020remaining" +
+      "_millis\030\005 \001(\003\022\020\n\010priority\030\006 \001(\005\022\023\n\013not_h" +
+      "eld_by\030\007 \001(\t\"\255\001\n\nModelGrant\0221\n\007outcome\030\001" +
+      " \001(\0162 .cornelway.v1.ModelGrant.Outcome\022\016" +
+      "\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected" +
+      "_millis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NO" +
+      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"[\n\010ModelUse" +
+      "\022\016\n\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapt" +
+      "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\017\n\007started\030\005 \001(" +
+      "\005\"g\n\tUseReport\022\014\n\004from\030\001 \001(\t\022\030\n\020holdings" +
+      "_version\030\002 \001(\003\022\014\n\004term\030\003 \001(\003\022$\n\004uses\030\004 \003" +
+      "(\0132\026.cornelway.v1.ModelUse\",\n\tHeldModel\022" +
+      "\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016Serv" +
+      "erHoldings\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003" +
+      "\022\'\n\006models\030\003 \003(\0132\027.cornelway.v1.HeldMode" +
+      "l\"\202\001\n\rHoldingsReply\022\022\n\ncontroller\030\001 \001(\010\022" +
+      "\014\n\004term\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007change" +
+      "d\030\004 \001(\010\022-\n\007servers\030\005 \003(\0132\034.cornelway.v1." +
+      "ServerHoldings*-\n\014RequestClass\022\017\n\013INTERA" +
+      "CTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001\n\014AgentService\022@" +
+      "\n\010Exchange\022\035.cornelway.v1.ExchangeReques" +
+      "t\032\023.cornelway.v1.Frame0\001\022F\n\010Withdraw\022\035.c" +
+      "ornelway.v1.WithdrawRequest\032\033.cornelway." +
+      "v1.WithdrawReply2\224\001\n\013PeerService\022=\n\005Rela" +
+      "y\022\032.cornelway.v1.RelayRequest\032\030.cornelwa" +
+      "y.v1.RelayReply\022F\n\010Describe\022\035.cornelway." +
+      "v1.DescribeRequest\032\033.cornelway.v1.Descri" +
+      "beReply2\217\001\n\014EntryService\022<\n\010AskModel\022\026.c" +
+      "ornelway.v1.ModelAsk\032\030.cornelway.v1.Mode" +
+      "lGrant\022A\n\tReportUse\022\027.cornelway.v1.UseRe" +
+      "port\032\033.cornelway.v1.HoldingsReplyB\025\n\021org" +
+      ".cornelway.rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -293,6 +351,48 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_DescribeReply_descriptor,
         new java.lang.String[] { "Instance", "Role", "ConfigurationRevision", "PlacementRevision", "Models", "CapacityBytes", "ReservedBytes", "Active", "Waiting", "OldestDeadlineMillis", "Leaving", "HoldsControllerLease", "KeyValueServiceUp", "ControllerLeaseAgeMillis", "Slow", "Recovered", "PlacementFencingNumber", });
+    internal_static_cornelway_v1_ModelAsk_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_cornelway_v1_ModelAsk_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_ModelAsk_descriptor,
+        new java.lang.String[] { "From", "Service", "Model", "Adapter", "RemainingMillis", "Priority", "NotHeldBy", });
+    internal_static_cornelway_v1_ModelGrant_descriptor =
+      getDescriptor().getMessageType(18);
+    internal_static_cornelway_v1_ModelGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_ModelGrant_descriptor,
+        new java.lang.String[] { "Outcome", "Server", "Born", "ExpectedMillis", });
+    internal_static_cornelway_v1_ModelUse_descriptor =
+      getDescriptor().getMessageType(19);
+    internal_static_cornelway_v1_ModelUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_ModelUse_descriptor,
+        new java.lang.String[] { "Server", "Model", "Adapter", "Active", "Started", });
+    internal_static_cornelway_v1_UseReport_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_cornelway_v1_UseReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_UseReport_descriptor,
+        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", });
+    internal_static_cornelway_v1_HeldModel_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_cornelway_v1_HeldModel_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_HeldModel_descriptor,
+        new java.lang.String[] { "Model", "Adapters", });
+    internal_static_cornelway_v1_ServerHoldings_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_cornelway_v1_ServerHoldings_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_ServerHoldings_descriptor,
+        new java.lang.String[] { "Server", "Born", "Models", });
+    internal_static_cornelway_v1_HoldingsReply_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_HoldingsReply_descriptor,
+        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
@@ -0,0 +1,23 @@
+package org.cornelway.cluster;
+
+/** Keys that the system and the platform keep in the key-value service. */
+public final class ClusterKeys {
+    /** The operator's configuration; only the platform writes it. */
+    public static final String CONFIGURATION_PREFIX = "op/";
+
+    public static final String CONFIGURATION = CONFIGURATION_PREFIX + "config";
+
+    /** Announcements of backend servers, by id; only the platform writes them. */
+    public static final String SERVERS = "servers/";
+
+    /** The system's own keys. */
+    public static final String OWN = "cornelway/";
+
+    /** One key an entry, under its lease. */
+    public static final String MEMBERS = OWN + "members/";
+
+    /** The entry that orders the engines, under its lease. */
+    public static final String CONTROLLER = OWN + "controller/0";
+
+    private ClusterKeys() {}
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/dispatch/FirstChooser.java
@@ -0,0 +1,16 @@
+package org.cornelway.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses the first server that was not tried; the baseline. Pure and thread-safe. */
+public final class FirstChooser implements ServerChooser {
+    @Override
+    public Optional<Candidate> choose(List<Candidate> candidates, int affinity, Set<String> tried) {
+        return candidates.stream()
+                .filter(each -> !tried.contains(each.server().id()))
+                .findFirst()
+                .or(() -> candidates.stream().findFirst());
+    }
+}
--- a/org.cornelway/src/org/cornelway/http/ErrorBody.java
+++ b/org.cornelway/src/org/cornelway/http/ErrorBody.java
@@ -7,11 +7,13 @@
  *
  * @param error what went wrong
  */
-record ErrorBody(Details error) {
+public record ErrorBody(Details error) {
     /** What went wrong. */
-    record Details(int code, String type, String message, boolean notRun, String requestId) {}
+    public record Details(
+            int code, String type, String message, boolean notRun, String requestId) {}
 
-    static ErrorBody of(ResultCode code, String message, String requestId) {
+    /** Makes the body of a refusal. */
+    public static ErrorBody of(ResultCode code, String message, String requestId) {
         boolean notRun = code.certainty() == ResultCode.Certainty.NOT_RUN;
         return new ErrorBody(new Details(code.number(), code.name(), message, notRun, requestId));
     }
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/CopySource.java
@@ -0,0 +1,8 @@
+package org.cornelway.models;
+
+/** Where a load takes the weights from. */
+public enum CopySource {
+    MEMORY,
+    DISK,
+    STORE
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -0,0 +1,366 @@
+package org.cornelway.models;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineReport;
+import org.cornelway.platform.OrderReply;
+import org.cornelway.platform.ServerOrder;
+
+/**
+ * Brings one life of an engine to what was planned, one order after the other.
+ *
+ * <p>Invariants: no order before a report was read; at most one order call at a time; each order
+ * names the number of orders that the engine has accepted, so that a late or lost one cannot act on
+ * a state that nobody planned for; an order without an answer counts as carried out until a report
+ * settles it. Confined to the control thread.
+ */
+final class EngineDriver {
+    /** An engine confirms an unload without calls under way within a step. */
+    static final long UNLOAD_MILLIS = 15;
+
+    /** Slack on the expected end of a load before it counts as done without a report. */
+    private static final long DONE_SLACK_MILLIS = 20;
+
+    /** Time between two reports while an order is late; reports lag by some hundred ms. */
+    private static final long POLL_MILLIS = 70;
+
+    /** First pause after a call that failed; doubles up to the last. */
+    private static final long FIRST_RETRY_MILLIS = 150;
+
+    private static final long LAST_RETRY_MILLIS = 1_200;
+    private static final int UNREACHABLE_FAILURES = 2;
+
+    private final EngineControl mEngines;
+    private final Scheduler mControl;
+    private final Listener mListener;
+    private final Map<String, HeldAdapters> mModels = new HashMap<>();
+    private final Deque<EngineStep> mSteps = new ArrayDeque<>();
+    private ServerRecord mServer;
+    private Set<String> mInMemory;
+    private Set<String> mOnDisk;
+    private Optional<EngineStep> mUnderWay = Optional.empty();
+    private Optional<EngineStep> mUnsettled = Optional.empty();
+    private boolean mKnown;
+    private boolean mCalling;
+    private boolean mMustRead = true;
+    private long mOrders;
+    private long mUnderWayUntil;
+    private long mNextCallMillis;
+    private int mFailures;
+
+    /** What the driver needs of its controller. Called on the control thread. */
+    interface Listener {
+        /** The right to give orders at this moment, or empty. */
+        Optional<Term> term();
+
+        /** An order or a report changed what the engine holds or can take. */
+        void changed(EngineDriver engine);
+
+        /** An engine has taken orders of a later term. */
+        void outranked();
+
+        /** An order was answered, or not. */
+        void ordered(ServerRecord server, ServerOrder order, OrderReply reply);
+    }
+
+    /** A term of the controller. */
+    record Term(String holder, long fence) {}
+
+    EngineDriver(ServerRecord server, EngineControl engines, Scheduler control, Listener listener) {
+        mServer = server;
+        mInMemory = server.inMemory();
+        mOnDisk = new HashSet<>(server.onDisk());
+        mEngines = engines;
+        mControl = control;
+        mListener = listener;
+    }
+
+    ServerRecord server() {
+        return mServer;
+    }
+
+    /** Takes over a newer announcement of the same life. */
+    void announced(ServerRecord server) {
+        boolean differs = mKnown && !server.models().keySet().equals(mModels.keySet());
+        boolean changed = !server.models().equals(mServer.models());
+        mServer = server;
+        if (changed && differs && mUnderWay.isEmpty() && mSteps.isEmpty()) {
+            mMustRead = true;
+        }
+    }
+
+    boolean isKnown() {
+        return mKnown && mFailures < UNREACHABLE_FAILURES;
+    }
+
+    /** Whether what is believed of the engine may be told. */
+    boolean isTrusted() {
+        return isKnown() && !mMustRead;
+    }
+
+    /** Whether a model order can begin now. */
+    boolean isIdle() {
+        return isKnown()
+                && mSteps.isEmpty()
+                && mUnderWay.isEmpty()
+                && mUnsettled.isEmpty()
+                && !mMustRead;
+    }
+
+    /** Whether an adapter order can begin now; these may overlap. */
+    boolean takesAdapters() {
+        return isKnown() && mSteps.isEmpty() && mUnsettled.isEmpty() && !mMustRead;
+    }
+
+    Map<String, HeldAdapters> models() {
+        return mModels;
+    }
+
+    Set<String> inMemory() {
+        return mInMemory;
+    }
+
+    Set<String> onDisk() {
+        return mOnDisk;
+    }
+
+    /** Whether a model is on its way in. */
+    boolean isLoading(String model) {
+        return allSteps().stream().anyMatch(s -> s.load() && isModel(s, model));
+    }
+
+    /** Whether a model is on its way out. */
+    boolean isUnloading(String model) {
+        return allSteps().stream().anyMatch(s -> !s.load() && isModel(s, model));
+    }
+
+    private static boolean isModel(EngineStep step, String model) {
+        return step.adapter().isEmpty() && step.model().equals(model);
+    }
+
+    /** When a model that is on its way in can be used, as far as is known. */
+    long readyMillis(long nowMillis) {
+        long steps = mSteps.stream().mapToLong(EngineStep::millis).sum();
+        return Math.max(nowMillis, mUnderWay.isPresent() ? mUnderWayUntil : nowMillis) + steps;
+    }
+
+    /** Memory that orders in the queue, under way or unsettled will take. */
+    double reservedMegabytes() {
+        return allSteps().stream()
+                .filter(EngineStep::load)
+                .filter(step -> step.adapter().isEmpty())
+                .mapToDouble(EngineStep::megabytes)
+                .sum();
+    }
+
+    boolean readsStore() {
+        return allSteps().stream().anyMatch(EngineStep::readsStore);
+    }
+
+    private Deque<EngineStep> allSteps() {
+        Deque<EngineStep> all = new ArrayDeque<>(mSteps);
+        mUnderWay.ifPresent(all::add);
+        mUnsettled.ifPresent(all::add);
+        return all;
+    }
+
+    /** Adds a step to be ordered. */
+    void plan(EngineStep step) {
+        mSteps.add(step);
+    }
+
+    /** Reads the engine's report before anything else is ordered. */
+    void mustRead() {
+        mMustRead = true;
+    }
+
+    /** Does what is due. */
+    void advance(long nowMillis) {
+        if (mUnderWay.isPresent() && nowMillis >= mUnderWayUntil + DONE_SLACK_MILLIS) {
+            if (mUnderWay.get().readsStore()) {
+                // The store slows down under many loads, so only a report tells the end.
+                mMustRead = true;
+            } else {
+                finished(mUnderWay.get(), nowMillis);
+            }
+        }
+        if (mCalling || nowMillis < mNextCallMillis) {
+            return;
+        }
+        if (mMustRead || mUnsettled.isPresent()) {
+            read();
+        } else if (!mSteps.isEmpty() && mUnderWay.isEmpty()) {
+            order(mSteps.peek());
+        }
+    }
+
+    private void read() {
+        mCalling = true;
+        mEngines.report(mServer)
+                .observeOn(mControl)
+                .subscribe(
+                        report -> {
+                            mCalling = false;
+                            mFailures = 0;
+                            onReport(report, now());
+                        },
+                        e -> {
+                            mCalling = false;
+                            failed();
+                        });
+    }
+
+    private void failed() {
+        mNextCallMillis =
+                now() + Math.min(LAST_RETRY_MILLIS, FIRST_RETRY_MILLIS << Math.min(mFailures, 5));
+        mFailures++;
+        mListener.changed(this);
+    }
+
+    private void onReport(EngineReport report, long nowMillis) {
+        if (report.bornMillis() != 0 && report.bornMillis() != mServer.life().bornMillis()) {
+            // Another life answers; the directory will say so too.
+            failed();
+            return;
+        }
+        if (mKnown && report.orders() < mOrders || report.busy()) {
+            mNextCallMillis = nowMillis + POLL_MILLIS;
+            mMustRead = true;
+            return;
+        }
+        mMustRead = false;
+        mKnown = true;
+        Optional<EngineStep> unsettled = mUnsettled;
+        boolean accepted = report.orders() > mOrders;
+        mOrders = report.orders();
+        adopt(report, nowMillis);
+        mUnderWay = Optional.empty();
+        mUnsettled = Optional.empty();
+        if (unsettled.isPresent() && !accepted) {
+            // Sent once more under the same number, so that the lost order can never act later.
+            mSteps.addFirst(unsettled.get());
+        } else if (accepted) {
+            mSteps.clear();
+        }
+        mListener.changed(this);
+        advance(nowMillis);
+    }
+
+    private void adopt(EngineReport report, long nowMillis) {
+        mModels.keySet().retainAll(report.models().keySet());
+        report.models()
+                .forEach(
+                        (model, adapters) -> {
+                            Set<String> all = new HashSet<>(adapters);
+                            String prefix = model + "/";
+                            report.pendingAdapters().stream()
+                                    .filter(name -> name.startsWith(prefix))
+                                    .forEach(name -> all.add(name.substring(prefix.length())));
+                            held(model).retain(all, nowMillis);
+                        });
+        mInMemory = report.inMemory();
+        mOnDisk = new HashSet<>(report.onDisk());
+    }
+
+    private HeldAdapters held(String model) {
+        return mModels.computeIfAbsent(model, key -> new HeldAdapters());
+    }
+
+    private void order(EngineStep step) {
+        Optional<Term> term = mListener.term();
+        if (term.isEmpty()) {
+            return;
+        }
+        mCalling = true;
+        ServerOrder order =
+                new ServerOrder(
+                        step.load(),
+                        step.model(),
+                        step.adapter(),
+                        mOrders,
+                        term.get().holder(),
+                        term.get().fence());
+        mEngines.order(mServer, order)
+                .observeOn(mControl)
+                .subscribe(
+                        reply -> {
+                            mCalling = false;
+                            mListener.ordered(mServer, order, reply);
+                            onReply(step, reply, now());
+                        });
+    }
+
+    private void onReply(EngineStep step, OrderReply reply, long nowMillis) {
+        if (reply instanceof OrderReply.Accepted) {
+            mSteps.poll();
+            mFailures = 0;
+            mOrders++;
+            begun(step, nowMillis);
+        } else if (reply instanceof OrderReply.AlreadySo) {
+            mSteps.poll();
+            mFailures = 0;
+            finished(step, nowMillis);
+            mMustRead = step.adapter().isEmpty() || step.load();
+            mOrders += mMustRead ? 0 : 1;
+        } else if (reply instanceof OrderReply.Unsettled) {
+            mSteps.poll();
+            mUnsettled = Optional.of(step);
+            failed();
+        } else if (reply instanceof OrderReply.Outranked) {
+            mSteps.clear();
+            mMustRead = true;
+            mListener.outranked();
+        } else if (reply instanceof OrderReply.NotSent) {
+            failed();
+        } else {
+            mSteps.clear();
+            mMustRead = true;
+            mNextCallMillis = nowMillis + POLL_MILLIS;
+        }
+        mListener.changed(this);
+        advance(nowMillis);
+    }
+
+    private void begun(EngineStep step, long nowMillis) {
+        if (step.adapter().isEmpty()) {
+            mUnderWay = Optional.of(step);
+            mUnderWayUntil = nowMillis + step.millis();
+            if (!step.load()) {
+                mModels.remove(step.model());
+            }
+        } else if (step.load()) {
+            held(step.model()).put(step.adapter().get(), nowMillis + step.millis());
+        } else {
+            held(step.model()).remove(step.adapter().get());
+        }
+    }
+
+    private void finished(EngineStep step, long nowMillis) {
+        mUnderWay = Optional.empty();
+        if (step.adapter().isPresent()) {
+            if (step.load()) {
+                held(step.model()).put(step.adapter().get(), nowMillis);
+            } else if (mModels.containsKey(step.model())) {
+                held(step.model()).remove(step.adapter().get());
+            }
+        } else if (step.load()) {
+            held(step.model());
+            mOnDisk.add(step.model());
+        } else {
+            mModels.remove(step.model());
+        }
+        mListener.changed(this);
+    }
+
+    private long now() {
+        return mControl.now(java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
@@ -0,0 +1,42 @@
+package org.cornelway.models;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelway.route.ModelDefinition;
+
+/** Loads at the first engine with one model that may go; the baseline. Pure and thread-safe. */
+public final class FirstFitLoadPlanner implements LoadPlanner {
+    @Override
+    public Optional<LoadPlan> plan(
+            ModelDefinition model, List<EngineView> engines, boolean storeAllowed) {
+        for (EngineView engine : engines) {
+            CopySource source = CheapestLoadPlanner.source(model.name(), engine);
+            if (!engine.idle() || source == CopySource.STORE && !storeAllowed) {
+                continue;
+            }
+            Optional<LoadPlan> plan = at(model, engine, source);
+            if (plan.isPresent()) {
+                return plan;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<LoadPlan> at(
+            ModelDefinition model, EngineView engine, CopySource source) {
+        long millis = CheapestLoadPlanner.loadMillis(model, source);
+        if (engine.freeMegabytes() >= model.megabytes()) {
+            return Optional.of(new LoadPlan(engine.life(), List.of(), source, millis));
+        }
+        return engine.models().entrySet().stream()
+                .filter(entry -> !entry.getValue().pinned())
+                .filter(
+                        entry ->
+                                engine.freeMegabytes() + entry.getValue().megabytes()
+                                        >= model.megabytes())
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .map(victim -> new LoadPlan(engine.life(), List.of(victim), source, millis));
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/LoadPlan.java
@@ -0,0 +1,14 @@
+package org.cornelway.models;
+
+import java.util.List;
+import org.cornelway.directory.ServerLife;
+
+/**
+ * Where to load a model. Immutable.
+ *
+ * @param engine the engine
+ * @param evict models that make room first, in order
+ * @param source where the weights come from
+ * @param loadMillis time of the load itself
+ */
+public record LoadPlan(ServerLife engine, List<String> evict, CopySource source, long loadMillis) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/ModelView.java
@@ -0,0 +1,19 @@
+package org.cornelway.models;
+
+/**
+ * A model on one engine, as the planner sees it. Immutable.
+ *
+ * @param megabytes memory that it takes, adapters included
+ * @param active calls under way with it on this engine
+ * @param rate calls a second for the model over all engines
+ * @param replicas engines that hold it
+ * @param pinned whether it must stay: somebody waits for it, or it has just come
+ * @param reloadMillis time to load it again here
+ */
+public record ModelView(
+        double megabytes,
+        int active,
+        double rate,
+        int replicas,
+        boolean pinned,
+        long reloadMillis) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -0,0 +1,243 @@
+package org.cornelway.models;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelway.directory.ServerLife;
+import org.cornelway.route.EngineDefinition;
+import org.cornelway.route.ModelDefinition;
+import org.cornelway.traffic.ModelTarget;
+
+/**
+ * Serves wishes from what the engines hold, and plans what they load next.
+ *
+ * <p>Answers two loads: calls that wait for a model that is nowhere, and demand that moves on, so
+ * that places free up and fill again. Confined to the control thread.
+ */
+final class PlacementRound {
+    /** Time for which an engine that contradicted a belief is not named. */
+    static final long DISTRUST_MILLIS = 400;
+
+    /** Time for which a model that just came stays, so that its calls arrive. */
+    private static final long SETTLE_MILLIS = 500;
+
+    /** Calls a second that a model which is nowhere is taken to have, to fill a free place. */
+    private static final double IDLE_RATE = 0.05;
+
+    private final LoadPlanner mPlanner;
+    private final DemandTable mDemand;
+    private final AdapterRound mAdapters;
+    private final int mStoreLoads;
+    private final Map<ServerLife, Map<String, Long>> mGrantedMillis = new HashMap<>();
+
+    PlacementRound(LoadPlanner planner, DemandTable demand, int storeLoads) {
+        mPlanner = planner;
+        mDemand = demand;
+        mAdapters = new AdapterRound(demand);
+        mStoreLoads = storeLoads;
+    }
+
+    /** The answer to a wish, or empty while it is on its way. */
+    Optional<ModelAnswer> serve(
+            ModelWish wish,
+            Set<ModelController.WishKey> open,
+            List<EngineDriver> engines,
+            Optional<EngineDefinition> definition,
+            long nowMillis) {
+        ModelTarget target = wish.target();
+        Optional<ModelDefinition> model =
+                definition.flatMap(d -> Optional.ofNullable(d.models().get(target.model())));
+        if (model.isEmpty()) {
+            return Optional.of(new ModelAnswer.TooLate(0));
+        }
+        List<EngineDriver> holders =
+                engines.stream()
+                        .filter(EngineDriver::isTrusted)
+                        .filter(e -> e.models().containsKey(target.model()))
+                        .filter(e -> !e.isUnloading(target.model()))
+                        .toList();
+        if (!holders.isEmpty()) {
+            return target.hasAdapter()
+                    ? mAdapters
+                            .serve(target, model.get(), holders, definition.get(), nowMillis)
+                            .map(engine -> held(engine, target, nowMillis))
+                    : Optional.of(held(lightest(holders, nowMillis), target, nowMillis));
+        }
+        return load(wish, model.get(), open, engines, definition.get(), nowMillis);
+    }
+
+    private EngineDriver lightest(List<EngineDriver> engines, long nowMillis) {
+        return engines.stream()
+                .min(
+                        Comparator.comparingInt(
+                                engine -> mDemand.active(engine.server().id(), nowMillis)))
+                .orElseThrow();
+    }
+
+    private ModelAnswer held(EngineDriver engine, ModelTarget target, long nowMillis) {
+        mGrantedMillis
+                .computeIfAbsent(engine.server().life(), life -> new HashMap<>())
+                .put(target.model(), nowMillis);
+        return new ModelAnswer.Held(engine.server().life());
+    }
+
+    private Optional<ModelAnswer> load(
+            ModelWish wish,
+            ModelDefinition model,
+            Set<ModelController.WishKey> open,
+            List<EngineDriver> engines,
+            EngineDefinition definition,
+            long nowMillis) {
+        Optional<Long> ready =
+                engines.stream()
+                        .filter(engine -> engine.isLoading(model.name()))
+                        .map(engine -> engine.readyMillis(nowMillis))
+                        .min(Comparator.naturalOrder());
+        if (ready.isPresent()) {
+            return wish.deadline().isPast(ready.get())
+                    ? Optional.of(new ModelAnswer.TooLate(ready.get() - nowMillis))
+                    : Optional.empty();
+        }
+        Optional<LoadPlan> plan = plan(model, open, engines, definition, nowMillis);
+        if (plan.isEmpty()) {
+            return Optional.empty();
+        }
+        begin(plan.get(), model, engines);
+        long readyMillis = nowMillis + plan.get().loadMillis();
+        return wish.deadline().isPast(readyMillis)
+                ? Optional.of(new ModelAnswer.TooLate(plan.get().loadMillis()))
+                : Optional.empty();
+    }
+
+    private Optional<LoadPlan> plan(
+            ModelDefinition model,
+            Set<ModelController.WishKey> open,
+            List<EngineDriver> engines,
+            EngineDefinition definition,
+            long nowMillis) {
+        boolean store = engines.stream().filter(EngineDriver::readsStore).count() < mStoreLoads;
+        List<EngineView> views =
+                engines.stream()
+                        .filter(engine -> !engine.models().containsKey(model.name()))
+                        .map(engine -> view(engine, open, engines, definition, nowMillis))
+                        .toList();
+        return mPlanner.plan(model, views, store);
+    }
+
+    private static void begin(LoadPlan plan, ModelDefinition model, List<EngineDriver> engines) {
+        EngineDriver engine =
+                engines.stream()
+                        .filter(each -> each.server().life().equals(plan.engine()))
+                        .findFirst()
+                        .orElseThrow();
+        for (String victim : plan.evict()) {
+            engine.plan(
+                    new EngineStep(
+                            false,
+                            victim,
+                            Optional.empty(),
+                            0,
+                            EngineDriver.UNLOAD_MILLIS,
+                            CopySource.MEMORY));
+        }
+        engine.plan(
+                new EngineStep(
+                        true,
+                        model.name(),
+                        Optional.empty(),
+                        model.megabytes(),
+                        plan.loadMillis(),
+                        plan.source()));
+    }
+
+    private EngineView view(
+            EngineDriver engine,
+            Set<ModelController.WishKey> open,
+            List<EngineDriver> engines,
+            EngineDefinition definition,
+            long nowMillis) {
+        Map<String, ModelView> models = new HashMap<>();
+        String server = engine.server().id();
+        engine.models()
+                .forEach(
+                        (name, adapters) -> {
+                            ModelDefinition model = definition.models().get(name);
+                            if (model != null) {
+                                models.put(
+                                        name,
+                                        new ModelView(
+                                                model.megabytes()
+                                                        + adapters.count()
+                                                                * model.adapterMegabytes(),
+                                                mDemand.active(server, name, nowMillis),
+                                                mDemand.rate(name, nowMillis),
+                                                replicas(name, engines),
+                                                isPinned(engine, name, open, nowMillis),
+                                                model.diskLoadMillis()));
+                            }
+                        });
+        return new EngineView(
+                engine.server().life(),
+                EngineMemory.free(engine, definition),
+                engine.isIdle(),
+                models,
+                engine.inMemory(),
+                engine.onDisk(),
+                mDemand.active(server, nowMillis));
+    }
+
+    private boolean isPinned(
+            EngineDriver engine, String model, Set<ModelController.WishKey> open, long nowMillis) {
+        long granted =
+                mGrantedMillis
+                        .getOrDefault(engine.server().life(), Map.of())
+                        .getOrDefault(model, Long.MIN_VALUE / 2);
+        return nowMillis - granted < SETTLE_MILLIS
+                || open.stream().anyMatch(key -> key.target().model().equals(model));
+    }
+
+    private static int replicas(String model, List<EngineDriver> engines) {
+        return (int)
+                engines.stream()
+                        .filter(e -> e.models().containsKey(model) || e.isLoading(model))
+                        .count();
+    }
+
+    /** Fills free places with what is asked for most, from copies at hand. */
+    void fill(
+            List<EngineDriver> engines,
+            EngineDefinition definition,
+            Set<ModelController.WishKey> open,
+            long nowMillis) {
+        for (EngineDriver engine : engines) {
+            double free = EngineMemory.free(engine, definition);
+            if (!engine.isIdle() || free <= 0) {
+                continue;
+            }
+            EngineView view = view(engine, open, engines, definition, nowMillis);
+            definition.models().values().stream()
+                    .filter(model -> model.megabytes() <= free)
+                    .filter(model -> !engine.models().containsKey(model.name()))
+                    .filter(m -> CheapestLoadPlanner.source(m.name(), view) != CopySource.STORE)
+                    .max(Comparator.comparingDouble(m -> gain(m.name(), engines, nowMillis)))
+                    .ifPresent(
+                            model -> {
+                                CopySource source = CheapestLoadPlanner.source(model.name(), view);
+                                long millis = CheapestLoadPlanner.loadMillis(model, source);
+                                begin(
+                                        new LoadPlan(view.life(), List.of(), source, millis),
+                                        model,
+                                        engines);
+                            });
+        }
+    }
+
+    private double gain(String model, List<EngineDriver> engines, long nowMillis) {
+        int replicas = replicas(model, engines);
+        double rate = mDemand.rate(model, nowMillis) + IDLE_RATE;
+        return rate / (1.0 + replicas * (double) replicas * 2);
+    }
+}
--- a/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
+++ b/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
@@ -21,7 +21,6 @@
 import org.cornelway.platform.KeyValue;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.Member;
-import org.cornelway.rpc.RelayReply;
 import org.cornelway.supervisor.Component;
 
 /**
@@ -43,14 +42,12 @@
     private static final String WATCH_PURPOSE = "watch";
 
     private final DocumentCache mCache;
-    private final RelayExchange mExchange;
     private final MemberTable mMembers;
-    private final PeerClient mPeers;
+    private final PeerExchanges mExchanges;
     private final KeyValueStore mStore;
     private final Scheduler mControl;
     private final RelaySettings mSettings;
     private final Random mRandom;
-    private final MetricRegistry mMetrics;
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private Optional<Disposable> mWatch = Optional.empty();
     private long mNextWatchMillis;
@@ -72,13 +69,17 @@
             MetricRegistry metrics) {
         mCache = cache;
         mMembers = members;
-        mExchange = new RelayExchange(members.self(), cache);
-        mPeers = peers;
+        mExchanges =
+                new PeerExchanges(
+                        peers,
+                        new RelayExchange(members.self(), cache),
+                        control,
+                        metrics,
+                        () -> mLastHeardMillis = now());
         mStore = store;
         mControl = control;
         mSettings = settings;
         mRandom = random;
-        mMetrics = metrics;
     }
 
     @Override
@@ -190,30 +191,8 @@
         peers.stream().limit(mSettings.fanOut()).forEach(this::exchange);
     }
 
-    private void send(Member peer, List<KeyValue> documents) {
-        mMetrics.counter("relay.documents").inc(documents.size());
-        mPeers.relay(peer, mExchange.request(documents))
-                .observeOn(mControl)
-                .subscribe(this::heard, e -> mMetrics.counter("relay.failures").inc());
-    }
-
     private void exchange(Member peer) {
-        mMetrics.counter("relay.exchanges").inc();
-        mPeers.relay(peer, mExchange.request(List.of()))
-                .observeOn(mControl)
-                .subscribe(
-                        reply -> {
-                            List<KeyValue> lacking = heard(reply);
-                            if (!lacking.isEmpty()) {
-                                send(peer, lacking);
-                            }
-                        },
-                        e -> mMetrics.counter("relay.failures").inc());
-    }
-
-    private List<KeyValue> heard(RelayReply reply) {
-        mLastHeardMillis = now();
-        return mExchange.take(reply);
+        mExchanges.exchange(peer);
     }
 
     private Optional<Member> randomPeer() {
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -0,0 +1,203 @@
+package org.cornelway.role;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.cluster.ClusterKeys;
+import org.cornelway.cluster.ClusterMember;
+import org.cornelway.cluster.ControllerDesk;
+import org.cornelway.cluster.Election;
+import org.cornelway.cluster.EntryPeers;
+import org.cornelway.cluster.ModelAsker;
+import org.cornelway.cluster.ProcessLease;
+import org.cornelway.cluster.Registration;
+import org.cornelway.cluster.StoreFollower;
+import org.cornelway.cluster.StoreHealth;
+import org.cornelway.cluster.SuspensionClock;
+import org.cornelway.cluster.UseReporter;
+import org.cornelway.directory.ServerLife;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.eventlog.EventLog;
+import org.cornelway.models.CheapestLoadPlanner;
+import org.cornelway.models.ModelController;
+import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.KeyValueStore;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.supervisor.Component;
+import org.cornelway.traffic.ModelDesk;
+import org.cornelway.traffic.TrafficPlane;
+
+/**
+ * What an entry agrees on with the others through the key-value service: its lease, its
+ * registration, the controller, and the models that calls wait for.
+ *
+ * <p>Confined to the control thread.
+ */
+final class ControlPlane implements Election.Listener {
+    /** A new configuration is applied at once; a series of them is gathered a little. */
+    private static final long CONFIGURATION_PAUSE_MILLIS = 150;
+
+    /** Servers change often while models move; a second is half of what a drain allows. */
+    private static final long SERVERS_PAUSE_MILLIS = 900;
+
+    private static final long OWN_PAUSE_MILLIS = 60;
+    private static final long RELEASE_MILLIS = 300;
+
+    private final Parts mParts;
+    private final StoreHealth mHealth;
+    private final ProcessLease mLease;
+    private final Registration mRegistration;
+    private final Election mElection;
+    private final ModelController mController;
+    private final ControllerDesk mDesk;
+    private final ModelAsker mAsker;
+    private final UseReporter mReporter;
+    private final List<StoreFollower> mFollowers;
+    private boolean mLeaving;
+
+    /**
+     * What the control plane works with. Immutable.
+     *
+     * @param self this process
+     * @param store the key-value service
+     */
+    record Parts(
+            ClusterMember self,
+            PlatformPorts ports,
+            PlatformPorts.Store store,
+            TrafficPlane traffic,
+            EntryPeers peers,
+            PlatformBeliefs beliefs,
+            DocumentCache cache,
+            Scheduler control,
+            EventLog log,
+            MetricRegistry metrics) {}
+
+    ControlPlane(Parts parts) {
+        mParts = parts;
+        PlatformBeliefs beliefs = parts.beliefs();
+        KeyValueStore keys = parts.store().keys();
+        Scheduler control = parts.control();
+        EventLog log = parts.log();
+        mHealth = new StoreHealth(log, parts.metrics(), beliefs::storeAway, beliefs::storeBack);
+        mLease = new ProcessLease(keys, control, SuspensionClock.system(), mHealth, log);
+        mRegistration = new Registration(parts.self(), keys, mLease, parts.cache(), control);
+        mElection = new Election(parts.self(), keys, mLease, parts.cache(), control, log, this);
+        EngineControl engines = parts.ports().engines().apply(parts.traffic().caller());
+        mController =
+                new ModelController(engines, control, mElection, new CheapestLoadPlanner(), log);
+        mDesk = new ControllerDesk(mController, mElection, this::life, control);
+        mAsker = newAsker();
+        mReporter =
+                new UseReporter(
+                        parts.self().id(),
+                        mElection,
+                        mDesk,
+                        parts.peers(),
+                        control,
+                        parts.traffic());
+        mFollowers =
+                List.of(
+                        follower(ClusterKeys.CONFIGURATION_PREFIX, CONFIGURATION_PAUSE_MILLIS),
+                        follower(ClusterKeys.SERVERS, SERVERS_PAUSE_MILLIS),
+                        follower(ClusterKeys.OWN, OWN_PAUSE_MILLIS));
+    }
+
+    private Optional<ServerLife> life(String server) {
+        return mParts.traffic().view().directory().find(server).map(ServerRecord::life);
+    }
+
+    private ModelAsker newAsker() {
+        return new ModelAsker(
+                mParts.self().id(),
+                mElection,
+                mDesk,
+                mParts.peers(),
+                mParts.control(),
+                mParts.log(),
+                mParts.traffic());
+    }
+
+    private StoreFollower follower(String prefix, long pauseMillis) {
+        return new StoreFollower(
+                prefix,
+                pauseMillis,
+                mParts.store().feed(),
+                mParts.cache(),
+                mHealth,
+                mParts.control(),
+                new Random(),
+                mParts.metrics());
+    }
+
+    /** Components that follow the key-value service. */
+    List<? extends Component> followers() {
+        return mFollowers;
+    }
+
+    /** Source of models for calls. */
+    ModelDesk models() {
+        return mAsker;
+    }
+
+    /** Answers other entries. */
+    ControllerDesk desk() {
+        return mDesk;
+    }
+
+    boolean isController() {
+        return mElection.fence().isPresent();
+    }
+
+    boolean isStoreAway() {
+        return mHealth.isAway();
+    }
+
+    /** Does what is due; called a few times a second. */
+    void step() {
+        mLease.step();
+        mRegistration.step();
+        mElection.step(!mLeaving, mParts.beliefs().rank(mParts.self().id()));
+        mController.work();
+    }
+
+    /** Reports what this process uses. */
+    void report() {
+        mReporter.step();
+    }
+
+    /** Takes over beliefs that changed. */
+    void beliefsChanged() {
+        mParts.beliefs().routes().ifPresent(mController::routesChanged);
+        mController.directoryChanged(mParts.traffic().view().directory());
+        mController.work();
+    }
+
+    /** Lets another process become the controller. */
+    void leave() {
+        mLeaving = true;
+        mElection.resign();
+    }
+
+    /** Ends the lease, so that the others see at once that this process is gone. */
+    Completable release() {
+        return Completable.defer(mLease::release)
+                .timeout(RELEASE_MILLIS, TimeUnit.MILLISECONDS)
+                .onErrorComplete();
+    }
+
+    @Override
+    public void began(long fence) {
+        mParts.beliefs().routes().ifPresent(mController::routesChanged);
+        mController.beginTerm(mParts.traffic().view().directory());
+    }
+
+    @Override
+    public void ended() {
+        mController.endTerm();
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/route/RouteTable.java
@@ -0,0 +1,58 @@
+package org.cornelway.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Finds the route of a call by its host and the longest prefix of its path.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class RouteTable {
+    private final RoutingConfiguration mConfiguration;
+    private final Map<String, List<Route>> mByHost = new HashMap<>();
+
+    /** Builds the table of a configuration. */
+    public RouteTable(RoutingConfiguration configuration) {
+        mConfiguration = configuration;
+        for (Route route : configuration.routes()) {
+            mByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> byLength = Comparator.comparingInt(route -> route.prefix().length());
+        mByHost.values().forEach(routes -> routes.sort(byLength.reversed()));
+    }
+
+    /** The configuration that the table was built from. */
+    public RoutingConfiguration configuration() {
+        return mConfiguration;
+    }
+
+    /**
+     * The route of a call.
+     *
+     * @param host value of the Host header; a port is ignored
+     * @param target path and query as the caller sent them
+     */
+    public Optional<Route> find(String host, String target) {
+        int colon = host.indexOf(':');
+        String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        for (Route route : mByHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** A service by name. */
+    public Optional<ServiceDefinition> service(String name) {
+        return Optional.ofNullable(mConfiguration.services().get(name));
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/route/package-info.java
@@ -0,0 +1,2 @@
+/** Routes, services and limits as the operator's configuration states them. */
+package org.cornelway.route;
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/CallHead.java
@@ -0,0 +1,22 @@
+package org.cornelway.traffic;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a caller's request head says. Immutable.
+ *
+ * @param requestId unique id of this attempt
+ * @param host value of the Host header
+ * @param waitMillis how long the caller waits from now; empty where it does not say
+ * @param target the model and adapter asked for; empty for a plain service
+ * @param promptParts ids of the parts of the prompt, in order
+ * @param lastEventId last event that the caller has of a stream that it resumes
+ */
+public record CallHead(
+        String requestId,
+        String host,
+        Optional<Long> waitMillis,
+        Optional<ModelTarget> target,
+        List<String> promptParts,
+        Optional<String> lastEventId) {}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/CallerAnswer.java
@@ -0,0 +1,28 @@
+package org.cornelway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/**
+ * Writes the one answer to a caller's request. Confined to the traffic thread.
+ *
+ * <p>Either {@link #whole}, or {@link #begin}, parts and {@link #end}; {@link #cut} at any time
+ * ends an answer so that it cannot be taken for a whole one.
+ */
+interface CallerAnswer {
+    /** Writes a whole answer; the body is released. */
+    void whole(HttpResponseStatus status, HttpHeaders headers, ByteBuf body);
+
+    /** Writes the head of an answer that comes in parts. */
+    void begin(HttpResponseStatus status, HttpHeaders headers);
+
+    /** Writes a part; it is released. */
+    void part(ByteBuf part);
+
+    /** Ends an answer that came in parts. */
+    void end();
+
+    /** Breaks the answer off. */
+    void cut();
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
@@ -0,0 +1,100 @@
+package org.cornelway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Splits a {@code text/event-stream} body into whole events.
+ *
+ * <p>Confined to the traffic thread. Source of the format: WHATWG HTML, section 9.2.
+ */
+final class EventStreamReader {
+    /** An event that is longer is broken; engines send some hundred bytes. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    private byte[] mBuffer = new byte[1_024];
+    private int mLength;
+
+    /** An event with its blank line, and its id if it has one. */
+    record Event(ByteBuf bytes, Optional<String> id) {}
+
+    /** Takes a part of the body over; events are then taken with {@link #next}. */
+    void feed(ByteBuf part) {
+        int more = part.readableBytes();
+        if (mLength + more > MAX_EVENT_BYTES) {
+            throw new IllegalStateException("an event of more than " + MAX_EVENT_BYTES + " bytes");
+        }
+        if (mLength + more > mBuffer.length) {
+            byte[] larger = new byte[Math.max(mBuffer.length * 2, mLength + more)];
+            System.arraycopy(mBuffer, 0, larger, 0, mLength);
+            mBuffer = larger;
+        }
+        part.getBytes(part.readerIndex(), mBuffer, mLength, more);
+        mLength += more;
+    }
+
+    /** The next whole event, or empty if more bytes are needed. */
+    Optional<Event> next() {
+        Optional<String> id = Optional.empty();
+        int start = 0;
+        while (start < mLength) {
+            int end = lineEnd(start);
+            if (end < 0) {
+                return Optional.empty();
+            }
+            int length = end - start;
+            if (length > 0 && mBuffer[end - 1] == '\r') {
+                length--;
+            }
+            if (length == 0) {
+                return Optional.of(take(end + 1, id));
+            }
+            if (startsWithId(start, length)) {
+                id = Optional.of(text(start + ID.length, length - ID.length));
+            }
+            start = end + 1;
+        }
+        return Optional.empty();
+    }
+
+    private int lineEnd(int from) {
+        for (int i = from; i < mLength; i++) {
+            if (mBuffer[i] == '\n') {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private boolean startsWithId(int start, int length) {
+        if (length < ID.length) {
+            return false;
+        }
+        for (int i = 0; i < ID.length; i++) {
+            if (mBuffer[start + i] != ID[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private String text(int start, int length) {
+        return new String(mBuffer, start, length, StandardCharsets.UTF_8).trim();
+    }
+
+    private Event take(int length, Optional<String> id) {
+        ByteBuf bytes = Unpooled.copiedBuffer(mBuffer, 0, length);
+        mLength -= length;
+        System.arraycopy(mBuffer, length, mBuffer, 0, mLength);
+        return new Event(bytes, id);
+    }
+
+    /** Whether an event has begun that is not whole. */
+    boolean hasPartial() {
+        return mLength > 0;
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/Exchange.java
@@ -0,0 +1,389 @@
+package org.cornelway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.config.Json;
+import org.cornelway.directory.ServerLife;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.Candidate;
+import org.cornelway.http.ErrorBody;
+import org.cornelway.result.ResultCode;
+import org.cornelway.route.CallKind;
+import org.cornelway.route.Route;
+import org.cornelway.route.RouteTable;
+import org.cornelway.time.Deadline;
+
+/**
+ * Takes one call of a caller to its end.
+ *
+ * <p>Invariants: the caller gets exactly one answer; a call that may not be repeated is sent again
+ * only after proof that it did not run; an answer says "not run" only if every send has that proof.
+ * Confined to the traffic thread; lives from the arrival of the call to its answer.
+ */
+final class Exchange {
+    /** Sends of one call, refused ones included. */
+    private static final int MAX_SENDS = 5;
+
+    /** Time left below which another send cannot succeed. */
+    private static final long LEAST_REMAINING_MILLIS = 25;
+
+    /** Pause before a call goes again to an engine that is about to hold the model. */
+    private static final long BUSY_PAUSE_MILLIS = 30;
+
+    /** Pause before asking again for a model at a server that is not known here. */
+    private static final long GRANT_PAUSE_MILLIS = 60;
+
+    private static final long COME_BACK_MILLIS = 300;
+
+    private static final int ENGINE_RANK_STEP = 2;
+    private static final int LAST_ENGINE_RANK = 9;
+
+    private final TrafficContext mContext;
+    private final CallerRequest mRequest;
+    private final CallerAnswer mAnswer;
+    private final CallLog mLog;
+    private final Set<String> mTried = new HashSet<>();
+    private Optional<Route> mRoute = Optional.empty();
+    private String mService = "";
+    private Deadline mDeadline;
+    private Optional<Attempt> mAttempt = Optional.empty();
+    private Optional<StreamRelay> mRelay = Optional.empty();
+    private Optional<WholeReply> mFailure = Optional.empty();
+    private Optional<ServerLife> mNotHeldBy = Optional.empty();
+    private String mLastReason = "none";
+    private long mVersion;
+    private int mSends;
+    private int mMayHaveRun;
+    private boolean mAsking;
+    private boolean mAsked;
+    private boolean mDone;
+
+    Exchange(TrafficContext context, CallerRequest request, CallerAnswer answer) {
+        mContext = context;
+        mRequest = request;
+        mAnswer = answer;
+        mLog = new CallLog(context, request);
+        mDeadline = request.callerDeadline();
+    }
+
+    /** Finds the route and sends the call on its way. */
+    void start() {
+        TrafficView view = mContext.view().get();
+        if (view.routes().isEmpty()) {
+            refuse(ResultCode.NOT_CONFIGURED, "no configuration is known yet", COME_BACK_MILLIS);
+            return;
+        }
+        mVersion = view.version();
+        RouteTable routes = view.routes().get();
+        mRoute = routes.find(mRequest.head().host(), mRequest.message().uri());
+        if (mRoute.isEmpty()) {
+            finishOwn(
+                    HttpResponseStatus.NOT_FOUND,
+                    ResultCode.UNKNOWN_SERVICE,
+                    "no route for this host and path",
+                    0);
+            return;
+        }
+        Route route = mRoute.get();
+        mService = route.serviceAt(mRequest.head().requestId().hashCode());
+        mContext.budget().onCall(mService);
+        if (route.kind() == CallKind.STREAM) {
+            mRelay = Optional.of(new StreamRelay(mAnswer, mRequest.head().lastEventId()));
+        }
+        followTimeout(route);
+        dispatch();
+    }
+
+    private void followTimeout(Route route) {
+        Deadline byRoute = Deadline.after(mRequest.arrivedMillis(), route.timeoutMillis());
+        Deadline byCaller = mRequest.callerDeadline();
+        mDeadline = byRoute.compareTo(byCaller) < 0 ? byRoute : byCaller;
+    }
+
+    private long now() {
+        return mContext.clock().nowMillis();
+    }
+
+    Route route() {
+        return mRoute.orElseThrow();
+    }
+
+    CallerRequest request() {
+        return mRequest;
+    }
+
+    Deadline deadline() {
+        return mDeadline;
+    }
+
+    Optional<StreamRelay> relay() {
+        return mRelay;
+    }
+
+    boolean isDone() {
+        return mDone;
+    }
+
+    /** Rank in the engine's queue, by the rank of the route. */
+    Optional<Integer> enginePriority() {
+        return mRequest.head()
+                .target()
+                .map(
+                        target ->
+                                Math.max(
+                                        0,
+                                        Math.min(
+                                                LAST_ENGINE_RANK,
+                                                route().priority() * ENGINE_RANK_STEP)));
+    }
+
+    private void dispatch() {
+        if (mDone || mAttempt.isPresent()) {
+            return;
+        }
+        if (mDeadline.remainingMillis(now()) < LEAST_REMAINING_MILLIS) {
+            giveUp(ResultCode.DEADLINE_PASSED, "no time left to send the call");
+            return;
+        }
+        Optional<ModelTarget> target = mRequest.head().target();
+        List<Candidate> candidates = holders().stream().map(mContext.loads()::candidate).toList();
+        boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
+        if (target.isPresent() && (candidates.isEmpty() || allSuspect && !mAsked)) {
+            candidates.stream().findFirst().ifPresent(c -> onNotHeld(c.server().life()));
+            askForModel(target.get());
+            return;
+        }
+        Optional<Candidate> chosen = mContext.chooser().choose(candidates, affinity(), mTried);
+        if (chosen.isPresent()) {
+            send(chosen.get());
+        } else {
+            giveUp(ResultCode.NO_REPLICA, "no backend server of " + mService);
+        }
+    }
+
+    /** Hash of the prompt parts that other calls share; the last part is the call's own. */
+    private int affinity() {
+        List<String> parts = mRequest.head().promptParts();
+        return parts.size() < 2 ? 0 : parts.subList(0, parts.size() - 1).hashCode() | 1;
+    }
+
+    private void send(Candidate chosen) {
+        int processes = mContext.view().get().processes();
+        if (mSends > 0 && !mContext.budget().tryResend(mService, processes)) {
+            giveUp(ResultCode.QUEUE_FULL, "no retry budget after: " + mLastReason);
+            return;
+        }
+        mSends++;
+        mTried.add(chosen.server().id());
+        Attempt attempt = new Attempt(mContext, this, chosen.server());
+        mAttempt = Optional.of(attempt);
+        mLog.sent(mSends, chosen, mDeadline.remainingMillis(now()));
+        attempt.start();
+    }
+
+    private void askForModel(ModelTarget target) {
+        if (mAsking) {
+            return;
+        }
+        mAsking = true;
+        mAsked = true;
+        mContext.desk()
+                .ask(
+                        new ModelDesk.Wish(
+                                mService, target, mDeadline, route().priority(), mNotHeldBy),
+                        this::modelTooLate);
+    }
+
+    private void modelTooLate(long expectedMillis) {
+        if (!mDone && mAttempt.isEmpty()) {
+            giveUp(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
+        }
+    }
+
+    /** Looks again for a server, since a model may have come somewhere. */
+    void modelsChanged() {
+        if (mAsking && mAttempt.isEmpty() && !holders().isEmpty()) {
+            mAsking = false;
+            dispatch();
+        }
+    }
+
+    private List<ServerRecord> holders() {
+        List<ServerRecord> usable = mContext.view().get().directory().usable(mService);
+        Optional<ModelTarget> target = mRequest.head().target();
+        return target.map(t -> mContext.holdings().holders(usable, t)).orElse(usable);
+    }
+
+    /** The controller named a server that holds a model. */
+    void granted(ModelTarget target) {
+        if (!mAsking || !mRequest.head().target().equals(Optional.of(target))) {
+            return;
+        }
+        mAsking = false;
+        if (holders().isEmpty()) {
+            // The server is not in this process's directory, or not any more.
+            mContext.loop().schedule(this::dispatch, GRANT_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            dispatch();
+        }
+    }
+
+    /** The attempt proved that the call did not run at its server. */
+    void onNotRun(Attempt attempt, String reason, boolean busy) {
+        mAttempt = Optional.empty();
+        mLastReason = reason;
+        mLog.sendEnded(attempt.server().id(), "not_run", reason);
+        if (mSends >= MAX_SENDS) {
+            giveUp(ResultCode.QUEUE_FULL, "not run after " + mSends + " sends: " + reason);
+        } else if (busy) {
+            mContext.loop().schedule(this::dispatch, BUSY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            dispatch();
+        }
+    }
+
+    /** Notes that a model was refused by a server that was believed to hold it. */
+    void onNotHeld(ServerLife life) {
+        mNotHeldBy = Optional.of(life);
+    }
+
+    /** The attempt failed, and the call may have run. */
+    void onMayHaveRun(Attempt attempt, String reason, Optional<WholeReply> failure) {
+        mAttempt = Optional.empty();
+        mLastReason = reason;
+        mMayHaveRun++;
+        mFailure = failure;
+        mLog.sendEnded(attempt.server().id(), "may_have_run", reason);
+        boolean begun = mRelay.map(StreamRelay::hasBegun).orElse(false);
+        boolean again =
+                route().isIdempotent()
+                        && mMayHaveRun < route().maxAttempts()
+                        && mSends < MAX_SENDS
+                        && mDeadline.remainingMillis(now()) >= LEAST_REMAINING_MILLIS
+                        && (!begun || mRelay.get().canResume());
+        if (again) {
+            mRelay.ifPresent(StreamRelay::dropPartial);
+            dispatch();
+        } else {
+            giveUp(ResultCode.OUTCOME_UNKNOWN, reason);
+        }
+    }
+
+    /** A whole answer came that the caller gets as it is. */
+    void onWhole(WholeReply reply) {
+        mAttempt = Optional.empty();
+        pass(reply);
+    }
+
+    private void pass(WholeReply reply) {
+        if (mDone) {
+            return;
+        }
+        done("answered", reply.status().code(), "");
+        mAnswer.whole(reply.status(), reply.headers(), reply.body());
+    }
+
+    /** A stream ended whole. */
+    void onStreamEnd() {
+        mAttempt = Optional.empty();
+        if (!mDone) {
+            done("streamed", HttpResponseStatus.OK.code(), "");
+            mRelay.orElseThrow().end();
+        }
+    }
+
+    /** Ends the call without a server's answer, or with the failure that a server gave. */
+    private void giveUp(ResultCode code, String reason) {
+        if (mDone) {
+            return;
+        }
+        mAttempt.ifPresent(Attempt::cancel);
+        if (mRelay.map(StreamRelay::hasBegun).orElse(false)) {
+            done("cut", 0, reason);
+            mAnswer.cut();
+        } else if (mFailure.isPresent()) {
+            pass(mFailure.get());
+        } else if (mMayHaveRun == 0) {
+            refuse(code, reason, COME_BACK_MILLIS);
+        } else {
+            boolean late = mDeadline.isPast(now());
+            finishOwn(
+                    late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
+                    late ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.OUTCOME_UNKNOWN,
+                    reason,
+                    0);
+        }
+    }
+
+    /** Refuses a call that has not run and never will. */
+    private void refuse(ResultCode code, String reason, long retryAfterMillis) {
+        finishOwn(HttpResponseStatus.SERVICE_UNAVAILABLE, code, reason, retryAfterMillis);
+    }
+
+    private void finishOwn(
+            HttpResponseStatus status, ResultCode code, String reason, long retryAfterMillis) {
+        done("own", status.code(), code + ": " + reason);
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        mContext.codec().own(mRequest.head().requestId(), retryAfterMillis, headers);
+        ByteBuf body =
+                Unpooled.wrappedBuffer(
+                        Json.write(ErrorBody.of(code, reason, mRequest.head().requestId())));
+        mAnswer.whole(status, headers, body);
+    }
+
+    private void done(String how, int status, String reason) {
+        mDone = true;
+        mLog.done(mRoute, how, status, mSends, reason);
+    }
+
+    /** Called a few times a second: deadlines, silent servers, changed timeouts. */
+    void tick() {
+        if (mDone) {
+            return;
+        }
+        followConfiguration();
+        if (mDeadline.isPast(now())) {
+            mAttempt.filter(Attempt::mayHaveRun).ifPresent(attempt -> mMayHaveRun++);
+            giveUp(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mLastReason);
+        } else {
+            mAttempt.ifPresent(Attempt::tick);
+        }
+    }
+
+    /** A change of a route's timeout also holds for the calls under way. */
+    private void followConfiguration() {
+        TrafficView view = mContext.view().get();
+        if (view.version() == mVersion || mRoute.isEmpty()) {
+            return;
+        }
+        mVersion = view.version();
+        String name = mRoute.get().name();
+        view.routes().stream()
+                .flatMap(table -> table.configuration().routes().stream())
+                .filter(route -> route.name().equals(name))
+                .findFirst()
+                .ifPresent(this::followTimeout);
+    }
+
+    /** Stops or goes on reading from the server while the caller does not read. */
+    void pause(boolean paused) {
+        mAttempt.ifPresent(attempt -> attempt.pause(paused));
+    }
+
+    /** The caller closed its connection: nobody waits for the answer. */
+    void callerLeft() {
+        if (!mDone) {
+            done("left", 0, "the caller left");
+            mAttempt.ifPresent(Attempt::cancel);
+            mAttempt = Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformCaller.java
@@ -0,0 +1,158 @@
+package org.cornelway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.internal.platform.HttpReply;
+import org.cornelway.internal.platform.NotSentException;
+
+/**
+ * Sends whole requests of the system's own and collects whole answers.
+ *
+ * <p>Thread-safe; the work is done on the traffic thread. Each call ends within its time limit, and
+ * a call that fails with {@link NotSentException} did not leave.
+ */
+public final class PlatformCaller {
+    private static final int MAX_REPLY_BYTES = 16 << 20;
+
+    private final EventLoop mLoop;
+    private final UpstreamPool mPool;
+
+    PlatformCaller(EventLoop loop, UpstreamPool pool) {
+        mLoop = loop;
+        mPool = pool;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param headers headers besides Host and the body's
+     * @param json body, or empty for none
+     * @param timeoutMillis time limit, from now
+     */
+    public Single<HttpReply> call(
+            HttpEndpoint endpoint,
+            String method,
+            String target,
+            Map<String, String> headers,
+            byte[] json,
+            long timeoutMillis) {
+        HttpHeaders all = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        all.set(HttpHeaderNames.HOST, endpoint.toString());
+        headers.forEach(all::set);
+        if (json.length > 0) {
+            all.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            all.set(HttpHeaderNames.CONTENT_LENGTH, json.length);
+        }
+        UpstreamRequest request =
+                new UpstreamRequest(
+                        HttpMethod.valueOf(method),
+                        target,
+                        all,
+                        Unpooled.wrappedBuffer(json),
+                        Optional.empty());
+        return Single.create(
+                emitter ->
+                        mLoop.execute(
+                                () -> new Call(emitter, timeoutMillis).start(endpoint, request)));
+    }
+
+    /** One call; confined to the traffic thread. */
+    private final class Call implements ReplyListener, UpstreamPool.Opening {
+        private final SingleEmitter<HttpReply> mEmitter;
+        private final long mTimeoutMillis;
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private Optional<UpstreamConnection> mConnection = Optional.empty();
+        private UpstreamRequest mRequest;
+        private int mStatus;
+        private String mType = "";
+        private boolean mDone;
+
+        Call(SingleEmitter<HttpReply> emitter, long timeoutMillis) {
+            mEmitter = emitter;
+            mTimeoutMillis = timeoutMillis;
+        }
+
+        void start(HttpEndpoint endpoint, UpstreamRequest request) {
+            mRequest = request;
+            mLoop.schedule(this::expire, mTimeoutMillis, TimeUnit.MILLISECONDS);
+            mPool.acquire(endpoint.host(), endpoint.port(), this);
+        }
+
+        @Override
+        public void opened(UpstreamConnection connection) {
+            if (mDone) {
+                mPool.release(connection);
+                return;
+            }
+            mConnection = Optional.of(connection);
+            connection.send(mRequest, this);
+        }
+
+        @Override
+        public void failed(String reason) {
+            fail(new NotSentException(reason));
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            mStatus = head.status().code();
+            mType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            if (mBody.size() + content.readableBytes() > MAX_REPLY_BYTES) {
+                mConnection.ifPresent(UpstreamConnection::cancel);
+                fail(new IOException("answer of more than " + MAX_REPLY_BYTES + " bytes"));
+                return;
+            }
+            byte[] bytes = new byte[content.readableBytes()];
+            content.getBytes(content.readerIndex(), bytes);
+            mBody.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            if (!mDone) {
+                mDone = true;
+                mEmitter.onSuccess(new HttpReply(mStatus, mType, mBody.toByteArray(), ""));
+            }
+        }
+
+        @Override
+        public void onBroken(boolean sent, String reason) {
+            fail(sent ? new IOException(reason) : new NotSentException(reason));
+        }
+
+        private void expire() {
+            if (!mDone) {
+                mConnection.ifPresent(UpstreamConnection::cancel);
+                fail(
+                        mConnection.isPresent()
+                                ? new IOException("no answer in " + mTimeoutMillis + " ms")
+                                : new NotSentException("no connection in " + mTimeoutMillis));
+            }
+        }
+
+        private void fail(Exception cause) {
+            if (!mDone) {
+                mDone = true;
+                mEmitter.tryOnError(cause);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/RequestChecks.java
@@ -0,0 +1,63 @@
+package org.cornelway.traffic;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelway.route.CallerLimits;
+
+/** Refuses request heads that are malformed, ambiguous or too long. Stateless. */
+final class RequestChecks {
+    private static final int SEPARATORS_BYTES = 4;
+
+    private RequestChecks() {}
+
+    /** The status that a request is refused with, or empty if it is well formed. */
+    static Optional<HttpResponseStatus> fault(HttpRequest request, CallerLimits limits) {
+        if (request.decoderResult().isFailure()) {
+            Throwable cause = request.decoderResult().cause();
+            boolean tooLong =
+                    cause instanceof TooLongHttpHeaderException
+                            || cause instanceof TooLongHttpLineException;
+            return Optional.of(
+                    tooLong
+                            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                            : HttpResponseStatus.BAD_REQUEST);
+        }
+        if (headBytes(request) > limits.maxHeaderBytes()) {
+            return Optional.of(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+        }
+        if (!request.uri().startsWith("/") || isAmbiguous(request)) {
+            return Optional.of(HttpResponseStatus.BAD_REQUEST);
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            return Optional.of(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isAmbiguous(HttpRequest request) {
+        List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (encodings.isEmpty()) {
+            return false;
+        }
+        return encodings.size() > 1
+                || !encodings.get(0).trim().equalsIgnoreCase("chunked")
+                || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || !request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+    }
+
+    private static int headBytes(HttpRequest request) {
+        int bytes = request.method().name().length() + request.uri().length();
+        for (Map.Entry<String, String> header : request.headers()) {
+            bytes += header.getKey().length() + header.getValue().length() + SEPARATORS_BYTES;
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
@@ -0,0 +1,40 @@
+package org.cornelway.traffic;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes answers; an answer to HEAD has no body whatever its head says.
+ *
+ * <p>Confined to its connection.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+    private static final int CHUNK_BYTES = 16 << 10;
+
+    private boolean mBodyless;
+
+    StrictResponseDecoder() {
+        super(
+                new HttpDecoderConfig()
+                        .setMaxHeaderSize(MAX_HEAD_BYTES)
+                        .setMaxChunkSize(CHUNK_BYTES)
+                        .setAllowDuplicateContentLengths(false));
+    }
+
+    /** Says whether the answer that comes next has no body. */
+    void expectBodyless(boolean bodyless) {
+        mBodyless = bodyless;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return mBodyless || super.isContentAlwaysEmpty(message);
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamRequest.java
@@ -0,0 +1,37 @@
+package org.cornelway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+
+/**
+ * A request to a backend server or to the platform. Immutable; its body is read-only.
+ *
+ * @param method HTTP method
+ * @param target path and query, byte for byte
+ * @param headers complete headers
+ * @param body whole body
+ * @param requestId id that the answer must echo; empty where answers echo none
+ */
+record UpstreamRequest(
+        HttpMethod method,
+        String target,
+        HttpHeaders headers,
+        ByteBuf body,
+        Optional<String> requestId) {
+
+    /** The message to write; it has its own reference to the body. */
+    DefaultFullHttpRequest message() {
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                method,
+                target,
+                body.retainedDuplicate(),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+    }
+}
