Wait for an engine with a copy at hand, and refuse a model that comes too late

Also a safe call with one attempt was given up after 450 ms though no other send was allowed. Change: the planner prices the wait for a busy engine; wishes end when callers leave a silent stream; a conflict keeps the steps; a stall only moves a call that may move.

--- a/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
@@ -11,8 +11,8 @@
  * Loads where the load and what it displaces cost callers the least time.
  *
  * <p>Answers many rarely called models on few places: a copy at hand loads ten times as fast as one
- * from the store, and the model displaced is the one whose callers lose least. Pure and
- * thread-safe.
+ * from the store, so that it pays to wait for an engine that has one, and the model displaced is
+ * the one whose callers lose least. Pure and thread-safe.
  */
 public final class CheapestLoadPlanner implements LoadPlanner {
     /** Time that an unload waits for the calls under way with the model. */
@@ -34,7 +34,6 @@
     public Optional<LoadPlan> plan(
             ModelDefinition model, List<EngineView> engines, boolean storeAllowed) {
         return engines.stream()
-                .filter(EngineView::idle)
                 .flatMap(engine -> price(model, engine).stream())
                 .filter(priced -> storeAllowed || priced.plan().source() != CopySource.STORE)
                 .min(Comparator.comparingDouble(Priced::millis))
@@ -44,7 +43,7 @@
     private static Optional<Priced> price(ModelDefinition model, EngineView engine) {
         CopySource source = source(model.name(), engine);
         long load = loadMillis(model, source);
-        double total = load + SHARED_MILLIS * engine.active();
+        double total = engine.waitMillis() + load + SHARED_MILLIS * engine.active();
         double free = engine.freeMegabytes();
         List<String> evict = new ArrayList<>();
         List<Map.Entry<String, ModelView>> victims =
@@ -62,7 +61,11 @@
         }
         return free < model.megabytes()
                 ? Optional.empty()
-                : Optional.of(new Priced(new LoadPlan(engine.life(), evict, source, load), total));
+                : Optional.of(
+                        new Priced(
+                                new LoadPlan(
+                                        engine.life(), evict, source, engine.waitMillis(), load),
+                                total));
     }
 
     /** Where an engine takes a model's weights from. */
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -32,10 +32,16 @@
     /** Time between two reports while an order is late; reports lag by some hundred ms. */
     private static final long POLL_MILLIS = 70;
 
+    private static final long CONFLICT_MILLIS = 40;
+
     /** First pause after a call that failed; doubles up to the last. */
     private static final long FIRST_RETRY_MILLIS = 150;
 
     private static final long LAST_RETRY_MILLIS = 1_200;
+
+    /** Time after which an engine is known again that must be read first. */
+    private static final long UNSURE_MILLIS = 120;
+
     private static final int UNREACHABLE_FAILURES = 2;
 
     private final EngineControl mEngines;
@@ -44,8 +50,7 @@
     private final Map<String, HeldAdapters> mModels = new HashMap<>();
     private final Deque<EngineStep> mSteps = new ArrayDeque<>();
     private ServerRecord mServer;
-    private Set<String> mInMemory;
-    private Set<String> mOnDisk;
+    private final EngineCopies mCopies;
     private Optional<EngineStep> mUnderWay = Optional.empty();
     private Optional<EngineStep> mUnsettled = Optional.empty();
     private boolean mKnown;
@@ -74,10 +79,17 @@
     /** A term of the controller. */
     record Term(String holder, long fence) {}
 
-    EngineDriver(ServerRecord server, EngineControl engines, Scheduler control, Listener listener) {
+    /**
+     * @param hostMegabytes host memory for copies of weights
+     */
+    EngineDriver(
+            ServerRecord server,
+            double hostMegabytes,
+            EngineControl engines,
+            Scheduler control,
+            Listener listener) {
         mServer = server;
-        mInMemory = server.inMemory();
-        mOnDisk = new HashSet<>(server.onDisk());
+        mCopies = new EngineCopies(server, hostMegabytes);
         mEngines = engines;
         mControl = control;
         mListener = listener;
@@ -115,6 +127,15 @@
                 && !mMustRead;
     }
 
+    /** Time until a model order can begin, as far as is known; 0 if it can now. */
+    long waitMillis(long nowMillis) {
+        if (isIdle()) {
+            return 0;
+        }
+        long unsure = mMustRead || mUnsettled.isPresent() ? UNSURE_MILLIS : 0;
+        return Math.max(1, readyMillis(nowMillis) - nowMillis) + unsure;
+    }
+
     /** Whether an adapter order can begin now; these may overlap. */
     boolean takesAdapters() {
         return isKnown() && mSteps.isEmpty() && mUnsettled.isEmpty() && !mMustRead;
@@ -124,12 +145,8 @@
         return mModels;
     }
 
-    Set<String> inMemory() {
-        return mInMemory;
-    }
-
-    Set<String> onDisk() {
-        return mOnDisk;
+    EngineCopies copies() {
+        return mCopies;
     }
 
     /** Whether a model is on its way in. */
@@ -248,6 +265,7 @@
             // Sent once more under the same number, so that the lost order can never act later.
             mSteps.addFirst(unsettled.get());
         } else if (accepted) {
+            // Somebody else's order, or one that was taken for lost: what was planned is void.
             mSteps.clear();
         }
         mListener.changed(this);
@@ -266,8 +284,7 @@
                                     .forEach(name -> all.add(name.substring(prefix.length())));
                             held(model).retain(all, nowMillis);
                         });
-        mInMemory = report.inMemory();
-        mOnDisk = new HashSet<>(report.onDisk());
+        mCopies.adopt(report);
     }
 
     private HeldAdapters held(String model) {
@@ -320,6 +337,10 @@
             mListener.outranked();
         } else if (reply instanceof OrderReply.NotSent) {
             failed();
+        } else if (reply instanceof OrderReply.Conflict) {
+            // An unload waits for its calls; the steps go on unless the count of orders differs.
+            mMustRead = true;
+            mNextCallMillis = nowMillis + CONFLICT_MILLIS;
         } else {
             mSteps.clear();
             mMustRead = true;
@@ -353,7 +374,7 @@
             }
         } else if (step.load()) {
             held(step.model());
-            mOnDisk.add(step.model());
+            mCopies.loaded(step.model(), step.megabytes());
         } else {
             mModels.remove(step.model());
         }
--- a/org.cornelway/src/org/cornelway/models/EngineView.java
+++ b/org.cornelway/src/org/cornelway/models/EngineView.java
@@ -9,7 +9,7 @@
  *
  * @param life the engine
  * @param freeMegabytes memory that neither a model nor an order under way takes
- * @param idle whether it can take an order now
+ * @param waitMillis time until it can take an order about a model; 0 if it can now
  * @param models models that it holds
  * @param inMemory models of which its host memory has a copy
  * @param onDisk models of which its disk has a copy
@@ -18,7 +18,7 @@
 public record EngineView(
         ServerLife life,
         double freeMegabytes,
-        boolean idle,
+        long waitMillis,
         Map<String, ModelView> models,
         Set<String> inMemory,
         Set<String> onDisk,
--- a/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
@@ -12,7 +12,7 @@
             ModelDefinition model, List<EngineView> engines, boolean storeAllowed) {
         for (EngineView engine : engines) {
             CopySource source = CheapestLoadPlanner.source(model.name(), engine);
-            if (!engine.idle() || source == CopySource.STORE && !storeAllowed) {
+            if (engine.waitMillis() > 0 || source == CopySource.STORE && !storeAllowed) {
                 continue;
             }
             Optional<LoadPlan> plan = at(model, engine, source);
@@ -27,7 +27,7 @@
             ModelDefinition model, EngineView engine, CopySource source) {
         long millis = CheapestLoadPlanner.loadMillis(model, source);
         if (engine.freeMegabytes() >= model.megabytes()) {
-            return Optional.of(new LoadPlan(engine.life(), List.of(), source, millis));
+            return Optional.of(new LoadPlan(engine.life(), List.of(), source, 0, millis));
         }
         return engine.models().entrySet().stream()
                 .filter(entry -> !entry.getValue().pinned())
@@ -37,6 +37,6 @@
                                         >= model.megabytes())
                 .map(Map.Entry::getKey)
                 .findFirst()
-                .map(victim -> new LoadPlan(engine.life(), List.of(victim), source, millis));
+                .map(victim -> new LoadPlan(engine.life(), List.of(victim), source, 0, millis));
     }
 }
--- a/org.cornelway/src/org/cornelway/models/LoadPlan.java
+++ b/org.cornelway/src/org/cornelway/models/LoadPlan.java
@@ -9,6 +9,12 @@
  * @param engine the engine
  * @param evict models that make room first, in order
  * @param source where the weights come from
+ * @param waitMillis time until the engine can begin; 0 if it can now
  * @param loadMillis time of the load itself
  */
-public record LoadPlan(ServerLife engine, List<String> evict, CopySource source, long loadMillis) {}
+public record LoadPlan(
+        ServerLife engine,
+        List<String> evict,
+        CopySource source,
+        long waitMillis,
+        long loadMillis) {}
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -122,10 +122,12 @@
     public void directoryChanged(DirectorySnapshot directory) {
         mDrivers.keySet().removeIf(life -> !directory.isUsable(life));
         for (ServerRecord server : directory.all().values()) {
-            if (!server.draining() && engine(server.service()).isPresent()) {
+            Optional<EngineDefinition> engine = engine(server.service());
+            if (!server.draining() && engine.isPresent()) {
+                double host = engine.get().hostMegabytes();
                 mDrivers.computeIfAbsent(
                                 server.life(),
-                                life -> new EngineDriver(server, mEngines, mControl, this))
+                                life -> new EngineDriver(server, host, mEngines, mControl, this))
                         .announced(server);
             }
         }
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -105,10 +105,12 @@
         if (plan.isEmpty()) {
             return Optional.empty();
         }
-        begin(plan.get(), model, engines);
-        long readyMillis = nowMillis + plan.get().loadMillis();
-        return wish.deadline().isPast(readyMillis)
-                ? Optional.of(new ModelAnswer.TooLate(plan.get().loadMillis()))
+        if (plan.get().waitMillis() == 0) {
+            begin(plan.get(), model, engines);
+        }
+        long millis = plan.get().waitMillis() + plan.get().loadMillis();
+        return wish.deadline().isPast(nowMillis + millis)
+                ? Optional.of(new ModelAnswer.TooLate(millis))
                 : Optional.empty();
     }
 
@@ -121,6 +123,7 @@
         boolean store = engines.stream().filter(EngineDriver::readsStore).count() < mStoreLoads;
         List<EngineView> views =
                 engines.stream()
+                        .filter(EngineDriver::isKnown)
                         .filter(engine -> !engine.models().containsKey(model.name()))
                         .map(engine -> view(engine, open, engines, definition, nowMillis))
                         .toList();
@@ -182,10 +185,10 @@
         return new EngineView(
                 engine.server().life(),
                 EngineMemory.free(engine, definition),
-                engine.isIdle(),
+                engine.waitMillis(nowMillis),
                 models,
-                engine.inMemory(),
-                engine.onDisk(),
+                engine.copies().inMemory(),
+                engine.copies().onDisk(),
                 mDemand.active(server, nowMillis));
     }
 
@@ -228,7 +231,7 @@
                                 CopySource source = CheapestLoadPlanner.source(model.name(), view);
                                 long millis = CheapestLoadPlanner.loadMillis(model, source);
                                 begin(
-                                        new LoadPlan(view.life(), List.of(), source, millis),
+                                        new LoadPlan(view.life(), List.of(), source, 0, millis),
                                         model,
                                         engines);
                             });
--- a/org.cornelway/src/org/cornelway/route/EngineDefinition.java
+++ b/org.cornelway/src/org/cornelway/route/EngineDefinition.java
@@ -8,6 +8,7 @@
  * @param slots requests in one batch
  * @param kvTokens tokens of KV cache
  * @param weightsMegabytes memory for weights and adapters together
+ * @param hostMegabytes host memory for copies of weights
  * @param adapterSlots adapters that an engine can hold
  * @param storeLoadsPerSecond loads from the weight store that may begin each second, all engines
  *     together
@@ -17,6 +18,7 @@
         int slots,
         long kvTokens,
         double weightsMegabytes,
+        double hostMegabytes,
         int adapterSlots,
         double storeLoadsPerSecond,
         Map<String, ModelDefinition> models) {}
--- a/org.cornelway/src/org/cornelway/route/Route.java
+++ b/org.cornelway/src/org/cornelway/route/Route.java
@@ -31,12 +31,26 @@
         boolean sticky,
         boolean resumable,
         long targetGapMillis) {
+    private static final long LEAST_SILENCE_MILLIS = 2_000;
+    private static final long SILENCE_TARGETS = 4;
+    private static final long SILENCE_GAPS = 8;
 
     /** Whether a call may run more than once. */
     public boolean isIdempotent() {
         return kind == CallKind.SAFE || kind == CallKind.STREAM && resumable;
     }
 
+    /**
+     * Time without an event after which callers leave a stream, also before the first event.
+     *
+     * <p>Source: the platform's page on callers.
+     */
+    public long silenceMillis() {
+        return Math.max(
+                LEAST_SILENCE_MILLIS,
+                Math.max(SILENCE_TARGETS * targetLatencyMillis, SILENCE_GAPS * targetGapMillis));
+    }
+
     /**
      * The service for one call.
      *
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -247,7 +247,7 @@
 
     /** Looks for a server that has gone silent; a call that may be repeated then goes elsewhere. */
     void tick() {
-        if (mEnded || mConnection.isEmpty() || !mExchange.route().isIdempotent()) {
+        if (mEnded || mConnection.isEmpty() || !mExchange.canRepeat()) {
             return;
         }
         long silent = mContext.clock().nowMillis() - mProgressMillis;
--- a/org.cornelway/src/org/cornelway/traffic/CallHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHead.java
@@ -19,4 +19,11 @@
         Optional<Long> waitMillis,
         Optional<ModelTarget> target,
         List<String> promptParts,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId) {
+    /** Hash of the prompt's parts that other calls share; the last part is the call's own. */
+    public int sharedPartsHash() {
+        return promptParts.size() < 2
+                ? 0
+                : promptParts.subList(0, promptParts.size() - 1).hashCode() | 1;
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/Exchange.java
+++ b/org.cornelway/src/org/cornelway/traffic/Exchange.java
@@ -43,9 +43,6 @@
 
     private static final long COME_BACK_MILLIS = 300;
 
-    private static final int ENGINE_RANK_STEP = 2;
-    private static final int LAST_ENGINE_RANK = 9;
-
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
     private final CallerAnswer mAnswer;
@@ -59,6 +56,7 @@
     private Optional<WholeReply> mFailure = Optional.empty();
     private Optional<ServerLife> mNotHeldBy = Optional.empty();
     private String mLastReason = "none";
+    private long mComeBackMillis = COME_BACK_MILLIS;
     private long mVersion;
     private int mSends;
     private int mMayHaveRun;
@@ -134,15 +132,7 @@
 
     /** Rank in the engine's queue, by the rank of the route. */
     Optional<Integer> enginePriority() {
-        return mRequest.head()
-                .target()
-                .map(
-                        target ->
-                                Math.max(
-                                        0,
-                                        Math.min(
-                                                LAST_ENGINE_RANK,
-                                                route().priority() * ENGINE_RANK_STEP)));
+        return mRequest.head().target().map(target -> EngineRank.of(route()));
     }
 
     private void dispatch() {
@@ -161,7 +151,8 @@
             askForModel(target.get());
             return;
         }
-        Optional<Candidate> chosen = mContext.chooser().choose(candidates, affinity(), mTried);
+        Optional<Candidate> chosen =
+                mContext.chooser().choose(candidates, mRequest.head().sharedPartsHash(), mTried);
         if (chosen.isPresent()) {
             send(chosen.get());
         } else {
@@ -169,12 +160,6 @@
         }
     }
 
-    /** Hash of the prompt parts that other calls share; the last part is the call's own. */
-    private int affinity() {
-        List<String> parts = mRequest.head().promptParts();
-        return parts.size() < 2 ? 0 : parts.subList(0, parts.size() - 1).hashCode() | 1;
-    }
-
     private void send(Candidate chosen) {
         int processes = mContext.view().get().processes();
         if (mSends > 0 && !mContext.budget().tryResend(mService, processes)) {
@@ -198,12 +183,19 @@
         mContext.desk()
                 .ask(
                         new ModelDesk.Wish(
-                                mService, target, mDeadline, route().priority(), mNotHeldBy),
+                                mService, target, firstEventBy(), route().priority(), mNotHeldBy),
                         this::modelTooLate);
     }
 
+    /** A caller leaves a stream that has no event for long, so a model must come before that. */
+    private Deadline firstEventBy() {
+        Deadline patience = Deadline.after(mRequest.arrivedMillis(), route().silenceMillis());
+        return patience.compareTo(mDeadline) < 0 ? patience : mDeadline;
+    }
+
     private void modelTooLate(long expectedMillis) {
         if (!mDone && mAttempt.isEmpty()) {
+            mComeBackMillis = Math.max(COME_BACK_MILLIS, expectedMillis);
             giveUp(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
         }
     }
@@ -262,14 +254,7 @@
         mMayHaveRun++;
         mFailure = failure;
         mLog.sendEnded(attempt.server().id(), "may_have_run", reason);
-        boolean begun = mRelay.map(StreamRelay::hasBegun).orElse(false);
-        boolean again =
-                route().isIdempotent()
-                        && mMayHaveRun < route().maxAttempts()
-                        && mSends < MAX_SENDS
-                        && mDeadline.remainingMillis(now()) >= LEAST_REMAINING_MILLIS
-                        && (!begun || mRelay.get().canResume());
-        if (again) {
+        if (canRepeat(mMayHaveRun)) {
             mRelay.ifPresent(StreamRelay::dropPartial);
             dispatch();
         } else {
@@ -277,6 +262,20 @@
         }
     }
 
+    /** Whether the call could go to another server if the attempt under way failed. */
+    boolean canRepeat() {
+        return canRepeat(mMayHaveRun + 1);
+    }
+
+    private boolean canRepeat(int mayHaveRun) {
+        boolean begun = mRelay.map(StreamRelay::hasBegun).orElse(false);
+        return route().isIdempotent()
+                && mayHaveRun < route().maxAttempts()
+                && mSends < MAX_SENDS
+                && mDeadline.remainingMillis(now()) >= LEAST_REMAINING_MILLIS
+                && (!begun || mRelay.get().canResume());
+    }
+
     /** A whole answer came that the caller gets as it is. */
     void onWhole(WholeReply reply) {
         mAttempt = Optional.empty();
@@ -312,7 +311,7 @@
         } else if (mFailure.isPresent()) {
             pass(mFailure.get());
         } else if (mMayHaveRun == 0) {
-            refuse(code, reason, COME_BACK_MILLIS);
+            refuse(code, reason, mComeBackMillis);
         } else {
             boolean late = mDeadline.isPast(now());
             finishOwn(
