--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/ArchiveProgram.java
@@ -0,0 +1,71 @@
+package org.cornelway.bench.direct;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.cornelway.bench.LoopbackHttp;
+import org.cornelway.bench.LoopbackHttp.Header;
+
+/**
+ * Makes the class-data archive of an entry from a run that exercises the request path.
+ *
+ * <p>Arguments: the archive's path below the repository, then the flags that the entry will have in
+ * production, since an archive only fits the virtual machine that it was made for.
+ */
+public final class ArchiveProgram {
+    private static final int ROUNDS = 40;
+
+    private ArchiveProgram() {}
+
+    /** Runs the program. */
+    public static void main(String[] arguments) throws Exception {
+        Path root = Path.of(System.getProperty("cornelway.root"));
+        Path archive = root.resolve(arguments[0]);
+        Files.deleteIfExists(archive);
+        List<String> flags = new ArrayList<>(Arrays.asList(arguments).subList(1, arguments.length));
+        flags.add("-XX:ArchiveClassesAtExit=" + arguments[0]);
+        try (DirectFleet fleet = new DirectFleet(root, 2)) {
+            fleet.addServer(DirectFleet.PLAIN, "p1");
+            fleet.addServer(DirectFleet.ENGINES, "e1", "m1");
+            fleet.addServer(DirectFleet.ENGINES, "e2", "m1");
+            fleet.configure();
+            fleet.startEntry(1);
+            fleet.awaitReady(1);
+            fleet.startEntry(0, flags);
+            fleet.awaitReady(0);
+            exercise(fleet);
+            fleet.signal(0, "TERM");
+            fleet.entry(0).onExit().join();
+            if (!Files.exists(archive)) {
+                System.err.println(Files.readString(fleet.log(0)));
+                throw new IllegalStateException("no archive was written to " + archive);
+            }
+        }
+    }
+
+    private static void exercise(DirectFleet fleet) {
+        for (int i = 0; i < ROUNDS; i++) {
+            call(fleet, "/safe/a", "");
+            call(fleet, "/unsafe/a", "");
+            call(fleet, "/resume/a", "m1");
+            call(fleet, "/stream/a", i % 2 == 0 ? "m2" : "m3/a1");
+            call(fleet, "/nowhere/a", "");
+        }
+    }
+
+    private static void call(DirectFleet fleet, String path, String model) {
+        List<Header> headers =
+                new ArrayList<>(
+                        List.of(
+                                new Header("Host", DirectFleet.HOST),
+                                new Header("X-Request-Id", path + System.nanoTime()),
+                                new Header("X-Deadline-Ms", "3000")));
+        if (!model.isEmpty()) {
+            headers.add(new Header("X-Model", model));
+        }
+        LoopbackHttp http = fleet.http();
+        http.call("POST", fleet.front(0), path, "body", headers.toArray(Header[]::new));
+    }
+}
--- /dev/null
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -0,0 +1,253 @@
+package org.cornelway.bench.direct;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cornelway.bench.LoopbackHttp;
+import org.cornelway.bench.ProcessFleet;
+import org.cornelway.config.Json;
+import org.cornelway.standin.platform.BackendServerStandin;
+import org.cornelway.standin.platform.PlatformStoreStandin;
+
+/**
+ * Entries as separate processes before stand-ins of the users' platform in this process.
+ *
+ * <p>Used by one thread. Ends only processes that it started.
+ */
+public final class DirectFleet implements AutoCloseable {
+    /** Host of all routes. */
+    public static final String HOST = "fleet.example";
+
+    /** Service with model engines. */
+    public static final String ENGINES = "engines";
+
+    /** Plain service. */
+    public static final String PLAIN = "plain";
+
+    private static final long BEAT = 1;
+
+    private final Path mRoot;
+    private final Path mFolder;
+    private final Vertx mVertx = Vertx.vertx();
+    private final PlatformStoreStandin mStore = new PlatformStoreStandin(mVertx);
+    private final LoopbackHttp mHttp = new LoopbackHttp(mVertx);
+    private final Map<String, BackendServerStandin> mServers = new HashMap<>();
+    private final Map<Integer, Process> mEntries = new HashMap<>();
+    private final List<Ports> mPorts = new ArrayList<>();
+    private int mVersion;
+
+    /** Ports of one entry. */
+    private record Ports(int front, int ready, int control) {}
+
+    /**
+     * @param root the repository
+     * @param entries entries that may be started
+     */
+    public DirectFleet(Path root, int entries) {
+        mRoot = root;
+        try {
+            mFolder = Files.createTempDirectory("direct-fleet");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        for (int i = 0; i < entries; i++) {
+            mPorts.add(new Ports(freePort(), freePort(), freePort()));
+        }
+    }
+
+    private static int freePort() {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return probe.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The store. */
+    public PlatformStoreStandin store() {
+        return mStore;
+    }
+
+    /** Sends calls to entries. */
+    public LoopbackHttp http() {
+        return mHttp;
+    }
+
+    /** Port for callers. */
+    public int front(int entry) {
+        return mPorts.get(entry).front();
+    }
+
+    /** Port of the readiness check. */
+    public int ready(int entry) {
+        return mPorts.get(entry).ready();
+    }
+
+    /** A backend server by id. */
+    public BackendServerStandin server(String id) {
+        return mServers.get(id);
+    }
+
+    /** Adds a backend server and announces it. */
+    public BackendServerStandin addServer(String service, String id, String... models) {
+        BackendServerStandin server = new BackendServerStandin(mVertx, id, models);
+        mServers.put(id, server);
+        announce(service, id, "ready", BEAT);
+        return server;
+    }
+
+    /** Writes what a server announces. */
+    public void announce(String service, String id, String state, long beat) {
+        byte[] value = mServers.get(id).announcement(service, state, beat);
+        mStore.run(state1 -> state1.put("servers/" + id, value, 0));
+    }
+
+    /** Puts a configuration with the usual routes in force. */
+    public void configure(RouteChange... changes) {
+        ObjectNode root = Json.mapper().createObjectNode().put("Version", ++mVersion * 3);
+        ArrayNode routes = root.putArray("Routes");
+        route(routes, "/safe/", "safe", PLAIN, 2);
+        route(routes, "/unsafe/", "unsafe", PLAIN, 1);
+        route(routes, "/resume/", "streaming", ENGINES, 2).put("CanResume", true);
+        route(routes, "/stream/", "streaming", ENGINES, 1).put("CanResume", false);
+        for (RouteChange change : changes) {
+            change.apply(routes);
+        }
+        ArrayNode services = root.putArray("Services");
+        services.addObject().put("Name", PLAIN).put("MaxConns", 50);
+        ObjectNode engine =
+                services.addObject().put("Name", ENGINES).put("MaxConns", 50).putObject("Engine");
+        engine.put("Slots", 8).put("WeightsSize", 200.0).put("AdapterSlots", 4);
+        engine.put("HostMb", 100.0).put("LoadsPerS", 5.0);
+        ArrayNode models = engine.putArray("Models");
+        for (String name : List.of("m1", "m2", "m3")) {
+            models.addObject()
+                    .put("Name", name)
+                    .put("WeightsSize", 100.0)
+                    .put("LoadS", 0.1)
+                    .put("DiskS", 0.05)
+                    .put("WarmS", 0.05)
+                    .put("Adapters", 2)
+                    .put("AdapterMb", 0.1);
+        }
+        mStore.run(state -> state.put("op/config", Json.write(root), 0));
+    }
+
+    /** A change to the usual routes. */
+    public interface RouteChange {
+        /** Applies it to the list of routes. */
+        void apply(ArrayNode routes);
+    }
+
+    /** Adds a route. */
+    public static ObjectNode route(
+            ArrayNode routes, String prefix, String kind, String service, int attempts) {
+        return routes.addObject()
+                .put("Name", "r" + prefix)
+                .put("Host", HOST)
+                .put("Prefix", prefix)
+                .put("Kind", kind)
+                .put("TimeoutMs", 5_000)
+                .put("TargetLatencyMs", 1_000)
+                .put("Priority", 1)
+                .put("Service", service)
+                .put("MaxAttempts", attempts)
+                .put("TargetGapMs", 200);
+    }
+
+    /** Starts an entry; it is ready when {@link #awaitReady} returns. */
+    public void startEntry(int index) {
+        startEntry(index, List.of("-Xmx96m"));
+    }
+
+    /** Starts an entry with flags for its virtual machine. */
+    public void startEntry(int index, List<String> flags) {
+        Path settings = mFolder.resolve("entry-" + index + ".json");
+        try {
+            Files.write(settings, Json.write(settings(index)));
+            List<String> command = new ArrayList<>(List.of("java", "-XX:-UsePerfData"));
+            command.addAll(flags);
+            command.addAll(List.of("-jar", "target/cornelway", "direct-entry"));
+            ProcessBuilder builder = new ProcessBuilder(command).directory(mRoot.toFile());
+            builder.environment().put("CORNELWAY_SETTINGS", settings.toString());
+            builder.environment().put("CORNELWAY_CLUSTER_KEY", "a-secret-of-the-test-fleet");
+            builder.redirectErrorStream(true);
+            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(index).toFile()));
+            mEntries.put(index, builder.start());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The log of an entry. */
+    public Path log(int index) {
+        return mFolder.resolve("entry-" + index + ".log");
+    }
+
+    private ObjectNode settings(int index) {
+        Ports ports = mPorts.get(index);
+        ObjectNode root =
+                Json.mapper()
+                        .createObjectNode()
+                        .put("NodeName", "entry-" + index)
+                        .put("Zone", "z")
+                        .put("Region", "r");
+        root.putArray("Seeds").add(address(mPorts.get(0).control()));
+        root.putObject("Listen")
+                .put("Front", address(ports.front()))
+                .put("Ready", address(ports.ready()))
+                .put("Control", address(ports.control()));
+        root.putObject("Platform").put("Address", address(mStore.port()));
+        root.putObject("Bounds")
+                .put("GraceS", 8)
+                .put("RetryWindowS", 10)
+                .put("RetryBudgetRatio", 0.2)
+                .put("RetrySlack", 58);
+        return root;
+    }
+
+    private static String address(int port) {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Waits until an entry takes callers. */
+    public void awaitReady(int index) {
+        ProcessFleet.await("entry " + index, () -> mHttp.isOk(ready(index), "/ready"));
+    }
+
+    /** Sends a signal to an entry. */
+    public void signal(int index, String signal) {
+        try {
+            long pid = mEntries.get(index).pid();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The process of an entry. */
+    public Process entry(int index) {
+        return mEntries.get(index);
+    }
+
+    @Override
+    public void close() {
+        mEntries.values().forEach(Process::destroyForcibly);
+        mEntries.values().forEach(process -> process.onExit().join());
+        mServers.values().forEach(BackendServerStandin::close);
+        mStore.close();
+        mVertx.close().await();
+    }
+}
--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -12,6 +12,8 @@
 import org.cornelway.role.DirectEntryRole;
 import org.cornelway.role.DirectEntrySettings;
 import org.cornelway.role.PlatformPorts;
+import org.cornelway.role.SettingsSource;
+import sun.misc.Signal;
 
 /** Runs an entry that calls backend servers itself, with the settings that its platform gives. */
 @Parameters(commandDescription = "Runs an entry on the users' platform")
@@ -55,9 +57,12 @@
             return EXIT_USAGE;
         }
         try {
-            DirectEntrySettings settings = WireSettings.read(Path.of(path), key);
-            return RoleRunner.run(
-                    new DirectEntryRole(settings, ports()), settings.bounds().graceMillis());
+            SettingsSource source = () -> WireSettings.read(Path.of(path), key);
+            DirectEntrySettings settings = source.read();
+            DirectEntryRole role = new DirectEntryRole(settings, source, ports());
+            // Without a handler the signal would end the process.
+            Signal.handle(new Signal("HUP"), signal -> role.reload());
+            return RoleRunner.run(role, settings.bounds().graceMillis());
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
             return EXIT_USAGE;
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -0,0 +1,150 @@
+package org.cornelway.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.eventlog.EventLog;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.standin.InMemoryKeyValueStore;
+import org.cornelway.standin.InMemoryKeyValueStore.CallFault;
+import org.cornelway.standin.KeyValueEngine;
+import org.cornelway.time.Clock;
+import org.testng.annotations.Test;
+
+/** At most one process may order, in random runs with freezes, cuts and lost answers. */
+public class ElectionTest {
+    private static final int PROCESSES = 4;
+    private static final int STEPS = 4_000;
+    private static final long STEP_MILLIS = 20;
+
+    private final TestScheduler mTime = new TestScheduler();
+    private final Clock mClock = () -> mTime.now(TimeUnit.MILLISECONDS);
+
+    /** One process; a frozen one does nothing, a cut one reaches no store. */
+    private final class Candidate implements Election.Listener {
+        private final DocumentCache mCache =
+                new DocumentCache(Invariants.strict(), new MetricRegistry());
+        private final KeyValueEngine mStore;
+        private final ProcessLease mLease;
+        private final Election mElection;
+        private final int mRank;
+        private final Random mRandom;
+        private long mFrozenUntil;
+        private long mCutUntil;
+
+        Candidate(KeyValueEngine store, int rank, Random random) {
+            mStore = store;
+            mRank = rank;
+            mRandom = random;
+            MetricRegistry metrics = new MetricRegistry();
+            EventLog log = new EventLog(mClock, metrics);
+            InMemoryKeyValueStore keys = new InMemoryKeyValueStore(store, mTime, this::fault);
+            StoreHealth health = new StoreHealth(log, metrics, () -> {}, () -> {});
+            SuspensionClock clock = new SuspensionClock(mClock::nowMillis, mClock::nowMillis);
+            mLease = new ProcessLease(keys, mTime, clock, health, log);
+            ClusterMember self = new ClusterMember("p" + rank, "h:" + rank, "r", "z", rank);
+            mElection = new Election(self, keys, mLease, mCache, mTime, log, this);
+        }
+
+        private CallFault fault() {
+            boolean cut = mClock.nowMillis() < mCutUntil;
+            return new CallFault(2 + mRandom.nextInt(30), cut, mRandom.nextInt(20) == 0);
+        }
+
+        void step() {
+            long now = mClock.nowMillis();
+            if (now < mFrozenUntil) {
+                return;
+            }
+            if (now >= mCutUntil && mRandom.nextInt(4) == 0) {
+                mCache.offer(
+                        mStore.get(ClusterKeys.CONTROLLER)
+                                .orElse(
+                                        new KeyValue(
+                                                ClusterKeys.CONTROLLER,
+                                                new byte[0],
+                                                Math.max(1, mStore.revision()))));
+            }
+            mLease.step();
+            mElection.step(true, mRank);
+        }
+
+        boolean mayOrder() {
+            return mClock.nowMillis() >= mFrozenUntil && mElection.fence().isPresent();
+        }
+
+        @Override
+        public void began(long fence) {}
+
+        @Override
+        public void ended() {}
+    }
+
+    private void disturb(Candidate each, Random random) {
+        if (random.nextInt(400) == 0) {
+            each.mFrozenUntil = mClock.nowMillis() + random.nextInt(6_000);
+        }
+        if (random.nextInt(400) == 0) {
+            each.mCutUntil = mClock.nowMillis() + random.nextInt(6_000);
+        }
+    }
+
+    @Test
+    public void atMostOneMayOrderAndFencesRise() {
+        for (long seed = 0; seed < 12; seed++) {
+            Random random = new Random(seed);
+            KeyValueEngine store = new KeyValueEngine(mClock);
+            List<Candidate> all = new ArrayList<>();
+            for (int i = 0; i < PROCESSES; i++) {
+                all.add(new Candidate(store, i, random));
+            }
+            long highest = 0;
+            int terms = 0;
+            for (int step = 0; step < STEPS; step++) {
+                all.forEach(each -> disturb(each, random));
+                all.forEach(Candidate::step);
+                mTime.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+                List<Candidate> holders = all.stream().filter(Candidate::mayOrder).toList();
+                assertThat(holders.size()).as("seed %d step %d", seed, step).isLessThanOrEqualTo(1);
+                for (Candidate holder : holders) {
+                    long fence = holder.mElection.fence().orElseThrow();
+                    assertThat(fence).as("seed " + seed).isGreaterThanOrEqualTo(highest);
+                    terms += fence > highest ? 1 : 0;
+                    highest = fence;
+                }
+            }
+            assertThat(terms).as("seed " + seed).isGreaterThan(3);
+        }
+    }
+
+    @Test
+    public void trustingLeasesThroughFreezesLetsTwoOrder() {
+        KeyValueEngine store = new KeyValueEngine(mClock);
+        Random random = new Random(1);
+        Candidate first = new Candidate(store, 0, random);
+        Candidate second = new Candidate(store, 1, random);
+        advance(first, second, 100);
+        assertThat(first.mayOrder()).isTrue();
+        boolean believedBeforeTheFreeze = first.mayOrder();
+        first.mFrozenUntil = mClock.nowMillis() + 5_000;
+        advance(first, second, 260);
+        assertThat(second.mayOrder()).isTrue();
+        assertThat(believedBeforeTheFreeze && second.mayOrder()).isTrue();
+        assertThat(first.mElection.fence()).isEmpty();
+    }
+
+    private void advance(Candidate first, Candidate second, int steps) {
+        for (int i = 0; i < steps; i++) {
+            first.step();
+            second.step();
+            mTime.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/cluster/SuspensionClockTest.java
@@ -0,0 +1,23 @@
+package org.cornelway.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.Test;
+
+/** Suspensions and jumps of the time of day. */
+public class SuspensionClockTest {
+    private final AtomicLong mMonotonic = new AtomicLong(5_000);
+    private final AtomicLong mWall = new AtomicLong(1_000_000);
+    private final SuspensionClock mClock = new SuspensionClock(mMonotonic::get, mWall::get);
+
+    @Test
+    public void countsSuspensionAndIgnoresJumpsBack() {
+        SuspensionClock.Mark mark = mClock.mark();
+        mMonotonic.addAndGet(10);
+        mWall.addAndGet(4_000);
+        assertThat(mClock.since(mark)).isEqualTo(4_000);
+        mWall.addAndGet(-9_000);
+        assertThat(mClock.since(mark)).isEqualTo(10);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
@@ -0,0 +1,91 @@
+package org.cornelway.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.cornelway.Repository;
+import org.cornelway.bench.LoopbackHttp.Header;
+import org.cornelway.bench.LoopbackHttp.Reply;
+import org.cornelway.bench.direct.DirectFleet;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/** A fleet of entries before stand-ins of the users' platform, for each test. */
+public abstract class DirectTestBase {
+    static final int OK = 200;
+    static final int EVENTS = 5;
+
+    private DirectFleet mFleet;
+
+    int entries() {
+        return 1;
+    }
+
+    @BeforeMethod
+    public final void startFleet() {
+        mFleet = new DirectFleet(Repository.root(), entries());
+        mFleet.addServer(DirectFleet.PLAIN, "p1");
+        mFleet.addServer(DirectFleet.PLAIN, "p2");
+        mFleet.addServer(DirectFleet.ENGINES, "e1", "m1", "m2");
+        mFleet.addServer(DirectFleet.ENGINES, "e2", "m1");
+        mFleet.configure();
+        for (int i = 0; i < entries(); i++) {
+            mFleet.startEntry(i);
+        }
+        for (int i = 0; i < entries(); i++) {
+            mFleet.awaitReady(i);
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public final void stopFleet() {
+        if (mFleet != null) {
+            mFleet.close();
+        }
+    }
+
+    final DirectFleet fleet() {
+        return mFleet;
+    }
+
+    static Header[] headers(String id, String model) {
+        List<Header> headers = new ArrayList<>();
+        headers.add(new Header("Host", DirectFleet.HOST));
+        headers.add(new Header("X-Request-Id", id));
+        headers.add(new Header("X-Deadline-Ms", "4000"));
+        if (!model.isEmpty()) {
+            headers.add(new Header("X-Model", model));
+        }
+        return headers.toArray(Header[]::new);
+    }
+
+    static String newId() {
+        return UUID.randomUUID().toString();
+    }
+
+    final Reply call(String path, String body) {
+        return fleet().http().call("POST", fleet().front(0), path, body, headers(newId(), ""));
+    }
+
+    final Reply stream(String path, String model) {
+        return fleet().http().call("POST", fleet().front(0), path, "p", headers(newId(), model));
+    }
+
+    /** Calls that a server began to work on. */
+    final long ran(String server) {
+        return fleet().server(server).arrivals().stream().filter(call -> call.ran()).count();
+    }
+
+    /** Checks that a stream has each event once and in order. */
+    static void assertWholeStream(Reply reply) {
+        assertThat(reply.status()).as(reply.body()).isEqualTo(OK);
+        List<String> ids = reply.body().lines().filter(line -> line.startsWith("id: ")).toList();
+        List<String> expected = new ArrayList<>();
+        for (int i = 1; i <= EVENTS; i++) {
+            expected.add("id: " + i);
+        }
+        assertThat(ids).isEqualTo(expected);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/direct/TwoEntriesProcessTest.java
@@ -0,0 +1,56 @@
+package org.cornelway.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.cornelway.bench.ProcessFleet;
+import org.cornelway.standin.platform.PlatformStoreStandin.Fault;
+import org.testng.annotations.Test;
+
+/** Two entries as real processes: what they learn from each other, and who orders the engines. */
+public class TwoEntriesProcessTest extends DirectTestBase {
+    @Override
+    int entries() {
+        return 2;
+    }
+
+    @Test
+    public void restartedEntryServesFromPeerWhileTheStoreIsAway() {
+        fleet().store().fail(Fault.SILENT);
+        fleet().signal(1, "KILL");
+        fleet().entry(1).onExit().join();
+        fleet().startEntry(1);
+        fleet().awaitReady(1);
+        assertThat(
+                        fleet().http()
+                                .call(
+                                        "POST",
+                                        fleet().front(1),
+                                        "/safe/a",
+                                        "x",
+                                        headers(newId(), ""))
+                                .body())
+                .isEqualTo("done x");
+    }
+
+    @Test
+    public void survivorOrdersTheEnginesAfterTheControllerDied() {
+        fleet().signal(1, "KILL");
+        ProcessFleet.await(
+                "model from the survivor", () -> stream("/stream/a", "m3").status() == OK);
+        fleet().startEntry(1);
+        fleet().awaitReady(1);
+        fleet().signal(0, "KILL");
+        ProcessFleet.await(
+                "model from the restarted entry",
+                () ->
+                        fleet().http()
+                                        .call(
+                                                "POST",
+                                                fleet().front(1),
+                                                "/stream/a",
+                                                "p",
+                                                headers(newId(), "m3"))
+                                        .status()
+                                == OK);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/directory/ServerDirectoryTest.java
@@ -0,0 +1,103 @@
+package org.cornelway.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Lives, drains and outages of the store. */
+public class ServerDirectoryTest {
+    private static final long GRACE = ServerDirectory.RETURN_GRACE_MILLIS;
+
+    private static ServerRecord record(String id, long born, long beat, boolean draining) {
+        return new ServerRecord(
+                new ServerLife(id, born),
+                "s",
+                "127.0.0.1",
+                1,
+                "z",
+                1,
+                draining,
+                beat,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
+    private static boolean usable(ServerDirectory directory, String id) {
+        return directory.snapshot().usable("s").stream().anyMatch(s -> s.id().equals(id));
+    }
+
+    @Test
+    public void olderAnnouncementOrLifeChangesNothing() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("a", 10, 5, true), 1);
+        assertThat(directory.put(record("a", 10, 4, false), 2)).isFalse();
+        assertThat(directory.put(record("a", 9, 9, false), 3)).isFalse();
+        assertThat(usable(directory, "a")).isFalse();
+        assertThat(directory.put(record("a", 11, 1, false), 4)).isTrue();
+        assertThat(usable(directory, "a")).isTrue();
+    }
+
+    @Test
+    public void endedEntryIsGoneAtOnceWhileTheStoreAnswers() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("a", 1, 1, false), 1);
+        assertThat(directory.remove("a", 2, 100_000)).isTrue();
+        assertThat(directory.snapshot().all()).isEmpty();
+    }
+
+    @Test
+    public void entryThatLapsedInAnOutageStaysUntilItsServerHadTimeToReturn() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("back", 1, 1, false), 1);
+        directory.put(record("gone", 1, 1, false), 2);
+        directory.storeAway();
+        directory.storeBack(10_000);
+        assertThat(directory.remove("back", 3, 10_010)).isFalse();
+        assertThat(directory.remove("gone", 4, 10_010)).isFalse();
+        assertThat(usable(directory, "gone")).isTrue();
+        directory.put(record("back", 1, 2, false), 5);
+        assertThat(directory.expire(10_000 + GRACE - 1)).isFalse();
+        assertThat(directory.expire(10_000 + GRACE)).isTrue();
+        assertThat(usable(directory, "back")).isTrue();
+        assertThat(usable(directory, "gone")).isFalse();
+    }
+
+    @Test
+    public void listingEndsWhatItLacks() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("a", 1, 1, false), 1);
+        directory.put(record("b", 1, 1, false), 2);
+        directory.retain(Set.of("a"), 3, 100_000);
+        assertThat(directory.snapshot().all()).containsOnlyKeys("a");
+    }
+
+    @Test
+    public void drainHoldsForLivesInRandomOrder() {
+        for (int seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            ServerDirectory directory = new ServerDirectory();
+            long drainedLife = -1;
+            long newestLife = -1;
+            long revision = 0;
+            for (int i = 0; i < 60; i++) {
+                long born = random.nextInt(4);
+                boolean draining = random.nextInt(6) == 0;
+                ServerRecord record = record("a", born, random.nextInt(20), draining);
+                boolean changed = directory.put(record, ++revision);
+                newestLife = Math.max(newestLife, born);
+                if (changed && draining) {
+                    drainedLife = born;
+                }
+                ServerRecord held = directory.snapshot().find("a").orElseThrow();
+                assertThat(held.life().bornMillis()).as("seed " + seed).isEqualTo(newestLife);
+                if (drainedLife == newestLife) {
+                    assertThat(held.draining()).as("seed " + seed).isTrue();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/LeastLoadedChooserTest.java
@@ -0,0 +1,103 @@
+package org.cornelway.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.cornelway.directory.ServerLife;
+import org.cornelway.directory.ServerRecord;
+import org.testng.annotations.Test;
+
+/** Choices one by one, and waiting times under a played load against the baseline. */
+public class LeastLoadedChooserTest {
+    private final ServerChooser mChooser = new LeastLoadedChooser();
+
+    private static ServerRecord server(String id) {
+        return new ServerRecord(
+                new ServerLife(id, 1),
+                "s",
+                "127.0.0.1",
+                1,
+                "z",
+                8,
+                false,
+                1,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
+    private static Candidate candidate(String id, int inFlight, double slowness, boolean suspect) {
+        return new Candidate(server(id), inFlight, 0, slowness, 0, suspect, true);
+    }
+
+    private String choose(List<Candidate> candidates, int affinity, Set<String> tried) {
+        return mChooser.choose(candidates, affinity, tried).orElseThrow().server().id();
+    }
+
+    @Test
+    public void leavesSuspectTriedAndSlowServersOut() {
+        List<Candidate> two = List.of(candidate("a", 0, 1, true), candidate("b", 5, 1, false));
+        assertThat(choose(two, 0, Set.of())).isEqualTo("b");
+        List<Candidate> slow = List.of(candidate("a", 1, 8, false), candidate("b", 3, 1, false));
+        assertThat(choose(slow, 0, Set.of())).isEqualTo("b");
+        assertThat(choose(slow, 0, Set.of("b"))).isEqualTo("a");
+        assertThat(mChooser.choose(List.of(), 0, Set.of())).isEmpty();
+    }
+
+    @Test
+    public void affinityHoldsUntilTheServerIsLoaded() {
+        for (int affinity = 1; affinity < 50; affinity++) {
+            List<Candidate> calm =
+                    List.of(candidate("a", 0, 1, false), candidate("b", 0, 1, false));
+            String home = choose(calm, affinity, Set.of());
+            List<Candidate> busy =
+                    List.of(
+                            candidate("a", home.equals("a") ? 6 : 0, 1, false),
+                            candidate("b", home.equals("b") ? 6 : 0, 1, false));
+            assertThat(choose(busy, affinity, Set.of())).isNotEqualTo(home);
+        }
+    }
+
+    /** Plays calls on servers of which one is slow; returns the total time that calls took. */
+    private static long play(ServerChooser chooser, long seed) {
+        Random random = new Random(seed);
+        int[] inFlight = new int[3];
+        List<long[]> ends = new ArrayList<>();
+        long total = 0;
+        for (long now = 0; now < 20_000; now += 5) {
+            long time = now;
+            ends.removeIf(
+                    end -> {
+                        if (end[0] <= time) {
+                            inFlight[(int) end[1]]--;
+                        }
+                        return end[0] <= time;
+                    });
+            List<Candidate> candidates = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                candidates.add(candidate("s" + i, inFlight[i], 1, false));
+            }
+            int chosen =
+                    chooser.choose(candidates, 0, Set.of())
+                            .map(c -> c.server().id().charAt(1) - '0')
+                            .orElseThrow();
+            long work = (20 + random.nextInt(20)) * (chosen == 0 ? 5 : 1);
+            long took = work * (1 + inFlight[chosen] / 8);
+            total += took;
+            inFlight[chosen]++;
+            ends.add(new long[] {now + took, chosen});
+        }
+        return total;
+    }
+
+    @Test
+    public void callsTakeLessTimeThanWithTheBaseline() {
+        for (long seed = 0; seed < 5; seed++) {
+            assertThat(play(mChooser, seed)).isLessThan(play(new FirstChooser(), seed));
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/ResendBudgetTest.java
@@ -0,0 +1,69 @@
+package org.cornelway.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.Test;
+
+/** The bound over all processes, in random runs, against a version without a budget. */
+public class ResendBudgetTest {
+    private static final long WINDOW = 10_000;
+    private static final double RATIO = 0.2;
+    private static final double SLACK = 58;
+    private static final int PROCESSES = 5;
+
+    /** Grants resends. */
+    private interface Grants {
+        boolean resend(int process);
+    }
+
+    /** Plays calls of which many fail; returns the worst excess over the bound in any window. */
+    private static double worstExcess(long seed, boolean budgeted) {
+        Random random = new Random(seed);
+        AtomicLong now = new AtomicLong(1_000_000);
+        List<ResendBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            budgets.add(new ResendBudget(now::get, WINDOW, RATIO, SLACK));
+        }
+        Grants grants = process -> !budgeted || budgets.get(process).tryResend("s", PROCESSES);
+        Deque<Long> calls = new ArrayDeque<>();
+        Deque<Long> resends = new ArrayDeque<>();
+        double worst = Double.NEGATIVE_INFINITY;
+        for (int i = 0; i < 6_000; i++) {
+            now.addAndGet(random.nextInt(12));
+            int process = random.nextInt(10) < 6 ? 0 : random.nextInt(PROCESSES);
+            budgets.get(process).onCall("s");
+            calls.add(now.get());
+            for (int send = 0; send < 3 && random.nextInt(10) < 7; send++) {
+                if (grants.resend(process)) {
+                    resends.add(now.get());
+                }
+            }
+            while (calls.peek() <= now.get() - WINDOW) {
+                calls.poll();
+            }
+            while (!resends.isEmpty() && resends.peek() <= now.get() - WINDOW) {
+                resends.poll();
+            }
+            worst = Math.max(worst, resends.size() - RATIO * calls.size() - SLACK);
+        }
+        return worst;
+    }
+
+    @Test
+    public void resendsOfAllProcessesStayWithinTheBound() {
+        for (long seed = 0; seed < 20; seed++) {
+            assertThat(worstExcess(seed, true)).as("seed " + seed).isLessThanOrEqualTo(0);
+        }
+    }
+
+    @Test
+    public void withoutBudgetTheBoundBreaks() {
+        assertThat(worstExcess(0, false)).isPositive();
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
@@ -0,0 +1,126 @@
+package org.cornelway.models;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.cornelway.directory.ServerLife;
+import org.cornelway.route.ModelDefinition;
+import org.testng.annotations.Test;
+
+/** Where models are loaded: single cases, and the time that callers wait against the baseline. */
+public class LoadPlannerTest {
+    private static final double MODEL_MB = 70;
+    private static final long STORE = 6_000;
+    private static final long DISK = 600;
+
+    private final LoadPlanner mPlanner = new CheapestLoadPlanner();
+
+    private static ModelDefinition model(String name) {
+        return new ModelDefinition(name, MODEL_MB, STORE, DISK, 470, 0, 0);
+    }
+
+    private static EngineView engine(
+            String id, long wait, Map<String, ModelView> models, Set<String> disk) {
+        return new EngineView(
+                new ServerLife(id, 1),
+                3 * MODEL_MB - models.size() * MODEL_MB,
+                wait,
+                models,
+                Set.of(),
+                disk,
+                0);
+    }
+
+    private static ModelView held(int active, double rate, int replicas, boolean pinned) {
+        return new ModelView(MODEL_MB, active, rate, replicas, pinned, DISK);
+    }
+
+    @Test
+    public void waitsForCopiesAtHandRatherThanReadTheStore() {
+        LoadPlan plan =
+                mPlanner.plan(
+                                model("x"),
+                                List.of(
+                                        engine("idle", 0, Map.of(), Set.of()),
+                                        engine("busy", 700, Map.of(), Set.of("x"))),
+                                true)
+                        .orElseThrow();
+        assertThat(plan.engine().id()).isEqualTo("busy");
+        assertThat(plan.waitMillis()).isEqualTo(700);
+        assertThat(plan.source()).isEqualTo(CopySource.DISK);
+    }
+
+    @Test
+    public void storeIsReadOnlyWhereThatIsAllowed() {
+        List<EngineView> engines = List.of(engine("a", 0, Map.of(), Set.of()));
+        assertThat(mPlanner.plan(model("x"), engines, false)).isEmpty();
+        assertThat(mPlanner.plan(model("x"), engines, true)).isPresent();
+    }
+
+    @Test
+    public void displacesWhatCallersMissLeast() {
+        Map<String, ModelView> models =
+                Map.of(
+                        "busy", held(3, 5, 1, false),
+                        "idle", held(0, 0.1, 1, false),
+                        "pinned", held(0, 0, 1, true));
+        LoadPlan plan =
+                mPlanner.plan(model("x"), List.of(engine("a", 0, models, Set.of("x"))), true)
+                        .orElseThrow();
+        assertThat(plan.evict()).containsExactly("idle");
+        Map<String, ModelView> pinned =
+                Map.of(
+                        "a", held(0, 0, 1, true),
+                        "b", held(0, 0, 1, true),
+                        "c", held(0, 0, 1, true));
+        assertThat(mPlanner.plan(model("x"), List.of(engine("a", 0, pinned, Set.of("x"))), true))
+                .isEmpty();
+    }
+
+    /** Asks for rare models in turn; returns the total time until each was there. */
+    private static long play(LoadPlanner planner, long seed) {
+        Random random = new Random(seed);
+        int engines = 4;
+        List<Map<String, ModelView>> held = new java.util.ArrayList<>();
+        List<Set<String>> disks = new java.util.ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            held.add(new HashMap<>());
+            Set<String> disk = new java.util.HashSet<>();
+            for (int j = 0; j < 6; j++) {
+                disk.add("m" + random.nextInt(16));
+            }
+            disks.add(disk);
+        }
+        long total = 0;
+        for (int call = 0; call < 300; call++) {
+            int rank = random.nextInt(16);
+            String name = "m" + (random.nextBoolean() ? rank % 3 : rank);
+            if (held.stream().anyMatch(models -> models.containsKey(name))) {
+                continue;
+            }
+            List<EngineView> views = new java.util.ArrayList<>();
+            for (int i = 0; i < engines; i++) {
+                views.add(engine(Integer.toString(i), 0, held.get(i), disks.get(i)));
+            }
+            LoadPlan plan = planner.plan(model(name), views, true).orElseThrow();
+            int at = Integer.parseInt(plan.engine().id());
+            plan.evict().forEach(held.get(at)::remove);
+            double rate = Integer.parseInt(name.substring(1)) < 3 ? 3 : 0.1;
+            held.get(at).put(name, held(0, rate, 1, false));
+            disks.get(at).add(name);
+            total += plan.loadMillis();
+        }
+        return total;
+    }
+
+    @Test
+    public void callersWaitLessThanWithTheBaseline() {
+        for (long seed = 0; seed < 10; seed++) {
+            assertThat(play(mPlanner, seed)).isLessThan(play(new FirstFitLoadPlanner(), seed));
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/models/SimulatedEngine.java
@@ -0,0 +1,137 @@
+package org.cornelway.models;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.directory.ServerLife;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineReport;
+import org.cornelway.platform.OrderReply;
+import org.cornelway.platform.ServerOrder;
+
+/**
+ * An engine in virtual time that may lose answers and carry orders out late.
+ *
+ * <p>Invariant, asserted: it is never ordered to hold more than its memory.
+ */
+final class SimulatedEngine implements EngineControl {
+    static final double MODEL_MEGABYTES = 100;
+    static final long LOAD_MILLIS = 60;
+
+    private final TestScheduler mTime;
+    private final Random mRandom;
+    private final double mLostShare;
+    private final int mPlaces;
+    private final Map<String, Set<String>> mModels = new HashMap<>();
+    private long mOrders;
+    private boolean mBusy;
+    private int mOvercommits;
+
+    SimulatedEngine(TestScheduler time, long seed, double lostShare, int places, String... models) {
+        mTime = time;
+        mRandom = new Random(seed);
+        mLostShare = lostShare;
+        mPlaces = places;
+        for (String model : models) {
+            mModels.put(model, new HashSet<>());
+        }
+    }
+
+    static ServerRecord record() {
+        return new ServerRecord(
+                new ServerLife("e", 1),
+                "s",
+                "127.0.0.1",
+                1,
+                "z",
+                8,
+                false,
+                1,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
+    Set<String> models() {
+        return mModels.keySet();
+    }
+
+    int overcommits() {
+        return mOvercommits;
+    }
+
+    @Override
+    public Single<EngineReport> report(ServerRecord server) {
+        return Single.timer(2, TimeUnit.MILLISECONDS, mTime)
+                .map(
+                        tick ->
+                                new EngineReport(
+                                        1,
+                                        mOrders,
+                                        mBusy,
+                                        new HashMap<>(mModels),
+                                        Set.of(),
+                                        Set.of(),
+                                        Set.of("m1", "m2", "m3", "m4"),
+                                        0,
+                                        0));
+    }
+
+    @Override
+    public Single<OrderReply> order(ServerRecord server, ServerOrder order) {
+        if (mRandom.nextDouble() < mLostShare) {
+            long late = 100 + mRandom.nextInt(3_000);
+            if (mRandom.nextBoolean()) {
+                mTime.scheduleDirect(() -> carryOut(order), late, TimeUnit.MILLISECONDS);
+            }
+            return Single.timer(400, TimeUnit.MILLISECONDS, mTime)
+                    .map(tick -> new OrderReply.Unsettled("lost"));
+        }
+        return Single.timer(2, TimeUnit.MILLISECONDS, mTime).map(tick -> carryOut(order));
+    }
+
+    private OrderReply carryOut(ServerOrder order) {
+        if (mBusy || order.expectedOrders() != mOrders) {
+            return new OrderReply.Conflict();
+        }
+        mOrders++;
+        if (!order.load()) {
+            mModels.remove(order.model());
+            return new OrderReply.Accepted();
+        }
+        if (mModels.size() >= mPlaces && !mModels.containsKey(order.model())) {
+            mOvercommits++;
+        }
+        mBusy = true;
+        mTime.scheduleDirect(
+                () -> {
+                    mBusy = false;
+                    mModels.put(order.model(), new HashSet<>());
+                },
+                LOAD_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return new OrderReply.Accepted();
+    }
+
+    /** An engine that gives no answers at all. */
+    static EngineControl silent() {
+        return new EngineControl() {
+            @Override
+            public Single<EngineReport> report(ServerRecord server) {
+                return Single.error(new IOException("silent"));
+            }
+
+            @Override
+            public Single<OrderReply> order(ServerRecord server, ServerOrder order) {
+                throw new AssertionError("an order before a report was read");
+            }
+        };
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -0,0 +1,179 @@
+package org.cornelway.platform.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.cornelway.route.CallKind;
+import org.cornelway.route.RoutingConfiguration;
+import org.cornelway.traffic.CallHead;
+import org.cornelway.traffic.ForwardHead;
+import org.cornelway.traffic.ReplyHead;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The platform's names and formats, and what does not keep to them. */
+public class WireCodecsTest {
+    private final WireCallCodec mCodec = new WireCallCodec();
+
+    private static DefaultHttpRequest request() {
+        DefaultHttpRequest request =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
+        request.headers().set("Host", "h").set("X-Request-Id", "r1");
+        return request;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void readsTheHeadOfCalls() {
+        DefaultHttpRequest request = request();
+        request.headers()
+                .set("X-Deadline-Ms", "1500")
+                .set("X-Model", "m/a1")
+                .set("X-Prompt-Prefix", "5c:800,91:410,e4:250");
+        CallHead head = mCodec.call(request).toOptional().orElseThrow();
+        assertThat(head.waitMillis()).contains(1_500L);
+        assertThat(head.target().orElseThrow().adapter()).isEqualTo("a1");
+        assertThat(head.promptParts()).containsExactly("5c", "91", "e4");
+    }
+
+    @Test
+    public void refusesCallsWithoutOrWithTwoIds() {
+        DefaultHttpRequest none = request();
+        none.headers().remove("X-Request-Id");
+        DefaultHttpRequest two = request();
+        two.headers().add("X-Request-Id", "r2");
+        assertThat(mCodec.call(none).toOptional()).isEmpty();
+        assertThat(mCodec.call(two).toOptional()).isEmpty();
+    }
+
+    @Test
+    public void callerCannotSetWhatIsTheSystemsToSet() {
+        DefaultHttpRequest request = request();
+        String[] own = {
+            "X-Hold",
+            "X-Pin-Ms",
+            "X-Kv-Backup",
+            "Kv-From",
+            "Kv-Fetch",
+            "X-Target-Instance",
+            "X-Request-Priority",
+            "X-Required-Version"
+        };
+        for (String name : own) {
+            request.headers().set(name, "forged");
+        }
+        request.headers().set("Connection", "close, X-Model, X-Private").set("X-Model", "m");
+        request.headers().set("Private", "p").set("Keep-Alive", "timeout=1");
+        HttpHeaders to = new DefaultHttpHeaders();
+        mCodec.forward(request, new ForwardHead("i-1", 700, Optional.of(2), Optional.of("12")), to);
+        assertThat(to.get("X-Target-Instance")).isEqualTo("i-1");
+        assertThat(to.get("X-Deadline-Ms")).isEqualTo("700");
+        assertThat(to.get("X-Request-Priority")).isEqualTo("2");
+        assertThat(to.get("Last-Event-Id")).isEqualTo("12");
+        assertThat(to.get("X-Model")).isEqualTo("m");
+        assertThat(to.contains("X-Hold")).isFalse();
+        assertThat(to.contains("Kv-From")).isFalse();
+        assertThat(to.contains("Connection")).isFalse();
+        assertThat(to.contains("Keep-Alive")).isFalse();
+    }
+
+    @Test
+    public void readsAnAnswersHead() {
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers()
+                .set("X-Request-Id", "r1")
+                .set("X-Server-Stamp", "s")
+                .set("X-Server-Load", "3,1,8,250")
+                .set("Keep-Alive", "timeout=5");
+        ReplyHead head = mCodec.reply(response);
+        assertThat(head.genuine()).isTrue();
+        assertThat(head.notRun()).isFalse();
+        assertThat(head.load().orElseThrow().slownessPercent()).isEqualTo(250);
+        assertThat(head.keepAliveMillis()).contains(5_000L);
+    }
+
+    @Test
+    public void onlyFailuresCanSayNotRun() {
+        DefaultHttpResponse full =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        assertThat(mCodec.reply(full).notRun()).isFalse();
+        full.headers().set("X-Not-Run", "1");
+        assertThat(mCodec.reply(full).notRun()).isTrue();
+        DefaultHttpResponse ok =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        ok.headers().set("X-Not-Run", "1");
+        assertThat(mCodec.reply(ok).notRun()).isFalse();
+    }
+
+    @DataProvider
+    public Object[][] malformedServers() {
+        String ok = "{'Service':'s','Address':'1.2.3.4:80','State':'ready','born':1,'Seq':2}";
+        return new Object[][] {
+            {"not json"},
+            {"[]"},
+            {ok.replace("'born':1", "'born':'soon'")},
+            {ok.replace("'born':1", "'born':1.5")},
+            {ok.replace("ready", "sleeping")},
+            {ok.replace("1.2.3.4:80", "1.2.3.4")},
+            {ok.replace("'Seq':2", "'Seq':null")},
+            {ok.replace("'Service':'s'", "'Service':7")},
+            {ok.replace("'Seq':2", "'Seq':2,'Models':{}")},
+        };
+    }
+
+    @Test(dataProvider = "malformedServers")
+    public void malformedAnnouncementNamesNoServer(String json) {
+        assertThat(new ServerCodec().decode("i", bytes(json.replace('\'', '"')))).isEmpty();
+    }
+
+    @Test
+    public void readsConfigurations() {
+        String json =
+                "{'Version':7,'New':{},'Routes':[{'Name':'r','Host':'H','Prefix':'/a/','Kind':"
+                        + "'streaming','TimeoutMs':20,'TargetLatencyMs':2,'Priority':1,'Split':"
+                        + "[{'Service':'s','Weight':90},{'Service':'t','Weight':10}],"
+                        + "'MaxAttempts':2,'CanResume':true,'TargetGapMs':200},"
+                        + "{'Name':'odd','Host':'h','Prefix':'/b/','Kind':'new','Service':'s'}],"
+                        + "'Services':[{'Name':'s','MaxConns':250}],'Limits':{}}";
+        RoutingConfiguration configuration =
+                new RoutingCodec()
+                        .decode(bytes(json.replace('\'', '"')))
+                        .toOptional()
+                        .orElseThrow();
+        assertThat(configuration.routes()).hasSize(1);
+        assertThat(configuration.routes().get(0).kind()).isEqualTo(CallKind.STREAM);
+        assertThat(configuration.routes().get(0).host()).isEqualTo("h");
+        assertThat(configuration.routes().get(0).services()).hasSize(2);
+        assertThat(new RoutingCodec().decode(bytes("{}")).toOptional()).isEmpty();
+    }
+
+    @Test
+    public void settingsFaultNamesFileFieldAndReason() throws IOException {
+        Path file = Files.createTempFile("settings", ".json");
+        Files.writeString(file, "{\"NodeName\":\"n\",\"Zone\":7}");
+        assertThatThrownBy(() -> WireSettings.read(file, "key"))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessage(file + ": Zone: text is needed");
+        Files.writeString(file, "{");
+        assertThatThrownBy(() -> WireSettings.read(file, "key"))
+                .hasMessageStartingWith(file + ": unreadable");
+        Files.delete(file);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform's names and formats. */
+package org.cornelway.platform.wire;
--- a/org.cornelway/src/org/cornelway/cluster/PeerGossip.java
+++ b/org.cornelway/src/org/cornelway/cluster/PeerGossip.java
@@ -43,6 +43,12 @@
         mExchanges = exchanges;
         mClock = clock;
         mRandom = random;
+        reseed(seeds);
+    }
+
+    /** Takes over other addresses to begin with. */
+    public void reseed(List<HttpEndpoint> seeds) {
+        mSeeds.clear();
         for (HttpEndpoint seed : seeds) {
             String address = seed.toString();
             mSeeds.add(new ClusterMember(address, address, "", "", 0).toMember());
--- a/org.cornelway/src/org/cornelway/dispatch/ResendBudget.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ResendBudget.java
@@ -20,8 +20,8 @@
 
     private final Clock mClock;
     private final long mBucketMillis;
-    private final double mRatio;
-    private final double mSlack;
+    private volatile double mRatio;
+    private volatile double mSlack;
     private final Map<String, Window> mWindows = new HashMap<>();
 
     /** Counts of one service. */
@@ -43,6 +43,12 @@
         mSlack = slack;
     }
 
+    /** Takes over other bounds; the window stays. Thread-safe. */
+    public void rebind(double ratio, double slack) {
+        mRatio = ratio;
+        mSlack = slack;
+    }
+
     /** Notes a caller's call for a service. */
     public void onCall(String service) {
         Window window = mWindows.computeIfAbsent(service, key -> new Window());
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -43,10 +43,14 @@
     private static final long STEP_MILLIS = 50;
     private static final long REPORT_MILLIS = 350;
 
+    /** Time between two looks at the settings, which may change without a signal. */
+    private static final long SETTINGS_MILLIS = 2_000;
+
     /** Part of the time until the kill that a stop may use. */
     private static final double GRACE_SHARE = 0.85;
 
     private final DirectEntrySettings mSettings;
+    private final SettingsSource mSource;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Clock mClock = Clock.system();
     private final Scheduler mControl = newControl();
@@ -62,18 +66,32 @@
     private final TrafficPlane mTraffic;
     private final ControlPlane mPlane;
     private final PeerGossip mGossip;
+    private final ResendBudget mBudget;
     private final Supervisor mSupervisor;
+    private DirectEntrySettings mInForce;
 
     /**
+     * @param settings settings at the start
+     * @param source the settings as they are later
      * @param ports ways to the platform
      */
-    public DirectEntryRole(DirectEntrySettings settings, PlatformPorts ports) {
+    public DirectEntryRole(
+            DirectEntrySettings settings, SettingsSource source, PlatformPorts ports) {
         mSettings = settings;
+        mSource = source;
+        mInForce = settings;
         mKey = new ClusterKey(settings.clusterKey());
         mMembers = new MemberTable(settings.instanceId());
         mBeliefs =
                 new PlatformBeliefs(
                         ports.routing(), ports.servers(), mCache, mMembers, mClock, mLog, mMetrics);
+        DirectEntrySettings.Bounds bounds = settings.bounds();
+        mBudget =
+                new ResendBudget(
+                        mClock,
+                        bounds.resendWindowMillis(),
+                        bounds.resendRatio(),
+                        bounds.resendSlack());
         LateDesk desk = new LateDesk();
         mTraffic = traffic(settings, ports, desk);
         mPlane =
@@ -120,18 +138,13 @@
     }
 
     private TrafficPlane traffic(DirectEntrySettings settings, PlatformPorts ports, LateDesk desk) {
-        DirectEntrySettings.Bounds bounds = settings.bounds();
         return new TrafficPlane(
                 ports.codec(),
                 mClock,
                 settings.zone(),
                 settings.front(),
                 settings.store(),
-                new ResendBudget(
-                        mClock,
-                        bounds.resendWindowMillis(),
-                        bounds.resendRatio(),
-                        bounds.resendSlack()),
+                mBudget,
                 desk,
                 mLog,
                 mMetrics);
@@ -188,6 +201,29 @@
                 && !mTraffic.view().directory().all().isEmpty();
     }
 
+    /** Takes over settings that changed, as far as that can be done while running. */
+    public void reload() {
+        mControl.scheduleDirect(this::takeSettings);
+    }
+
+    private void takeSettings() {
+        DirectEntrySettings next;
+        try {
+            next = mSource.read();
+        } catch (IllegalArgumentException e) {
+            mLog.write("settings.refused", "reason", e.getMessage());
+            return;
+        }
+        if (next.equals(mInForce)) {
+            return;
+        }
+        boolean restart = !next.withoutReloadable().equals(mSettings.withoutReloadable());
+        mGossip.reseed(next.seeds());
+        mBudget.rebind(next.bounds().resendRatio(), next.bounds().resendSlack());
+        mInForce = next;
+        mLog.write("settings.reloaded", "seeds", next.seeds(), "needs_restart", restart);
+    }
+
     private void step() {
         mPlane.step();
         mGossip.step(mPlane.isStoreAway() || mBeliefs.routes().isEmpty());
@@ -263,6 +299,11 @@
                         mCache.changes().observeOn(mControl).subscribe(DirectEntryRole.this::take);
                         mSupervisor.every(
                                 "step", STEP_MILLIS, mControl, DirectEntryRole.this::step);
+                        mSupervisor.every(
+                                "settings",
+                                SETTINGS_MILLIS,
+                                mControl,
+                                DirectEntryRole.this::takeSettings);
                         mSupervisor.every("report", REPORT_MILLIS, mControl, mPlane::report);
                     });
         }
--- a/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
@@ -28,6 +28,21 @@
         List<HttpEndpoint> seeds,
         String clusterKey,
         Bounds bounds) {
+    /** The settings with those left out that a running process can take over. */
+    DirectEntrySettings withoutReloadable() {
+        return new DirectEntrySettings(
+                instanceId,
+                zone,
+                region,
+                front,
+                ready,
+                control,
+                store,
+                List.of(),
+                clusterKey,
+                new Bounds(bounds.graceMillis(), bounds.resendWindowMillis(), 0, 0));
+    }
+
     /**
      * Bounds that the platform sets. Immutable.
      *
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -4,9 +4,9 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -26,6 +26,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cornelway.result.Result;
@@ -42,6 +43,9 @@
     /** Messages that may wait behind the request under way before the connection is not read. */
     private static final int MAX_WAITING = 64;
 
+    /** Time that a caller has to take the last answer before the connection closes for good. */
+    private static final long LINGER_MILLIS = 400;
+
     /** How long a caller waits that does not say; the route's timeout is shorter. */
     private static final long NO_LIMIT_MILLIS = 86_400_000;
 
@@ -257,7 +261,7 @@
         mProgressBy = idleDeadline();
         if (mCloseAfter) {
             mFinished = true;
-            mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> closeGently());
             return;
         }
         while (!mWaiting.isEmpty() && mExchange.isEmpty() && !mFinished) {
@@ -268,6 +272,14 @@
         }
     }
 
+    /** Closing with unread bytes would reset the connection and could destroy the answer. */
+    private void closeGently() {
+        if (mChannel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+        }
+        mContext.loop().schedule(() -> mChannel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void releaseBody() {
         if (mBody != null) {
             mBody.release();
