Replicate crowded models, price evictions by need, and read all engines first

Evictions of replicas were nearly free while rates were unknown, and at a term's start engines not read yet counted as not holding a model, so that callers were told 12 s. Sends that never arrived used up retry budget. Change: a model whose calls take over a third of an engine's slots gets another replica from a copy at hand; a term reads all engines before the store; only sends that arrived count as sent again; an engine that refuses twice is asked about.

--- a/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
@@ -36,7 +36,7 @@
     }
 
     private static ModelView held(int active, double rate, int replicas, boolean pinned) {
-        return new ModelView(MODEL_MB, active, rate, replicas, pinned, DISK);
+        return new ModelView(MODEL_MB, active, rate, replicas, 1, pinned, DISK);
     }
 
     @Test
--- a/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
@@ -21,8 +21,13 @@
     /** Seconds over which the displaced model's callers count. */
     private static final double HORIZON_SECONDS = 6;
 
-    /** What a call loses that goes to a busier replica, in milliseconds. */
-    private static final double SPREAD_MILLIS = 25;
+    /** What a call loses where one replica of several goes that are not needed. */
+    private static final double SPREAD_MILLIS = 10;
+
+    /** What a call loses where the replicas that stay are too few. */
+    private static final double CROWDED_MILLIS = 120;
+
+    private static final double SECOND_MILLIS = 1_000;
 
     /** Time that calls on the engine lose because it works on the load. */
     private static final double SHARED_MILLIS = 4;
@@ -89,10 +94,13 @@
     private static double loss(ModelView model) {
         double waiting = model.active() > 0 ? ACTIVE_MILLIS : 0;
         double calls = model.rate() * HORIZON_SECONDS;
-        double each =
-                model.replicas() > 1
-                        ? SPREAD_MILLIS / (model.replicas() - 1)
-                        : Math.min(1, 1 / Math.max(calls, 1)) * model.reloadMillis();
-        return waiting + calls * each;
+        if (model.replicas() > model.needed()) {
+            return waiting + calls * SPREAD_MILLIS;
+        }
+        if (model.replicas() > 1) {
+            return waiting + calls * CROWDED_MILLIS;
+        }
+        double meanwhile = model.rate() * model.reloadMillis() / SECOND_MILLIS;
+        return waiting + (Math.min(1, calls) + meanwhile / 2) * model.reloadMillis();
     }
 }
--- a/org.cornelway/src/org/cornelway/models/DemandTable.java
+++ b/org.cornelway/src/org/cornelway/models/DemandTable.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
 
@@ -66,6 +67,14 @@
         return sum(nowMillis, server, use -> use.target().equals(target));
     }
 
+    /** Calls under way with a model on all servers. */
+    public int activeAnywhere(String model, long nowMillis) {
+        return uses(nowMillis)
+                .filter(use -> use.target().model().equals(model))
+                .mapToInt(ModelUsage.Use::active)
+                .sum();
+    }
+
     /** Calls under way on a server. */
     public int active(String server, long nowMillis) {
         return sum(nowMillis, server, use -> true);
@@ -73,11 +82,15 @@
 
     private int sum(
             long nowMillis, String server, java.util.function.Predicate<ModelUsage.Use> which) {
-        return mReports.values().stream()
-                .filter(report -> nowMillis - report.millis() <= REPORT_AGE_MILLIS)
-                .flatMap(report -> report.uses().stream())
+        return uses(nowMillis)
                 .filter(use -> use.server().equals(server) && which.test(use))
                 .mapToInt(ModelUsage.Use::active)
                 .sum();
     }
+
+    private Stream<ModelUsage.Use> uses(long nowMillis) {
+        return mReports.values().stream()
+                .filter(report -> nowMillis - report.millis() <= REPORT_AGE_MILLIS)
+                .flatMap(report -> report.uses().stream());
+    }
 }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -113,6 +113,11 @@
         return mKnown && mFailures < UNREACHABLE_FAILURES;
     }
 
+    /** Whether the engine's first report is still to come, and nothing says that it will not. */
+    boolean isUnread() {
+        return !mKnown && mFailures < UNREACHABLE_FAILURES;
+    }
+
     /** Whether what is believed of the engine may be told. */
     boolean isTrusted() {
         return isKnown() && !mMustRead;
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -195,12 +195,11 @@
         mRoutes.get().configuration().services().keySet().stream()
                 .filter(service -> engine(service).isPresent())
                 .forEach(
-                        service ->
-                                mRound.fill(
-                                        drivers(service),
-                                        engine(service).get(),
-                                        mWishes.keySet(),
-                                        now));
+                        service -> {
+                            List<EngineDriver> all = drivers(service);
+                            mRound.spread(all, engine(service).get(), mWishes.keySet(), now);
+                            mRound.fill(all, engine(service).get(), mWishes.keySet(), now);
+                        });
         List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
     }
 
--- a/org.cornelway/src/org/cornelway/models/ModelView.java
+++ b/org.cornelway/src/org/cornelway/models/ModelView.java
@@ -7,6 +7,7 @@
  * @param active calls under way with it on this engine
  * @param rate calls a second for the model over all engines
  * @param replicas engines that hold it
+ * @param needed engines that its calls under way need
  * @param pinned whether it must stay: somebody waits for it, or it has just come
  * @param reloadMillis time to load it again here
  */
@@ -15,5 +16,6 @@
         int active,
         double rate,
         int replicas,
+        int needed,
         boolean pinned,
         long reloadMillis) {}
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -24,6 +24,9 @@
     /** Time for which a model that just came stays, so that its calls arrive. */
     private static final long SETTLE_MILLIS = 500;
 
+    /** Part of an engine's slots that calls with one model may take before another helps. */
+    private static final double REPLICA_SHARE = 0.35;
+
     /** Calls a second that a model which is nowhere is taken to have, to fill a free place. */
     private static final double IDLE_RATE = 0.05;
 
@@ -102,7 +105,7 @@
                     : Optional.empty();
         }
         Optional<LoadPlan> plan = plan(model, open, engines, definition, nowMillis);
-        if (plan.isEmpty()) {
+        if (plan.isEmpty() || plan.get().waitMillis() > 0 && isAnyUnread(engines)) {
             return Optional.empty();
         }
         if (plan.get().waitMillis() == 0) {
@@ -114,13 +117,20 @@
                 : Optional.empty();
     }
 
+    /** At the start of a term an engine that was not read yet may hold the model. */
+    private static boolean isAnyUnread(List<EngineDriver> engines) {
+        return engines.stream().anyMatch(EngineDriver::isUnread);
+    }
+
     private Optional<LoadPlan> plan(
             ModelDefinition model,
             Set<ModelController.WishKey> open,
             List<EngineDriver> engines,
             EngineDefinition definition,
             long nowMillis) {
-        boolean store = engines.stream().filter(EngineDriver::readsStore).count() < mStoreLoads;
+        boolean store =
+                !isAnyUnread(engines)
+                        && engines.stream().filter(EngineDriver::readsStore).count() < mStoreLoads;
         List<EngineView> views =
                 engines.stream()
                         .filter(EngineDriver::isKnown)
@@ -178,6 +188,7 @@
                                                 mDemand.active(server, name, nowMillis),
                                                 mDemand.rate(name, nowMillis),
                                                 replicas(name, engines),
+                                                needed(name, definition, nowMillis),
                                                 isPinned(engine, name, open, nowMillis),
                                                 model.diskLoadMillis()));
                             }
@@ -209,6 +220,30 @@
                         .count();
     }
 
+    /** Engines that the calls under way with a model need. */
+    private int needed(String model, EngineDefinition definition, long nowMillis) {
+        double each = Math.max(1, definition.slots() * REPLICA_SHARE);
+        return Math.max(1, (int) Math.ceil(mDemand.activeAnywhere(model, nowMillis) / each));
+    }
+
+    /** Loads models on more engines whose calls crowd those that hold them. */
+    void spread(
+            List<EngineDriver> engines,
+            EngineDefinition definition,
+            Set<ModelController.WishKey> open,
+            long nowMillis) {
+        for (ModelDefinition model : definition.models().values()) {
+            int replicas = replicas(model.name(), engines);
+            boolean coming = engines.stream().anyMatch(e -> e.isLoading(model.name()));
+            if (replicas > 0 && !coming && replicas < needed(model.name(), definition, nowMillis)) {
+                plan(model, open, engines, definition, nowMillis)
+                        .filter(plan -> plan.source() != CopySource.STORE)
+                        .filter(plan -> plan.waitMillis() == 0)
+                        .ifPresent(plan -> begin(plan, model, engines));
+            }
+        }
+    }
+
     /** Fills free places with what is asked for most, from copies at hand. */
     void fill(
             List<EngineDriver> engines,
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -77,7 +77,7 @@
         if (!mContext.view().get().directory().isUsable(mServer.life())) {
             mContext.pool().release(connection);
             if (conclude()) {
-                mExchange.onNotRun(this, "the server left before the send", false);
+                mExchange.onNotArrived(this, "the server left before the send");
             }
             return;
         }
@@ -116,7 +116,7 @@
     public void failed(String reason) {
         mContext.loads().failed(mServer.life());
         if (conclude()) {
-            mExchange.onNotRun(this, "not connected: " + reason, false);
+            mExchange.onNotArrived(this, "not connected: " + reason);
         }
     }
 
@@ -198,7 +198,7 @@
                         && head.answeredBy().map(id -> !id.equals(mServer.id())).orElse(false);
         if (otherServer) {
             mContext.loads().failed(mServer.life());
-        } else if (head.otherServer()) {
+        } else if (head.otherServer() || mExchange.wasRefusedBy(mServer.life())) {
             mExchange
                     .request()
                     .head()
@@ -206,7 +206,7 @@
                     .ifPresent(target -> mContext.holdings().denied(mServer.life(), target));
             mExchange.onNotHeld(mServer.life());
         }
-        mExchange.onNotRun(this, "refused with " + head.status(), !head.otherServer());
+        mExchange.onRefused(this, "refused with " + head.status(), !head.otherServer());
     }
 
     private void streamEnded() {
@@ -241,7 +241,7 @@
         if (sent) {
             mExchange.onMayHaveRun(this, reason, Optional.empty());
         } else {
-            mExchange.onNotRun(this, reason, false);
+            mExchange.onNotArrived(this, reason);
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/Exchange.java
+++ b/org.cornelway/src/org/cornelway/traffic/Exchange.java
@@ -1,20 +1,12 @@
 package org.cornelway.traffic;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.cornelway.config.Json;
 import org.cornelway.directory.ServerLife;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.Candidate;
-import org.cornelway.http.ErrorBody;
 import org.cornelway.result.ResultCode;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.Route;
@@ -47,7 +39,7 @@
     private final CallerRequest mRequest;
     private final CallerAnswer mAnswer;
     private final CallLog mLog;
-    private final Set<String> mTried = new HashSet<>();
+    private final SendHistory mHistory = new SendHistory();
     private Optional<Route> mRoute = Optional.empty();
     private String mService = "";
     private Deadline mDeadline;
@@ -55,11 +47,8 @@
     private Optional<StreamRelay> mRelay = Optional.empty();
     private Optional<WholeReply> mFailure = Optional.empty();
     private Optional<ServerLife> mNotHeldBy = Optional.empty();
-    private String mLastReason = "none";
     private long mComeBackMillis = COME_BACK_MILLIS;
     private long mVersion;
-    private int mSends;
-    private int mMayHaveRun;
     private boolean mAsking;
     private boolean mAsked;
     private boolean mDone;
@@ -152,7 +141,8 @@
             return;
         }
         Optional<Candidate> chosen =
-                mContext.chooser().choose(candidates, mRequest.head().sharedPartsHash(), mTried);
+                mContext.chooser()
+                        .choose(candidates, mRequest.head().sharedPartsHash(), mHistory.tried());
         if (chosen.isPresent()) {
             send(chosen.get());
         } else {
@@ -162,15 +152,14 @@
 
     private void send(Candidate chosen) {
         int processes = mContext.view().get().processes();
-        if (mSends > 0 && !mContext.budget().tryResend(mService, processes)) {
-            giveUp(ResultCode.QUEUE_FULL, "no retry budget after: " + mLastReason);
+        if (mHistory.hasArrived() && !mContext.budget().tryResend(mService, processes)) {
+            giveUp(ResultCode.QUEUE_FULL, "no retry budget after: " + mHistory.lastReason());
             return;
         }
-        mSends++;
-        mTried.add(chosen.server().id());
+        mHistory.sent(chosen.server().id());
         Attempt attempt = new Attempt(mContext, this, chosen.server());
         mAttempt = Optional.of(attempt);
-        mLog.sent(mSends, chosen, mDeadline.remainingMillis(now()));
+        mLog.sent(mHistory.sends(), chosen, mDeadline.remainingMillis(now()));
         attempt.start();
     }
 
@@ -230,13 +219,25 @@
         }
     }
 
-    /** The attempt proved that the call did not run at its server. */
-    void onNotRun(Attempt attempt, String reason, boolean busy) {
+    /** The attempt proved that the call did not run, since it never reached its server. */
+    void onNotArrived(Attempt attempt, String reason) {
+        onNotRun(attempt, reason, false);
+    }
+
+    /** The server proved that the call did not run there. */
+    void onRefused(Attempt attempt, String reason, boolean busy) {
+        mHistory.arrived();
+        onNotRun(attempt, reason, busy);
+    }
+
+    private void onNotRun(Attempt attempt, String reason, boolean busy) {
         mAttempt = Optional.empty();
-        mLastReason = reason;
+        mHistory.ended(reason);
         mLog.sendEnded(attempt.server().id(), "not_run", reason);
-        if (mSends >= MAX_SENDS) {
-            giveUp(ResultCode.QUEUE_FULL, "not run after " + mSends + " sends: " + reason);
+        if (mHistory.sends() >= MAX_SENDS) {
+            giveUp(
+                    ResultCode.QUEUE_FULL,
+                    "not run after " + mHistory.sends() + " sends: " + reason);
         } else if (busy) {
             mContext.loop().schedule(this::dispatch, BUSY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         } else {
@@ -244,6 +245,11 @@
         }
     }
 
+    /** Whether a server refused the call before: then an order is dropping the model there. */
+    boolean wasRefusedBy(ServerLife life) {
+        return mHistory.refusedAgain(life);
+    }
+
     /** Notes that a model was refused by a server that was believed to hold it. */
     void onNotHeld(ServerLife life) {
         mNotHeldBy = Optional.of(life);
@@ -252,11 +258,11 @@
     /** The attempt failed, and the call may have run. */
     void onMayHaveRun(Attempt attempt, String reason, Optional<WholeReply> failure) {
         mAttempt = Optional.empty();
-        mLastReason = reason;
-        mMayHaveRun++;
+        mHistory.ended(reason);
+        mHistory.mayHaveRun();
         mFailure = failure;
         mLog.sendEnded(attempt.server().id(), "may_have_run", reason);
-        if (canRepeat(mMayHaveRun)) {
+        if (canRepeat(mHistory.mayHaveRunCount())) {
             mRelay.ifPresent(StreamRelay::dropPartial);
             dispatch();
         } else {
@@ -266,7 +272,7 @@
 
     /** Whether the call could go to another server if the attempt under way failed. */
     boolean canRepeat() {
-        return canRepeat(mMayHaveRun + 1);
+        return canRepeat(mHistory.mayHaveRunCount() + 1);
     }
 
     /** Whether a server other than one can take the call at once. */
@@ -280,7 +286,7 @@
         boolean begun = mRelay.map(StreamRelay::hasBegun).orElse(false);
         return route().isIdempotent()
                 && mayHaveRun < route().maxAttempts()
-                && mSends < MAX_SENDS
+                && mHistory.sends() < MAX_SENDS
                 && mDeadline.remainingMillis(now()) >= LEAST_REMAINING_MILLIS
                 && (!begun || mRelay.get().canResume());
     }
@@ -319,7 +325,7 @@
             mAnswer.cut();
         } else if (mFailure.isPresent()) {
             pass(mFailure.get());
-        } else if (mMayHaveRun == 0) {
+        } else if (mHistory.mayHaveRunCount() == 0) {
             refuse(code, reason, mComeBackMillis);
         } else {
             boolean late = mDeadline.isPast(now());
@@ -339,17 +345,13 @@
     private void finishOwn(
             HttpResponseStatus status, ResultCode code, String reason, long retryAfterMillis) {
         done("own", status.code(), code + ": " + reason);
-        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        mContext.codec().own(mRequest.head().requestId(), retryAfterMillis, headers);
-        ByteBuf body =
-                Unpooled.wrappedBuffer(
-                        Json.write(ErrorBody.of(code, reason, mRequest.head().requestId())));
-        mAnswer.whole(status, headers, body);
+        OwnAnswer.write(
+                mContext.codec(), mRequest, mAnswer, status, code, reason, retryAfterMillis);
     }
 
     private void done(String how, int status, String reason) {
         mDone = true;
-        mLog.done(mRoute, how, status, mSends, reason);
+        mLog.done(mRoute, how, status, mHistory.sends(), reason);
     }
 
     /** Called a few times a second: deadlines, silent servers, changed timeouts. */
@@ -359,8 +361,10 @@
         }
         followConfiguration();
         if (mDeadline.isPast(now())) {
-            mAttempt.filter(Attempt::mayHaveRun).ifPresent(attempt -> mMayHaveRun++);
-            giveUp(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mLastReason);
+            mAttempt.filter(Attempt::mayHaveRun).ifPresent(attempt -> mHistory.mayHaveRun());
+            giveUp(
+                    ResultCode.DEADLINE_PASSED,
+                    "the deadline passed; last: " + mHistory.lastReason());
         } else {
             mAttempt.ifPresent(Attempt::tick);
         }
@@ -373,12 +377,7 @@
             return;
         }
         mVersion = view.version();
-        String name = mRoute.get().name();
-        view.routes().stream()
-                .flatMap(table -> table.configuration().routes().stream())
-                .filter(route -> route.name().equals(name))
-                .findFirst()
-                .ifPresent(this::followTimeout);
+        view.route(mRoute.get().name()).ifPresent(this::followTimeout);
     }
 
     /** Stops or goes on reading from the server while the caller does not read. */
--- a/org.cornelway/src/org/cornelway/traffic/TrafficView.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficView.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.route.CallerLimits;
+import org.cornelway.route.Route;
 import org.cornelway.route.RouteTable;
 
 /**
@@ -23,6 +24,14 @@
         return routes.map(table -> table.configuration().version()).orElse(0L);
     }
 
+    /** A route by name. */
+    public Optional<Route> route(String name) {
+        return routes.stream()
+                .flatMap(table -> table.configuration().routes().stream())
+                .filter(route -> route.name().equals(name))
+                .findFirst();
+    }
+
     /** Bounds on callers. */
     public CallerLimits limits() {
         return routes.map(table -> table.configuration().limits()).orElse(CallerLimits.defaults());
