--- a/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
@@ -7,7 +7,7 @@
 import org.cornelway.standin.StandinProgram;
 
 /** Finds and lays out the loopback ports of a fleet. Immutable. */
-final class FleetPorts {
+public final class FleetPorts {
     private static final int FIRST_BASE = 20_000;
     private static final int LAST_BASE = 30_000;
     private static final int STEP = 100;
@@ -21,10 +21,18 @@
     }
 
     static FleetPorts find(FleetShape shape) {
-        int count = size(shape);
+        return new FleetPorts(firstOfFree(size(shape)), shape);
+    }
+
+    /**
+     * First of some free ports in a row, below those that the system gives out by itself.
+     *
+     * @param count ports needed
+     */
+    public static int firstOfFree(int count) {
         for (int base = FIRST_BASE; base < LAST_BASE; base += STEP) {
             if (areFree(base, count)) {
-                return new FleetPorts(base, shape);
+                return base;
             }
         }
         throw new IllegalStateException("no " + count + " free ports in a row");
--- a/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
@@ -32,6 +32,7 @@
                 models,
                 Set.of(),
                 disk,
+                0,
                 0);
     }
 
@@ -54,6 +55,22 @@
         assertThat(plan.source()).isEqualTo(CopySource.DISK);
     }
 
+    @Test
+    public void storeIsReadWhereFewestModelsDependOnTheEngine() {
+        EngineView needed =
+                new EngineView(
+                        new ServerLife("a", 1), 210, 0, Map.of(), Set.of(), Set.of("y"), 1, 0);
+        EngineView spare =
+                new EngineView(
+                        new ServerLife("b", 1), 210, 0, Map.of(), Set.of(), Set.of("y"), 0, 0);
+        assertThat(
+                        mPlanner.plan(model("x"), List.of(needed, spare), true)
+                                .orElseThrow()
+                                .engine()
+                                .id())
+                .isEqualTo("b");
+    }
+
     @Test
     public void storeIsReadOnlyWhereThatIsAllowed() {
         List<EngineView> engines = List.of(engine("a", 0, Map.of(), Set.of()));
--- a/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
@@ -32,6 +32,11 @@
     /** Time that calls on the engine lose because it works on the load. */
     private static final double SHARED_MILLIS = 4;
 
+    /**
+     * What callers lose for each model that only this engine could load while it reads the store.
+     */
+    private static final double SOLE_COPY_MILLIS = 700;
+
     /** A plan with the time that it costs callers. */
     private record Priced(LoadPlan plan, double millis) {}
 
@@ -48,7 +53,8 @@
     private static Optional<Priced> price(ModelDefinition model, EngineView engine) {
         CopySource source = source(model.name(), engine);
         long load = loadMillis(model, source);
-        double total = engine.waitMillis() + load + SHARED_MILLIS * engine.active();
+        double blocked = source == CopySource.STORE ? SOLE_COPY_MILLIS * engine.soleCopies() : 0;
+        double total = engine.waitMillis() + load + blocked + SHARED_MILLIS * engine.active();
         double free = engine.freeMegabytes();
         List<String> evict = new ArrayList<>();
         List<Map.Entry<String, ModelView>> victims =
--- a/org.cornelway/src/org/cornelway/models/EngineView.java
+++ b/org.cornelway/src/org/cornelway/models/EngineView.java
@@ -13,6 +13,7 @@
  * @param models models that it holds
  * @param inMemory models of which its host memory has a copy
  * @param onDisk models of which its disk has a copy
+ * @param soleCopies models that are loaded nowhere and have a copy at hand only here
  * @param active calls under way on it
  */
 public record EngineView(
@@ -22,4 +23,5 @@
         Map<String, ModelView> models,
         Set<String> inMemory,
         Set<String> onDisk,
+        int soleCopies,
         int active) {}
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -32,6 +32,9 @@
     /** Loads from the weight store at once; more share its rate and each takes longer. */
     private static final int STORE_LOADS_AT_ONCE = 4;
 
+    /** Time between two looks at what could be loaded ahead. */
+    private static final long SPARE_MILLIS = 150;
+
     private final EngineControl mEngines;
     private final Scheduler mControl;
     private final TermSource mTerms;
@@ -43,6 +46,7 @@
     private final Map<ServerLife, Deadline> mDistrusted = new HashMap<>();
     private Optional<RouteTable> mRoutes = Optional.empty();
     private long mVersion;
+    private long mNextSpareMillis;
 
     /** What wishes are merged by. */
     record WishKey(String service, ModelTarget target) {}
@@ -192,6 +196,15 @@
                 answer(wish, answer.get());
             }
         }
+        if (now >= mNextSpareMillis) {
+            mNextSpareMillis = now + SPARE_MILLIS;
+            useSpareTime(now);
+        }
+        List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
+    }
+
+    /** Loads that no call waits for. */
+    private void useSpareTime(long now) {
         mRoutes.get().configuration().services().keySet().stream()
                 .filter(service -> engine(service).isPresent())
                 .forEach(
@@ -199,8 +212,8 @@
                             List<EngineDriver> all = drivers(service);
                             mRound.spread(all, engine(service).get(), mWishes.keySet(), now);
                             mRound.fill(all, engine(service).get(), mWishes.keySet(), now);
+                            mRound.fetch(all, engine(service).get(), mWishes.keySet(), now);
                         });
-        List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
     }
 
     private List<EngineDriver> driversOf(OpenWish wish) {
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -41,7 +41,7 @@
  */
 public final class DirectEntryRole implements Component {
     private static final long STEP_MILLIS = 50;
-    private static final long REPORT_MILLIS = 350;
+    private static final long REPORT_MILLIS = 250;
 
     /** Time between two looks at the settings, which may change without a signal. */
     private static final long SETTINGS_MILLIS = 2_000;
