--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -151,7 +151,7 @@
                 .put("Host", HOST)
                 .put("Prefix", prefix)
                 .put("Kind", kind)
-                .put("TimeoutMs", 5_000)
+                .put("TimeoutMs", kind.equals("streaming") ? 10_000 : 5_000)
                 .put("TargetLatencyMs", 1_000)
                 .put("Priority", 1)
                 .put("Service", service)
--- a/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
@@ -54,7 +54,7 @@
         List<Header> headers = new ArrayList<>();
         headers.add(new Header("Host", DirectFleet.HOST));
         headers.add(new Header("X-Request-Id", id));
-        headers.add(new Header("X-Deadline-Ms", "4000"));
+        headers.add(new Header("X-Deadline-Ms", "10000"));
         if (!model.isEmpty()) {
             headers.add(new Header("X-Model", model));
         }
