Count engines once a round, and gather changes into one round

Each change started a round, and each round walked all engines for each model of each engine and all reports for each count. 275 sends went to servers that refused connections, five for one call. Timers of the control thread follow the monotonic clock.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -45,6 +45,8 @@
 
     @Override
     public int run() {
+        // Timers of the control thread must not follow jumps of the time of day.
+        System.setProperty("rx3.scheduler.use-nanotime", "true");
         Logging.configure("event", mLogLevel);
         SettingsChecker checker = new SettingsChecker();
         String key = checker.secret("--cluster-key", mClusterKey);
--- a/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -47,7 +47,7 @@
             MetricRegistry metrics = new MetricRegistry();
             EventLog log = new EventLog(mClock, metrics);
             InMemoryKeyValueStore keys = new InMemoryKeyValueStore(store, mTime, this::fault);
-            StoreHealth health = new StoreHealth(log, metrics, () -> {}, () -> {});
+            StoreHealth health = new StoreHealth(mClock, log, metrics, () -> {}, () -> {});
             SuspensionClock clock = new SuspensionClock(mClock::nowMillis, mClock::nowMillis);
             mLease = new ProcessLease(keys, mTime, clock, health, log);
             ClusterMember self = new ClusterMember("p" + rank, "h:" + rank, "r", "z", rank);
--- a/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
@@ -24,11 +24,11 @@
                 PLACES * SimulatedEngine.MODEL_MEGABYTES,
                 engine,
                 mTime,
-                new EngineDriver.Listener() {
+                new EngineListener() {
                     @Override
-                    public Optional<EngineDriver.Term> term() {
+                    public Optional<EngineListener.Term> term() {
                         return mayOrder
-                                ? Optional.of(new EngineDriver.Term("self", 7))
+                                ? Optional.of(new EngineListener.Term("self", 7))
                                 : Optional.empty();
                     }
 
--- a/org.cornelway/src/org/cornelway/cluster/ModelAsker.java
+++ b/org.cornelway/src/org/cornelway/cluster/ModelAsker.java
@@ -14,6 +14,7 @@
 import org.cornelway.platform.Member;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
+import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelDesk;
 import org.cornelway.traffic.ModelTarget;
@@ -37,6 +38,7 @@
     private final ControllerDesk mOwnDesk;
     private final EntryPeers mPeers;
     private final Scheduler mControl;
+    private final Clock mClock;
     private final EventLog mLog;
     private final TrafficPlane mTraffic;
     private final Map<Key, Open> mOpen = new HashMap<>();
@@ -52,6 +54,7 @@
 
     /**
      * @param self this process's instance id
+     * @param clock the clock of the calls' deadlines
      */
     public ModelAsker(
             String self,
@@ -59,6 +62,7 @@
             ControllerDesk ownDesk,
             EntryPeers peers,
             Scheduler control,
+            Clock clock,
             EventLog log,
             TrafficPlane traffic) {
         mSelf = self;
@@ -66,6 +70,7 @@
         mOwnDesk = ownDesk;
         mPeers = peers;
         mControl = control;
+        mClock = clock;
         mLog = log;
         mTraffic = traffic;
     }
@@ -90,10 +95,6 @@
         }
     }
 
-    private long now() {
-        return mControl.now(TimeUnit.MILLISECONDS);
-    }
-
     private void send(Key key) {
         Open open = mOpen.get(key);
         if (open == null) {
@@ -105,7 +106,7 @@
                         .mapToLong(Deadline::epochMillis)
                         .max()
                         .orElse(0);
-        long remaining = last - now();
+        long remaining = last - mClock.nowMillis();
         if (remaining <= 0) {
             mOpen.remove(key);
             return;
--- a/org.cornelway/src/org/cornelway/models/DemandTable.java
+++ b/org.cornelway/src/org/cornelway/models/DemandTable.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
 
@@ -19,10 +18,16 @@
     /** A report that was not renewed for longer does not count. */
     private static final long REPORT_AGE_MILLIS = 2_500;
 
+    /** Time after which counts are made anew, since reports grow old. */
+    private static final long RECOUNT_MILLIS = 500;
+
     private static final double SECOND_MILLIS = 1_000;
 
     private final Map<String, Rate> mRates = new HashMap<>();
     private final Map<String, Report> mReports = new HashMap<>();
+    private final Map<Counted, Integer> mCounts = new HashMap<>();
+    private boolean mStale;
+    private long mRecountMillis;
 
     /** Calls with exponentially decaying weight. */
     private static final class Rate {
@@ -30,11 +35,15 @@
         private long mMillis;
     }
 
+    /** What calls are counted by; an empty part counts all. */
+    private record Counted(String server, String model, String adapter) {}
+
     /** The last report of one entry. */
     private record Report(long millis, List<ModelUsage.Use> uses) {}
 
     /** Takes over an entry's report. */
     public void report(String entry, List<ModelUsage.Use> uses, long nowMillis) {
+        mStale = true;
         mReports.put(entry, new Report(nowMillis, List.copyOf(uses)));
         uses.forEach(use -> add(use.target().model(), use.started(), nowMillis));
     }
@@ -59,38 +68,49 @@
 
     /** Calls under way on a server with a model. */
     public int active(String server, String model, long nowMillis) {
-        return sum(nowMillis, server, use -> use.target().model().equals(model));
+        return count(new Counted(server, model, ""), nowMillis);
     }
 
-    /** Calls under way on a server with one adapter. */
+    /** Calls under way on a server with one adapter, or with the model alone. */
     public int active(String server, ModelTarget target, long nowMillis) {
-        return sum(nowMillis, server, use -> use.target().equals(target));
+        return count(new Counted(server, target.model(), "/" + target.adapter()), nowMillis);
     }
 
     /** Calls under way with a model on all servers. */
     public int activeAnywhere(String model, long nowMillis) {
-        return uses(nowMillis)
-                .filter(use -> use.target().model().equals(model))
-                .mapToInt(ModelUsage.Use::active)
-                .sum();
+        return count(new Counted("", model, ""), nowMillis);
     }
 
     /** Calls under way on a server. */
     public int active(String server, long nowMillis) {
-        return sum(nowMillis, server, use -> true);
+        return count(new Counted(server, "", ""), nowMillis);
+    }
+
+    private int count(Counted key, long nowMillis) {
+        if (mStale || nowMillis >= mRecountMillis) {
+            recount(nowMillis);
+        }
+        return mCounts.getOrDefault(key, 0);
     }
 
-    private int sum(
-            long nowMillis, String server, java.util.function.Predicate<ModelUsage.Use> which) {
-        return uses(nowMillis)
-                .filter(use -> use.server().equals(server) && which.test(use))
-                .mapToInt(ModelUsage.Use::active)
-                .sum();
+    private void recount(long nowMillis) {
+        mStale = false;
+        mRecountMillis = nowMillis + RECOUNT_MILLIS;
+        mCounts.clear();
+        mReports.values().removeIf(report -> nowMillis - report.millis() > REPORT_AGE_MILLIS);
+        for (Report report : mReports.values()) {
+            for (ModelUsage.Use use : report.uses()) {
+                String model = use.target().model();
+                String adapter = "/" + use.target().adapter();
+                add(new Counted(use.server(), model, adapter), use.active());
+                add(new Counted(use.server(), model, ""), use.active());
+                add(new Counted("", model, ""), use.active());
+                add(new Counted(use.server(), "", ""), use.active());
+            }
+        }
     }
 
-    private Stream<ModelUsage.Use> uses(long nowMillis) {
-        return mReports.values().stream()
-                .filter(report -> nowMillis - report.millis() <= REPORT_AGE_MILLIS)
-                .flatMap(report -> report.uses().stream());
+    private void add(Counted key, int active) {
+        mCounts.merge(key, active, Integer::sum);
     }
 }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -46,7 +46,7 @@
 
     private final EngineControl mEngines;
     private final Scheduler mControl;
-    private final Listener mListener;
+    private final EngineListener mListener;
     private final Map<String, HeldAdapters> mModels = new HashMap<>();
     private final Deque<EngineStep> mSteps = new ArrayDeque<>();
     private ServerRecord mServer;
@@ -61,24 +61,6 @@
     private long mNextCallMillis;
     private int mFailures;
 
-    /** What the driver needs of its controller. Called on the control thread. */
-    interface Listener {
-        /** The right to give orders at this moment, or empty. */
-        Optional<Term> term();
-
-        /** An order or a report changed what the engine holds or can take. */
-        void changed(EngineDriver engine);
-
-        /** An engine has taken orders of a later term. */
-        void outranked();
-
-        /** An order was answered, or not. */
-        void ordered(ServerRecord server, ServerOrder order, OrderReply reply);
-    }
-
-    /** A term of the controller. */
-    record Term(String holder, long fence) {}
-
     /**
      * @param hostMegabytes host memory for copies of weights
      */
@@ -87,7 +69,7 @@
             double hostMegabytes,
             EngineControl engines,
             Scheduler control,
-            Listener listener) {
+            EngineListener listener) {
         mServer = server;
         mCopies = new EngineCopies(server, hostMegabytes);
         mEngines = engines;
@@ -154,9 +136,23 @@
         return mCopies;
     }
 
+    /** Models on their way in. */
+    Set<String> loading() {
+        if (mSteps.isEmpty() && mUnderWay.isEmpty() && mUnsettled.isEmpty()) {
+            return Set.of();
+        }
+        Set<String> models = new HashSet<>();
+        for (EngineStep step : allSteps()) {
+            if (step.load() && step.adapter().isEmpty()) {
+                models.add(step.model());
+            }
+        }
+        return models;
+    }
+
     /** Whether a model is on its way in. */
     boolean isLoading(String model) {
-        return allSteps().stream().anyMatch(s -> s.load() && isModel(s, model));
+        return loading().contains(model);
     }
 
     /** Whether a model is on its way out. */
@@ -297,7 +293,7 @@
     }
 
     private void order(EngineStep step) {
-        Optional<Term> term = mListener.term();
+        Optional<EngineListener.Term> term = mListener.term();
         if (term.isEmpty()) {
             return;
         }
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -28,13 +28,16 @@
  * <p>Its state is rebuilt in each term from the directory and the engines' reports. Confined to the
  * control thread.
  */
-public final class ModelController implements EngineDriver.Listener {
+public final class ModelController implements EngineListener {
     /** Loads from the weight store at once; more share its rate and each takes longer. */
     private static final int STORE_LOADS_AT_ONCE = 4;
 
     /** Time between two looks at what could be loaded ahead. */
     private static final long SPARE_MILLIS = 150;
 
+    /** Time within which changes are gathered into one round. */
+    private static final long GATHER_MILLIS = 2;
+
     private final EngineControl mEngines;
     private final Scheduler mControl;
     private final TermSource mTerms;
@@ -47,6 +50,7 @@
     private Optional<RouteTable> mRoutes = Optional.empty();
     private long mVersion;
     private long mNextSpareMillis;
+    private boolean mScheduled;
 
     /** What wishes are merged by. */
     record WishKey(String service, ModelTarget target) {}
@@ -154,7 +158,7 @@
         open.mReplies.add(reply);
         mDemand.add(wish.target().model(), 1, now());
         wish.notHeldBy().ifPresent(this::distrust);
-        work();
+        schedule();
     }
 
     private static ModelWish merged(ModelWish one, ModelWish other) {
@@ -178,6 +182,7 @@
 
     /** Called a few times a second, and whenever something changed. */
     public void work() {
+        mScheduled = false;
         if (mTerms.fence().isEmpty() || mRoutes.isEmpty()) {
             return;
         }
@@ -188,9 +193,9 @@
                 Comparator.comparingInt((OpenWish wish) -> wish.wish().priority())
                         .thenComparing(wish -> wish.wish().deadline()));
         for (OpenWish wish : open) {
+            List<EngineDriver> drivers = driversOf(wish);
             Optional<ModelAnswer> answer =
-                    mRound.serve(
-                            wish.wish(), mWishes.keySet(), driversOf(wish), engineOf(wish), now);
+                    mRound.serve(wish.wish(), census(drivers), drivers, engineOf(wish), now);
             if (answer.isPresent()) {
                 mWishes.remove(new WishKey(wish.wish().service(), wish.wish().target()));
                 answer(wish, answer.get());
@@ -210,12 +215,17 @@
                 .forEach(
                         service -> {
                             List<EngineDriver> all = drivers(service);
-                            mRound.spread(all, engine(service).get(), mWishes.keySet(), now);
-                            mRound.fill(all, engine(service).get(), mWishes.keySet(), now);
-                            mRound.fetch(all, engine(service).get(), mWishes.keySet(), now);
+                            EngineDefinition engine = engine(service).get();
+                            mRound.spread(all, engine, census(all), now);
+                            mRound.fill(all, engine, census(all), now);
+                            mRound.fetch(all, engine, census(all), now);
                         });
     }
 
+    private Census census(List<EngineDriver> drivers) {
+        return new Census(drivers, Census.models(mWishes.keySet()));
+    }
+
     private List<EngineDriver> driversOf(OpenWish wish) {
         return drivers(wish.wish().service());
     }
@@ -258,14 +268,22 @@
     }
 
     @Override
-    public Optional<EngineDriver.Term> term() {
-        return mTerms.fence().map(fence -> new EngineDriver.Term(mTerms.holder(), fence));
+    public Optional<EngineListener.Term> term() {
+        return mTerms.fence().map(fence -> new EngineListener.Term(mTerms.holder(), fence));
     }
 
     @Override
     public void changed(EngineDriver engine) {
         mVersion++;
-        mControl.scheduleDirect(this::work);
+        schedule();
+    }
+
+    /** Answers, reports and wishes come in bursts; one round serves them all. */
+    private void schedule() {
+        if (!mScheduled) {
+            mScheduled = true;
+            mControl.scheduleDirect(this::work, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.cornelway.directory.ServerLife;
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
@@ -49,7 +48,7 @@
     /** The answer to a wish, or empty while it is on its way. */
     Optional<ModelAnswer> serve(
             ModelWish wish,
-            Set<ModelController.WishKey> open,
+            Census census,
             List<EngineDriver> engines,
             Optional<EngineDefinition> definition,
             long nowMillis) {
@@ -72,7 +71,7 @@
                             .map(engine -> held(engine, target, nowMillis))
                     : Optional.of(held(lightest(holders, nowMillis), target, nowMillis));
         }
-        return load(wish, model.get(), open, engines, definition.get(), nowMillis);
+        return load(wish, model.get(), census, engines, definition.get(), nowMillis);
     }
 
     private EngineDriver lightest(List<EngineDriver> engines, long nowMillis) {
@@ -93,7 +92,7 @@
     private Optional<ModelAnswer> load(
             ModelWish wish,
             ModelDefinition model,
-            Set<ModelController.WishKey> open,
+            Census census,
             List<EngineDriver> engines,
             EngineDefinition definition,
             long nowMillis) {
@@ -107,8 +106,8 @@
                     ? Optional.of(new ModelAnswer.TooLate(ready.get() - nowMillis))
                     : Optional.empty();
         }
-        Optional<LoadPlan> plan = plan(model, open, engines, definition, nowMillis);
-        if (plan.isEmpty() || plan.get().waitMillis() > 0 && isAnyUnread(engines)) {
+        Optional<LoadPlan> plan = plan(model, census, engines, definition, nowMillis);
+        if (plan.isEmpty() || plan.get().waitMillis() > 0 && census.isAnyUnread()) {
             return Optional.empty();
         }
         if (plan.get().waitMillis() == 0) {
@@ -120,25 +119,18 @@
                 : Optional.empty();
     }
 
-    /** At the start of a term an engine that was not read yet may hold the model. */
-    private static boolean isAnyUnread(List<EngineDriver> engines) {
-        return engines.stream().anyMatch(EngineDriver::isUnread);
-    }
-
     private Optional<LoadPlan> plan(
             ModelDefinition model,
-            Set<ModelController.WishKey> open,
+            Census census,
             List<EngineDriver> engines,
             EngineDefinition definition,
             long nowMillis) {
-        boolean store =
-                !isAnyUnread(engines)
-                        && engines.stream().filter(EngineDriver::readsStore).count() < mStoreLoads;
+        boolean store = !census.isAnyUnread() && census.storeReads() < mStoreLoads;
         List<EngineView> views =
                 engines.stream()
                         .filter(EngineDriver::isKnown)
                         .filter(engine -> !engine.models().containsKey(model.name()))
-                        .map(engine -> view(engine, open, engines, definition, nowMillis))
+                        .map(engine -> view(engine, census, definition, nowMillis))
                         .toList();
         return mPlanner.plan(model, views, store);
     }
@@ -170,11 +162,7 @@
     }
 
     private EngineView view(
-            EngineDriver engine,
-            Set<ModelController.WishKey> open,
-            List<EngineDriver> engines,
-            EngineDefinition definition,
-            long nowMillis) {
+            EngineDriver engine, Census census, EngineDefinition definition, long nowMillis) {
         Map<String, ModelView> models = new HashMap<>();
         String server = engine.server().id();
         engine.models()
@@ -190,9 +178,9 @@
                                                                 * model.adapterMegabytes(),
                                                 mDemand.active(server, name, nowMillis),
                                                 mDemand.rate(name, nowMillis),
-                                                replicas(name, engines),
+                                                census.replicas(name),
                                                 needed(name, definition, nowMillis),
-                                                isPinned(engine, name, open, nowMillis),
+                                                isPinned(engine, name, census, nowMillis),
                                                 model.diskLoadMillis()));
                             }
                         });
@@ -203,43 +191,16 @@
                 models,
                 engine.copies().inMemory(),
                 engine.copies().onDisk(),
-                soleCopies(engine, engines),
+                census.soleCopies(engine.copies().onDisk()),
                 mDemand.active(server, nowMillis));
     }
 
-    /** Models that are loaded nowhere and have a copy at hand only at one engine. */
-    private static int soleCopies(EngineDriver engine, List<EngineDriver> engines) {
-        return (int)
-                engine.copies().onDisk().stream()
-                        .filter(model -> replicas(model, engines) == 0)
-                        .filter(
-                                model ->
-                                        engines.stream()
-                                                .filter(other -> other != engine)
-                                                .noneMatch(other -> isAtHand(other, model)))
-                        .count();
-    }
-
-    private static boolean isAtHand(EngineDriver engine, String model) {
-        return engine.copies().onDisk().contains(model)
-                || engine.copies().inMemory().contains(model);
-    }
-
-    private boolean isPinned(
-            EngineDriver engine, String model, Set<ModelController.WishKey> open, long nowMillis) {
+    private boolean isPinned(EngineDriver engine, String model, Census census, long nowMillis) {
         long granted =
                 mGrantedMillis
                         .getOrDefault(engine.server().life(), Map.of())
                         .getOrDefault(model, Long.MIN_VALUE / 2);
-        return nowMillis - granted < SETTLE_MILLIS
-                || open.stream().anyMatch(key -> key.target().model().equals(model));
-    }
-
-    private static int replicas(String model, List<EngineDriver> engines) {
-        return (int)
-                engines.stream()
-                        .filter(e -> e.models().containsKey(model) || e.isLoading(model))
-                        .count();
+        return nowMillis - granted < SETTLE_MILLIS || census.isWished(model);
     }
 
     /** Engines that the calls under way with a model need. */
@@ -252,13 +213,13 @@
     void spread(
             List<EngineDriver> engines,
             EngineDefinition definition,
-            Set<ModelController.WishKey> open,
+            Census census,
             long nowMillis) {
         for (ModelDefinition model : definition.models().values()) {
-            int replicas = replicas(model.name(), engines);
+            int replicas = census.replicas(model.name());
             boolean coming = engines.stream().anyMatch(e -> e.isLoading(model.name()));
             if (replicas > 0 && !coming && replicas < needed(model.name(), definition, nowMillis)) {
-                plan(model, open, engines, definition, nowMillis)
+                plan(model, census, engines, definition, nowMillis)
                         .filter(plan -> plan.source() != CopySource.STORE)
                         .filter(plan -> plan.waitMillis() == 0)
                         .ifPresent(plan -> begin(plan, model, engines));
@@ -272,19 +233,17 @@
     void fetch(
             List<EngineDriver> engines,
             EngineDefinition definition,
-            Set<ModelController.WishKey> open,
+            Census census,
             long nowMillis) {
-        long reading = engines.stream().filter(EngineDriver::readsStore).count();
-        if (!open.isEmpty() || reading >= FETCHES_AT_ONCE || isAnyUnread(engines)) {
+        if (census.hasWishes() || census.storeReads() >= FETCHES_AT_ONCE || census.isAnyUnread()) {
             return;
         }
         definition.models().values().stream()
-                .filter(model -> replicas(model.name(), engines) == 0)
-                .filter(model -> engines.stream().noneMatch(e -> isAtHand(e, model.name())))
+                .filter(model -> census.isAbsent(model.name()))
                 .findFirst()
                 .ifPresent(
                         model ->
-                                plan(model, open, engines, definition, nowMillis)
+                                plan(model, census, engines, definition, nowMillis)
                                         .filter(plan -> plan.waitMillis() == 0)
                                         .ifPresent(plan -> begin(plan, model, engines)));
     }
@@ -293,19 +252,19 @@
     void fill(
             List<EngineDriver> engines,
             EngineDefinition definition,
-            Set<ModelController.WishKey> open,
+            Census census,
             long nowMillis) {
         for (EngineDriver engine : engines) {
             double free = EngineMemory.free(engine, definition);
             if (!engine.isIdle() || free <= 0) {
                 continue;
             }
-            EngineView view = view(engine, open, engines, definition, nowMillis);
+            EngineView view = view(engine, census, definition, nowMillis);
             definition.models().values().stream()
                     .filter(model -> model.megabytes() <= free)
                     .filter(model -> !engine.models().containsKey(model.name()))
                     .filter(m -> CheapestLoadPlanner.source(m.name(), view) != CopySource.STORE)
-                    .max(Comparator.comparingDouble(m -> gain(m.name(), engines, nowMillis)))
+                    .max(Comparator.comparingDouble(m -> gain(m.name(), census, nowMillis)))
                     .ifPresent(
                             model -> {
                                 CopySource source = CheapestLoadPlanner.source(model.name(), view);
@@ -318,8 +277,8 @@
         }
     }
 
-    private double gain(String model, List<EngineDriver> engines, long nowMillis) {
-        int replicas = replicas(model, engines);
+    private double gain(String model, Census census, long nowMillis) {
+        int replicas = census.replicas(model);
         double rate = mDemand.rate(model, nowMillis) + IDLE_RATE;
         return rate / (1.0 + replicas * (double) replicas * 2);
     }
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -28,6 +28,7 @@
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.supervisor.Component;
+import org.cornelway.time.Clock;
 import org.cornelway.traffic.ModelDesk;
 import org.cornelway.traffic.TrafficPlane;
 
@@ -74,6 +75,7 @@
             PlatformBeliefs beliefs,
             DocumentCache cache,
             Scheduler control,
+            Clock clock,
             EventLog log,
             MetricRegistry metrics) {}
 
@@ -83,7 +85,13 @@
         KeyValueStore keys = parts.store().keys();
         Scheduler control = parts.control();
         EventLog log = parts.log();
-        mHealth = new StoreHealth(log, parts.metrics(), beliefs::storeAway, beliefs::storeBack);
+        mHealth =
+                new StoreHealth(
+                        () -> control.now(TimeUnit.MILLISECONDS),
+                        log,
+                        parts.metrics(),
+                        beliefs::storeAway,
+                        beliefs::storeBack);
         mLease = new ProcessLease(keys, control, SuspensionClock.system(), mHealth, log);
         mRegistration = new Registration(parts.self(), keys, mLease, parts.cache(), control);
         mElection = new Election(parts.self(), keys, mLease, parts.cache(), control, log, this);
@@ -118,6 +126,7 @@
                 mDesk,
                 mParts.peers(),
                 mParts.control(),
+                mParts.clock(),
                 mParts.log(),
                 mParts.traffic());
     }
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -108,6 +108,7 @@
                                 mBeliefs,
                                 mCache,
                                 mControl,
+                                mClock,
                                 mLog,
                                 mMetrics));
         desk.attach(mPlane.models());
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -115,6 +115,7 @@
     @Override
     public void failed(String reason) {
         mContext.loads().failed(mServer.life());
+        notHeld();
         if (conclude()) {
             mExchange.onNotArrived(this, "not connected: " + reason);
         }
@@ -199,16 +200,20 @@
         if (otherServer) {
             mContext.loads().failed(mServer.life());
         } else if (head.otherServer() || mExchange.wasRefusedBy(mServer.life())) {
-            mExchange
-                    .request()
-                    .head()
-                    .target()
-                    .ifPresent(target -> mContext.holdings().denied(mServer.life(), target));
-            mExchange.onNotHeld(mServer.life());
+            notHeld();
         }
         mExchange.onRefused(this, "refused with " + head.status(), !head.otherServer());
     }
 
+    /** The model must come from another server, until the controller says otherwise. */
+    private void notHeld() {
+        Optional<ModelTarget> target = mExchange.request().head().target();
+        if (target.isPresent()) {
+            mContext.holdings().denied(mServer.life(), target.get());
+            mExchange.onNotHeld(mServer.life());
+        }
+    }
+
     private void streamEnded() {
         StreamRelay relay = mExchange.relay().orElseThrow();
         if (relay.hasPartial()) {
