Close idle connections while a drain waits for streams

Change: from 3.4 s on the process takes no connection and keeps only those with a call under way; a stop uses 0.92 of the grace.

--- a/org.cornelway.test/tst/org/cornelway/direct/DirectEntryProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectEntryProcessTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import org.cornelway.bench.LoopbackHttp.Reply;
 import org.cornelway.bench.ProcessFleet;
@@ -185,6 +187,22 @@
         assertThat(fleet().entry(0).onExit().join().exitValue()).isEqualTo(143);
     }
 
+    @Test
+    public void idleConnectionIsClosedWhileTheDrainWaitsForStreams() throws IOException {
+        fleet().server("e1").stream(EVENTS, 1_300);
+        CompletableFuture<Reply> open =
+                fleet().http()
+                        .send("POST", fleet().front(0), "/stream/a", "p", headers(newId(), "m2"));
+        ProcessFleet.await("stream", () -> ran("e1") == 1);
+        try (Socket idle = new Socket("127.0.0.1", fleet().front(0))) {
+            fleet().signal(0, "TERM");
+            idle.setSoTimeout(20_000);
+            assertThat(idle.getInputStream().read()).isEqualTo(-1);
+            assertThat(open).isNotDone();
+        }
+        assertWholeStream(open.join());
+    }
+
     @Test
     public void hangUpSignalDoesNotEndTheProcess() {
         fleet().signal(0, "HUP");
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -47,7 +47,7 @@
     private static final long SETTINGS_MILLIS = 2_000;
 
     /** Part of the time until the kill that a stop may use. */
-    private static final double GRACE_SHARE = 0.85;
+    private static final double GRACE_SHARE = 0.92;
 
     private final DirectEntrySettings mSettings;
     private final SettingsSource mSource;
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -20,9 +21,10 @@
 /**
  * Listens for callers.
  *
- * <p>While it drains it still takes connections and requests, since the balancer and callers learn
- * of the drain late, but asks callers to close after each answer. Its connections are confined to
- * the traffic thread.
+ * <p>While it drains it still takes connections and requests for some seconds, since the balancer
+ * and callers learn of the drain late, but asks callers to close after each answer. After that it
+ * keeps only the connections with a call under way. Its connections are confined to the traffic
+ * thread.
  */
 public final class FrontServer implements Component {
     private static final int BACKLOG = 1_024;
@@ -43,6 +45,7 @@
     private final TrafficContext mContext;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private volatile boolean mDraining;
+    private boolean mLeaving;
     private volatile int mOpenCalls;
     private Optional<Channel> mChannel = Optional.empty();
 
@@ -95,6 +98,9 @@
         for (CallerConnection connection : Set.copyOf(mConnections)) {
             connection.tick();
             open += connection.isBusy() ? 1 : 0;
+            if (mLeaving) {
+                connection.closeIfIdle();
+            }
         }
         mOpenCalls = open;
     }
@@ -121,29 +127,22 @@
 
     @Override
     public Completable drain(Deadline deadline) {
-        long now = mContext.clock().nowMillis();
-        Deadline least = Deadline.after(now, LEAST_DRAIN_MILLIS);
         return Completable.fromAction(() -> mDraining = true)
-                .andThen(
-                        Polling.until(
-                                io.reactivex.rxjava3.schedulers.Schedulers.single(),
-                                () -> isDrained(least, deadline)))
-                .andThen(Completable.fromAction(() -> mContext.loop().execute(this::closeIdle)))
+                .andThen(Completable.timer(LEAST_DRAIN_MILLIS, TimeUnit.MILLISECONDS))
+                .andThen(Completable.fromAction(() -> mContext.loop().execute(this::leave)))
                 .andThen(Completable.timer(LAST_CLOSE_MILLIS, TimeUnit.MILLISECONDS))
-                .andThen(
-                        Polling.until(
-                                io.reactivex.rxjava3.schedulers.Schedulers.single(),
-                                () -> isDrained(least, deadline)));
+                .andThen(Polling.until(Schedulers.single(), () -> isDrained(deadline)));
     }
 
-    private boolean isDrained(Deadline least, Deadline last) {
-        long now = mContext.clock().nowMillis();
-        return last.isPast(now) || least.isPast(now) && mOpenCalls == 0;
+    private boolean isDrained(Deadline last) {
+        return last.isPast(mContext.clock().nowMillis()) || mOpenCalls == 0;
     }
 
-    private void closeIdle() {
+    /** Takes no connection any more, and keeps none that brings no call now. */
+    private void leave() {
+        mLeaving = true;
         mChannel.ifPresent(Channel::close);
-        Set.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
+        sweep();
     }
 
     @Override
