Answer the calls that are open when a process stops

Change: before a process ends, calls that are open get their final answer, 503 only where no send can have run. Tests: waitingCallIsRefused..., mutedCallIsAnswered...

--- a/org.cornelway.test/tst/org/cornelway/direct/DirectEntryProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectEntryProcessTest.java
@@ -203,6 +203,38 @@
         assertWholeStream(open.join());
     }
 
+    @Test
+    public void waitingCallIsRefusedBeforeTheProcessEnds() {
+        fleet().server("e1").fail(Fault.FULL);
+        CompletableFuture<Reply> waiting =
+                fleet().http()
+                        .send(
+                                "POST",
+                                fleet().front(0),
+                                "/stream/a",
+                                "p",
+                                headers(newId(), "m2/a1"));
+        fleet().server("e2").fail(Fault.MUTE);
+        CompletableFuture<Reply> running =
+                fleet().http().send("POST", fleet().front(0), "/safe/a", "p", headers(newId(), ""));
+        assertThat(running.join().status()).isEqualTo(OK);
+        fleet().signal(0, "TERM");
+        assertThat(waiting.join().status()).isEqualTo(UNAVAILABLE);
+        assertThat(ran("e1")).isZero();
+    }
+
+    @Test
+    public void mutedCallIsAnsweredBeforeTheProcessEnds() {
+        fleet().server("e1").fail(Fault.MUTE);
+        fleet().server("e2").fail(Fault.MUTE);
+        CompletableFuture<Reply> mute =
+                fleet().http()
+                        .send("POST", fleet().front(0), "/stream/a", "p", headers(newId(), "m1"));
+        ProcessFleet.await("send", () -> ran("e1") + ran("e2") == 1);
+        fleet().signal(0, "TERM");
+        assertThat(mute.join().status()).isEqualTo(BAD_GATEWAY);
+    }
+
     @Test
     public void hangUpSignalDoesNotEndTheProcess() {
         fleet().signal(0, "HUP");
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -95,6 +95,10 @@
         mExchange.ifPresent(exchange -> exchange.granted(target));
     }
 
+    void abandon() {
+        mExchange.ifPresent(Exchange::abandon);
+    }
+
     void closeIfIdle() {
         if (!isBusy()) {
             mChannel.close();
--- a/org.cornelway/src/org/cornelway/traffic/Exchange.java
+++ b/org.cornelway/src/org/cornelway/traffic/Exchange.java
@@ -27,10 +27,9 @@
     /** Time left below which another send cannot succeed. */
     private static final long LEAST_REMAINING_MILLIS = 25;
 
-    /** Pause before a call goes again to an engine that is about to hold the model. */
+    /** Pauses before a call goes again to an engine that is busy, and to an unknown one. */
     private static final long BUSY_PAUSE_MILLIS = 30;
 
-    /** Pause before asking again for a model at a server that is not known here. */
     private static final long GRANT_PAUSE_MILLIS = 60;
 
     private static final long COME_BACK_MILLIS = 300;
@@ -115,10 +114,6 @@
         return mRelay;
     }
 
-    boolean isDone() {
-        return mDone;
-    }
-
     /** Rank in the engine's queue, by the rank of the route. */
     Optional<Integer> enginePriority() {
         return mRequest.head().target().map(target -> EngineRank.of(route()));
@@ -201,8 +196,10 @@
 
     private List<ServerRecord> holders() {
         List<ServerRecord> usable = mContext.view().get().directory().usable(mService);
-        Optional<ModelTarget> target = mRequest.head().target();
-        return target.map(t -> mContext.holdings().holders(usable, t)).orElse(usable);
+        return mRequest.head()
+                .target()
+                .map(target -> mContext.holdings().holders(usable, target))
+                .orElse(usable);
     }
 
     /** The controller named a server that holds a model. */
@@ -354,6 +351,16 @@
         mLog.done(mRoute, how, status, mHistory.sends(), reason);
     }
 
+    /** Ends the call because the process stops; the answer says what is known. */
+    void abandon() {
+        end(ResultCode.AGENT_LEAVING, "the process stops");
+    }
+
+    private void end(ResultCode code, String reason) {
+        mAttempt.filter(Attempt::mayHaveRun).ifPresent(attempt -> mHistory.mayHaveRun());
+        giveUp(code, reason);
+    }
+
     /** Called a few times a second: deadlines, silent servers, changed timeouts. */
     void tick() {
         if (mDone) {
@@ -361,10 +368,7 @@
         }
         followConfiguration();
         if (mDeadline.isPast(now())) {
-            mAttempt.filter(Attempt::mayHaveRun).ifPresent(attempt -> mHistory.mayHaveRun());
-            giveUp(
-                    ResultCode.DEADLINE_PASSED,
-                    "the deadline passed; last: " + mHistory.lastReason());
+            end(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mHistory.lastReason());
         } else {
             mAttempt.ifPresent(Attempt::tick);
         }
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -41,6 +41,9 @@
     /** Time within which a connection that was idle when the drain ended may still bring a call. */
     private static final long LAST_CLOSE_MILLIS = 300;
 
+    /** Time in which last answers leave. */
+    private static final long FLUSH_MILLIS = 120;
+
     private final HttpEndpoint mEndpoint;
     private final TrafficContext mContext;
     private final Set<CallerConnection> mConnections = new HashSet<>();
@@ -131,7 +134,14 @@
                 .andThen(Completable.timer(LEAST_DRAIN_MILLIS, TimeUnit.MILLISECONDS))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::leave)))
                 .andThen(Completable.timer(LAST_CLOSE_MILLIS, TimeUnit.MILLISECONDS))
-                .andThen(Polling.until(Schedulers.single(), () -> isDrained(deadline)));
+                .andThen(Polling.until(Schedulers.single(), () -> isDrained(deadline)))
+                .andThen(Completable.fromAction(() -> mContext.loop().execute(this::abandon)))
+                .andThen(Completable.timer(FLUSH_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    /** Answers the calls that are still open: a call that did not run may go elsewhere. */
+    private void abandon() {
+        Set.copyOf(mConnections).forEach(CallerConnection::abandon);
     }
 
     private boolean isDrained(Deadline last) {
