--- a/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
@@ -71,11 +71,6 @@
         return document.value().length == 0;
     }
 
-    /** Whether the prefix was listed since the process started. */
-    public boolean isListed() {
-        return mRevision >= 0;
-    }
-
     @Override
     public String name() {
         return "store-follower " + mPrefix;
--- a/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
@@ -139,11 +139,6 @@
                 server.zone().equals(mZone));
     }
 
-    /** Calls of this process that a server has not answered. */
-    public int inFlight(ServerLife life) {
-        return entry(life).mInFlight;
-    }
-
     /** Forgets servers that are gone and have no call under way. */
     public void retain(Set<ServerLife> lives) {
         for (ServerLife life : new HashSet<>(mEntries.keySet())) {
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
@@ -60,18 +60,6 @@
         return mOpened;
     }
 
-    /** Connections to an address, opening ones included. */
-    int open(String address) {
-        Lane lane = mLanes.get(address);
-        return lane == null ? 0 : lane.mOpen;
-    }
-
-    /** Whether a connection is idle and may be used without opening one. */
-    boolean hasIdle(String address) {
-        Lane lane = mLanes.get(address);
-        return lane != null && lane.mIdle.stream().anyMatch(UpstreamConnection::isReusable);
-    }
-
     /** Gives an idle connection at once, or opens one. */
     void acquire(String host, int port, Opening opening) {
         String address = host + ":" + port;
