Take no call from 2.8 s after the signal on, and refuse those that wait

Ruled out: idle connections (closed by then). Change: from 2.8 s on a call is refused at once, 503 and not run; calls that wait without a send are refused then too.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -32,6 +32,7 @@
 
     private final TrafficContext mContext;
     private final Exchange mExchange;
+    private final CallerRequest mRequest;
     private final ServerRecord mServer;
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private Optional<ReplyHead> mHead = Optional.empty();
@@ -42,9 +43,10 @@
     private boolean mEnded;
     private long mProgressMillis;
 
-    Attempt(TrafficContext context, Exchange exchange, ServerRecord server) {
+    Attempt(TrafficContext context, Exchange exchange, CallerRequest request, ServerRecord server) {
         mContext = context;
         mExchange = exchange;
+        mRequest = request;
         mServer = server;
         mProgressMillis = context.clock().nowMillis();
     }
@@ -60,11 +62,7 @@
 
     void start() {
         mContext.loads().sent(mServer.life());
-        mExchange
-                .request()
-                .head()
-                .target()
-                .ifPresent(target -> mContext.usage().began(mServer.id(), target));
+        mRequest.head().target().ifPresent(target -> mContext.usage().began(mServer.id(), target));
         mContext.pool().acquire(mServer.host(), mServer.port(), this);
     }
 
@@ -87,29 +85,30 @@
     }
 
     private UpstreamRequest upstreamRequest() {
-        CallerRequest request = mExchange.request();
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         long left = mExchange.deadline().remainingMillis(mContext.clock().nowMillis());
         Optional<String> lastId =
                 mExchange.relay().filter(StreamRelay::hasBegun).flatMap(StreamRelay::lastId);
+        Optional<Integer> rank =
+                mRequest.head().target().map(target -> EngineRank.of(mExchange.route()));
         mContext.codec()
                 .forward(
-                        request.message(),
-                        new ForwardHead(mServer.id(), left, mExchange.enginePriority(), lastId),
+                        mRequest.message(),
+                        new ForwardHead(mServer.id(), left, rank, lastId),
                         headers);
         boolean framed =
-                request.body().isReadable()
-                        || request.message().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        || request.message().headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+                mRequest.body().isReadable()
+                        || mRequest.message().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                        || mRequest.message().headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
         if (framed) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, mRequest.body().readableBytes());
         }
         return new UpstreamRequest(
-                request.message().method(),
-                request.message().uri(),
+                mRequest.message().method(),
+                mRequest.message().uri(),
                 headers,
-                request.body(),
-                Optional.of(request.head().requestId()));
+                mRequest.body(),
+                Optional.of(mRequest.head().requestId()));
     }
 
     @Override
@@ -207,7 +206,7 @@
 
     /** The model must come from another server, until the controller says otherwise. */
     private void notHeld() {
-        Optional<ModelTarget> target = mExchange.request().head().target();
+        Optional<ModelTarget> target = mRequest.head().target();
         if (target.isPresent()) {
             mContext.holdings().denied(mServer.life(), target.get());
             mExchange.onNotHeld(mServer.life());
@@ -299,11 +298,7 @@
         if (mStreaming) {
             mContext.loads().streaming(mServer.life(), -1);
         }
-        mExchange
-                .request()
-                .head()
-                .target()
-                .ifPresent(target -> mContext.usage().ended(mServer.id(), target));
+        mRequest.head().target().ifPresent(target -> mContext.usage().ended(mServer.id(), target));
         return true;
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -51,6 +51,7 @@
 
     private final TrafficContext mContext;
     private final BooleanSupplier mDraining;
+    private final BooleanSupplier mLeaving;
     private final Consumer<CallerConnection> mClosed;
     private final Deque<Object> mWaiting = new ArrayDeque<>();
     private Channel mChannel;
@@ -63,9 +64,13 @@
     private boolean mBodyless;
 
     CallerConnection(
-            TrafficContext context, BooleanSupplier draining, Consumer<CallerConnection> closed) {
+            TrafficContext context,
+            BooleanSupplier draining,
+            BooleanSupplier leaving,
+            Consumer<CallerConnection> closed) {
         mContext = context;
         mDraining = draining;
+        mLeaving = leaving;
         mClosed = closed;
         mProgressBy = idleDeadline();
     }
@@ -95,6 +100,10 @@
         mExchange.ifPresent(exchange -> exchange.granted(target));
     }
 
+    void refuseWaiting() {
+        mExchange.ifPresent(Exchange::refuseWaiting);
+    }
+
     void abandon() {
         mExchange.ifPresent(Exchange::abandon);
     }
@@ -204,7 +213,11 @@
                         Deadline.after(now, call.waitMillis().orElse(NO_LIMIT_MILLIS)));
         Exchange exchange = new Exchange(mContext, request, this);
         mExchange = Optional.of(exchange);
-        exchange.start();
+        if (mLeaving.getAsBoolean()) {
+            exchange.abandon();
+        } else {
+            exchange.start();
+        }
     }
 
     /** Answers what cannot be handled and closes, since what follows cannot be told apart. */
--- a/org.cornelway/src/org/cornelway/traffic/Exchange.java
+++ b/org.cornelway/src/org/cornelway/traffic/Exchange.java
@@ -102,10 +102,6 @@
         return mRoute.orElseThrow();
     }
 
-    CallerRequest request() {
-        return mRequest;
-    }
-
     Deadline deadline() {
         return mDeadline;
     }
@@ -114,11 +110,6 @@
         return mRelay;
     }
 
-    /** Rank in the engine's queue, by the rank of the route. */
-    Optional<Integer> enginePriority() {
-        return mRequest.head().target().map(target -> EngineRank.of(route()));
-    }
-
     private void dispatch() {
         if (mDone || mAttempt.isPresent()) {
             return;
@@ -152,7 +143,7 @@
             return;
         }
         mHistory.sent(chosen.server().id());
-        Attempt attempt = new Attempt(mContext, this, chosen.server());
+        Attempt attempt = new Attempt(mContext, this, mRequest, chosen.server());
         mAttempt = Optional.of(attempt);
         mLog.sent(mHistory.sends(), chosen, mDeadline.remainingMillis(now()));
         attempt.start();
@@ -351,6 +342,13 @@
         mLog.done(mRoute, how, status, mHistory.sends(), reason);
     }
 
+    /** Refuses the call if it waits and cannot have run: another process can take it. */
+    void refuseWaiting() {
+        if (mAttempt.isEmpty() && mHistory.mayHaveRunCount() == 0) {
+            abandon();
+        }
+    }
+
     /** Ends the call because the process stops; the answer says what is known. */
     void abandon() {
         end(ResultCode.AGENT_LEAVING, "the process stops");
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -35,8 +35,11 @@
 
     private static final long SWEEP_MILLIS = 50;
 
-    /** The balancer asks once a second and takes a process out after two misses. */
-    private static final long LEAST_DRAIN_MILLIS = 3_400;
+    /**
+     * The balancer asks once a second and takes a process out after two misses; a call taken much
+     * later might not end before the process must.
+     */
+    private static final long LEAST_DRAIN_MILLIS = 2_800;
 
     /** Time within which a connection that was idle when the drain ended may still bring a call. */
     private static final long LAST_CLOSE_MILLIS = 300;
@@ -148,10 +151,11 @@
         return last.isPast(mContext.clock().nowMillis()) || mOpenCalls == 0;
     }
 
-    /** Takes no connection any more, and keeps none that brings no call now. */
+    /** Takes no call any more; those that wait without a send may still run elsewhere. */
     private void leave() {
         mLeaving = true;
         mChannel.ifPresent(Channel::close);
+        Set.copyOf(mConnections).forEach(CallerConnection::refuseWaiting);
         sweep();
     }
 
@@ -166,7 +170,8 @@
         protected void initChannel(Channel channel) {
             int maxHeader = mContext.view().get().limits().maxHeaderBytes();
             CallerConnection connection =
-                    new CallerConnection(mContext, () -> mDraining, mConnections::remove);
+                    new CallerConnection(
+                            mContext, () -> mDraining, () -> mLeaving, mConnections::remove);
             mConnections.add(connection);
             channel.pipeline()
                     .addLast(
