--- a/org.cornelway/src/org/cornelway/http/WebServer.java
+++ b/org.cornelway/src/org/cornelway/http/WebServer.java
@@ -1,10 +1,11 @@
 package org.cornelway.http;
 
 import io.reactivex.rxjava3.core.Completable;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.ext.web.Router;
+import io.vertx.core.http.HttpServerRequest;
 import org.cornelway.supervisor.Component;
 
 /** Listens for HTTP. Used by its supervisor only. */
@@ -15,8 +16,9 @@
 
     /**
      * @param port TCP port, 0 for any
+     * @param router answers the requests
      */
-    public WebServer(Vertx vertx, String host, int port, Router router) {
+    public WebServer(Vertx vertx, String host, int port, Handler<HttpServerRequest> router) {
         HttpServerOptions options =
                 new HttpServerOptions().setHost(host).setPort(port).setIdleTimeout(IDLE_SECONDS);
         mServer = vertx.createHttpServer(options).requestHandler(router);
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -13,6 +13,7 @@
 import org.cornelway.cluster.PeerGossip;
 import org.cornelway.dispatch.ResendBudget;
 import org.cornelway.eventlog.EventLog;
+import org.cornelway.http.WebServer;
 import org.cornelway.internal.grpc.ChannelPool;
 import org.cornelway.internal.grpc.ClusterKey;
 import org.cornelway.internal.grpc.EntryServer;
@@ -181,7 +182,12 @@
         return supervisor
                 .add(grpc)
                 .add(mTraffic.front())
-                .add(new ReadinessServer(mVertx, mSettings.ready(), mMetrics, this::isReady));
+                .add(
+                        new WebServer(
+                                mVertx,
+                                mSettings.ready().host(),
+                                mSettings.ready().port(),
+                                new ReadinessHandler(mMetrics, this::isReady)));
     }
 
     private DescribeReply describe() {
