Start the callers' front sooner after a restart

Cause: a restarted entry spent its first second on parts that no caller waits for: flight recorder classes of both copies of Netty, all commands of the command line, every plugin of the log library, Vert.x and the gRPC server. Now the front comes first and the rest follows or is left out.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -47,7 +47,8 @@
     public int run() {
         // Timers of the control thread must not follow jumps of the time of day.
         System.setProperty("rx3.scheduler.use-nanotime", "true");
-        Logging.configure("event", mLogLevel);
+        switchOffFlightRecorder();
+        Logging.configureEvents(mLogLevel);
         SettingsChecker checker = new SettingsChecker();
         String key = checker.secret("--cluster-key", mClusterKey);
         String path = System.getenv(SETTINGS_FILE);
@@ -71,6 +72,12 @@
         }
     }
 
+    /** Both copies of Netty would start it for events that nobody reads. */
+    private static void switchOffFlightRecorder() {
+        System.setProperty("io.netty.jfr.enabled", "false");
+        System.setProperty("io.grpc.netty.shaded.io.netty.jfr.enabled", "false");
+    }
+
     private static PlatformPorts ports() {
         return new PlatformPorts(
                 new WireCallCodec(),
--- /dev/null
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/EventLineLayout.java
@@ -0,0 +1,32 @@
+package org.cornelway.pgm;
+
+import java.nio.charset.StandardCharsets;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.layout.AbstractStringLayout;
+
+/**
+ * Writes a log event as one line of {@code key=value} pairs.
+ *
+ * <p>Stands in for a pattern, since reading a pattern loads every plugin of the log library, and a
+ * process that starts after a loss of power must answer soon. Thread-safe.
+ */
+final class EventLineLayout extends AbstractStringLayout {
+    private static final int LINE_CHARS = 200;
+
+    EventLineLayout() {
+        super(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public String toSerializable(LogEvent event) {
+        StringBuilder line = new StringBuilder(LINE_CHARS);
+        line.append("ts=").append(event.getTimeMillis());
+        line.append(" level=").append(event.getLevel().name());
+        line.append(" thread=").append(event.getThreadName());
+        line.append(' ').append(event.getMessage().getFormattedMessage());
+        if (event.getThrown() != null) {
+            line.append(" error=\"").append(event.getThrown()).append('"');
+        }
+        return line.append('\n').toString();
+    }
+}
--- a/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
@@ -41,9 +41,9 @@
     }
 
     private static int run(String[] arguments, Map<String, String> environment) {
-        List<Command> commands = commands();
-        JCommander parser = parser(commands, environment);
         List<String> words = joined(arguments);
+        List<Command> commands = wanted(words);
+        JCommander parser = parser(commands, environment);
         try {
             parser.parse(words.toArray(String[]::new));
         } catch (ParameterException e) {
@@ -63,6 +63,14 @@
                 .run();
     }
 
+    /** The command that the first word names, or all: a process starts faster with one alone. */
+    private static List<Command> wanted(List<String> words) {
+        String first = words.isEmpty() ? "" : words.get(0);
+        List<Command> all = commands();
+        List<Command> named = all.stream().filter(each -> each.name().equals(first)).toList();
+        return named.isEmpty() ? all : named;
+    }
+
     /** A parser that knows the commands and takes settings from the environment too. */
     static JCommander parser(List<Command> commands, Map<String, String> environment) {
         JCommander parser = new JCommander();
--- a/org.cornelway/src/org/cornelway/internal/grpc/GrpcServer.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcServer.java
@@ -6,6 +6,7 @@
 import io.reactivex.rxjava3.core.Completable;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -17,8 +18,9 @@
     private static final int THREADS = 4;
     private static final int WINDOW_BYTES = 256 << 10;
 
-    private final Server mServer;
+    private final NettyServerBuilder mBuilder;
     private final ExecutorService mExecutor;
+    private Optional<Server> mServer = Optional.empty();
 
     /**
      * @param services the services, open only to callers that know the cluster key
@@ -26,7 +28,7 @@
     public GrpcServer(
             String host, int port, ClusterKey key, WireBytes wire, List<BindableService> services) {
         mExecutor = Executors.newFixedThreadPool(THREADS, r -> new Thread(r, "grpc-server"));
-        NettyServerBuilder builder =
+        mBuilder =
                 NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
                         .executor(mExecutor)
                         .intercept(key)
@@ -35,8 +37,7 @@
                         .permitKeepAliveTime(5, TimeUnit.SECONDS)
                         .permitKeepAliveWithoutCalls(true)
                         .maxInboundMessageSize(MAX_MESSAGE_BYTES);
-        services.forEach(builder::addService);
-        mServer = builder.build();
+        services.forEach(mBuilder::addService);
     }
 
     @Override
@@ -46,14 +47,14 @@
 
     @Override
     public Completable start() {
-        return Completable.fromAction(mServer::start);
+        return Completable.fromAction(() -> mServer = Optional.of(mBuilder.build().start()));
     }
 
     @Override
     public Completable stop() {
         return Completable.fromAction(
                 () -> {
-                    mServer.shutdownNow();
+                    mServer.ifPresent(Server::shutdownNow);
                     mExecutor.shutdownNow();
                 });
     }
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -4,8 +4,6 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.schedulers.Schedulers;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Executors;
@@ -13,7 +11,6 @@
 import org.cornelway.cluster.PeerGossip;
 import org.cornelway.dispatch.ResendBudget;
 import org.cornelway.eventlog.EventLog;
-import org.cornelway.http.WebServer;
 import org.cornelway.internal.grpc.ChannelPool;
 import org.cornelway.internal.grpc.ClusterKey;
 import org.cornelway.internal.grpc.EntryServer;
@@ -55,7 +52,6 @@
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Clock mClock = Clock.system();
     private final Scheduler mControl = newControl();
-    private final Vertx mVertx = newVertx();
     private final EventLog mLog = new EventLog(mClock, mMetrics);
     private final DocumentCache mCache =
             new DocumentCache(new Invariants(mMetrics, false), mMetrics);
@@ -122,14 +118,6 @@
                 Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control")));
     }
 
-    private static Vertx newVertx() {
-        return Vertx.vertx(
-                new VertxOptions()
-                        .setEventLoopPoolSize(1)
-                        .setWorkerPoolSize(1)
-                        .setInternalBlockingPoolSize(1));
-    }
-
     private static ClusterMember self(DirectEntrySettings settings) {
         return new ClusterMember(
                 settings.instanceId(),
@@ -163,6 +151,7 @@
         return new PeerGossip(mMembers, settings.seeds(), exchanges, mClock, new Random());
     }
 
+    /** Callers come first: after a loss of power they wait while the other parts start. */
     private Supervisor supervise() {
         PeerServer peers =
                 new PeerServer(
@@ -180,14 +169,11 @@
                 new Supervisor("direct-entry", mMetrics).add(mChannels).add(new BeliefUpdater());
         mPlane.followers().forEach(supervisor::add);
         return supervisor
-                .add(grpc)
                 .add(mTraffic.front())
                 .add(
-                        new WebServer(
-                                mVertx,
-                                mSettings.ready().host(),
-                                mSettings.ready().port(),
-                                new ReadinessHandler(mMetrics, this::isReady)));
+                        new ReadinessServer(
+                                mSettings.ready(), new ReadinessHandler(mMetrics, this::isReady)))
+                .add(grpc);
     }
 
     private DescribeReply describe() {
@@ -288,7 +274,6 @@
                                 () -> {
                                     mLog.write("process.stop", "instance", mSettings.instanceId());
                                     mTraffic.shutdown();
-                                    mVertx.close();
                                 }));
     }
 
