Wait for the place whose calls end first

An unload waits for its calls; the planner priced that at 1.2 s whatever ran, kept to its choice while the engine stayed busy, and read lagging reports before each next try.

Now entries report when a model's calls should end, a load moves to another engine while its place is not free, and an order that met another is tried again without a report. While no calls come, all of the store's places make second copies.

--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -218,32 +218,33 @@
       " \001(\0162 .cornelway.v1.ModelGrant.Outcome\022\016" +
       "\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected" +
       "_millis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NO" +
-      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"[\n\010ModelUse" +
+      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"u\n\010ModelUse" +
       "\022\016\n\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapt" +
       "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\017\n\007started\030\005 \001(" +
-      "\005\"g\n\tUseReport\022\014\n\004from\030\001 \001(\t\022\030\n\020holdings" +
-      "_version\030\002 \001(\003\022\014\n\004term\030\003 \001(\003\022$\n\004uses\030\004 \003" +
-      "(\0132\026.cornelway.v1.ModelUse\",\n\tHeldModel\022" +
-      "\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016Serv" +
-      "erHoldings\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003" +
-      "\022\'\n\006models\030\003 \003(\0132\027.cornelway.v1.HeldMode" +
-      "l\"\202\001\n\rHoldingsReply\022\022\n\ncontroller\030\001 \001(\010\022" +
-      "\014\n\004term\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007change" +
-      "d\030\004 \001(\010\022-\n\007servers\030\005 \003(\0132\034.cornelway.v1." +
-      "ServerHoldings*-\n\014RequestClass\022\017\n\013INTERA" +
-      "CTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001\n\014AgentService\022@" +
-      "\n\010Exchange\022\035.cornelway.v1.ExchangeReques" +
-      "t\032\023.cornelway.v1.Frame0\001\022F\n\010Withdraw\022\035.c" +
-      "ornelway.v1.WithdrawRequest\032\033.cornelway." +
-      "v1.WithdrawReply2\224\001\n\013PeerService\022=\n\005Rela" +
-      "y\022\032.cornelway.v1.RelayRequest\032\030.cornelwa" +
-      "y.v1.RelayReply\022F\n\010Describe\022\035.cornelway." +
-      "v1.DescribeRequest\032\033.cornelway.v1.Descri" +
-      "beReply2\217\001\n\014EntryService\022<\n\010AskModel\022\026.c" +
-      "ornelway.v1.ModelAsk\032\030.cornelway.v1.Mode" +
-      "lGrant\022A\n\tReportUse\022\027.cornelway.v1.UseRe" +
-      "port\032\033.cornelway.v1.HoldingsReplyB\025\n\021org" +
-      ".cornelway.rpcP\001b\006proto3"
+      "\005\022\030\n\020remaining_millis\030\006 \001(\003\"g\n\tUseReport" +
+      "\022\014\n\004from\030\001 \001(\t\022\030\n\020holdings_version\030\002 \001(\003" +
+      "\022\014\n\004term\030\003 \001(\003\022$\n\004uses\030\004 \003(\0132\026.cornelway" +
+      ".v1.ModelUse\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t" +
+      "\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHoldings\022\016\n\006" +
+      "server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models\030\003 \003" +
+      "(\0132\027.cornelway.v1.HeldModel\"\202\001\n\rHoldings" +
+      "Reply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002 \001(\003\022" +
+      "\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n\007ser" +
+      "vers\030\005 \003(\0132\034.cornelway.v1.ServerHoldings" +
+      "*-\n\014RequestClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEF" +
+      "ERRED\020\0012\230\001\n\014AgentService\022@\n\010Exchange\022\035.c" +
+      "ornelway.v1.ExchangeRequest\032\023.cornelway." +
+      "v1.Frame0\001\022F\n\010Withdraw\022\035.cornelway.v1.Wi" +
+      "thdrawRequest\032\033.cornelway.v1.WithdrawRep" +
+      "ly2\224\001\n\013PeerService\022=\n\005Relay\022\032.cornelway." +
+      "v1.RelayRequest\032\030.cornelway.v1.RelayRepl" +
+      "y\022F\n\010Describe\022\035.cornelway.v1.DescribeReq" +
+      "uest\032\033.cornelway.v1.DescribeReply2\217\001\n\014En" +
+      "tryService\022<\n\010AskModel\022\026.cornelway.v1.Mo" +
+      "delAsk\032\030.cornelway.v1.ModelGrant\022A\n\tRepo" +
+      "rtUse\022\027.cornelway.v1.UseReport\032\033.cornelw" +
+      "ay.v1.HoldingsReplyB\025\n\021org.cornelway.rpc" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -368,7 +369,7 @@
     internal_static_cornelway_v1_ModelUse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ModelUse_descriptor,
-        new java.lang.String[] { "Server", "Model", "Adapter", "Active", "Started", });
+        new java.lang.String[] { "Server", "Model", "Adapter", "Active", "Started", "RemainingMillis", });
     internal_static_cornelway_v1_UseReport_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_cornelway_v1_UseReport_fieldAccessorTable = new
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUse.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUse.java
@@ -190,6 +190,21 @@
     return started_;
   }
 
+  public static final int REMAINING_MILLIS_FIELD_NUMBER = 6;
+  private long remainingMillis_ = 0L;
+  /**
+   * <pre>
+   * Time until the last of the active calls is expected to end.
+   * </pre>
+   *
+   * <code>int64 remaining_millis = 6;</code>
+   * @return The remainingMillis.
+   */
+  @java.lang.Override
+  public long getRemainingMillis() {
+    return remainingMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -219,6 +234,9 @@
     if (started_ != 0) {
       output.writeInt32(5, started_);
     }
+    if (remainingMillis_ != 0L) {
+      output.writeInt64(6, remainingMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -240,6 +258,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(5, started_);
     }
+    if (remainingMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, remainingMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -274,6 +296,8 @@
         != other.getActive()) return false;
     if (getStarted()
         != other.getStarted()) return false;
+    if (getRemainingMillis()
+        != other.getRemainingMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -295,6 +319,9 @@
     hash = (53 * hash) + getActive();
     hash = (37 * hash) + STARTED_FIELD_NUMBER;
     hash = (53 * hash) + getStarted();
+    hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRemainingMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -431,6 +458,7 @@
       adapter_ = "";
       active_ = 0;
       started_ = 0;
+      remainingMillis_ = 0L;
       return this;
     }
 
@@ -479,6 +507,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.started_ = started_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.remainingMillis_ = remainingMillis_;
+      }
     }
 
     @java.lang.Override
@@ -514,6 +545,9 @@
       if (other.getStarted() != 0) {
         setStarted(other.getStarted());
       }
+      if (other.getRemainingMillis() != 0L) {
+        setRemainingMillis(other.getRemainingMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -563,6 +597,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              remainingMillis_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -860,6 +899,50 @@
       return this;
     }
 
+    private long remainingMillis_ ;
+    /**
+     * <pre>
+     * Time until the last of the active calls is expected to end.
+     * </pre>
+     *
+     * <code>int64 remaining_millis = 6;</code>
+     * @return The remainingMillis.
+     */
+    @java.lang.Override
+    public long getRemainingMillis() {
+      return remainingMillis_;
+    }
+    /**
+     * <pre>
+     * Time until the last of the active calls is expected to end.
+     * </pre>
+     *
+     * <code>int64 remaining_millis = 6;</code>
+     * @param value The remainingMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRemainingMillis(long value) {
+
+      remainingMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time until the last of the active calls is expected to end.
+     * </pre>
+     *
+     * <code>int64 remaining_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRemainingMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      remainingMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.ModelUse)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUseOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUseOrBuilder.java
@@ -57,4 +57,14 @@
    * @return The started.
    */
   int getStarted();
+
+  /**
+   * <pre>
+   * Time until the last of the active calls is expected to end.
+   * </pre>
+   *
+   * <code>int64 remaining_millis = 6;</code>
+   * @return The remainingMillis.
+   */
+  long getRemainingMillis();
 }
--- a/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.cornelway.directory.ServerLife;
@@ -23,6 +24,10 @@
         return new ModelDefinition(name, MODEL_MB, STORE, DISK, 470, 0, 0);
     }
 
+    private Optional<LoadPlan> plan(List<EngineView> engines, boolean storeAllowed) {
+        return mPlanner.plan(new LoadRequest(model("x"), storeAllowed, 1), engines);
+    }
+
     private static EngineView engine(
             String id, long wait, Map<String, ModelView> models, Set<String> disk) {
         return new EngineView(
@@ -37,14 +42,18 @@
     }
 
     private static ModelView held(int active, double rate, int replicas, boolean pinned) {
-        return new ModelView(MODEL_MB, active, rate, replicas, 1, pinned, DISK);
+        return held(active, active * 1_200L, rate, replicas, pinned);
+    }
+
+    private static ModelView held(
+            int active, long remaining, double rate, int replicas, boolean pinned) {
+        return new ModelView(MODEL_MB, active, remaining, rate, replicas, 1, pinned, DISK);
     }
 
     @Test
     public void waitsForCopiesAtHandRatherThanReadTheStore() {
         LoadPlan plan =
-                mPlanner.plan(
-                                model("x"),
+                plan(
                                 List.of(
                                         engine("idle", 0, Map.of(), Set.of()),
                                         engine("busy", 700, Map.of(), Set.of("x"))),
@@ -63,19 +72,14 @@
         EngineView spare =
                 new EngineView(
                         new ServerLife("b", 1), 210, 0, Map.of(), Set.of(), Set.of("y"), 0, 0);
-        assertThat(
-                        mPlanner.plan(model("x"), List.of(needed, spare), true)
-                                .orElseThrow()
-                                .engine()
-                                .id())
-                .isEqualTo("b");
+        assertThat(plan(List.of(needed, spare), true).orElseThrow().engine().id()).isEqualTo("b");
     }
 
     @Test
     public void storeIsReadOnlyWhereThatIsAllowed() {
         List<EngineView> engines = List.of(engine("a", 0, Map.of(), Set.of()));
-        assertThat(mPlanner.plan(model("x"), engines, false)).isEmpty();
-        assertThat(mPlanner.plan(model("x"), engines, true)).isPresent();
+        assertThat(plan(engines, false)).isEmpty();
+        assertThat(plan(engines, true)).isPresent();
     }
 
     @Test
@@ -85,17 +89,30 @@
                         "busy", held(3, 5, 1, false),
                         "idle", held(0, 0.1, 1, false),
                         "pinned", held(0, 0, 1, true));
-        LoadPlan plan =
-                mPlanner.plan(model("x"), List.of(engine("a", 0, models, Set.of("x"))), true)
-                        .orElseThrow();
+        LoadPlan plan = plan(List.of(engine("a", 0, models, Set.of("x"))), true).orElseThrow();
         assertThat(plan.evict()).containsExactly("idle");
         Map<String, ModelView> pinned =
                 Map.of(
                         "a", held(0, 0, 1, true),
                         "b", held(0, 0, 1, true),
                         "c", held(0, 0, 1, true));
-        assertThat(mPlanner.plan(model("x"), List.of(engine("a", 0, pinned, Set.of("x"))), true))
-                .isEmpty();
+        assertThat(plan(List.of(engine("a", 0, pinned, Set.of("x"))), true)).isEmpty();
+    }
+
+    @Test
+    public void waitsForTheCallsThatEndFirst() {
+        Map<String, ModelView> slow = Map.of("y", held(1, 3_000, 0.3, 1, false));
+        Map<String, ModelView> soon = Map.of("z", held(2, 200, 0.3, 1, false));
+        List<EngineView> engines =
+                List.of(full("slow", slow, Set.of("x")), full("soon", soon, Set.of("x")));
+        LoadPlan plan = plan(engines, true).orElseThrow();
+        assertThat(plan.engine().id()).isEqualTo("soon");
+        assertThat(plan.drainMillis()).isEqualTo(200);
+        assertThat(plan.totalMillis()).isEqualTo(200 + DISK);
+    }
+
+    private static EngineView full(String id, Map<String, ModelView> models, Set<String> disk) {
+        return new EngineView(new ServerLife(id, 1), 0, 0, models, Set.of(), disk, 0, 0);
     }
 
     /** Asks for rare models in turn; returns the total time until each was there. */
@@ -123,7 +140,8 @@
             for (int i = 0; i < engines; i++) {
                 views.add(engine(Integer.toString(i), 0, held.get(i), disks.get(i)));
             }
-            LoadPlan plan = planner.plan(model(name), views, true).orElseThrow();
+            LoadPlan plan =
+                    planner.plan(new LoadRequest(model(name), true, 1), views).orElseThrow();
             int at = Integer.parseInt(plan.engine().id());
             plan.evict().forEach(held.get(at)::remove);
             double rate = Integer.parseInt(name.substring(1)) < 3 ? 3 : 0.1;
--- a/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
@@ -93,7 +93,8 @@
                                                         new ModelTarget(
                                                                 use.getModel(), use.getAdapter()),
                                                         use.getActive(),
-                                                        use.getStarted()))
+                                                        use.getStarted(),
+                                                        use.getRemainingMillis()))
                                 .toList(),
                         mControl.now(TimeUnit.MILLISECONDS));
         HoldingsReply.Builder reply =
--- a/org.cornelway/src/org/cornelway/cluster/UseReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UseReporter.java
@@ -69,7 +69,8 @@
                             .setModel(use.target().model())
                             .setAdapter(use.target().adapter())
                             .setActive(use.active())
-                            .setStarted(use.started()));
+                            .setStarted(use.started())
+                            .setRemainingMillis(use.remainingMillis()));
         }
         if (mElection.fence().isPresent()) {
             take(mOwnDesk.report(report.build()));
--- a/org.cornelway/src/org/cornelway/models/Census.java
+++ b/org.cornelway/src/org/cornelway/models/Census.java
@@ -26,12 +26,12 @@
         mWished = wished;
         for (EngineDriver engine : engines) {
             Set<String> held = new HashSet<>(engine.models().keySet());
-            held.addAll(engine.loading());
+            held.addAll(engine.steps().loading());
             held.forEach(model -> mReplicas.merge(model, 1, Integer::sum));
             Set<String> atHand = new HashSet<>(engine.copies().onDisk());
             atHand.addAll(engine.copies().inMemory());
             atHand.forEach(model -> mAtHand.merge(model, 1, Integer::sum));
-            mStoreReads += engine.readsStore() ? 1 : 0;
+            mStoreReads += engine.steps().readsStore() ? 1 : 0;
             mUnread |= engine.isUnread();
         }
     }
@@ -51,9 +51,9 @@
         return !mWished.isEmpty();
     }
 
-    /** Whether no engine has a model loaded or at hand. */
-    boolean isAbsent(String model) {
-        return replicas(model) == 0 && !mAtHand.containsKey(model);
+    /** Engines that have a model loaded or at hand. */
+    int copies(String model) {
+        return Math.max(replicas(model), mAtHand.getOrDefault(model, 0));
     }
 
     /** Models of some that are loaded nowhere and at hand at one engine only. */
--- a/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
@@ -15,9 +15,6 @@
  * the one whose callers lose least. Pure and thread-safe.
  */
 public final class CheapestLoadPlanner implements LoadPlanner {
-    /** Time that an unload waits for the calls under way with the model. */
-    private static final double ACTIVE_MILLIS = 1_200;
-
     /** Seconds over which the displaced model's callers count. */
     private static final double HORIZON_SECONDS = 6;
 
@@ -41,42 +38,53 @@
     private record Priced(LoadPlan plan, double millis) {}
 
     @Override
-    public Optional<LoadPlan> plan(
-            ModelDefinition model, List<EngineView> engines, boolean storeAllowed) {
+    public Optional<LoadPlan> plan(LoadRequest request, List<EngineView> engines) {
         return engines.stream()
-                .flatMap(engine -> price(model, engine).stream())
-                .filter(priced -> storeAllowed || priced.plan().source() != CopySource.STORE)
+                .flatMap(engine -> price(request, engine).stream())
+                .filter(
+                        priced ->
+                                request.storeAllowed()
+                                        || priced.plan().source() != CopySource.STORE)
                 .min(Comparator.comparingDouble(Priced::millis))
                 .map(Priced::plan);
     }
 
-    private static Optional<Priced> price(ModelDefinition model, EngineView engine) {
+    private static Optional<Priced> price(LoadRequest request, EngineView engine) {
+        ModelDefinition model = request.model();
         CopySource source = source(model.name(), engine);
-        long load = loadMillis(model, source);
         double blocked = source == CopySource.STORE ? SOLE_COPY_MILLIS * engine.soleCopies() : 0;
-        double total = engine.waitMillis() + load + blocked + SHARED_MILLIS * engine.active();
+        double others = blocked + SHARED_MILLIS * engine.active();
         double free = engine.freeMegabytes();
+        long drain = 0;
         List<String> evict = new ArrayList<>();
-        List<Map.Entry<String, ModelView>> victims =
-                engine.models().entrySet().stream()
-                        .filter(entry -> !entry.getValue().pinned())
-                        .sorted(Comparator.comparingDouble(entry -> loss(entry.getValue())))
-                        .toList();
-        for (Map.Entry<String, ModelView> victim : victims) {
+        for (Map.Entry<String, ModelView> victim : victims(engine, request.callers())) {
             if (free >= model.megabytes()) {
                 break;
             }
             evict.add(victim.getKey());
             free += victim.getValue().megabytes();
-            total += loss(victim.getValue());
+            others += loss(victim.getValue());
+            drain = Math.max(drain, victim.getValue().remainingMillis());
+        }
+        if (free < model.megabytes()) {
+            return Optional.empty();
         }
-        return free < model.megabytes()
-                ? Optional.empty()
-                : Optional.of(
-                        new Priced(
-                                new LoadPlan(
-                                        engine.life(), evict, source, engine.waitMillis(), load),
-                                total));
+        long load = loadMillis(model, source);
+        LoadPlan plan =
+                new LoadPlan(engine.life(), evict, source, engine.waitMillis(), drain, load);
+        return Optional.of(new Priced(plan, others + request.callers() * plan.totalMillis()));
+    }
+
+    /** What may go, that first whose callers and whose place's next callers lose least. */
+    private static List<Map.Entry<String, ModelView>> victims(EngineView engine, double callers) {
+        return engine.models().entrySet().stream()
+                .filter(entry -> !entry.getValue().pinned())
+                .sorted(
+                        Comparator.comparingDouble(
+                                entry ->
+                                        loss(entry.getValue())
+                                                + callers * entry.getValue().remainingMillis()))
+                .toList();
     }
 
     /** Where an engine takes a model's weights from. */
@@ -98,15 +106,15 @@
 
     /** Time that callers lose when a model goes. */
     private static double loss(ModelView model) {
-        double waiting = model.active() > 0 ? ACTIVE_MILLIS : 0;
         double calls = model.rate() * HORIZON_SECONDS;
         if (model.replicas() > model.needed()) {
-            return waiting + calls * SPREAD_MILLIS;
+            return calls * SPREAD_MILLIS;
         }
         if (model.replicas() > 1) {
-            return waiting + calls * CROWDED_MILLIS;
+            return calls * CROWDED_MILLIS;
         }
-        double meanwhile = model.rate() * model.reloadMillis() / SECOND_MILLIS;
-        return waiting + (Math.min(1, calls) + meanwhile / 2) * model.reloadMillis();
+        long gone = model.remainingMillis() + model.reloadMillis();
+        double meanwhile = model.rate() * gone / SECOND_MILLIS;
+        return Math.min(1, calls) * model.reloadMillis() + meanwhile * gone / 2;
     }
 }
--- a/org.cornelway/src/org/cornelway/models/DemandTable.java
+++ b/org.cornelway/src/org/cornelway/models/DemandTable.java
@@ -21,11 +21,18 @@
     /** Time after which counts are made anew, since reports grow old. */
     private static final long RECOUNT_MILLIS = 500;
 
+    /** Calls of a report may have ended since, or new ones begun. */
+    private static final long LEAST_REMAINING_MILLIS = 150;
+
+    /** Calls, weighted by age, below which a model counts as not asked for. */
+    private static final double IDLE_CALLS = 0.5;
+
     private static final double SECOND_MILLIS = 1_000;
 
     private final Map<String, Rate> mRates = new HashMap<>();
     private final Map<String, Report> mReports = new HashMap<>();
     private final Map<Counted, Integer> mCounts = new HashMap<>();
+    private final Map<Counted, Long> mEnds = new HashMap<>();
     private boolean mStale;
     private long mRecountMillis;
 
@@ -66,11 +73,27 @@
         return perHalfLife * Math.log(2) * SECOND_MILLIS / HALF_LIFE_MILLIS;
     }
 
+    /** Whether no call is under way and none came of late. */
+    public boolean isIdle(long nowMillis) {
+        return mRates.values().stream().allMatch(rate -> decayed(rate, nowMillis) < IDLE_CALLS)
+                && mReports.values().stream()
+                        .allMatch(r -> r.uses().stream().allMatch(use -> use.active() == 0));
+    }
+
     /** Calls under way on a server with a model. */
     public int active(String server, String model, long nowMillis) {
         return count(new Counted(server, model, ""), nowMillis);
     }
 
+    /** Time until the calls under way on a server with a model are expected to end; 0 if none. */
+    public long remainingMillis(String server, String model, long nowMillis) {
+        Counted key = new Counted(server, model, "");
+        if (count(key, nowMillis) == 0) {
+            return 0;
+        }
+        return Math.max(LEAST_REMAINING_MILLIS, mEnds.getOrDefault(key, nowMillis) - nowMillis);
+    }
+
     /** Calls under way on a server with one adapter, or with the model alone. */
     public int active(String server, ModelTarget target, long nowMillis) {
         return count(new Counted(server, target.model(), "/" + target.adapter()), nowMillis);
@@ -97,6 +120,7 @@
         mStale = false;
         mRecountMillis = nowMillis + RECOUNT_MILLIS;
         mCounts.clear();
+        mEnds.clear();
         mReports.values().removeIf(report -> nowMillis - report.millis() > REPORT_AGE_MILLIS);
         for (Report report : mReports.values()) {
             for (ModelUsage.Use use : report.uses()) {
@@ -104,6 +128,12 @@
                 String adapter = "/" + use.target().adapter();
                 add(new Counted(use.server(), model, adapter), use.active());
                 add(new Counted(use.server(), model, ""), use.active());
+                if (use.active() > 0) {
+                    mEnds.merge(
+                            new Counted(use.server(), model, ""),
+                            report.millis() + use.remainingMillis(),
+                            Math::max);
+                }
                 add(new Counted("", model, ""), use.active());
                 add(new Counted(use.server(), "", ""), use.active());
             }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -1,8 +1,6 @@
 package org.cornelway.models;
 
 import io.reactivex.rxjava3.core.Scheduler;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -32,8 +30,14 @@
     /** Time between two reports while an order is late; reports lag by some hundred ms. */
     private static final long POLL_MILLIS = 70;
 
+    /** Least and longest pause before an order is tried again that met another one. */
     private static final long CONFLICT_MILLIS = 40;
 
+    private static final long LAST_CONFLICT_MILLIS = 250;
+
+    /** Conflicts in a row after which the engine is read. */
+    private static final int CONFLICTS_READ = 5;
+
     /** First pause after a call that failed; doubles up to the last. */
     private static final long FIRST_RETRY_MILLIS = 150;
 
@@ -48,16 +52,16 @@
     private final Scheduler mControl;
     private final EngineListener mListener;
     private final Map<String, HeldAdapters> mModels = new HashMap<>();
-    private final Deque<EngineStep> mSteps = new ArrayDeque<>();
+    private final EngineSteps mSteps = new EngineSteps();
     private ServerRecord mServer;
     private final EngineCopies mCopies;
-    private Optional<EngineStep> mUnderWay = Optional.empty();
-    private Optional<EngineStep> mUnsettled = Optional.empty();
     private boolean mKnown;
     private boolean mCalling;
     private boolean mMustRead = true;
     private long mOrders;
-    private long mUnderWayUntil;
+    private long mLookMillis;
+    private long mBusyUntilMillis;
+    private int mConflicts;
     private long mNextCallMillis;
     private int mFailures;
 
@@ -86,7 +90,7 @@
         boolean differs = mKnown && !server.models().keySet().equals(mModels.keySet());
         boolean changed = !server.models().equals(mServer.models());
         mServer = server;
-        if (changed && differs && mUnderWay.isEmpty() && mSteps.isEmpty()) {
+        if (changed && differs && mSteps.isEmpty()) {
             mMustRead = true;
         }
     }
@@ -107,11 +111,7 @@
 
     /** Whether a model order can begin now. */
     boolean isIdle() {
-        return isKnown()
-                && mSteps.isEmpty()
-                && mUnderWay.isEmpty()
-                && mUnsettled.isEmpty()
-                && !mMustRead;
+        return isKnown() && mSteps.isEmpty() && !mMustRead;
     }
 
     /** Time until a model order can begin, as far as is known; 0 if it can now. */
@@ -119,13 +119,16 @@
         if (isIdle()) {
             return 0;
         }
-        long unsure = mMustRead || mUnsettled.isPresent() ? UNSURE_MILLIS : 0;
+        long unsure = mMustRead || mSteps.unsettled().isPresent() ? UNSURE_MILLIS : 0;
         return Math.max(1, readyMillis(nowMillis) - nowMillis) + unsure;
     }
 
     /** Whether an adapter order can begin now; these may overlap. */
     boolean takesAdapters() {
-        return isKnown() && mSteps.isEmpty() && mUnsettled.isEmpty() && !mMustRead;
+        return isKnown()
+                && mSteps.waiting().isEmpty()
+                && mSteps.unsettled().isEmpty()
+                && !mMustRead;
     }
 
     Map<String, HeldAdapters> models() {
@@ -136,63 +139,29 @@
         return mCopies;
     }
 
-    /** Models on their way in. */
-    Set<String> loading() {
-        if (mSteps.isEmpty() && mUnderWay.isEmpty() && mUnsettled.isEmpty()) {
-            return Set.of();
-        }
-        Set<String> models = new HashSet<>();
-        for (EngineStep step : allSteps()) {
-            if (step.load() && step.adapter().isEmpty()) {
-                models.add(step.model());
-            }
-        }
-        return models;
+    /** Orders that wait or are under way. */
+    EngineSteps steps() {
+        return mSteps;
     }
 
     /** Whether a model is on its way in. */
     boolean isLoading(String model) {
-        return loading().contains(model);
+        return mSteps.loading().contains(model);
     }
 
     /** Whether a model is on its way out. */
     boolean isUnloading(String model) {
-        return allSteps().stream().anyMatch(s -> !s.load() && isModel(s, model));
-    }
-
-    private static boolean isModel(EngineStep step, String model) {
-        return step.adapter().isEmpty() && step.model().equals(model);
+        return mSteps.isUnloading(model);
     }
 
-    /** When a model that is on its way in can be used, as far as is known. */
+    /** When the orders given and waiting are expected to be done. */
     long readyMillis(long nowMillis) {
-        long steps = mSteps.stream().mapToLong(EngineStep::millis).sum();
-        return Math.max(nowMillis, mUnderWay.isPresent() ? mUnderWayUntil : nowMillis) + steps;
-    }
-
-    /** Memory that orders in the queue, under way or unsettled will take. */
-    double reservedMegabytes() {
-        return allSteps().stream()
-                .filter(EngineStep::load)
-                .filter(step -> step.adapter().isEmpty())
-                .mapToDouble(EngineStep::megabytes)
-                .sum();
-    }
-
-    boolean readsStore() {
-        return allSteps().stream().anyMatch(EngineStep::readsStore);
-    }
-
-    private Deque<EngineStep> allSteps() {
-        Deque<EngineStep> all = new ArrayDeque<>(mSteps);
-        mUnderWay.ifPresent(all::add);
-        mUnsettled.ifPresent(all::add);
-        return all;
+        return Math.max(nowMillis, mBusyUntilMillis) + mSteps.waitingMillis();
     }
 
     /** Adds a step to be ordered. */
     void plan(EngineStep step) {
-        mSteps.add(step);
+        mSteps.waiting().add(step);
     }
 
     /** Reads the engine's report before anything else is ordered. */
@@ -202,21 +171,22 @@
 
     /** Does what is due. */
     void advance(long nowMillis) {
-        if (mUnderWay.isPresent() && nowMillis >= mUnderWayUntil + DONE_SLACK_MILLIS) {
-            if (mUnderWay.get().readsStore()) {
+        Optional<EngineStep> underWay = mSteps.underWay();
+        if (underWay.isPresent() && nowMillis >= mLookMillis) {
+            if (underWay.get().readsStore()) {
                 // The store slows down under many loads, so only a report tells the end.
                 mMustRead = true;
             } else {
-                finished(mUnderWay.get(), nowMillis);
+                finished(underWay.get(), nowMillis);
             }
         }
         if (mCalling || nowMillis < mNextCallMillis) {
             return;
         }
-        if (mMustRead || mUnsettled.isPresent()) {
+        if (mMustRead || mSteps.unsettled().isPresent()) {
             read();
-        } else if (!mSteps.isEmpty() && mUnderWay.isEmpty()) {
-            order(mSteps.peek());
+        } else if (!mSteps.waiting().isEmpty() && mSteps.underWay().isEmpty()) {
+            order(mSteps.waiting().peek());
         }
     }
 
@@ -256,18 +226,20 @@
         }
         mMustRead = false;
         mKnown = true;
-        Optional<EngineStep> unsettled = mUnsettled;
+        mConflicts = 0;
+        Optional<EngineStep> unsettled = mSteps.unsettled();
         boolean accepted = report.orders() > mOrders;
         mOrders = report.orders();
         adopt(report, nowMillis);
-        mUnderWay = Optional.empty();
-        mUnsettled = Optional.empty();
+        mSteps.setUnderWay(Optional.empty());
+        mSteps.setUnsettled(Optional.empty());
+        mBusyUntilMillis = nowMillis;
         if (unsettled.isPresent() && !accepted) {
             // Sent once more under the same number, so that the lost order can never act later.
-            mSteps.addFirst(unsettled.get());
+            mSteps.waiting().addFirst(unsettled.get());
         } else if (accepted) {
             // Somebody else's order, or one that was taken for lost: what was planned is void.
-            mSteps.clear();
+            mSteps.waiting().clear();
         }
         mListener.changed(this);
         advance(nowMillis);
@@ -318,32 +290,30 @@
 
     private void onReply(EngineStep step, OrderReply reply, long nowMillis) {
         if (reply instanceof OrderReply.Accepted) {
-            mSteps.poll();
+            mSteps.waiting().poll();
             mFailures = 0;
             mOrders++;
             begun(step, nowMillis);
         } else if (reply instanceof OrderReply.AlreadySo) {
-            mSteps.poll();
+            mSteps.waiting().poll();
             mFailures = 0;
             finished(step, nowMillis);
             mMustRead = step.adapter().isEmpty() || step.load();
             mOrders += mMustRead ? 0 : 1;
         } else if (reply instanceof OrderReply.Unsettled) {
-            mSteps.poll();
-            mUnsettled = Optional.of(step);
+            mSteps.waiting().poll();
+            mSteps.setUnsettled(Optional.of(step));
             failed();
         } else if (reply instanceof OrderReply.Outranked) {
-            mSteps.clear();
+            mSteps.waiting().clear();
             mMustRead = true;
             mListener.outranked();
         } else if (reply instanceof OrderReply.NotSent) {
             failed();
         } else if (reply instanceof OrderReply.Conflict) {
-            // An unload waits for its calls; the steps go on unless the count of orders differs.
-            mMustRead = true;
-            mNextCallMillis = nowMillis + CONFLICT_MILLIS;
+            conflicted(nowMillis);
         } else {
-            mSteps.clear();
+            mSteps.waiting().clear();
             mMustRead = true;
             mNextCallMillis = nowMillis + POLL_MILLIS;
         }
@@ -351,10 +321,25 @@
         advance(nowMillis);
     }
 
+    /**
+     * An unload waits for its calls, and reports lag: the order is tried again instead, unless the
+     * count of orders differs, which only a report tells.
+     */
+    private void conflicted(long nowMillis) {
+        mConflicts++;
+        mMustRead = mConflicts % CONFLICTS_READ == 0;
+        long pause = Math.max(CONFLICT_MILLIS, (mBusyUntilMillis - nowMillis) / 3);
+        mNextCallMillis = nowMillis + Math.min(LAST_CONFLICT_MILLIS, pause);
+        mBusyUntilMillis = Math.max(mBusyUntilMillis, mNextCallMillis);
+    }
+
     private void begun(EngineStep step, long nowMillis) {
+        mConflicts = 0;
         if (step.adapter().isEmpty()) {
-            mUnderWay = Optional.of(step);
-            mUnderWayUntil = nowMillis + step.millis();
+            mSteps.setUnderWay(Optional.of(step));
+            mBusyUntilMillis = nowMillis + step.millis();
+            mLookMillis =
+                    nowMillis + (step.load() ? step.millis() : UNLOAD_MILLIS) + DONE_SLACK_MILLIS;
             if (!step.load()) {
                 mModels.remove(step.model());
             }
@@ -366,7 +351,7 @@
     }
 
     private void finished(EngineStep step, long nowMillis) {
-        mUnderWay = Optional.empty();
+        mSteps.setUnderWay(Optional.empty());
         if (step.adapter().isPresent()) {
             if (step.load()) {
                 held(step.model()).put(step.adapter().get(), nowMillis);
--- a/org.cornelway/src/org/cornelway/models/EngineMemory.java
+++ b/org.cornelway/src/org/cornelway/models/EngineMemory.java
@@ -10,7 +10,7 @@
 
     /** Memory that neither models, adapters nor orders take; a model not configured takes all. */
     static double free(EngineDriver engine, EngineDefinition definition) {
-        double used = engine.reservedMegabytes();
+        double used = engine.steps().reservedMegabytes();
         for (Map.Entry<String, HeldAdapters> held : engine.models().entrySet()) {
             ModelDefinition model = definition.models().get(held.getKey());
             used +=
--- a/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
@@ -8,11 +8,11 @@
 /** Loads at the first engine with one model that may go; the baseline. Pure and thread-safe. */
 public final class FirstFitLoadPlanner implements LoadPlanner {
     @Override
-    public Optional<LoadPlan> plan(
-            ModelDefinition model, List<EngineView> engines, boolean storeAllowed) {
+    public Optional<LoadPlan> plan(LoadRequest request, List<EngineView> engines) {
+        ModelDefinition model = request.model();
         for (EngineView engine : engines) {
             CopySource source = CheapestLoadPlanner.source(model.name(), engine);
-            if (engine.waitMillis() > 0 || source == CopySource.STORE && !storeAllowed) {
+            if (engine.waitMillis() > 0 || source == CopySource.STORE && !request.storeAllowed()) {
                 continue;
             }
             Optional<LoadPlan> plan = at(model, engine, source);
@@ -27,7 +27,7 @@
             ModelDefinition model, EngineView engine, CopySource source) {
         long millis = CheapestLoadPlanner.loadMillis(model, source);
         if (engine.freeMegabytes() >= model.megabytes()) {
-            return Optional.of(new LoadPlan(engine.life(), List.of(), source, 0, millis));
+            return Optional.of(new LoadPlan(engine.life(), List.of(), source, 0, 0, millis));
         }
         return engine.models().entrySet().stream()
                 .filter(entry -> !entry.getValue().pinned())
@@ -37,6 +37,6 @@
                                         >= model.megabytes())
                 .map(Map.Entry::getKey)
                 .findFirst()
-                .map(victim -> new LoadPlan(engine.life(), List.of(victim), source, 0, millis));
+                .map(victim -> new LoadPlan(engine.life(), List.of(victim), source, 0, 0, millis));
     }
 }
--- a/org.cornelway/src/org/cornelway/models/LoadPlan.java
+++ b/org.cornelway/src/org/cornelway/models/LoadPlan.java
@@ -10,6 +10,7 @@
  * @param evict models that make room first, in order
  * @param source where the weights come from
  * @param waitMillis time until the engine can begin; 0 if it can now
+ * @param drainMillis time until the calls with the evicted models are expected to end
  * @param loadMillis time of the load itself
  */
 public record LoadPlan(
@@ -17,4 +18,10 @@
         List<String> evict,
         CopySource source,
         long waitMillis,
-        long loadMillis) {}
+        long drainMillis,
+        long loadMillis) {
+    /** Time until the model is there. */
+    long totalMillis() {
+        return waitMillis + drainMillis + loadMillis;
+    }
+}
--- a/org.cornelway/src/org/cornelway/models/LoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/LoadPlanner.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.cornelway.route.ModelDefinition;
 
 /** Chooses where to load a model. Implementations are pure and thread-safe. */
 @FunctionalInterface
@@ -10,9 +9,7 @@
     /**
      * Plans one load.
      *
-     * @param model the model wanted
-     * @param engines engines that do not hold it
-     * @param storeAllowed whether the weight store may be read now
+     * @param engines engines that do not hold the model
      */
-    Optional<LoadPlan> plan(ModelDefinition model, List<EngineView> engines, boolean storeAllowed);
+    Optional<LoadPlan> plan(LoadRequest request, List<EngineView> engines);
 }
--- a/org.cornelway/src/org/cornelway/models/ModelView.java
+++ b/org.cornelway/src/org/cornelway/models/ModelView.java
@@ -5,6 +5,7 @@
  *
  * @param megabytes memory that it takes, adapters included
  * @param active calls under way with it on this engine
+ * @param remainingMillis time until those calls are expected to end; 0 if there are none
  * @param rate calls a second for the model over all engines
  * @param replicas engines that hold it
  * @param needed engines that its calls under way need
@@ -14,6 +15,7 @@
 public record ModelView(
         double megabytes,
         int active,
+        long remainingMillis,
         double rate,
         int replicas,
         int needed,
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -29,6 +29,15 @@
     /** Loads from the store ahead of calls; the store's other places are for calls that wait. */
     private static final int FETCHES_AT_ONCE = 2;
 
+    /** Copies at hand that a model should have, so that more than one engine can take it. */
+    private static final int COPIES_WANTED = 2;
+
+    /** Time that a load must gain if it is to move to another engine. */
+    private static final long MOVE_MILLIS = 250;
+
+    /** Time over which calls to come count like those that wait. */
+    private static final double CALLERS_SECONDS = 1;
+
     /** Calls a second that a model which is nowhere is taken to have, to fill a free place. */
     private static final double IDLE_RATE = 0.05;
 
@@ -96,26 +105,45 @@
             List<EngineDriver> engines,
             EngineDefinition definition,
             long nowMillis) {
-        Optional<Long> ready =
+        Optional<EngineDriver> loading =
                 engines.stream()
                         .filter(engine -> engine.isLoading(model.name()))
-                        .map(engine -> engine.readyMillis(nowMillis))
-                        .min(Comparator.naturalOrder());
-        if (ready.isPresent()) {
-            return wish.deadline().isPast(ready.get())
-                    ? Optional.of(new ModelAnswer.TooLate(ready.get() - nowMillis))
-                    : Optional.empty();
+                        .min(Comparator.comparingLong(engine -> engine.readyMillis(nowMillis)));
+        Optional<LoadPlan> plan = Optional.empty();
+        if (loading.isEmpty() || mayMove(loading.get(), model.name(), nowMillis)) {
+            plan =
+                    plan(model, census, engines, definition, nowMillis)
+                            .filter(p -> p.waitMillis() == 0 || !census.isAnyUnread());
+        }
+        if (loading.isPresent()) {
+            long ready = loading.get().readyMillis(nowMillis);
+            Optional<LoadPlan> sooner =
+                    plan.filter(p -> p.waitMillis() == 0)
+                            .filter(p -> nowMillis + p.totalMillis() + MOVE_MILLIS < ready);
+            if (sooner.isEmpty()) {
+                return answer(wish, ready, nowMillis);
+            }
+            loading.get().steps().dropLoad(model.name());
+            plan = sooner;
         }
-        Optional<LoadPlan> plan = plan(model, census, engines, definition, nowMillis);
-        if (plan.isEmpty() || plan.get().waitMillis() > 0 && census.isAnyUnread()) {
+        if (plan.isEmpty()) {
             return Optional.empty();
         }
         if (plan.get().waitMillis() == 0) {
             begin(plan.get(), model, engines);
         }
-        long millis = plan.get().waitMillis() + plan.get().loadMillis();
-        return wish.deadline().isPast(nowMillis + millis)
-                ? Optional.of(new ModelAnswer.TooLate(millis))
+        return answer(wish, nowMillis + plan.get().totalMillis(), nowMillis);
+    }
+
+    /** Whether a load may still go to another engine: the place for it is not free yet. */
+    private static boolean mayMove(EngineDriver engine, String model, long nowMillis) {
+        return engine.steps().isWaiting(model)
+                && engine.readyMillis(nowMillis) - nowMillis > MOVE_MILLIS;
+    }
+
+    private static Optional<ModelAnswer> answer(ModelWish wish, long readyMillis, long nowMillis) {
+        return wish.deadline().isPast(readyMillis)
+                ? Optional.of(new ModelAnswer.TooLate(readyMillis - nowMillis))
                 : Optional.empty();
     }
 
@@ -130,9 +158,11 @@
                 engines.stream()
                         .filter(EngineDriver::isKnown)
                         .filter(engine -> !engine.models().containsKey(model.name()))
+                        .filter(engine -> !engine.isLoading(model.name()))
                         .map(engine -> view(engine, census, definition, nowMillis))
                         .toList();
-        return mPlanner.plan(model, views, store);
+        double callers = 1 + mDemand.rate(model.name(), nowMillis) * CALLERS_SECONDS;
+        return mPlanner.plan(new LoadRequest(model, store, callers), views);
     }
 
     private static void begin(LoadPlan plan, ModelDefinition model, List<EngineDriver> engines) {
@@ -148,7 +178,7 @@
                             victim,
                             Optional.empty(),
                             0,
-                            EngineDriver.UNLOAD_MILLIS,
+                            Math.max(EngineDriver.UNLOAD_MILLIS, plan.drainMillis()),
                             CopySource.MEMORY));
         }
         engine.plan(
@@ -177,6 +207,7 @@
                                                         + adapters.count()
                                                                 * model.adapterMegabytes(),
                                                 mDemand.active(server, name, nowMillis),
+                                                mDemand.remainingMillis(server, name, nowMillis),
                                                 mDemand.rate(name, nowMillis),
                                                 census.replicas(name),
                                                 needed(name, definition, nowMillis),
@@ -228,23 +259,29 @@
     }
 
     /**
-     * Brings models that no engine has at hand from the store, a few at a time, before calls ask.
+     * Makes copies of models that few engines have at hand, before calls ask: all of the store's
+     * places serve this while no calls come, fewer later.
      */
     void fetch(
             List<EngineDriver> engines,
             EngineDefinition definition,
             Census census,
             long nowMillis) {
-        if (census.hasWishes() || census.storeReads() >= FETCHES_AT_ONCE || census.isAnyUnread()) {
+        int most = mDemand.isIdle(nowMillis) ? mStoreLoads : FETCHES_AT_ONCE;
+        if (census.hasWishes() || census.storeReads() >= most || census.isAnyUnread()) {
             return;
         }
         definition.models().values().stream()
-                .filter(model -> census.isAbsent(model.name()))
-                .findFirst()
+                .filter(model -> census.copies(model.name()) < COPIES_WANTED)
+                .min(Comparator.comparingInt(model -> census.copies(model.name())))
                 .ifPresent(
                         model ->
                                 plan(model, census, engines, definition, nowMillis)
-                                        .filter(plan -> plan.waitMillis() == 0)
+                                        .filter(
+                                                plan ->
+                                                        plan.totalMillis()
+                                                                <= model.storeLoadMillis())
+                                        .filter(plan -> plan.source() == CopySource.STORE)
                                         .ifPresent(plan -> begin(plan, model, engines)));
     }
 
@@ -270,7 +307,7 @@
                                 CopySource source = CheapestLoadPlanner.source(model.name(), view);
                                 long millis = CheapestLoadPlanner.loadMillis(model, source);
                                 begin(
-                                        new LoadPlan(view.life(), List.of(), source, 0, millis),
+                                        new LoadPlan(view.life(), List.of(), source, 0, 0, millis),
                                         model,
                                         engines);
                             });
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -42,6 +42,7 @@
     private boolean mStreaming;
     private boolean mEnded;
     private long mProgressMillis;
+    private Optional<ModelUsage.Running> mUsage = Optional.empty();
 
     Attempt(TrafficContext context, Exchange exchange, CallerRequest request, ServerRecord server) {
         mContext = context;
@@ -62,7 +63,16 @@
 
     void start() {
         mContext.loads().sent(mServer.life());
-        mRequest.head().target().ifPresent(target -> mContext.usage().began(mServer.id(), target));
+        mUsage =
+                mRequest.head()
+                        .target()
+                        .map(
+                                target ->
+                                        mContext.usage()
+                                                .began(
+                                                        mServer.id(),
+                                                        target,
+                                                        mRequest.head().expectedTokens()));
         mContext.pool().acquire(mServer.host(), mServer.port(), this);
     }
 
@@ -220,6 +230,7 @@
             mExchange.onMayHaveRun(this, "ended within an event", Optional.empty());
         } else {
             mContext.loads().answered(mServer.life(), true);
+            mUsage.ifPresent(mContext.usage()::completed);
             relay.begin(mStatus, mHeaders);
             mExchange.onStreamEnd();
         }
@@ -298,7 +309,7 @@
         if (mStreaming) {
             mContext.loads().streaming(mServer.life(), -1);
         }
-        mRequest.head().target().ifPresent(target -> mContext.usage().ended(mServer.id(), target));
+        mUsage.ifPresent(mContext.usage()::ended);
         return true;
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHead.java
@@ -10,6 +10,7 @@
  * @param host value of the Host header
  * @param waitMillis how long the caller waits from now; empty where it does not say
  * @param target the model and adapter asked for; empty for a plain service
+ * @param expectedTokens the caller's estimate of how long the answer will be; often far off
  * @param promptParts ids of the parts of the prompt, in order
  * @param lastEventId last event that the caller has of a stream that it resumes
  */
@@ -18,6 +19,7 @@
         String host,
         Optional<Long> waitMillis,
         Optional<ModelTarget> target,
+        Optional<Long> expectedTokens,
         List<String> promptParts,
         Optional<String> lastEventId) {
     /** Hash of the prompt's parts that other calls share; the last part is the call's own. */
--- a/org.cornelway/src/org/cornelway/traffic/ModelUsage.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelUsage.java
@@ -2,19 +2,55 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelway.time.Clock;
 
-/** Counts calls by server, model and adapter. Confined to the traffic thread. */
+/**
+ * Counts calls by server, model and adapter, and expects when they will end.
+ *
+ * <p>Answers the question of what to unload: an engine unloads a model only once its calls have
+ * ended. Confined to the traffic thread.
+ */
 public final class ModelUsage {
+    /** Tokens of an answer whose caller gives no estimate. */
+    private static final long USUAL_TOKENS = 200;
+
+    /** Time of a token, from the arrival on, before answers of the model were seen. */
+    private static final double FIRST_TOKEN_MILLIS = 6;
+
+    /** Weight of the newest answer in a model's time of a token. */
+    private static final double NEWEST_WEIGHT = 0.15;
+
+    /** A call that runs for longer than expected is expected to need this time still. */
+    private static final long OVERDUE_MILLIS = 400;
+
+    private final Clock mClock;
     private final Map<Key, Count> mCounts = new HashMap<>();
+    private final Map<String, Double> mTokenMillis = new HashMap<>();
 
     /** What is counted separately. */
     private record Key(String server, ModelTarget target) {}
 
-    /** A mutable pair of counts. */
+    /** A call under way; its identity tells it from others. Immutable. */
+    public static final class Running {
+        private final Key mKey;
+        private final long mTokens;
+        private final long mBeganMillis;
+
+        private Running(Key key, long tokens, long beganMillis) {
+            mKey = key;
+            mTokens = tokens;
+            mBeganMillis = beganMillis;
+        }
+    }
+
+    /** Calls of one key. */
     private static final class Count {
-        private int mActive;
+        private final Set<Running> mActive = new HashSet<>();
         private int mStarted;
     }
 
@@ -23,26 +59,50 @@
      *
      * @param active calls under way
      * @param started calls that began since the last report
+     * @param remainingMillis time until the last of the active calls is expected to end
      */
-    public record Use(String server, ModelTarget target, int active, int started) {}
+    public record Use(
+            String server, ModelTarget target, int active, int started, long remainingMillis) {}
+
+    ModelUsage(Clock clock) {
+        mClock = clock;
+    }
 
     /** Notes that a call began on a server. */
-    public void began(String server, ModelTarget target) {
-        Count count = mCounts.computeIfAbsent(new Key(server, target), key -> new Count());
-        count.mActive++;
+    Running began(String server, ModelTarget target, Optional<Long> expectedTokens) {
+        Key key = new Key(server, target);
+        Running call = new Running(key, expectedTokens.orElse(USUAL_TOKENS), mClock.nowMillis());
+        Count count = mCounts.computeIfAbsent(key, each -> new Count());
+        count.mActive.add(call);
         count.mStarted++;
+        return call;
     }
 
-    /** Notes that a call ended. */
-    public void ended(String server, ModelTarget target) {
-        Count count = mCounts.get(new Key(server, target));
+    /** Notes that a call was answered whole; its time tells how fast the model is. */
+    void completed(Running call) {
+        double seen = (mClock.nowMillis() - call.mBeganMillis) / (double) Math.max(1, call.mTokens);
+        String model = call.mKey.target().model();
+        double before = mTokenMillis.getOrDefault(model, FIRST_TOKEN_MILLIS);
+        mTokenMillis.put(model, before + NEWEST_WEIGHT * (seen - before));
+    }
+
+    /** Notes that a call ended in whatever way. */
+    void ended(Running call) {
+        Count count = mCounts.get(call.mKey);
         if (count != null) {
-            count.mActive--;
+            count.mActive.remove(call);
         }
     }
 
+    private long remainingMillis(Running call, long nowMillis) {
+        double each = mTokenMillis.getOrDefault(call.mKey.target().model(), FIRST_TOKEN_MILLIS);
+        long end = call.mBeganMillis + (long) (call.mTokens * each);
+        return end > nowMillis ? end - nowMillis : OVERDUE_MILLIS;
+    }
+
     /** What is in use, and what began since the last call. */
-    public List<Use> drain() {
+    List<Use> drain() {
+        long now = mClock.nowMillis();
         List<Use> uses = new ArrayList<>();
         mCounts.forEach(
                 (key, count) ->
@@ -50,9 +110,13 @@
                                 new Use(
                                         key.server(),
                                         key.target(),
-                                        count.mActive,
-                                        count.mStarted)));
-        mCounts.values().removeIf(count -> count.mActive <= 0);
+                                        count.mActive.size(),
+                                        count.mStarted,
+                                        count.mActive.stream()
+                                                .mapToLong(call -> remainingMillis(call, now))
+                                                .max()
+                                                .orElse(0))));
+        mCounts.values().removeIf(count -> count.mActive.isEmpty());
         mCounts.values().forEach(count -> count.mStarted = 0);
         return uses;
     }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -36,7 +36,7 @@
     private final EventLoop mLoop;
     private final UpstreamPool mPool;
     private final Holdings mHoldings = new Holdings();
-    private final ModelUsage mUsage = new ModelUsage();
+    private final ModelUsage mUsage;
     private final ServerLoads mLoads;
     private final TrafficContext mContext;
     private final FrontServer mFront;
@@ -65,6 +65,7 @@
         mPool = new UpstreamPool(mLoop, codec, clock);
         mLoads = new ServerLoads(clock, zone);
         mStore = store;
+        mUsage = new ModelUsage(clock);
         mContext =
                 new TrafficContext(
                         mLoop,
