Displace nothing before the entries have reported to a new controller

Entries now report calls a second themselves, the controller leaves them in the store for the next one, and displaces nothing for the first 600 ms of its term.

--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -131,6 +131,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelway_v1_UseReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_ModelRate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_ModelRate_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cornelway_v1_HeldModel_descriptor;
   static final 
@@ -218,33 +223,35 @@
       " \001(\0162 .cornelway.v1.ModelGrant.Outcome\022\016" +
       "\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected" +
       "_millis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NO" +
-      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"u\n\010ModelUse" +
+      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse" +
       "\022\016\n\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapt" +
-      "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\017\n\007started\030\005 \001(" +
-      "\005\022\030\n\020remaining_millis\030\006 \001(\003\"g\n\tUseReport" +
-      "\022\014\n\004from\030\001 \001(\t\022\030\n\020holdings_version\030\002 \001(\003" +
-      "\022\014\n\004term\030\003 \001(\003\022$\n\004uses\030\004 \003(\0132\026.cornelway" +
-      ".v1.ModelUse\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t" +
-      "\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHoldings\022\016\n\006" +
-      "server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models\030\003 \003" +
-      "(\0132\027.cornelway.v1.HeldModel\"\202\001\n\rHoldings" +
-      "Reply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002 \001(\003\022" +
-      "\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n\007ser" +
-      "vers\030\005 \003(\0132\034.cornelway.v1.ServerHoldings" +
-      "*-\n\014RequestClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEF" +
-      "ERRED\020\0012\230\001\n\014AgentService\022@\n\010Exchange\022\035.c" +
-      "ornelway.v1.ExchangeRequest\032\023.cornelway." +
-      "v1.Frame0\001\022F\n\010Withdraw\022\035.cornelway.v1.Wi" +
-      "thdrawRequest\032\033.cornelway.v1.WithdrawRep" +
-      "ly2\224\001\n\013PeerService\022=\n\005Relay\022\032.cornelway." +
-      "v1.RelayRequest\032\030.cornelway.v1.RelayRepl" +
-      "y\022F\n\010Describe\022\035.cornelway.v1.DescribeReq" +
-      "uest\032\033.cornelway.v1.DescribeReply2\217\001\n\014En" +
-      "tryService\022<\n\010AskModel\022\026.cornelway.v1.Mo" +
-      "delAsk\032\030.cornelway.v1.ModelGrant\022A\n\tRepo" +
-      "rtUse\022\027.cornelway.v1.UseReport\032\033.cornelw" +
-      "ay.v1.HoldingsReplyB\025\n\021org.cornelway.rpc" +
-      "P\001b\006proto3"
+      "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_mi" +
+      "llis\030\006 \001(\003J\004\010\005\020\006\"\217\001\n\tUseReport\022\014\n\004from\030\001" +
+      " \001(\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003" +
+      " \001(\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelU" +
+      "se\022&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRa" +
+      "te\"4\n\tModelRate\022\r\n\005model\030\001 \001(\t\022\030\n\020calls_" +
+      "per_second\030\002 \001(\001\",\n\tHeldModel\022\r\n\005model\030\001" +
+      " \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHoldings" +
+      "\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models" +
+      "\030\003 \003(\0132\027.cornelway.v1.HeldModel\"\202\001\n\rHold" +
+      "ingsReply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002 " +
+      "\001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n" +
+      "\007servers\030\005 \003(\0132\034.cornelway.v1.ServerHold" +
+      "ings*-\n\014RequestClass\022\017\n\013INTERACTIVE\020\000\022\014\n" +
+      "\010DEFERRED\020\0012\230\001\n\014AgentService\022@\n\010Exchange" +
+      "\022\035.cornelway.v1.ExchangeRequest\032\023.cornel" +
+      "way.v1.Frame0\001\022F\n\010Withdraw\022\035.cornelway.v" +
+      "1.WithdrawRequest\032\033.cornelway.v1.Withdra" +
+      "wReply2\224\001\n\013PeerService\022=\n\005Relay\022\032.cornel" +
+      "way.v1.RelayRequest\032\030.cornelway.v1.Relay" +
+      "Reply\022F\n\010Describe\022\035.cornelway.v1.Describ" +
+      "eRequest\032\033.cornelway.v1.DescribeReply2\217\001" +
+      "\n\014EntryService\022<\n\010AskModel\022\026.cornelway.v" +
+      "1.ModelAsk\032\030.cornelway.v1.ModelGrant\022A\n\t" +
+      "ReportUse\022\027.cornelway.v1.UseReport\032\033.cor" +
+      "nelway.v1.HoldingsReplyB\025\n\021org.cornelway" +
+      ".rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -369,27 +376,33 @@
     internal_static_cornelway_v1_ModelUse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ModelUse_descriptor,
-        new java.lang.String[] { "Server", "Model", "Adapter", "Active", "Started", "RemainingMillis", });
+        new java.lang.String[] { "Server", "Model", "Adapter", "Active", "RemainingMillis", });
     internal_static_cornelway_v1_UseReport_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_cornelway_v1_UseReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_UseReport_descriptor,
-        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", });
-    internal_static_cornelway_v1_HeldModel_descriptor =
+        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", "Rates", });
+    internal_static_cornelway_v1_ModelRate_descriptor =
       getDescriptor().getMessageType(21);
+    internal_static_cornelway_v1_ModelRate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_ModelRate_descriptor,
+        new java.lang.String[] { "Model", "CallsPerSecond", });
+    internal_static_cornelway_v1_HeldModel_descriptor =
+      getDescriptor().getMessageType(22);
     internal_static_cornelway_v1_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HeldModel_descriptor,
         new java.lang.String[] { "Model", "Adapters", });
     internal_static_cornelway_v1_ServerHoldings_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_cornelway_v1_ServerHoldings_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerHoldings_descriptor,
         new java.lang.String[] { "Server", "Born", "Models", });
     internal_static_cornelway_v1_HoldingsReply_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HoldingsReply_descriptor,
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUse.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUse.java
@@ -179,17 +179,6 @@
     return active_;
   }
 
-  public static final int STARTED_FIELD_NUMBER = 5;
-  private int started_ = 0;
-  /**
-   * <code>int32 started = 5;</code>
-   * @return The started.
-   */
-  @java.lang.Override
-  public int getStarted() {
-    return started_;
-  }
-
   public static final int REMAINING_MILLIS_FIELD_NUMBER = 6;
   private long remainingMillis_ = 0L;
   /**
@@ -231,9 +220,6 @@
     if (active_ != 0) {
       output.writeInt32(4, active_);
     }
-    if (started_ != 0) {
-      output.writeInt32(5, started_);
-    }
     if (remainingMillis_ != 0L) {
       output.writeInt64(6, remainingMillis_);
     }
@@ -254,10 +240,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(4, active_);
     }
-    if (started_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(5, started_);
-    }
     if (remainingMillis_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, remainingMillis_);
@@ -294,8 +276,6 @@
         .equals(other.getAdapter())) return false;
     if (getActive()
         != other.getActive()) return false;
-    if (getStarted()
-        != other.getStarted()) return false;
     if (getRemainingMillis()
         != other.getRemainingMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -317,8 +297,6 @@
     hash = (53 * hash) + getAdapter().hashCode();
     hash = (37 * hash) + ACTIVE_FIELD_NUMBER;
     hash = (53 * hash) + getActive();
-    hash = (37 * hash) + STARTED_FIELD_NUMBER;
-    hash = (53 * hash) + getStarted();
     hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRemainingMillis());
@@ -457,7 +435,6 @@
       model_ = "";
       adapter_ = "";
       active_ = 0;
-      started_ = 0;
       remainingMillis_ = 0L;
       return this;
     }
@@ -505,9 +482,6 @@
         result.active_ = active_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.started_ = started_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.remainingMillis_ = remainingMillis_;
       }
     }
@@ -542,9 +516,6 @@
       if (other.getActive() != 0) {
         setActive(other.getActive());
       }
-      if (other.getStarted() != 0) {
-        setStarted(other.getStarted());
-      }
       if (other.getRemainingMillis() != 0L) {
         setRemainingMillis(other.getRemainingMillis());
       }
@@ -592,14 +563,9 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
-            case 40: {
-              started_ = input.readInt32();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
             case 48: {
               remainingMillis_ = input.readInt64();
-              bitField0_ |= 0x00000020;
+              bitField0_ |= 0x00000010;
               break;
             } // case 48
             default: {
@@ -867,38 +833,6 @@
       return this;
     }
 
-    private int started_ ;
-    /**
-     * <code>int32 started = 5;</code>
-     * @return The started.
-     */
-    @java.lang.Override
-    public int getStarted() {
-      return started_;
-    }
-    /**
-     * <code>int32 started = 5;</code>
-     * @param value The started to set.
-     * @return This builder for chaining.
-     */
-    public Builder setStarted(int value) {
-
-      started_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int32 started = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearStarted() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      started_ = 0;
-      onChanged();
-      return this;
-    }
-
     private long remainingMillis_ ;
     /**
      * <pre>
@@ -924,7 +858,7 @@
     public Builder setRemainingMillis(long value) {
 
       remainingMillis_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -937,7 +871,7 @@
      * @return This builder for chaining.
      */
     public Builder clearRemainingMillis() {
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000010);
       remainingMillis_ = 0L;
       onChanged();
       return this;
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUseOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUseOrBuilder.java
@@ -52,12 +52,6 @@
    */
   int getActive();
 
-  /**
-   * <code>int32 started = 5;</code>
-   * @return The started.
-   */
-  int getStarted();
-
   /**
    * <pre>
    * Time until the last of the active calls is expected to end.
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -30,6 +30,7 @@
   private UseReport() {
     from_ = "";
     uses_ = java.util.Collections.emptyList();
+    rates_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -160,6 +161,47 @@
     return uses_.get(index);
   }
 
+  public static final int RATES_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.ModelRate> rates_;
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.ModelRate> getRatesList() {
+    return rates_;
+  }
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.ModelRateOrBuilder> 
+      getRatesOrBuilderList() {
+    return rates_;
+  }
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  @java.lang.Override
+  public int getRatesCount() {
+    return rates_.size();
+  }
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ModelRate getRates(int index) {
+    return rates_.get(index);
+  }
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ModelRateOrBuilder getRatesOrBuilder(
+      int index) {
+    return rates_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -186,6 +228,9 @@
     for (int i = 0; i < uses_.size(); i++) {
       output.writeMessage(4, uses_.get(i));
     }
+    for (int i = 0; i < rates_.size(); i++) {
+      output.writeMessage(5, rates_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -210,6 +255,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = rates_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(rates_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -242,6 +296,8 @@
         != other.getTerm()) return false;
     if (!getUsesList()
         .equals(other.getUsesList())) return false;
+    if (!getRatesList()
+        .equals(other.getRatesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -265,6 +321,10 @@
       hash = (37 * hash) + USES_FIELD_NUMBER;
       hash = (53 * hash) + getUsesList().hashCode();
     }
+    if (getRatesCount() > 0) {
+      hash = (37 * hash) + RATES_FIELD_NUMBER;
+      hash = (53 * hash) + getRatesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -406,6 +466,13 @@
         usesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      if (ratesBuilder_ == null) {
+        rates_ = java.util.Collections.emptyList();
+      } else {
+        rates_ = null;
+        ratesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -448,6 +515,15 @@
       } else {
         result.uses_ = usesBuilder_.build();
       }
+      if (ratesBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          rates_ = java.util.Collections.unmodifiableList(rates_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.rates_ = rates_;
+      } else {
+        result.rates_ = ratesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.UseReport result) {
@@ -512,6 +588,32 @@
           }
         }
       }
+      if (ratesBuilder_ == null) {
+        if (!other.rates_.isEmpty()) {
+          if (rates_.isEmpty()) {
+            rates_ = other.rates_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureRatesIsMutable();
+            rates_.addAll(other.rates_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.rates_.isEmpty()) {
+          if (ratesBuilder_.isEmpty()) {
+            ratesBuilder_.dispose();
+            ratesBuilder_ = null;
+            rates_ = other.rates_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            ratesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRatesFieldBuilder() : null;
+          } else {
+            ratesBuilder_.addAllMessages(other.rates_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -564,6 +666,19 @@
               }
               break;
             } // case 34
+            case 42: {
+              org.cornelway.rpc.ModelRate m =
+                  input.readMessage(
+                      org.cornelway.rpc.ModelRate.parser(),
+                      extensionRegistry);
+              if (ratesBuilder_ == null) {
+                ensureRatesIsMutable();
+                rates_.add(m);
+              } else {
+                ratesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -975,6 +1090,240 @@
       return usesBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.ModelRate> rates_ =
+      java.util.Collections.emptyList();
+    private void ensureRatesIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        rates_ = new java.util.ArrayList<org.cornelway.rpc.ModelRate>(rates_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ModelRate, org.cornelway.rpc.ModelRate.Builder, org.cornelway.rpc.ModelRateOrBuilder> ratesBuilder_;
+
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ModelRate> getRatesList() {
+      if (ratesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(rates_);
+      } else {
+        return ratesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public int getRatesCount() {
+      if (ratesBuilder_ == null) {
+        return rates_.size();
+      } else {
+        return ratesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public org.cornelway.rpc.ModelRate getRates(int index) {
+      if (ratesBuilder_ == null) {
+        return rates_.get(index);
+      } else {
+        return ratesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder setRates(
+        int index, org.cornelway.rpc.ModelRate value) {
+      if (ratesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRatesIsMutable();
+        rates_.set(index, value);
+        onChanged();
+      } else {
+        ratesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder setRates(
+        int index, org.cornelway.rpc.ModelRate.Builder builderForValue) {
+      if (ratesBuilder_ == null) {
+        ensureRatesIsMutable();
+        rates_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        ratesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder addRates(org.cornelway.rpc.ModelRate value) {
+      if (ratesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRatesIsMutable();
+        rates_.add(value);
+        onChanged();
+      } else {
+        ratesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder addRates(
+        int index, org.cornelway.rpc.ModelRate value) {
+      if (ratesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRatesIsMutable();
+        rates_.add(index, value);
+        onChanged();
+      } else {
+        ratesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder addRates(
+        org.cornelway.rpc.ModelRate.Builder builderForValue) {
+      if (ratesBuilder_ == null) {
+        ensureRatesIsMutable();
+        rates_.add(builderForValue.build());
+        onChanged();
+      } else {
+        ratesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder addRates(
+        int index, org.cornelway.rpc.ModelRate.Builder builderForValue) {
+      if (ratesBuilder_ == null) {
+        ensureRatesIsMutable();
+        rates_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        ratesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder addAllRates(
+        java.lang.Iterable<? extends org.cornelway.rpc.ModelRate> values) {
+      if (ratesBuilder_ == null) {
+        ensureRatesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, rates_);
+        onChanged();
+      } else {
+        ratesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder clearRates() {
+      if (ratesBuilder_ == null) {
+        rates_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        ratesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public Builder removeRates(int index) {
+      if (ratesBuilder_ == null) {
+        ensureRatesIsMutable();
+        rates_.remove(index);
+        onChanged();
+      } else {
+        ratesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public org.cornelway.rpc.ModelRate.Builder getRatesBuilder(
+        int index) {
+      return internalGetRatesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public org.cornelway.rpc.ModelRateOrBuilder getRatesOrBuilder(
+        int index) {
+      if (ratesBuilder_ == null) {
+        return rates_.get(index);  } else {
+        return ratesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.ModelRateOrBuilder> 
+         getRatesOrBuilderList() {
+      if (ratesBuilder_ != null) {
+        return ratesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(rates_);
+      }
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public org.cornelway.rpc.ModelRate.Builder addRatesBuilder() {
+      return internalGetRatesFieldBuilder().addBuilder(
+          org.cornelway.rpc.ModelRate.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public org.cornelway.rpc.ModelRate.Builder addRatesBuilder(
+        int index) {
+      return internalGetRatesFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.ModelRate.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ModelRate.Builder> 
+         getRatesBuilderList() {
+      return internalGetRatesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ModelRate, org.cornelway.rpc.ModelRate.Builder, org.cornelway.rpc.ModelRateOrBuilder> 
+        internalGetRatesFieldBuilder() {
+      if (ratesBuilder_ == null) {
+        ratesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.ModelRate, org.cornelway.rpc.ModelRate.Builder, org.cornelway.rpc.ModelRateOrBuilder>(
+                rates_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        rates_ = null;
+      }
+      return ratesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.UseReport)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
@@ -65,4 +65,28 @@
    */
   org.cornelway.rpc.ModelUseOrBuilder getUsesOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  java.util.List<org.cornelway.rpc.ModelRate> 
+      getRatesList();
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  org.cornelway.rpc.ModelRate getRates(int index);
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  int getRatesCount();
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.ModelRateOrBuilder> 
+      getRatesOrBuilderList();
+  /**
+   * <code>repeated .cornelway.v1.ModelRate rates = 5;</code>
+   */
+  org.cornelway.rpc.ModelRateOrBuilder getRatesOrBuilder(
+      int index);
 }
--- a/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
+++ b/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
@@ -19,5 +19,8 @@
     /** The entry that orders the engines, under its lease. */
     public static final String CONTROLLER = OWN + "controller/0";
 
+    /** How often callers ask for each model, for the next controller; under no lease. */
+    public static final String DEMAND = OWN + "demand";
+
     private ClusterKeys() {}
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
@@ -1,6 +1,9 @@
 package org.cornelway.cluster;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -83,20 +86,7 @@
         }
         mController
                 .demand()
-                .report(
-                        report.getFrom(),
-                        report.getUsesList().stream()
-                                .map(
-                                        use ->
-                                                new ModelUsage.Use(
-                                                        use.getServer(),
-                                                        new ModelTarget(
-                                                                use.getModel(), use.getAdapter()),
-                                                        use.getActive(),
-                                                        use.getStarted(),
-                                                        use.getRemainingMillis()))
-                                .toList(),
-                        mControl.now(TimeUnit.MILLISECONDS));
+                .report(report.getFrom(), usage(report), mControl.now(TimeUnit.MILLISECONDS));
         HoldingsReply.Builder reply =
                 HoldingsReply.newBuilder()
                         .setController(true)
@@ -108,6 +98,22 @@
         return current ? reply.build() : withServers(reply);
     }
 
+    private static ModelUsage.Usage usage(UseReport report) {
+        List<ModelUsage.Use> uses =
+                report.getUsesList().stream()
+                        .map(
+                                use ->
+                                        new ModelUsage.Use(
+                                                use.getServer(),
+                                                new ModelTarget(use.getModel(), use.getAdapter()),
+                                                use.getActive(),
+                                                use.getRemainingMillis()))
+                        .toList();
+        Map<String, Double> rates = new HashMap<>();
+        report.getRatesList().forEach(r -> rates.put(r.getModel(), r.getCallsPerSecond()));
+        return new ModelUsage.Usage(uses, rates);
+    }
+
     private HoldingsReply withServers(HoldingsReply.Builder reply) {
         mController
                 .holdings()
--- a/org.cornelway/src/org/cornelway/cluster/UseReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UseReporter.java
@@ -3,7 +3,6 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -11,6 +10,7 @@
 import org.cornelway.platform.Member;
 import org.cornelway.rpc.HeldModel;
 import org.cornelway.rpc.HoldingsReply;
+import org.cornelway.rpc.ModelRate;
 import org.cornelway.rpc.ModelUse;
 import org.cornelway.rpc.ServerHoldings;
 import org.cornelway.rpc.UseReport;
@@ -55,23 +55,29 @@
     public void step() {
         if (!mBusy) {
             mBusy = true;
-            mTraffic.usage(uses -> mControl.scheduleDirect(() -> send(uses)));
+            mTraffic.usage(usage -> mControl.scheduleDirect(() -> send(usage)));
         }
     }
 
-    private void send(List<ModelUsage.Use> uses) {
+    private void send(ModelUsage.Usage usage) {
         UseReport.Builder report =
                 UseReport.newBuilder().setFrom(mSelf).setTerm(mTerm).setHoldingsVersion(mVersion);
-        for (ModelUsage.Use use : uses) {
+        for (ModelUsage.Use use : usage.uses()) {
             report.addUses(
                     ModelUse.newBuilder()
                             .setServer(use.server())
                             .setModel(use.target().model())
                             .setAdapter(use.target().adapter())
                             .setActive(use.active())
-                            .setStarted(use.started())
                             .setRemainingMillis(use.remainingMillis()));
         }
+        usage.rates()
+                .forEach(
+                        (model, rate) ->
+                                report.addRates(
+                                        ModelRate.newBuilder()
+                                                .setModel(model)
+                                                .setCallsPerSecond(rate)));
         if (mElection.fence().isPresent()) {
             take(mOwnDesk.report(report.build()));
             return;
--- a/org.cornelway/src/org/cornelway/models/DemandTable.java
+++ b/org.cornelway/src/org/cornelway/models/DemandTable.java
@@ -1,7 +1,6 @@
 package org.cornelway.models;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
@@ -9,11 +8,12 @@
 /**
  * How much each model is in use, from the reports of all entries.
  *
- * <p>Confined to the control thread.
+ * <p>At the start of a term it knows what an earlier controller left in the key-value service,
+ * which fades as reports come. Confined to the control thread.
  */
 public final class DemandTable {
-    /** Time over which an older call's weight halves; demand moves on every few seconds. */
-    private static final double HALF_LIFE_MILLIS = 3_000;
+    /** Time over which demand that was remembered halves; reports replace it soon. */
+    private static final double MEMORY_HALF_LIFE_MILLIS = 2_000;
 
     /** A report that was not renewed for longer does not count. */
     private static final long REPORT_AGE_MILLIS = 2_500;
@@ -24,60 +24,51 @@
     /** Calls of a report may have ended since, or new ones begun. */
     private static final long LEAST_REMAINING_MILLIS = 150;
 
-    /** Calls, weighted by age, below which a model counts as not asked for. */
-    private static final double IDLE_CALLS = 0.5;
-
-    private static final double SECOND_MILLIS = 1_000;
-
-    private final Map<String, Rate> mRates = new HashMap<>();
     private final Map<String, Report> mReports = new HashMap<>();
     private final Map<Counted, Integer> mCounts = new HashMap<>();
     private final Map<Counted, Long> mEnds = new HashMap<>();
+    private final Map<String, Double> mRates = new HashMap<>();
+    private Map<String, Double> mRemembered = Map.of();
+    private long mRememberedMillis;
     private boolean mStale;
     private long mRecountMillis;
 
-    /** Calls with exponentially decaying weight. */
-    private static final class Rate {
-        private double mWeight;
-        private long mMillis;
-    }
-
     /** What calls are counted by; an empty part counts all. */
     private record Counted(String server, String model, String adapter) {}
 
     /** The last report of one entry. */
-    private record Report(long millis, List<ModelUsage.Use> uses) {}
+    private record Report(long millis, ModelUsage.Usage usage) {}
 
     /** Takes over an entry's report. */
-    public void report(String entry, List<ModelUsage.Use> uses, long nowMillis) {
+    public void report(String entry, ModelUsage.Usage usage, long nowMillis) {
         mStale = true;
-        mReports.put(entry, new Report(nowMillis, List.copyOf(uses)));
-        uses.forEach(use -> add(use.target().model(), use.started(), nowMillis));
+        mReports.put(entry, new Report(nowMillis, usage));
     }
 
-    /** Notes calls for a model. */
-    public void add(String model, double calls, long nowMillis) {
-        Rate rate = mRates.computeIfAbsent(model, key -> new Rate());
-        rate.mWeight = decayed(rate, nowMillis) + calls;
-        rate.mMillis = nowMillis;
+    /** Takes over calls a second by model that an earlier controller knew. */
+    public void remember(Map<String, Double> rates, long nowMillis) {
+        mRemembered = Map.copyOf(rates);
+        mRememberedMillis = nowMillis;
     }
 
-    private static double decayed(Rate rate, long nowMillis) {
-        return rate.mWeight * Math.pow(0.5, (nowMillis - rate.mMillis) / HALF_LIFE_MILLIS);
+    /** Calls a second for a model, those that wait included. */
+    public double rate(String model, long nowMillis) {
+        refresh(nowMillis);
+        double age = (nowMillis - mRememberedMillis) / MEMORY_HALF_LIFE_MILLIS;
+        double remembered = mRemembered.getOrDefault(model, 0.0) * Math.pow(0.5, age);
+        return Math.max(mRates.getOrDefault(model, 0.0), remembered);
     }
 
-    /** Calls a second for a model. */
-    public double rate(String model, long nowMillis) {
-        Rate rate = mRates.get(model);
-        double perHalfLife = rate == null ? 0 : decayed(rate, nowMillis);
-        return perHalfLife * Math.log(2) * SECOND_MILLIS / HALF_LIFE_MILLIS;
+    /** Calls a second by model, from reports alone. */
+    public Map<String, Double> rates(long nowMillis) {
+        refresh(nowMillis);
+        return Map.copyOf(mRates);
     }
 
     /** Whether no call is under way and none came of late. */
     public boolean isIdle(long nowMillis) {
-        return mRates.values().stream().allMatch(rate -> decayed(rate, nowMillis) < IDLE_CALLS)
-                && mReports.values().stream()
-                        .allMatch(r -> r.uses().stream().allMatch(use -> use.active() == 0));
+        refresh(nowMillis);
+        return mRates.isEmpty() && mCounts.values().stream().allMatch(count -> count == 0);
     }
 
     /** Calls under way on a server with a model. */
@@ -110,33 +101,35 @@
     }
 
     private int count(Counted key, long nowMillis) {
-        if (mStale || nowMillis >= mRecountMillis) {
-            recount(nowMillis);
-        }
+        refresh(nowMillis);
         return mCounts.getOrDefault(key, 0);
     }
 
-    private void recount(long nowMillis) {
+    private void refresh(long nowMillis) {
+        if (!mStale && nowMillis < mRecountMillis) {
+            return;
+        }
         mStale = false;
         mRecountMillis = nowMillis + RECOUNT_MILLIS;
         mCounts.clear();
         mEnds.clear();
+        mRates.clear();
         mReports.values().removeIf(report -> nowMillis - report.millis() > REPORT_AGE_MILLIS);
-        for (Report report : mReports.values()) {
-            for (ModelUsage.Use use : report.uses()) {
-                String model = use.target().model();
-                String adapter = "/" + use.target().adapter();
-                add(new Counted(use.server(), model, adapter), use.active());
-                add(new Counted(use.server(), model, ""), use.active());
-                if (use.active() > 0) {
-                    mEnds.merge(
-                            new Counted(use.server(), model, ""),
-                            report.millis() + use.remainingMillis(),
-                            Math::max);
-                }
-                add(new Counted("", model, ""), use.active());
-                add(new Counted(use.server(), "", ""), use.active());
+        mReports.values().forEach(this::count);
+    }
+
+    private void count(Report report) {
+        report.usage().rates().forEach((model, rate) -> mRates.merge(model, rate, Double::sum));
+        for (ModelUsage.Use use : report.usage().uses()) {
+            String model = use.target().model();
+            Counted onServer = new Counted(use.server(), model, "");
+            if (use.active() > 0) {
+                mEnds.merge(onServer, report.millis() + use.remainingMillis(), Math::max);
             }
+            add(new Counted(use.server(), model, "/" + use.target().adapter()), use.active());
+            add(onServer, use.active());
+            add(new Counted("", model, ""), use.active());
+            add(new Counted(use.server(), "", ""), use.active());
         }
     }
 
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -35,6 +35,9 @@
     /** Time between two looks at what could be loaded ahead. */
     private static final long SPARE_MILLIS = 150;
 
+    /** Time at the start of a term in which nothing is displaced: the entries report meanwhile. */
+    private static final long WARM_UP_MILLIS = 600;
+
     /** Time within which changes are gathered into one round. */
     private static final long GATHER_MILLIS = 2;
 
@@ -109,6 +112,7 @@
 
     /** Forgets the engines: another process may have ordered since. */
     public void beginTerm(DirectorySnapshot directory) {
+        mRound.keepAllUntil(Deadline.after(now(), WARM_UP_MILLIS));
         mDrivers.clear();
         directoryChanged(directory);
     }
@@ -156,7 +160,6 @@
         OpenWish open = mWishes.computeIfAbsent(key, k -> new OpenWish());
         open.mWish = open.mWish == null ? wish : merged(open.mWish, wish);
         open.mReplies.add(reply);
-        mDemand.add(wish.target().model(), 1, now());
         wish.notHeldBy().ifPresent(this::distrust);
         schedule();
     }
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -8,6 +8,7 @@
 import org.cornelway.directory.ServerLife;
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -46,6 +47,7 @@
     private final AdapterRound mAdapters;
     private final int mStoreLoads;
     private final Map<ServerLife, Map<String, Long>> mGrantedMillis = new HashMap<>();
+    private Deadline mKeepAll = new Deadline(0);
 
     PlacementRound(LoadPlanner planner, DemandTable demand, int storeLoads) {
         mPlanner = planner;
@@ -54,6 +56,11 @@
         mStoreLoads = storeLoads;
     }
 
+    /** Displaces nothing until then. */
+    void keepAllUntil(Deadline deadline) {
+        mKeepAll = deadline;
+    }
+
     /** The answer to a wish, or empty while it is on its way. */
     Optional<ModelAnswer> serve(
             ModelWish wish,
@@ -161,8 +168,10 @@
                         .filter(engine -> !engine.isLoading(model.name()))
                         .map(engine -> view(engine, census, definition, nowMillis))
                         .toList();
+        boolean displacing = mKeepAll.isPast(nowMillis);
         double callers = 1 + mDemand.rate(model.name(), nowMillis) * CALLERS_SECONDS;
-        return mPlanner.plan(new LoadRequest(model, store, callers), views);
+        return mPlanner.plan(new LoadRequest(model, store, callers), views)
+                .filter(plan -> displacing || plan.evict().isEmpty());
     }
 
     private static void begin(LoadPlan plan, ModelDefinition model, List<EngineDriver> engines) {
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -10,6 +10,7 @@
 import org.cornelway.cluster.ClusterKeys;
 import org.cornelway.cluster.ClusterMember;
 import org.cornelway.cluster.ControllerDesk;
+import org.cornelway.cluster.DemandKeeper;
 import org.cornelway.cluster.Election;
 import org.cornelway.cluster.EntryPeers;
 import org.cornelway.cluster.ModelAsker;
@@ -54,6 +55,7 @@
     private final Registration mRegistration;
     private final Election mElection;
     private final ModelController mController;
+    private final DemandKeeper mKeeper;
     private final ControllerDesk mDesk;
     private final ModelAsker mAsker;
     private final UseReporter mReporter;
@@ -98,6 +100,7 @@
         EngineControl engines = parts.ports().engines().apply(parts.traffic().caller());
         mController =
                 new ModelController(engines, control, mElection, new CheapestLoadPlanner(), log);
+        mKeeper = new DemandKeeper(keys, parts.cache(), mController.demand(), control);
         mDesk = new ControllerDesk(mController, mElection, this::life, control);
         mAsker = newAsker();
         mReporter =
@@ -172,6 +175,9 @@
         mRegistration.step();
         mElection.step(!mLeaving, mParts.beliefs().rank(mParts.self().id()));
         mController.work();
+        if (isController()) {
+            mKeeper.step();
+        }
     }
 
     /** Reports what this process uses. */
@@ -202,6 +208,7 @@
     @Override
     public void began(long fence) {
         mParts.beliefs().routes().ifPresent(mController::routesChanged);
+        mKeeper.began();
         mController.beginTerm(mParts.traffic().view().directory());
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/ModelUsage.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelUsage.java
@@ -29,6 +29,7 @@
     private static final long OVERDUE_MILLIS = 400;
 
     private final Clock mClock;
+    private final CallRates mRates;
     private final Map<Key, Count> mCounts = new HashMap<>();
     private final Map<String, Double> mTokenMillis = new HashMap<>();
 
@@ -51,21 +52,31 @@
     /** Calls of one key. */
     private static final class Count {
         private final Set<Running> mActive = new HashSet<>();
-        private int mStarted;
     }
 
+    /**
+     * All that is reported at once. Immutable.
+     *
+     * @param rates calls a second by model, those that wait included
+     */
+    public record Usage(List<Use> uses, Map<String, Double> rates) {}
+
     /**
      * Use of a model on a server. Immutable.
      *
      * @param active calls under way
-     * @param started calls that began since the last report
      * @param remainingMillis time until the last of the active calls is expected to end
      */
-    public record Use(
-            String server, ModelTarget target, int active, int started, long remainingMillis) {}
+    public record Use(String server, ModelTarget target, int active, long remainingMillis) {}
 
     ModelUsage(Clock clock) {
         mClock = clock;
+        mRates = new CallRates(clock);
+    }
+
+    /** Notes that a caller asks for a model. */
+    void called(String model) {
+        mRates.called(model);
     }
 
     /** Notes that a call began on a server. */
@@ -74,7 +85,6 @@
         Running call = new Running(key, expectedTokens.orElse(USUAL_TOKENS), mClock.nowMillis());
         Count count = mCounts.computeIfAbsent(key, each -> new Count());
         count.mActive.add(call);
-        count.mStarted++;
         return call;
     }
 
@@ -100,8 +110,8 @@
         return end > nowMillis ? end - nowMillis : OVERDUE_MILLIS;
     }
 
-    /** What is in use, and what began since the last call. */
-    List<Use> drain() {
+    /** What is in use and asked for now. */
+    Usage report() {
         long now = mClock.nowMillis();
         List<Use> uses = new ArrayList<>();
         mCounts.forEach(
@@ -111,13 +121,11 @@
                                         key.server(),
                                         key.target(),
                                         count.mActive.size(),
-                                        count.mStarted,
                                         count.mActive.stream()
                                                 .mapToLong(call -> remainingMillis(call, now))
                                                 .max()
                                                 .orElse(0))));
         mCounts.values().removeIf(count -> count.mActive.isEmpty());
-        mCounts.values().forEach(count -> count.mStarted = 0);
-        return uses;
+        return new Usage(uses, mRates.perSecond());
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -6,7 +6,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -136,8 +135,8 @@
     }
 
     /** Hands over what is in use; called back on the traffic thread. */
-    public void usage(Consumer<List<ModelUsage.Use>> receiver) {
-        mLoop.execute(() -> receiver.accept(mUsage.drain()));
+    public void usage(Consumer<ModelUsage.Usage> receiver) {
+        mLoop.execute(() -> receiver.accept(mUsage.report()));
     }
 
     private void sweep() {
