Price loads by the calls that come late

Entries now report the shortest objective of a model's calls; loss counts calls that miss it, and a load that costs others more than waiting on is put off.

--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelRate.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelRate.java
@@ -103,6 +103,21 @@
     return callsPerSecond_;
   }
 
+  public static final int OBJECTIVE_MILLIS_FIELD_NUMBER = 3;
+  private long objectiveMillis_ = 0L;
+  /**
+   * <pre>
+   * Shortest latency objective among the calls.
+   * </pre>
+   *
+   * <code>int64 objective_millis = 3;</code>
+   * @return The objectiveMillis.
+   */
+  @java.lang.Override
+  public long getObjectiveMillis() {
+    return objectiveMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +138,9 @@
     if (java.lang.Double.doubleToRawLongBits(callsPerSecond_) != 0) {
       output.writeDouble(2, callsPerSecond_);
     }
+    if (objectiveMillis_ != 0L) {
+      output.writeInt64(3, objectiveMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -134,6 +152,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(2, callsPerSecond_);
     }
+    if (objectiveMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, objectiveMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -163,6 +185,8 @@
     if (java.lang.Double.doubleToLongBits(getCallsPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getCallsPerSecond())) return false;
+    if (getObjectiveMillis()
+        != other.getObjectiveMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -179,6 +203,9 @@
     hash = (37 * hash) + CALLS_PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getCallsPerSecond()));
+    hash = (37 * hash) + OBJECTIVE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getObjectiveMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -316,6 +343,7 @@
       bitField0_ = 0;
       model_ = "";
       callsPerSecond_ = 0D;
+      objectiveMillis_ = 0L;
       return this;
     }
 
@@ -355,6 +383,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.callsPerSecond_ = callsPerSecond_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.objectiveMillis_ = objectiveMillis_;
+      }
     }
 
     @java.lang.Override
@@ -377,6 +408,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getCallsPerSecond()) != 0) {
         setCallsPerSecond(other.getCallsPerSecond());
       }
+      if (other.getObjectiveMillis() != 0L) {
+        setObjectiveMillis(other.getObjectiveMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -411,6 +445,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 17
+            case 24: {
+              objectiveMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -532,6 +571,50 @@
       return this;
     }
 
+    private long objectiveMillis_ ;
+    /**
+     * <pre>
+     * Shortest latency objective among the calls.
+     * </pre>
+     *
+     * <code>int64 objective_millis = 3;</code>
+     * @return The objectiveMillis.
+     */
+    @java.lang.Override
+    public long getObjectiveMillis() {
+      return objectiveMillis_;
+    }
+    /**
+     * <pre>
+     * Shortest latency objective among the calls.
+     * </pre>
+     *
+     * <code>int64 objective_millis = 3;</code>
+     * @param value The objectiveMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMillis(long value) {
+
+      objectiveMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Shortest latency objective among the calls.
+     * </pre>
+     *
+     * <code>int64 objective_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      objectiveMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.ModelRate)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelRateOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelRateOrBuilder.java
@@ -27,4 +27,14 @@
    * @return The callsPerSecond.
    */
   double getCallsPerSecond();
+
+  /**
+   * <pre>
+   * Shortest latency objective among the calls.
+   * </pre>
+   *
+   * <code>int64 objective_millis = 3;</code>
+   * @return The objectiveMillis.
+   */
+  long getObjectiveMillis();
 }
--- a/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.cornelway.directory.ServerLife;
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.traffic.ModelRate;
 import org.testng.annotations.Test;
 
 /** Where models are loaded: single cases, and the time that callers wait against the baseline. */
@@ -18,6 +19,9 @@
     private static final long STORE = 6_000;
     private static final long DISK = 600;
 
+    private static final long OBJECTIVE = 1_000;
+    private static final ModelRate RARE = new ModelRate(0.2, OBJECTIVE);
+
     private final LoadPlanner mPlanner = new CheapestLoadPlanner();
 
     private static ModelDefinition model(String name) {
@@ -25,7 +29,7 @@
     }
 
     private Optional<LoadPlan> plan(List<EngineView> engines, boolean storeAllowed) {
-        return mPlanner.plan(new LoadRequest(model("x"), storeAllowed, 1), engines);
+        return mPlanner.plan(new LoadRequest(model("x"), storeAllowed, RARE, 1, 0), engines);
     }
 
     private static EngineView engine(
@@ -47,7 +51,15 @@
 
     private static ModelView held(
             int active, long remaining, double rate, int replicas, boolean pinned) {
-        return new ModelView(MODEL_MB, active, remaining, rate, replicas, 1, pinned, DISK);
+        return new ModelView(
+                MODEL_MB,
+                active,
+                remaining,
+                new ModelRate(rate, OBJECTIVE),
+                replicas,
+                1,
+                pinned,
+                DISK);
     }
 
     @Test
@@ -111,6 +123,15 @@
         assertThat(plan.totalMillis()).isEqualTo(200 + DISK);
     }
 
+    @Test
+    public void rareModelDoesNotDisplaceOneThatManyWant() {
+        Map<String, ModelView> hot = Map.of("y", held(4, 400, 10, 1, false));
+        LoadPlan plan = plan(List.of(full("a", hot, Set.of("x"))), true).orElseThrow();
+        assertThat(plan.pays()).isFalse();
+        Map<String, ModelView> cold = Map.of("y", held(0, 0, 0.2, 1, false));
+        assertThat(plan(List.of(full("a", cold, Set.of("x"))), true).orElseThrow().pays()).isTrue();
+    }
+
     private static EngineView full(String id, Map<String, ModelView> models, Set<String> disk) {
         return new EngineView(new ServerLife(id, 1), 0, 0, models, Set.of(), disk, 0, 0);
     }
@@ -141,7 +162,8 @@
                 views.add(engine(Integer.toString(i), 0, held.get(i), disks.get(i)));
             }
             LoadPlan plan =
-                    planner.plan(new LoadRequest(model(name), true, 1), views).orElseThrow();
+                    planner.plan(new LoadRequest(model(name), true, RARE, 1, 0), views)
+                            .orElseThrow();
             int at = Integer.parseInt(plan.engine().id());
             plan.evict().forEach(held.get(at)::remove);
             double rate = Integer.parseInt(name.substring(1)) < 3 ? 3 : 0.1;
--- a/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
@@ -19,6 +19,7 @@
 import org.cornelway.rpc.ServerHoldings;
 import org.cornelway.rpc.UseReport;
 import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
 
@@ -56,6 +57,8 @@
                         new ModelTarget(ask.getModel(), ask.getAdapter()),
                         Deadline.after(now, ask.getRemainingMillis()),
                         ask.getPriority(),
+                        now,
+                        1,
                         ask.getNotHeldBy().isEmpty()
                                 ? Optional.empty()
                                 : mLives.apply(ask.getNotHeldBy()));
@@ -109,8 +112,15 @@
                                                 use.getActive(),
                                                 use.getRemainingMillis()))
                         .toList();
-        Map<String, Double> rates = new HashMap<>();
-        report.getRatesList().forEach(r -> rates.put(r.getModel(), r.getCallsPerSecond()));
+        Map<String, ModelRate> rates = new HashMap<>();
+        report.getRatesList()
+                .forEach(
+                        rate ->
+                                rates.put(
+                                        rate.getModel(),
+                                        new ModelRate(
+                                                rate.getCallsPerSecond(),
+                                                rate.getObjectiveMillis())));
         return new ModelUsage.Usage(uses, rates);
     }
 
--- a/org.cornelway/src/org/cornelway/cluster/DemandKeeper.java
+++ b/org.cornelway/src/org/cornelway/cluster/DemandKeeper.java
@@ -9,6 +9,7 @@
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
 import org.cornelway.relay.DocumentCache;
+import org.cornelway.traffic.ModelRate;
 
 /**
  * Leaves what models callers ask for in the key-value service, for the controller that comes next.
@@ -38,8 +39,8 @@
         mControl = control;
     }
 
-    /** What is kept: calls a second by model. */
-    record Rates(Map<String, Double> callsPerSecond) {}
+    /** What is kept. */
+    record Rates(Map<String, ModelRate> byModel) {}
 
     private long now() {
         return mControl.now(TimeUnit.MILLISECONDS);
@@ -49,13 +50,13 @@
     public void began() {
         mCache.find(ClusterKeys.DEMAND)
                 .flatMap(held -> Json.read(held.value(), Rates.class))
-                .ifPresent(rates -> mDemand.remember(rates.callsPerSecond(), now()));
+                .ifPresent(rates -> mDemand.remember(rates.byModel(), now()));
         mNextMillis = now() + PERIOD_MILLIS;
     }
 
     /** Writes what is asked for, while this process is the controller. */
     public void step() {
-        Map<String, Double> rates = mDemand.rates(now());
+        Map<String, ModelRate> rates = mDemand.rates(now());
         if (mBusy || now() < mNextMillis || rates.isEmpty()) {
             return;
         }
--- a/org.cornelway/src/org/cornelway/cluster/UseReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UseReporter.java
@@ -10,7 +10,6 @@
 import org.cornelway.platform.Member;
 import org.cornelway.rpc.HeldModel;
 import org.cornelway.rpc.HoldingsReply;
-import org.cornelway.rpc.ModelRate;
 import org.cornelway.rpc.ModelUse;
 import org.cornelway.rpc.ServerHoldings;
 import org.cornelway.rpc.UseReport;
@@ -75,9 +74,10 @@
                 .forEach(
                         (model, rate) ->
                                 report.addRates(
-                                        ModelRate.newBuilder()
+                                        org.cornelway.rpc.ModelRate.newBuilder()
                                                 .setModel(model)
-                                                .setCallsPerSecond(rate)));
+                                                .setCallsPerSecond(rate.callsPerSecond())
+                                                .setObjectiveMillis(rate.objectiveMillis())));
         if (mElection.fence().isPresent()) {
             take(mOwnDesk.report(report.build()));
             return;
--- a/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/CheapestLoadPlanner.java
@@ -8,34 +8,39 @@
 import org.cornelway.route.ModelDefinition;
 
 /**
- * Loads where the load and what it displaces cost callers the least time.
+ * Loads where the load and what it displaces make the fewest calls late.
  *
  * <p>Answers many rarely called models on few places: a copy at hand loads ten times as fast as one
  * from the store, so that it pays to wait for an engine that has one, and the model displaced is
- * the one whose callers lose least. Pure and thread-safe.
+ * the one whose callers lose least. A load that would cost other callers more than its own lose by
+ * waiting on does not pay yet. Losses are in calls that come late. Pure and thread-safe.
  */
 public final class CheapestLoadPlanner implements LoadPlanner {
-    /** Seconds over which the displaced model's callers count. */
+    /** Seconds over which callers of a model count that keeps a replica elsewhere. */
     private static final double HORIZON_SECONDS = 6;
 
-    /** What a call loses where one replica of several goes that are not needed. */
-    private static final double SPREAD_MILLIS = 10;
+    /** Loss of such a call where the replicas that stay are enough, and where they are too few. */
+    private static final double SPREAD_LOSS = 0.003;
 
-    /** What a call loses where the replicas that stay are too few. */
-    private static final double CROWDED_MILLIS = 120;
+    private static final double CROWDED_LOSS = 0.05;
 
-    private static final double SECOND_MILLIS = 1_000;
+    /** Loss of a call on the engine that works on the load. */
+    private static final double SHARED_LOSS = 0.002;
 
-    /** Time that calls on the engine lose because it works on the load. */
-    private static final double SHARED_MILLIS = 4;
+    /** Loss for each model that only this engine could load while it reads the store. */
+    private static final double SOLE_COPY_LOSS = 0.25;
 
-    /**
-     * What callers lose for each model that only this engine could load while it reads the store.
-     */
-    private static final double SOLE_COPY_MILLIS = 700;
+    /** Time that a displaced model waits for a place of its own, on engines that are all full. */
+    private static final long PLACE_MILLIS = 700;
 
-    /** A plan with the time that it costs callers. */
-    private record Priced(LoadPlan plan, double millis) {}
+    /** Time after which a load that does not pay is thought of again. */
+    private static final long WAIT_MILLIS = 400;
+
+    /** Loss of others that any load may cause. */
+    private static final double FREE_LOSS = 0.15;
+
+    /** A plan with all that it costs callers. */
+    private record Priced(LoadPlan plan, double loss) {}
 
     @Override
     public Optional<LoadPlan> plan(LoadRequest request, List<EngineView> engines) {
@@ -45,19 +50,19 @@
                         priced ->
                                 request.storeAllowed()
                                         || priced.plan().source() != CopySource.STORE)
-                .min(Comparator.comparingDouble(Priced::millis))
+                .min(Comparator.comparingDouble(Priced::loss))
                 .map(Priced::plan);
     }
 
     private static Optional<Priced> price(LoadRequest request, EngineView engine) {
         ModelDefinition model = request.model();
         CopySource source = source(model.name(), engine);
-        double blocked = source == CopySource.STORE ? SOLE_COPY_MILLIS * engine.soleCopies() : 0;
-        double others = blocked + SHARED_MILLIS * engine.active();
+        double others = SHARED_LOSS * engine.active();
+        others += source == CopySource.STORE ? SOLE_COPY_LOSS * engine.soleCopies() : 0;
         double free = engine.freeMegabytes();
         long drain = 0;
         List<String> evict = new ArrayList<>();
-        for (Map.Entry<String, ModelView> victim : victims(engine, request.callers())) {
+        for (Map.Entry<String, ModelView> victim : victims(request, engine)) {
             if (free >= model.megabytes()) {
                 break;
             }
@@ -70,20 +75,23 @@
             return Optional.empty();
         }
         long load = loadMillis(model, source);
+        boolean pays = others <= FREE_LOSS + request.lossUntil(WAIT_MILLIS);
         LoadPlan plan =
-                new LoadPlan(engine.life(), evict, source, engine.waitMillis(), drain, load);
-        return Optional.of(new Priced(plan, others + request.callers() * plan.totalMillis()));
+                new LoadPlan(engine.life(), evict, source, engine.waitMillis(), drain, load, pays);
+        return Optional.of(new Priced(plan, others + request.lossUntil(plan.totalMillis())));
     }
 
     /** What may go, that first whose callers and whose place's next callers lose least. */
-    private static List<Map.Entry<String, ModelView>> victims(EngineView engine, double callers) {
+    private static List<Map.Entry<String, ModelView>> victims(
+            LoadRequest request, EngineView engine) {
         return engine.models().entrySet().stream()
                 .filter(entry -> !entry.getValue().pinned())
                 .sorted(
                         Comparator.comparingDouble(
                                 entry ->
                                         loss(entry.getValue())
-                                                + callers * entry.getValue().remainingMillis()))
+                                                + request.lossUntil(
+                                                        entry.getValue().remainingMillis())))
                 .toList();
     }
 
@@ -104,17 +112,16 @@
         };
     }
 
-    /** Time that callers lose when a model goes. */
+    /** What callers lose when a model goes. */
     private static double loss(ModelView model) {
-        double calls = model.rate() * HORIZON_SECONDS;
+        double calls = model.rate().callsPerSecond() * HORIZON_SECONDS;
         if (model.replicas() > model.needed()) {
-            return calls * SPREAD_MILLIS;
+            return calls * SPREAD_LOSS;
         }
         if (model.replicas() > 1) {
-            return calls * CROWDED_MILLIS;
+            return calls * CROWDED_LOSS;
         }
-        long gone = model.remainingMillis() + model.reloadMillis();
-        double meanwhile = model.rate() * gone / SECOND_MILLIS;
-        return Math.min(1, calls) * model.reloadMillis() + meanwhile * gone / 2;
+        return DelayCost.ofArrivals(
+                model.rate(), model.remainingMillis() + model.reloadMillis() + PLACE_MILLIS);
     }
 }
--- a/org.cornelway/src/org/cornelway/models/DemandTable.java
+++ b/org.cornelway/src/org/cornelway/models/DemandTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
 
@@ -27,8 +28,8 @@
     private final Map<String, Report> mReports = new HashMap<>();
     private final Map<Counted, Integer> mCounts = new HashMap<>();
     private final Map<Counted, Long> mEnds = new HashMap<>();
-    private final Map<String, Double> mRates = new HashMap<>();
-    private Map<String, Double> mRemembered = Map.of();
+    private final Map<String, ModelRate> mRates = new HashMap<>();
+    private Map<String, ModelRate> mRemembered = Map.of();
     private long mRememberedMillis;
     private boolean mStale;
     private long mRecountMillis;
@@ -45,22 +46,26 @@
         mReports.put(entry, new Report(nowMillis, usage));
     }
 
-    /** Takes over calls a second by model that an earlier controller knew. */
-    public void remember(Map<String, Double> rates, long nowMillis) {
+    /** Takes over what an earlier controller knew. */
+    public void remember(Map<String, ModelRate> rates, long nowMillis) {
         mRemembered = Map.copyOf(rates);
         mRememberedMillis = nowMillis;
     }
 
-    /** Calls a second for a model, those that wait included. */
-    public double rate(String model, long nowMillis) {
+    /** How callers ask for a model. */
+    public ModelRate rate(String model, long nowMillis) {
         refresh(nowMillis);
+        ModelRate reported = mRates.getOrDefault(model, ModelRate.NONE);
+        ModelRate left = mRemembered.getOrDefault(model, ModelRate.NONE);
         double age = (nowMillis - mRememberedMillis) / MEMORY_HALF_LIFE_MILLIS;
-        double remembered = mRemembered.getOrDefault(model, 0.0) * Math.pow(0.5, age);
-        return Math.max(mRates.getOrDefault(model, 0.0), remembered);
+        double remembered = left.callsPerSecond() * Math.pow(0.5, age);
+        return remembered > reported.callsPerSecond()
+                ? new ModelRate(remembered, left.objectiveMillis())
+                : reported;
     }
 
-    /** Calls a second by model, from reports alone. */
-    public Map<String, Double> rates(long nowMillis) {
+    /** How callers ask, by model, from reports alone. */
+    public Map<String, ModelRate> rates(long nowMillis) {
         refresh(nowMillis);
         return Map.copyOf(mRates);
     }
@@ -119,7 +124,7 @@
     }
 
     private void count(Report report) {
-        report.usage().rates().forEach((model, rate) -> mRates.merge(model, rate, Double::sum));
+        report.usage().rates().forEach((model, rate) -> mRates.merge(model, rate, ModelRate::plus));
         for (ModelUsage.Use use : report.usage().uses()) {
             String model = use.target().model();
             Counted onServer = new Counted(use.server(), model, "");
--- a/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
+++ b/org.cornelway/src/org/cornelway/models/FirstFitLoadPlanner.java
@@ -27,7 +27,7 @@
             ModelDefinition model, EngineView engine, CopySource source) {
         long millis = CheapestLoadPlanner.loadMillis(model, source);
         if (engine.freeMegabytes() >= model.megabytes()) {
-            return Optional.of(new LoadPlan(engine.life(), List.of(), source, 0, 0, millis));
+            return Optional.of(new LoadPlan(engine.life(), List.of(), source, 0, 0, millis, true));
         }
         return engine.models().entrySet().stream()
                 .filter(entry -> !entry.getValue().pinned())
@@ -37,6 +37,15 @@
                                         >= model.megabytes())
                 .map(Map.Entry::getKey)
                 .findFirst()
-                .map(victim -> new LoadPlan(engine.life(), List.of(victim), source, 0, 0, millis));
+                .map(
+                        victim ->
+                                new LoadPlan(
+                                        engine.life(),
+                                        List.of(victim),
+                                        source,
+                                        0,
+                                        0,
+                                        millis,
+                                        true));
     }
 }
--- a/org.cornelway/src/org/cornelway/models/LoadPlan.java
+++ b/org.cornelway/src/org/cornelway/models/LoadPlan.java
@@ -12,6 +12,7 @@
  * @param waitMillis time until the engine can begin; 0 if it can now
  * @param drainMillis time until the calls with the evicted models are expected to end
  * @param loadMillis time of the load itself
+ * @param pays whether callers lose less by it than by waiting on
  */
 public record LoadPlan(
         ServerLife engine,
@@ -19,7 +20,8 @@
         CopySource source,
         long waitMillis,
         long drainMillis,
-        long loadMillis) {
+        long loadMillis,
+        boolean pays) {
     /** Time until the model is there. */
     long totalMillis() {
         return waitMillis + drainMillis + loadMillis;
--- a/org.cornelway/src/org/cornelway/models/LoadRequest.java
+++ b/org.cornelway/src/org/cornelway/models/LoadRequest.java
@@ -1,11 +1,25 @@
 package org.cornelway.models;
 
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.traffic.ModelRate;
 
 /**
  * A model that is to be loaded. Immutable.
  *
  * @param storeAllowed whether it may be read from the weight store
- * @param callers calls that each unit of waiting time costs: those that wait and those to come
+ * @param rate how callers ask for it
+ * @param waiting calls that wait for it
+ * @param waitedMillis time that the first of them has waited
  */
-public record LoadRequest(ModelDefinition model, boolean storeAllowed, double callers) {}
+public record LoadRequest(
+        ModelDefinition model,
+        boolean storeAllowed,
+        ModelRate rate,
+        int waiting,
+        long waitedMillis) {
+    /** What callers lose until the model is there, in calls that come late. */
+    double lossUntil(long millis) {
+        return waiting * DelayCost.ofWaiting(waitedMillis, millis, rate.objectiveMillis())
+                + DelayCost.ofArrivals(rate, millis);
+    }
+}
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -171,6 +171,8 @@
                 one.target(),
                 later ? other.deadline() : one.deadline(),
                 Math.min(one.priority(), other.priority()),
+                one.sinceMillis(),
+                one.waiting() + other.waiting(),
                 other.notHeldBy().or(one::notHeldBy));
     }
 
--- a/org.cornelway/src/org/cornelway/models/ModelWish.java
+++ b/org.cornelway/src/org/cornelway/models/ModelWish.java
@@ -12,6 +12,8 @@
  * @param target what is wanted
  * @param deadline when the last of the calls gives up
  * @param priority rank of the most urgent of them, 0 first
+ * @param sinceMillis when the first of them came, on the control thread's clock
+ * @param waiting how many there are, as far as is known
  * @param notHeldBy an engine that just said that it does not hold it, or gives no answers
  */
 public record ModelWish(
@@ -19,4 +21,6 @@
         ModelTarget target,
         Deadline deadline,
         int priority,
+        long sinceMillis,
+        int waiting,
         Optional<ServerLife> notHeldBy) {}
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -9,6 +9,7 @@
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
 import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -36,9 +37,6 @@
     /** Time that a load must gain if it is to move to another engine. */
     private static final long MOVE_MILLIS = 250;
 
-    /** Time over which calls to come count like those that wait. */
-    private static final double CALLERS_SECONDS = 1;
-
     /** Calls a second that a model which is nowhere is taken to have, to fill a free place. */
     private static final double IDLE_RATE = 0.05;
 
@@ -119,13 +117,13 @@
         Optional<LoadPlan> plan = Optional.empty();
         if (loading.isEmpty() || mayMove(loading.get(), model.name(), nowMillis)) {
             plan =
-                    plan(model, census, engines, definition, nowMillis)
+                    plan(model, Optional.of(wish), census, engines, definition, nowMillis)
                             .filter(p -> p.waitMillis() == 0 || !census.isAnyUnread());
         }
         if (loading.isPresent()) {
             long ready = loading.get().readyMillis(nowMillis);
             Optional<LoadPlan> sooner =
-                    plan.filter(p -> p.waitMillis() == 0)
+                    plan.filter(p -> p.waitMillis() == 0 && p.pays())
                             .filter(p -> nowMillis + p.totalMillis() + MOVE_MILLIS < ready);
             if (sooner.isEmpty()) {
                 return answer(wish, ready, nowMillis);
@@ -136,7 +134,7 @@
         if (plan.isEmpty()) {
             return Optional.empty();
         }
-        if (plan.get().waitMillis() == 0) {
+        if (plan.get().waitMillis() == 0 && plan.get().pays()) {
             begin(plan.get(), model, engines);
         }
         return answer(wish, nowMillis + plan.get().totalMillis(), nowMillis);
@@ -156,6 +154,7 @@
 
     private Optional<LoadPlan> plan(
             ModelDefinition model,
+            Optional<ModelWish> wish,
             Census census,
             List<EngineDriver> engines,
             EngineDefinition definition,
@@ -169,9 +168,15 @@
                         .map(engine -> view(engine, census, definition, nowMillis))
                         .toList();
         boolean displacing = mKeepAll.isPast(nowMillis);
-        double callers = 1 + mDemand.rate(model.name(), nowMillis) * CALLERS_SECONDS;
-        return mPlanner.plan(new LoadRequest(model, store, callers), views)
-                .filter(plan -> displacing || plan.evict().isEmpty());
+        ModelRate rate = mDemand.rate(model.name(), nowMillis);
+        LoadRequest request =
+                new LoadRequest(
+                        model,
+                        store,
+                        rate,
+                        wish.map(ModelWish::waiting).orElse(0),
+                        wish.map(w -> nowMillis - w.sinceMillis()).orElse(0L));
+        return mPlanner.plan(request, views).filter(plan -> displacing || plan.evict().isEmpty());
     }
 
     private static void begin(LoadPlan plan, ModelDefinition model, List<EngineDriver> engines) {
@@ -259,9 +264,9 @@
             int replicas = census.replicas(model.name());
             boolean coming = engines.stream().anyMatch(e -> e.isLoading(model.name()));
             if (replicas > 0 && !coming && replicas < needed(model.name(), definition, nowMillis)) {
-                plan(model, census, engines, definition, nowMillis)
+                plan(model, Optional.empty(), census, engines, definition, nowMillis)
                         .filter(plan -> plan.source() != CopySource.STORE)
-                        .filter(plan -> plan.waitMillis() == 0)
+                        .filter(plan -> plan.waitMillis() == 0 && plan.pays())
                         .ifPresent(plan -> begin(plan, model, engines));
             }
         }
@@ -285,7 +290,13 @@
                 .min(Comparator.comparingInt(model -> census.copies(model.name())))
                 .ifPresent(
                         model ->
-                                plan(model, census, engines, definition, nowMillis)
+                                plan(
+                                                model,
+                                                Optional.empty(),
+                                                census,
+                                                engines,
+                                                definition,
+                                                nowMillis)
                                         .filter(
                                                 plan ->
                                                         plan.totalMillis()
@@ -316,7 +327,8 @@
                                 CopySource source = CheapestLoadPlanner.source(model.name(), view);
                                 long millis = CheapestLoadPlanner.loadMillis(model, source);
                                 begin(
-                                        new LoadPlan(view.life(), List.of(), source, 0, 0, millis),
+                                        new LoadPlan(
+                                                view.life(), List.of(), source, 0, 0, millis, true),
                                         model,
                                         engines);
                             });
@@ -325,7 +337,7 @@
 
     private double gain(String model, Census census, long nowMillis) {
         int replicas = census.replicas(model);
-        double rate = mDemand.rate(model, nowMillis) + IDLE_RATE;
+        double rate = mDemand.rate(model, nowMillis).callsPerSecond() + IDLE_RATE;
         return rate / (1.0 + replicas * (double) replicas * 2);
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallRates.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallRates.java
@@ -29,6 +29,7 @@
     private static final class Weight {
         private double mCalls;
         private long mMillis;
+        private long mObjectiveMillis = Long.MAX_VALUE;
     }
 
     CallRates(Clock clock) {
@@ -36,12 +37,13 @@
     }
 
     /** Notes a call. */
-    void called(String model) {
+    void called(String model, long objectiveMillis) {
         long now = mClock.nowMillis();
         mFirstMillis = mFirstMillis < 0 ? now : mFirstMillis;
         Weight weight = mWeights.computeIfAbsent(model, key -> new Weight());
         weight.mCalls = decayed(weight, now) + 1;
         weight.mMillis = now;
+        weight.mObjectiveMillis = Math.min(weight.mObjectiveMillis, objectiveMillis);
     }
 
     private static double decayed(Weight weight, long nowMillis) {
@@ -49,17 +51,18 @@
     }
 
     /** Calls a second by model; a process that has just started does not take them for fewer. */
-    Map<String, Double> perSecond() {
+    Map<String, ModelRate> current() {
         long now = mClock.nowMillis();
         double span = Math.max(LEAST_SPAN_MILLIS, now - mFirstMillis);
         double seen = 1 - Math.pow(0.5, span / HALF_LIFE_MILLIS);
-        Map<String, Double> rates = new HashMap<>();
+        Map<String, ModelRate> rates = new HashMap<>();
         mWeights.forEach(
                 (model, weight) -> {
                     double each = Math.log(2) * SECOND_MILLIS / HALF_LIFE_MILLIS;
-                    rates.put(model, decayed(weight, now) * each / seen);
+                    double rate = decayed(weight, now) * each / seen;
+                    rates.put(model, new ModelRate(rate, weight.mObjectiveMillis));
                 });
-        rates.values().removeIf(rate -> rate < LEAST_RATE);
+        rates.values().removeIf(rate -> rate.callsPerSecond() < LEAST_RATE);
         mWeights.keySet().retainAll(rates.keySet());
         return rates;
     }
--- a/org.cornelway/src/org/cornelway/traffic/Exchange.java
+++ b/org.cornelway/src/org/cornelway/traffic/Exchange.java
@@ -84,7 +84,7 @@
         if (route.kind() == CallKind.STREAM) {
             mRelay = Optional.of(new StreamRelay(mAnswer, mRequest.head().lastEventId()));
         }
-        mRequest.head().target().ifPresent(t -> mContext.usage().called(t.model()));
+        mContext.usage().called(mRequest.head().target(), route.targetLatencyMillis());
         followTimeout(route);
         dispatch();
     }
--- a/org.cornelway/src/org/cornelway/traffic/ModelUsage.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelUsage.java
@@ -57,9 +57,9 @@
     /**
      * All that is reported at once. Immutable.
      *
-     * @param rates calls a second by model, those that wait included
+     * @param rates how callers ask, by model
      */
-    public record Usage(List<Use> uses, Map<String, Double> rates) {}
+    public record Usage(List<Use> uses, Map<String, ModelRate> rates) {}
 
     /**
      * Use of a model on a server. Immutable.
@@ -74,9 +74,9 @@
         mRates = new CallRates(clock);
     }
 
-    /** Notes that a caller asks for a model. */
-    void called(String model) {
-        mRates.called(model);
+    /** Notes a call, which may ask for a model. */
+    void called(Optional<ModelTarget> target, long objectiveMillis) {
+        target.ifPresent(each -> mRates.called(each.model(), objectiveMillis));
     }
 
     /** Notes that a call began on a server. */
@@ -126,6 +126,6 @@
                                                 .max()
                                                 .orElse(0))));
         mCounts.values().removeIf(count -> count.mActive.isEmpty());
-        return new Usage(uses, mRates.perSecond());
+        return new Usage(uses, mRates.current());
     }
 }
