Keep a spare replica of models that many callers want

Replicas are now needed by rate too, two at least from 5 calls a second, and may come from the store.

--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -25,8 +25,17 @@
     /** Time for which a model that just came stays, so that its calls arrive. */
     private static final long SETTLE_MILLIS = 500;
 
-    /** Part of an engine's slots that calls with one model may take before another helps. */
-    private static final double REPLICA_SHARE = 0.6;
+    /**
+     * Part of an engine's slots that calls with one model may take before another helps: what else
+     * the engine holds shares its batch and may be slower.
+     */
+    private static final double REPLICA_SHARE = 0.45;
+
+    /** Time that a call usually takes on an engine. */
+    private static final double CALL_SECONDS = 1;
+
+    /** Calls a second from which a model keeps a spare replica: an engine may be lost any time. */
+    private static final double SPARE_RATE = 5;
 
     /** Loads from the store ahead of calls; the store's other places are for calls that wait. */
     private static final int FETCHES_AT_ONCE = 2;
@@ -34,6 +43,9 @@
     /** Copies at hand that a model should have, so that more than one engine can take it. */
     private static final int COPIES_WANTED = 2;
 
+    /** A place that calls keep for longer is no place for one more replica. */
+    private static final long SPREAD_DRAIN_MILLIS = 1_500;
+
     /** Time that a load must gain if it is to move to another engine. */
     private static final long MOVE_MILLIS = 250;
 
@@ -248,25 +260,32 @@
         return nowMillis - granted < SETTLE_MILLIS || census.isWished(model);
     }
 
-    /** Engines that the calls under way with a model need. */
+    /** Engines that the calls with a model need: those under way, or expected by their rate. */
     private int needed(String model, EngineDefinition definition, long nowMillis) {
+        double rate = mDemand.rate(model, nowMillis).callsPerSecond();
+        double calls = Math.max(mDemand.activeAnywhere(model, nowMillis), rate * CALL_SECONDS);
         double each = Math.max(1, definition.slots() * REPLICA_SHARE);
-        return Math.max(1, (int) Math.ceil(mDemand.activeAnywhere(model, nowMillis) / each));
+        int least = rate >= SPARE_RATE ? 2 : 1;
+        return Math.max(least, (int) Math.ceil(calls / each));
     }
 
-    /** Loads models on more engines whose calls crowd those that hold them. */
+    /**
+     * Loads models on more engines whose calls crowd those that hold them. An engine that is free
+     * now goes before one with a copy at hand that is not.
+     */
     void spread(
             List<EngineDriver> engines,
             EngineDefinition definition,
             Census census,
             long nowMillis) {
+        List<EngineDriver> idle = engines.stream().filter(EngineDriver::isIdle).toList();
         for (ModelDefinition model : definition.models().values()) {
             int replicas = census.replicas(model.name());
             boolean coming = engines.stream().anyMatch(e -> e.isLoading(model.name()));
             if (replicas > 0 && !coming && replicas < needed(model.name(), definition, nowMillis)) {
-                plan(model, Optional.empty(), census, engines, definition, nowMillis)
-                        .filter(plan -> plan.source() != CopySource.STORE)
-                        .filter(plan -> plan.waitMillis() == 0 && plan.pays())
+                plan(model, Optional.empty(), census, idle, definition, nowMillis)
+                        .filter(LoadPlan::pays)
+                        .filter(plan -> plan.drainMillis() <= SPREAD_DRAIN_MILLIS)
                         .ifPresent(plan -> begin(plan, model, engines));
             }
         }
