--- a/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
@@ -6,10 +6,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Reads the command line and runs one command. */
 public final class Main {
-    private static final String PRESET = "preset";
+    /** First words of commands that have two. */
+    private static final Set<String> GROUPS = Set.of("preset", "settings");
 
     private Main() {}
 
@@ -36,6 +38,8 @@
                 new PresetCommands.Switch(),
                 new PresetCommands.History(),
                 new StatusCommand(),
+                new SettingsCheckCommand(),
+                new ExplainCommand(),
                 new VersionCommand(),
                 new HelpCommand());
     }
@@ -80,11 +84,11 @@
         return parser;
     }
 
-    /** Makes {@code preset put} one word for the parser. */
+    /** Makes two words such as {@code preset put} one for the parser. */
     private static List<String> joined(String[] arguments) {
         List<String> words = new ArrayList<>(Arrays.asList(arguments));
-        if (words.size() >= 2 && words.get(0).equals(PRESET)) {
-            words.set(0, PRESET + " " + words.remove(1));
+        if (words.size() >= 2 && GROUPS.contains(words.get(0))) {
+            words.set(0, words.get(0) + " " + words.remove(1));
         }
         if (words.size() == 1 && words.get(0).equals("--help")) {
             words.set(0, "help");
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/pgm/CallStoryTest.java
@@ -0,0 +1,48 @@
+package org.cornelway.pgm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Stories of calls from lines of several processes, in the form that entries write them. */
+public class CallStoryTest {
+    private static final String SENT =
+            "a ts=1000 level=INFO event=call.sent id=x1 send=1 server=s1 reported=4";
+    private static final String REFUSED =
+            "a ts=1010 level=INFO event=call.send_ended id=x1 server=s1 outcome=not_run"
+                    + " reason=\"refused with 421\"";
+    private static final String ORDER =
+            "b ts=990 level=INFO event=engine.order server=s1 load=false model=m1 reply=Accepted[]";
+    private static final String OTHER =
+            "b ts=995 level=INFO event=engine.order server=s2 load=true model=m2 reply=Accepted[]";
+    private static final String FAILED =
+            "a ts=1500 level=INFO event=call.failed id=x1 model=m1/a2 how=own status=503 sends=1"
+                    + " ms=510 reason=\"DEADLINE_INFEASIBLE: the model needs 900 ms\"";
+
+    @Test
+    public void linesOfAllProcessesComeInOrder() {
+        CallStory story = CallStory.of("x1", List.of(FAILED, REFUSED, "noise", SENT, OTHER, ORDER));
+        assertThat(story.lines()).containsExactly(ORDER, SENT, REFUSED, FAILED);
+        assertThat(story.cause()).contains("m1/a2").contains("could not be loaded in time");
+    }
+
+    @Test
+    public void unknownCallHasNoStory() {
+        CallStory story = CallStory.of("x2", List.of(SENT, FAILED));
+        assertThat(story.lines()).isEmpty();
+        assertThat(story.cause()).contains("no line tells");
+    }
+
+    @Test
+    public void callerThatLeftIsToldFromServersThatFailed() {
+        String left =
+                "a ts=1500 event=call.failed id=x1 model=m1 how=left status=0 ms=510 reason=left";
+        assertThat(CallStory.of("x1", List.of(left)).cause()).contains("waited for model m1");
+        assertThat(CallStory.of("x1", List.of(SENT, left)).cause()).contains("s1 worked");
+        String unknown =
+                "a ts=1500 event=call.failed id=x1 model=- how=own status=502 ms=510"
+                        + " reason=\"OUTCOME_UNKNOWN: Connection reset\"";
+        assertThat(CallStory.of("x1", List.of(SENT, unknown)).cause()).contains("s1 may have run");
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package org.cornelway.pgm;
--- a/org.cornelway/src/org/cornelway/role/PlatformBeliefs.java
+++ b/org.cornelway/src/org/cornelway/role/PlatformBeliefs.java
@@ -1,7 +1,9 @@
 package org.cornelway.role;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.cornelway.cluster.ClusterKeys;
@@ -12,7 +14,6 @@
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValue;
-import org.cornelway.platform.Member;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.relay.MemberTable;
 import org.cornelway.result.Result;
@@ -137,16 +138,18 @@
     }
 
     private void members() {
-        mMembers.update(
-                mCache.all().stream()
-                        .filter(held -> held.key().startsWith(ClusterKeys.MEMBERS))
-                        .filter(held -> !StoreFollower.isEnded(held))
-                        .flatMap(held -> Json.read(held.value(), ClusterMember.class).stream())
-                        .map(ClusterMember::toMember)
-                        .toList());
+        mMembers.update(registered().stream().map(ClusterMember::toMember).toList());
         mLog.write("members.changed", "members", mMembers.all().keySet());
     }
 
+    private List<ClusterMember> registered() {
+        return mCache.all().stream()
+                .filter(held -> held.key().startsWith(ClusterKeys.MEMBERS))
+                .filter(held -> !StoreFollower.isEnded(held))
+                .flatMap(held -> Json.read(held.value(), ClusterMember.class).stream())
+                .toList();
+    }
+
     /** Notes that the key-value service stopped serving this process. */
     void storeAway() {
         mDirectory.storeAway();
@@ -176,14 +179,20 @@
         return new TrafficView(mRoutes, mDirectory.snapshot(), Math.max(1, members));
     }
 
-    /** Place of this process among the members, 0 for the first. */
+    /**
+     * Place of this process among the members, 0 for the one that started last: in a series of
+     * restarts that one will not be stopped again.
+     */
     int rank(String self) {
-        int rank = 0;
-        for (Member member : mMembers.all().values()) {
-            if (member.id().compareTo(self) < 0) {
-                rank++;
-            }
-        }
-        return rank;
+        List<String> youngestFirst =
+                registered().stream()
+                        .sorted(
+                                Comparator.comparingLong(ClusterMember::startedMillis)
+                                        .reversed()
+                                        .thenComparing(ClusterMember::id))
+                        .map(ClusterMember::id)
+                        .toList();
+        int place = youngestFirst.indexOf(self);
+        return place < 0 ? youngestFirst.size() : place;
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -1,11 +1,15 @@
 package org.cornelway.traffic;
 
 import java.util.Optional;
+import java.util.Set;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.route.Route;
 
 /** Writes the lines of one call, and counts how calls end. Confined to the traffic thread. */
 final class CallLog {
+    /** Ends that are no failure of the system; failures have lines of their own number. */
+    private static final Set<String> SERVED = Set.of("answered", "streamed");
+
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
 
@@ -62,7 +66,7 @@
         mContext.metrics().histogram("calls.millis").update(millis);
         mContext.log()
                 .write(
-                        "call.done",
+                        SERVED.contains(how) ? "call.done" : "call.failed",
                         "id",
                         id(),
                         "route",
