--- a/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/Main.java
@@ -6,10 +6,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Reads the command line and runs one command. */
 public final class Main {
-    private static final String PRESET = "preset";
+    /** First words of commands that have two. */
+    private static final Set<String> GROUPS = Set.of("preset", "settings");
 
     private Main() {}
 
@@ -36,14 +38,16 @@
                 new PresetCommands.Switch(),
                 new PresetCommands.History(),
                 new StatusCommand(),
+                new SettingsCheckCommand(),
+                new ExplainCommand(),
                 new VersionCommand(),
                 new HelpCommand());
     }
 
     private static int run(String[] arguments, Map<String, String> environment) {
-        List<Command> commands = commands();
-        JCommander parser = parser(commands, environment);
         List<String> words = joined(arguments);
+        List<Command> commands = wanted(words);
+        JCommander parser = parser(commands, environment);
         try {
             parser.parse(words.toArray(String[]::new));
         } catch (ParameterException e) {
@@ -63,6 +67,14 @@
                 .run();
     }
 
+    /** The command that the first word names, or all: a process starts faster with one alone. */
+    private static List<Command> wanted(List<String> words) {
+        String first = words.isEmpty() ? "" : words.get(0);
+        List<Command> all = commands();
+        List<Command> named = all.stream().filter(each -> each.name().equals(first)).toList();
+        return named.isEmpty() ? all : named;
+    }
+
     /** A parser that knows the commands and takes settings from the environment too. */
     static JCommander parser(List<Command> commands, Map<String, String> environment) {
         JCommander parser = new JCommander();
@@ -72,11 +84,11 @@
         return parser;
     }
 
-    /** Makes {@code preset put} one word for the parser. */
+    /** Makes two words such as {@code preset put} one for the parser. */
     private static List<String> joined(String[] arguments) {
         List<String> words = new ArrayList<>(Arrays.asList(arguments));
-        if (words.size() >= 2 && words.get(0).equals(PRESET)) {
-            words.set(0, PRESET + " " + words.remove(1));
+        if (words.size() >= 2 && GROUPS.contains(words.get(0))) {
+            words.set(0, words.get(0) + " " + words.remove(1));
         }
         if (words.size() == 1 && words.get(0).equals("--help")) {
             words.set(0, "help");
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUse.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUse.java
@@ -179,15 +179,19 @@
     return active_;
   }
 
-  public static final int STARTED_FIELD_NUMBER = 5;
-  private int started_ = 0;
+  public static final int REMAINING_MILLIS_FIELD_NUMBER = 6;
+  private long remainingMillis_ = 0L;
   /**
-   * <code>int32 started = 5;</code>
-   * @return The started.
+   * <pre>
+   * Time until the last of the active calls is expected to end.
+   * </pre>
+   *
+   * <code>int64 remaining_millis = 6;</code>
+   * @return The remainingMillis.
    */
   @java.lang.Override
-  public int getStarted() {
-    return started_;
+  public long getRemainingMillis() {
+    return remainingMillis_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -216,8 +220,8 @@
     if (active_ != 0) {
       output.writeInt32(4, active_);
     }
-    if (started_ != 0) {
-      output.writeInt32(5, started_);
+    if (remainingMillis_ != 0L) {
+      output.writeInt64(6, remainingMillis_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -236,9 +240,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(4, active_);
     }
-    if (started_ != 0) {
+    if (remainingMillis_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(5, started_);
+        .computeInt64Size(6, remainingMillis_);
     }
     return size;
   }
@@ -272,8 +276,8 @@
         .equals(other.getAdapter())) return false;
     if (getActive()
         != other.getActive()) return false;
-    if (getStarted()
-        != other.getStarted()) return false;
+    if (getRemainingMillis()
+        != other.getRemainingMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -293,8 +297,9 @@
     hash = (53 * hash) + getAdapter().hashCode();
     hash = (37 * hash) + ACTIVE_FIELD_NUMBER;
     hash = (53 * hash) + getActive();
-    hash = (37 * hash) + STARTED_FIELD_NUMBER;
-    hash = (53 * hash) + getStarted();
+    hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRemainingMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,7 +435,7 @@
       model_ = "";
       adapter_ = "";
       active_ = 0;
-      started_ = 0;
+      remainingMillis_ = 0L;
       return this;
     }
 
@@ -477,7 +482,7 @@
         result.active_ = active_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.started_ = started_;
+        result.remainingMillis_ = remainingMillis_;
       }
     }
 
@@ -511,8 +516,8 @@
       if (other.getActive() != 0) {
         setActive(other.getActive());
       }
-      if (other.getStarted() != 0) {
-        setStarted(other.getStarted());
+      if (other.getRemainingMillis() != 0L) {
+        setRemainingMillis(other.getRemainingMillis());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -558,11 +563,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
-            case 40: {
-              started_ = input.readInt32();
+            case 48: {
+              remainingMillis_ = input.readInt64();
               bitField0_ |= 0x00000010;
               break;
-            } // case 40
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -828,34 +833,46 @@
       return this;
     }
 
-    private int started_ ;
+    private long remainingMillis_ ;
     /**
-     * <code>int32 started = 5;</code>
-     * @return The started.
+     * <pre>
+     * Time until the last of the active calls is expected to end.
+     * </pre>
+     *
+     * <code>int64 remaining_millis = 6;</code>
+     * @return The remainingMillis.
      */
     @java.lang.Override
-    public int getStarted() {
-      return started_;
+    public long getRemainingMillis() {
+      return remainingMillis_;
     }
     /**
-     * <code>int32 started = 5;</code>
-     * @param value The started to set.
+     * <pre>
+     * Time until the last of the active calls is expected to end.
+     * </pre>
+     *
+     * <code>int64 remaining_millis = 6;</code>
+     * @param value The remainingMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setStarted(int value) {
+    public Builder setRemainingMillis(long value) {
 
-      started_ = value;
+      remainingMillis_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>int32 started = 5;</code>
+     * <pre>
+     * Time until the last of the active calls is expected to end.
+     * </pre>
+     *
+     * <code>int64 remaining_millis = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearStarted() {
+    public Builder clearRemainingMillis() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      started_ = 0;
+      remainingMillis_ = 0L;
       onChanged();
       return this;
     }
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUseOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelUseOrBuilder.java
@@ -53,8 +53,12 @@
   int getActive();
 
   /**
-   * <code>int32 started = 5;</code>
-   * @return The started.
+   * <pre>
+   * Time until the last of the active calls is expected to end.
+   * </pre>
+   *
+   * <code>int64 remaining_millis = 6;</code>
+   * @return The remainingMillis.
    */
-  int getStarted();
+  long getRemainingMillis();
 }
--- a/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/LoadPlannerTest.java
@@ -5,10 +5,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.cornelway.directory.ServerLife;
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.traffic.ModelRate;
 import org.testng.annotations.Test;
 
 /** Where models are loaded: single cases, and the time that callers wait against the baseline. */
@@ -17,12 +19,19 @@
     private static final long STORE = 6_000;
     private static final long DISK = 600;
 
+    private static final long OBJECTIVE = 1_000;
+    private static final ModelRate RARE = new ModelRate(0.2, OBJECTIVE);
+
     private final LoadPlanner mPlanner = new CheapestLoadPlanner();
 
     private static ModelDefinition model(String name) {
         return new ModelDefinition(name, MODEL_MB, STORE, DISK, 470, 0, 0);
     }
 
+    private Optional<LoadPlan> plan(List<EngineView> engines, boolean storeAllowed) {
+        return mPlanner.plan(new LoadRequest(model("x"), storeAllowed, RARE, 1, 0), engines);
+    }
+
     private static EngineView engine(
             String id, long wait, Map<String, ModelView> models, Set<String> disk) {
         return new EngineView(
@@ -37,14 +46,26 @@
     }
 
     private static ModelView held(int active, double rate, int replicas, boolean pinned) {
-        return new ModelView(MODEL_MB, active, rate, replicas, 1, pinned, DISK);
+        return held(active, active * 1_200L, rate, replicas, pinned);
+    }
+
+    private static ModelView held(
+            int active, long remaining, double rate, int replicas, boolean pinned) {
+        return new ModelView(
+                MODEL_MB,
+                active,
+                remaining,
+                new ModelRate(rate, OBJECTIVE),
+                replicas,
+                1,
+                pinned,
+                DISK);
     }
 
     @Test
     public void waitsForCopiesAtHandRatherThanReadTheStore() {
         LoadPlan plan =
-                mPlanner.plan(
-                                model("x"),
+                plan(
                                 List.of(
                                         engine("idle", 0, Map.of(), Set.of()),
                                         engine("busy", 700, Map.of(), Set.of("x"))),
@@ -63,19 +84,14 @@
         EngineView spare =
                 new EngineView(
                         new ServerLife("b", 1), 210, 0, Map.of(), Set.of(), Set.of("y"), 0, 0);
-        assertThat(
-                        mPlanner.plan(model("x"), List.of(needed, spare), true)
-                                .orElseThrow()
-                                .engine()
-                                .id())
-                .isEqualTo("b");
+        assertThat(plan(List.of(needed, spare), true).orElseThrow().engine().id()).isEqualTo("b");
     }
 
     @Test
     public void storeIsReadOnlyWhereThatIsAllowed() {
         List<EngineView> engines = List.of(engine("a", 0, Map.of(), Set.of()));
-        assertThat(mPlanner.plan(model("x"), engines, false)).isEmpty();
-        assertThat(mPlanner.plan(model("x"), engines, true)).isPresent();
+        assertThat(plan(engines, false)).isEmpty();
+        assertThat(plan(engines, true)).isPresent();
     }
 
     @Test
@@ -85,17 +101,39 @@
                         "busy", held(3, 5, 1, false),
                         "idle", held(0, 0.1, 1, false),
                         "pinned", held(0, 0, 1, true));
-        LoadPlan plan =
-                mPlanner.plan(model("x"), List.of(engine("a", 0, models, Set.of("x"))), true)
-                        .orElseThrow();
+        LoadPlan plan = plan(List.of(engine("a", 0, models, Set.of("x"))), true).orElseThrow();
         assertThat(plan.evict()).containsExactly("idle");
         Map<String, ModelView> pinned =
                 Map.of(
                         "a", held(0, 0, 1, true),
                         "b", held(0, 0, 1, true),
                         "c", held(0, 0, 1, true));
-        assertThat(mPlanner.plan(model("x"), List.of(engine("a", 0, pinned, Set.of("x"))), true))
-                .isEmpty();
+        assertThat(plan(List.of(engine("a", 0, pinned, Set.of("x"))), true)).isEmpty();
+    }
+
+    @Test
+    public void waitsForTheCallsThatEndFirst() {
+        Map<String, ModelView> slow = Map.of("y", held(1, 3_000, 0.3, 1, false));
+        Map<String, ModelView> soon = Map.of("z", held(2, 200, 0.3, 1, false));
+        List<EngineView> engines =
+                List.of(full("slow", slow, Set.of("x")), full("soon", soon, Set.of("x")));
+        LoadPlan plan = plan(engines, true).orElseThrow();
+        assertThat(plan.engine().id()).isEqualTo("soon");
+        assertThat(plan.drainMillis()).isEqualTo(200);
+        assertThat(plan.totalMillis()).isEqualTo(200 + DISK);
+    }
+
+    @Test
+    public void rareModelDoesNotDisplaceOneThatManyWant() {
+        Map<String, ModelView> hot = Map.of("y", held(4, 400, 10, 1, false));
+        LoadPlan plan = plan(List.of(full("a", hot, Set.of("x"))), true).orElseThrow();
+        assertThat(plan.pays()).isFalse();
+        Map<String, ModelView> cold = Map.of("y", held(0, 0, 0.2, 1, false));
+        assertThat(plan(List.of(full("a", cold, Set.of("x"))), true).orElseThrow().pays()).isTrue();
+    }
+
+    private static EngineView full(String id, Map<String, ModelView> models, Set<String> disk) {
+        return new EngineView(new ServerLife(id, 1), 0, 0, models, Set.of(), disk, 0, 0);
     }
 
     /** Asks for rare models in turn; returns the total time until each was there. */
@@ -123,7 +161,9 @@
             for (int i = 0; i < engines; i++) {
                 views.add(engine(Integer.toString(i), 0, held.get(i), disks.get(i)));
             }
-            LoadPlan plan = planner.plan(model(name), views, true).orElseThrow();
+            LoadPlan plan =
+                    planner.plan(new LoadRequest(model(name), true, RARE, 1, 0), views)
+                            .orElseThrow();
             int at = Integer.parseInt(plan.engine().id());
             plan.evict().forEach(held.get(at)::remove);
             double rate = Integer.parseInt(name.substring(1)) < 3 ? 3 : 0.1;
--- a/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerDesk.java
@@ -1,6 +1,9 @@
 package org.cornelway.cluster;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -16,6 +19,7 @@
 import org.cornelway.rpc.ServerHoldings;
 import org.cornelway.rpc.UseReport;
 import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
 
@@ -53,6 +57,8 @@
                         new ModelTarget(ask.getModel(), ask.getAdapter()),
                         Deadline.after(now, ask.getRemainingMillis()),
                         ask.getPriority(),
+                        now,
+                        1,
                         ask.getNotHeldBy().isEmpty()
                                 ? Optional.empty()
                                 : mLives.apply(ask.getNotHeldBy()));
@@ -83,19 +89,7 @@
         }
         mController
                 .demand()
-                .report(
-                        report.getFrom(),
-                        report.getUsesList().stream()
-                                .map(
-                                        use ->
-                                                new ModelUsage.Use(
-                                                        use.getServer(),
-                                                        new ModelTarget(
-                                                                use.getModel(), use.getAdapter()),
-                                                        use.getActive(),
-                                                        use.getStarted()))
-                                .toList(),
-                        mControl.now(TimeUnit.MILLISECONDS));
+                .report(report.getFrom(), usage(report), mControl.now(TimeUnit.MILLISECONDS));
         HoldingsReply.Builder reply =
                 HoldingsReply.newBuilder()
                         .setController(true)
@@ -107,6 +101,29 @@
         return current ? reply.build() : withServers(reply);
     }
 
+    private static ModelUsage.Usage usage(UseReport report) {
+        List<ModelUsage.Use> uses =
+                report.getUsesList().stream()
+                        .map(
+                                use ->
+                                        new ModelUsage.Use(
+                                                use.getServer(),
+                                                new ModelTarget(use.getModel(), use.getAdapter()),
+                                                use.getActive(),
+                                                use.getRemainingMillis()))
+                        .toList();
+        Map<String, ModelRate> rates = new HashMap<>();
+        report.getRatesList()
+                .forEach(
+                        rate ->
+                                rates.put(
+                                        rate.getModel(),
+                                        new ModelRate(
+                                                rate.getCallsPerSecond(),
+                                                rate.getObjectiveMillis())));
+        return new ModelUsage.Usage(uses, rates);
+    }
+
     private HoldingsReply withServers(HoldingsReply.Builder reply) {
         mController
                 .holdings()
--- a/org.cornelway/src/org/cornelway/models/PlacementRound.java
+++ b/org.cornelway/src/org/cornelway/models/PlacementRound.java
@@ -8,6 +8,8 @@
 import org.cornelway.directory.ServerLife;
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -23,12 +25,30 @@
     /** Time for which a model that just came stays, so that its calls arrive. */
     private static final long SETTLE_MILLIS = 500;
 
-    /** Part of an engine's slots that calls with one model may take before another helps. */
-    private static final double REPLICA_SHARE = 0.6;
+    /**
+     * Part of an engine's slots that calls with one model may take before another helps: what else
+     * the engine holds shares its batch and may be slower.
+     */
+    private static final double REPLICA_SHARE = 0.45;
+
+    /** Time that a call usually takes on an engine. */
+    private static final double CALL_SECONDS = 1;
+
+    /** Calls a second from which a model keeps a spare replica: an engine may be lost any time. */
+    private static final double SPARE_RATE = 5;
 
     /** Loads from the store ahead of calls; the store's other places are for calls that wait. */
     private static final int FETCHES_AT_ONCE = 2;
 
+    /** Copies at hand that a model should have, so that more than one engine can take it. */
+    private static final int COPIES_WANTED = 2;
+
+    /** A place that calls keep for longer is no place for one more replica. */
+    private static final long SPREAD_DRAIN_MILLIS = 1_500;
+
+    /** Time that a load must gain if it is to move to another engine. */
+    private static final long MOVE_MILLIS = 250;
+
     /** Calls a second that a model which is nowhere is taken to have, to fill a free place. */
     private static final double IDLE_RATE = 0.05;
 
@@ -37,6 +57,7 @@
     private final AdapterRound mAdapters;
     private final int mStoreLoads;
     private final Map<ServerLife, Map<String, Long>> mGrantedMillis = new HashMap<>();
+    private Deadline mKeepAll = new Deadline(0);
 
     PlacementRound(LoadPlanner planner, DemandTable demand, int storeLoads) {
         mPlanner = planner;
@@ -45,6 +66,11 @@
         mStoreLoads = storeLoads;
     }
 
+    /** Displaces nothing until then. */
+    void keepAllUntil(Deadline deadline) {
+        mKeepAll = deadline;
+    }
+
     /** The answer to a wish, or empty while it is on its way. */
     Optional<ModelAnswer> serve(
             ModelWish wish,
@@ -96,31 +122,51 @@
             List<EngineDriver> engines,
             EngineDefinition definition,
             long nowMillis) {
-        Optional<Long> ready =
+        Optional<EngineDriver> loading =
                 engines.stream()
                         .filter(engine -> engine.isLoading(model.name()))
-                        .map(engine -> engine.readyMillis(nowMillis))
-                        .min(Comparator.naturalOrder());
-        if (ready.isPresent()) {
-            return wish.deadline().isPast(ready.get())
-                    ? Optional.of(new ModelAnswer.TooLate(ready.get() - nowMillis))
-                    : Optional.empty();
+                        .min(Comparator.comparingLong(engine -> engine.readyMillis(nowMillis)));
+        Optional<LoadPlan> plan = Optional.empty();
+        if (loading.isEmpty() || mayMove(loading.get(), model.name(), nowMillis)) {
+            plan =
+                    plan(model, Optional.of(wish), census, engines, definition, nowMillis)
+                            .filter(p -> p.waitMillis() == 0 || !census.isAnyUnread());
         }
-        Optional<LoadPlan> plan = plan(model, census, engines, definition, nowMillis);
-        if (plan.isEmpty() || plan.get().waitMillis() > 0 && census.isAnyUnread()) {
+        if (loading.isPresent()) {
+            long ready = loading.get().readyMillis(nowMillis);
+            Optional<LoadPlan> sooner =
+                    plan.filter(p -> p.waitMillis() == 0 && p.pays())
+                            .filter(p -> nowMillis + p.totalMillis() + MOVE_MILLIS < ready);
+            if (sooner.isEmpty()) {
+                return answer(wish, ready, nowMillis);
+            }
+            loading.get().steps().dropLoad(model.name());
+            plan = sooner;
+        }
+        if (plan.isEmpty()) {
             return Optional.empty();
         }
-        if (plan.get().waitMillis() == 0) {
+        if (plan.get().waitMillis() == 0 && plan.get().pays()) {
             begin(plan.get(), model, engines);
         }
-        long millis = plan.get().waitMillis() + plan.get().loadMillis();
-        return wish.deadline().isPast(nowMillis + millis)
-                ? Optional.of(new ModelAnswer.TooLate(millis))
+        return answer(wish, nowMillis + plan.get().totalMillis(), nowMillis);
+    }
+
+    /** Whether a load may still go to another engine: the place for it is not free yet. */
+    private static boolean mayMove(EngineDriver engine, String model, long nowMillis) {
+        return engine.steps().isWaiting(model)
+                && engine.readyMillis(nowMillis) - nowMillis > MOVE_MILLIS;
+    }
+
+    private static Optional<ModelAnswer> answer(ModelWish wish, long readyMillis, long nowMillis) {
+        return wish.deadline().isPast(readyMillis)
+                ? Optional.of(new ModelAnswer.TooLate(readyMillis - nowMillis))
                 : Optional.empty();
     }
 
     private Optional<LoadPlan> plan(
             ModelDefinition model,
+            Optional<ModelWish> wish,
             Census census,
             List<EngineDriver> engines,
             EngineDefinition definition,
@@ -130,9 +176,19 @@
                 engines.stream()
                         .filter(EngineDriver::isKnown)
                         .filter(engine -> !engine.models().containsKey(model.name()))
+                        .filter(engine -> !engine.isLoading(model.name()))
                         .map(engine -> view(engine, census, definition, nowMillis))
                         .toList();
-        return mPlanner.plan(model, views, store);
+        boolean displacing = mKeepAll.isPast(nowMillis);
+        ModelRate rate = mDemand.rate(model.name(), nowMillis);
+        LoadRequest request =
+                new LoadRequest(
+                        model,
+                        store,
+                        rate,
+                        wish.map(ModelWish::waiting).orElse(0),
+                        wish.map(w -> nowMillis - w.sinceMillis()).orElse(0L));
+        return mPlanner.plan(request, views).filter(plan -> displacing || plan.evict().isEmpty());
     }
 
     private static void begin(LoadPlan plan, ModelDefinition model, List<EngineDriver> engines) {
@@ -148,7 +204,7 @@
                             victim,
                             Optional.empty(),
                             0,
-                            EngineDriver.UNLOAD_MILLIS,
+                            Math.max(EngineDriver.UNLOAD_MILLIS, plan.drainMillis()),
                             CopySource.MEMORY));
         }
         engine.plan(
@@ -177,6 +233,7 @@
                                                         + adapters.count()
                                                                 * model.adapterMegabytes(),
                                                 mDemand.active(server, name, nowMillis),
+                                                mDemand.remainingMillis(server, name, nowMillis),
                                                 mDemand.rate(name, nowMillis),
                                                 census.replicas(name),
                                                 needed(name, definition, nowMillis),
@@ -203,48 +260,67 @@
         return nowMillis - granted < SETTLE_MILLIS || census.isWished(model);
     }
 
-    /** Engines that the calls under way with a model need. */
+    /** Engines that the calls with a model need: those under way, or expected by their rate. */
     private int needed(String model, EngineDefinition definition, long nowMillis) {
+        double rate = mDemand.rate(model, nowMillis).callsPerSecond();
+        double calls = Math.max(mDemand.activeAnywhere(model, nowMillis), rate * CALL_SECONDS);
         double each = Math.max(1, definition.slots() * REPLICA_SHARE);
-        return Math.max(1, (int) Math.ceil(mDemand.activeAnywhere(model, nowMillis) / each));
+        int least = rate >= SPARE_RATE ? 2 : 1;
+        return Math.max(least, (int) Math.ceil(calls / each));
     }
 
-    /** Loads models on more engines whose calls crowd those that hold them. */
+    /**
+     * Loads models on more engines whose calls crowd those that hold them. An engine that is free
+     * now goes before one with a copy at hand that is not.
+     */
     void spread(
             List<EngineDriver> engines,
             EngineDefinition definition,
             Census census,
             long nowMillis) {
+        List<EngineDriver> idle = engines.stream().filter(EngineDriver::isIdle).toList();
         for (ModelDefinition model : definition.models().values()) {
             int replicas = census.replicas(model.name());
             boolean coming = engines.stream().anyMatch(e -> e.isLoading(model.name()));
             if (replicas > 0 && !coming && replicas < needed(model.name(), definition, nowMillis)) {
-                plan(model, census, engines, definition, nowMillis)
-                        .filter(plan -> plan.source() != CopySource.STORE)
-                        .filter(plan -> plan.waitMillis() == 0)
+                plan(model, Optional.empty(), census, idle, definition, nowMillis)
+                        .filter(LoadPlan::pays)
+                        .filter(plan -> plan.drainMillis() <= SPREAD_DRAIN_MILLIS)
                         .ifPresent(plan -> begin(plan, model, engines));
             }
         }
     }
 
     /**
-     * Brings models that no engine has at hand from the store, a few at a time, before calls ask.
+     * Makes copies of models that few engines have at hand, before calls ask: all of the store's
+     * places serve this while no calls come, fewer later.
      */
     void fetch(
             List<EngineDriver> engines,
             EngineDefinition definition,
             Census census,
             long nowMillis) {
-        if (census.hasWishes() || census.storeReads() >= FETCHES_AT_ONCE || census.isAnyUnread()) {
+        int most = mDemand.isIdle(nowMillis) ? mStoreLoads : FETCHES_AT_ONCE;
+        if (census.hasWishes() || census.storeReads() >= most || census.isAnyUnread()) {
             return;
         }
         definition.models().values().stream()
-                .filter(model -> census.isAbsent(model.name()))
-                .findFirst()
+                .filter(model -> census.copies(model.name()) < COPIES_WANTED)
+                .min(Comparator.comparingInt(model -> census.copies(model.name())))
                 .ifPresent(
                         model ->
-                                plan(model, census, engines, definition, nowMillis)
-                                        .filter(plan -> plan.waitMillis() == 0)
+                                plan(
+                                                model,
+                                                Optional.empty(),
+                                                census,
+                                                engines,
+                                                definition,
+                                                nowMillis)
+                                        .filter(
+                                                plan ->
+                                                        plan.totalMillis()
+                                                                <= model.storeLoadMillis())
+                                        .filter(plan -> plan.source() == CopySource.STORE)
                                         .ifPresent(plan -> begin(plan, model, engines)));
     }
 
@@ -270,7 +346,8 @@
                                 CopySource source = CheapestLoadPlanner.source(model.name(), view);
                                 long millis = CheapestLoadPlanner.loadMillis(model, source);
                                 begin(
-                                        new LoadPlan(view.life(), List.of(), source, 0, millis),
+                                        new LoadPlan(
+                                                view.life(), List.of(), source, 0, 0, millis, true),
                                         model,
                                         engines);
                             });
@@ -279,7 +356,7 @@
 
     private double gain(String model, Census census, long nowMillis) {
         int replicas = census.replicas(model);
-        double rate = mDemand.rate(model, nowMillis) + IDLE_RATE;
+        double rate = mDemand.rate(model, nowMillis).callsPerSecond() + IDLE_RATE;
         return rate / (1.0 + replicas * (double) replicas * 2);
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -6,7 +6,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -36,7 +35,7 @@
     private final EventLoop mLoop;
     private final UpstreamPool mPool;
     private final Holdings mHoldings = new Holdings();
-    private final ModelUsage mUsage = new ModelUsage();
+    private final ModelUsage mUsage;
     private final ServerLoads mLoads;
     private final TrafficContext mContext;
     private final FrontServer mFront;
@@ -65,6 +64,7 @@
         mPool = new UpstreamPool(mLoop, codec, clock);
         mLoads = new ServerLoads(clock, zone);
         mStore = store;
+        mUsage = new ModelUsage(clock);
         mContext =
                 new TrafficContext(
                         mLoop,
@@ -135,8 +135,8 @@
     }
 
     /** Hands over what is in use; called back on the traffic thread. */
-    public void usage(Consumer<List<ModelUsage.Use>> receiver) {
-        mLoop.execute(() -> receiver.accept(mUsage.drain()));
+    public void usage(Consumer<ModelUsage.Usage> receiver) {
+        mLoop.execute(() -> receiver.accept(mUsage.report()));
     }
 
     private void sweep() {
