Claim the ports of a test fleet

A fleet now listens on a claim port for each hundred of its ports. Also tests of the controller over simulated engines, of demand, loss by delay, callers that leave and addresses that changed hands, and a unit test for a load that waits for an unload.

--- a/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
@@ -4,6 +4,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import org.cornelway.standin.StandinProgram;
 
 /** Finds and lays out the loopback ports of a fleet. Immutable. */
@@ -12,6 +14,11 @@
     private static final int LAST_BASE = 30_000;
     private static final int STEP = 100;
 
+    /** One port for each step, on which the fleet listens that has the step's ports. */
+    private static final int FIRST_CLAIM = 19_800;
+
+    private static final List<ServerSocket> CLAIMS = new ArrayList<>();
+
     private final int mBase;
     private final FleetShape mShape;
 
@@ -25,19 +32,34 @@
     }
 
     /**
-     * First of some free ports in a row, below those that the system gives out by itself.
+     * First of some free ports in a row, below those that the system gives out by itself. They are
+     * claimed until this process ends, so that fleets of several processes never choose the same.
      *
      * @param count ports needed
      */
     public static int firstOfFree(int count) {
         for (int base = FIRST_BASE; base < LAST_BASE; base += STEP) {
-            if (areFree(base, count)) {
+            if (claim(base, count) && areFree(base, count)) {
                 return base;
             }
         }
         throw new IllegalStateException("no " + count + " free ports in a row");
     }
 
+    /** Claims ports by listening on one port for each step; what was claimed stays so. */
+    private static synchronized boolean claim(int base, int count) {
+        for (int from = base; from < base + count; from += STEP) {
+            int claim = FIRST_CLAIM + (from - FIRST_BASE) / STEP;
+            try {
+                CLAIMS.add(new ServerSocket(claim, 1, InetAddress.getByName("127.0.0.1")));
+            } catch (IOException e) {
+                // Another fleet has it.
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static int size(FleetShape shape) {
         int servers = shape.engines() + shape.plain();
         return StandinProgram.PLATFORM_PORTS + servers + 2 * (servers + shape.entries()) + servers;
--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -106,6 +106,12 @@
         mStore.run(state1 -> state1.put("servers/" + id, value, 0));
     }
 
+    /** Announces a server that is gone: its address belongs to another one now. */
+    public void announceAt(String service, String id, String present) {
+        byte[] value = mServers.get(present).announcement(service, "ready", BEAT);
+        mStore.run(state -> state.put("servers/" + id, value, 0));
+    }
+
     /** Puts a configuration with the usual routes in force. */
     public void configure(RouteChange... changes) {
         ObjectNode root = Json.mapper().createObjectNode().put("Version", ++mVersion * 3);
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelway.config.Json;
 
 /**
@@ -38,6 +40,7 @@
     private final long mBornMillis = System.currentTimeMillis();
     private final Map<String, Set<String>> mModels = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Arrival> mArrivals = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger mAbandoned = new AtomicInteger();
     private volatile Fault mFault = Fault.NONE;
     private volatile int mEvents = 5;
     private volatile long mEventMillis = 5;
@@ -119,6 +122,11 @@
         return new ArrayList<>(mArrivals);
     }
 
+    /** Streams whose connection was closed before their last event. */
+    public int abandoned() {
+        return mAbandoned.get();
+    }
+
     /** Models held now. */
     public Set<String> models() {
         return new HashSet<>(mModels.keySet());
@@ -281,7 +289,9 @@
                             + SIGNATURE
                             + "Content-Type: text/event-stream\r\n"
                             + "Transfer-Encoding: chunked\r\n\r\n");
-            event(socket, last + 1);
+            AtomicBoolean open = new AtomicBoolean(true);
+            socket.closeHandler(closed -> open.set(false));
+            event(socket, last + 1, open);
         } else if (mFault == Fault.CUT) {
             socket.write(
                     "HTTP/1.1 200 OK\r\n" + echo + SIGNATURE + "Content-Length: 100\r\n\r\nhalf");
@@ -291,7 +301,11 @@
         }
     }
 
-    private void event(NetSocket socket, int id) {
+    private void event(NetSocket socket, int id, AtomicBoolean open) {
+        if (!open.get()) {
+            mAbandoned.incrementAndGet();
+            return;
+        }
         String text = "id: " + id + "\ndata: " + mId + "\n\n";
         if (mFault == Fault.CUT && id > mEvents / 2) {
             socket.write(Integer.toHexString(text.length()) + "\r\n" + text.substring(0, 5));
@@ -300,7 +314,7 @@
         }
         socket.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
         if (id < mEvents) {
-            mVertx.setTimer(mEventMillis, next -> event(socket, id + 1));
+            mVertx.setTimer(mEventMillis, next -> event(socket, id + 1, open));
         } else {
             socket.write("0\r\n\r\n");
         }
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/models/DelayCostTest.java
@@ -0,0 +1,38 @@
+package org.cornelway.models;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.cornelway.traffic.ModelRate;
+import org.testng.annotations.Test;
+
+/** Loss by delay, in calls that come late. */
+public class DelayCostTest {
+    @Test
+    public void lossNeverFallsWithTheDelay() {
+        double before = 0;
+        for (int delay = 0; delay <= 20_000; delay += 50) {
+            double loss = DelayCost.ofCall(delay, 1_000);
+            assertThat(loss).isGreaterThanOrEqualTo(before);
+            before = loss;
+        }
+        assertThat(DelayCost.ofCall(500, 1_000)).isLessThan(DelayCost.ofCall(1_500, 1_000) / 2);
+    }
+
+    @Test
+    public void arrivalsLoseWhatTheyWouldOneByOne() {
+        ModelRate rate = new ModelRate(10, 300);
+        double sum = 0;
+        for (int arrival = 0; arrival < 2_000; arrival++) {
+            sum += 10 / 1_000.0 * DelayCost.ofCall(2_000 - arrival, 300);
+        }
+        double loss = DelayCost.ofArrivals(rate, 2_000);
+        assertThat(loss).isBetween(sum * 0.98, sum * 1.02);
+    }
+
+    @Test
+    public void shortObjectivesAndManyCallersWeighMore() {
+        double hot = DelayCost.ofArrivals(new ModelRate(10, 300), 1_800);
+        double rare = DelayCost.ofArrivals(new ModelRate(0.3, 3_000), 1_800);
+        assertThat(hot).isGreaterThan(50 * rare);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/models/DemandTableTest.java
@@ -0,0 +1,51 @@
+package org.cornelway.models;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.cornelway.traffic.ModelRate;
+import org.cornelway.traffic.ModelTarget;
+import org.cornelway.traffic.ModelUsage;
+import org.testng.annotations.Test;
+
+/** What the controller knows of calls under way and to come. */
+public class DemandTableTest {
+    private static final ModelTarget TARGET = new ModelTarget("m", "a");
+
+    private final DemandTable mDemand = new DemandTable();
+
+    private static ModelUsage.Usage usage(int active, long remaining, double rate) {
+        return new ModelUsage.Usage(
+                List.of(new ModelUsage.Use("s", TARGET, active, remaining)),
+                Map.of("m", new ModelRate(rate, 500)));
+    }
+
+    @Test
+    public void reportsOfAllEntriesAddUp() {
+        mDemand.report("p1", usage(2, 400, 3), 1_000);
+        mDemand.report("p2", usage(1, 900, 4), 1_000);
+        assertThat(mDemand.active("s", "m", 1_000)).isEqualTo(3);
+        assertThat(mDemand.activeAnywhere("m", 1_000)).isEqualTo(3);
+        assertThat(mDemand.rate("m", 1_000)).isEqualTo(new ModelRate(7, 500));
+        assertThat(mDemand.remainingMillis("s", "m", 1_200)).isEqualTo(700);
+        assertThat(mDemand.remainingMillis("s", "other", 1_200)).isZero();
+    }
+
+    @Test
+    public void oldReportsDoNotCount() {
+        mDemand.report("p1", usage(2, 400, 3), 1_000);
+        assertThat(mDemand.active("s", "m", 5_000)).isZero();
+        assertThat(mDemand.isIdle(5_000)).isTrue();
+    }
+
+    @Test
+    public void whatAnEarlierControllerLeftFades() {
+        mDemand.remember(Map.of("m", new ModelRate(8, 300)), 10_000);
+        assertThat(mDemand.rate("m", 10_000).callsPerSecond()).isEqualTo(8);
+        assertThat(mDemand.rate("m", 12_000).callsPerSecond()).isBetween(3.9, 4.1);
+        mDemand.report("p1", usage(0, 0, 6), 12_000);
+        assertThat(mDemand.rate("m", 12_000).callsPerSecond()).isEqualTo(6);
+        assertThat(mDemand.isIdle(12_000)).isFalse();
+    }
+}
--- a/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
@@ -91,6 +91,36 @@
         assertThat(driver.isIdle()).isTrue();
     }
 
+    @Test
+    public void loadFollowsAsSoonAsTheCallsOfAnUnloadHaveEnded() {
+        SimulatedEngine engine = new SimulatedEngine(mTime, 1, 0, PLACES, "m1", "m2");
+        engine.drainFor(1_000);
+        EngineDriver driver = driver(engine, true);
+        pass(driver, 100);
+        driver.plan(step(false, "m1"));
+        driver.plan(step(true, "m3"));
+        pass(driver, 500);
+        assertThat(driver.isLoading("m3")).isTrue();
+        assertThat(engine.reports()).as("reports lag and are charged for").isLessThan(5);
+        pass(driver, 1_000);
+        assertThat(engine.models()).contains("m3");
+    }
+
+    @Test
+    public void loadThatGoesElsewhereLeavesThePlaceFree() {
+        SimulatedEngine engine = new SimulatedEngine(mTime, 1, 0, PLACES, "m1", "m2");
+        engine.drainFor(1_000);
+        EngineDriver driver = driver(engine, true);
+        pass(driver, 100);
+        driver.plan(step(false, "m1"));
+        driver.plan(step(true, "m3"));
+        pass(driver, 200);
+        assertThat(driver.steps().dropLoad("m3")).isTrue();
+        pass(driver, 2_000);
+        assertThat(engine.models()).containsExactly("m2");
+        assertThat(driver.isIdle()).isTrue();
+    }
+
     @Test
     public void lostAndLateOrdersNeverOvercommitMemory() {
         for (long seed = 0; seed < 150; seed++) {
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -0,0 +1,185 @@
+package org.cornelway.models;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.cornelway.directory.DirectorySnapshot;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.eventlog.EventLog;
+import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineReport;
+import org.cornelway.platform.OrderReply;
+import org.cornelway.platform.ServerOrder;
+import org.cornelway.route.CallerLimits;
+import org.cornelway.route.EngineDefinition;
+import org.cornelway.route.ModelDefinition;
+import org.cornelway.route.RouteTable;
+import org.cornelway.route.RoutingConfiguration;
+import org.cornelway.route.ServiceDefinition;
+import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelTarget;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The controller over simulated engines in virtual time. */
+public class ModelControllerTest {
+    private static final String SERVICE = "s";
+    private static final int PLACES = 2;
+    private static final int RARE_MODELS = 30;
+    private static final int STORE_LOADS = 4;
+
+    private TestScheduler mTime;
+    private Map<String, SimulatedEngine> mEngines;
+    private ModelController mController;
+    private List<ModelAnswer> mAnswers;
+
+    @BeforeMethod
+    public void setUp() {
+        mTime = new TestScheduler();
+        mEngines = new HashMap<>();
+        mAnswers = new ArrayList<>();
+        ModelController.TermSource term =
+                new ModelController.TermSource() {
+                    @Override
+                    public Optional<Long> fence() {
+                        return Optional.of(7L);
+                    }
+
+                    @Override
+                    public String holder() {
+                        return "self";
+                    }
+
+                    @Override
+                    public void outranked() {}
+                };
+        EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), new MetricRegistry());
+        mController = new ModelController(new Fleet(), mTime, term, new CheapestLoadPlanner(), log);
+    }
+
+    /** Hands calls to the engine that they are for. */
+    private final class Fleet implements EngineControl {
+        @Override
+        public Single<EngineReport> report(ServerRecord server) {
+            return mEngines.get(server.id()).report(server);
+        }
+
+        @Override
+        public Single<OrderReply> order(ServerRecord server, ServerOrder order) {
+            return mEngines.get(server.id()).order(server, order);
+        }
+    }
+
+    private void engine(String id, String... models) {
+        mEngines.put(id, new SimulatedEngine(mTime, 1, 0, PLACES, models));
+    }
+
+    private void begin() {
+        Map<String, ModelDefinition> models = new HashMap<>();
+        SimulatedEngine.AT_HAND.forEach(name -> models.put(name, model(name)));
+        for (int i = 0; i < RARE_MODELS; i++) {
+            models.put("r" + i, model("r" + i));
+        }
+        EngineDefinition engines =
+                new EngineDefinition(
+                        8, 1_000, PLACES * SimulatedEngine.MODEL_MEGABYTES, 0, 4, 5, models);
+        mController.routesChanged(
+                new RouteTable(
+                        new RoutingConfiguration(
+                                1,
+                                List.of(),
+                                Map.of(
+                                        SERVICE,
+                                        new ServiceDefinition(SERVICE, 50, Optional.of(engines))),
+                                CallerLimits.defaults())));
+        mController.beginTerm(
+                new DirectorySnapshot(
+                        mEngines.keySet().stream()
+                                .collect(
+                                        Collectors.toMap(
+                                                id -> id, id -> SimulatedEngine.record(id)))));
+    }
+
+    private static ModelDefinition model(String name) {
+        return new ModelDefinition(
+                name,
+                SimulatedEngine.MODEL_MEGABYTES,
+                SimulatedEngine.STORE_MILLIS,
+                SimulatedEngine.LOAD_MILLIS,
+                SimulatedEngine.LOAD_MILLIS,
+                0,
+                0);
+    }
+
+    private void pass(long millis) {
+        for (long i = 0; i < millis; i += 10) {
+            mController.work();
+            mTime.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void ask(String model, long waitMillis) {
+        long now = mTime.now(TimeUnit.MILLISECONDS);
+        mController.ask(
+                new ModelWish(
+                        SERVICE,
+                        new ModelTarget(model, ""),
+                        Deadline.after(now, waitMillis),
+                        1,
+                        now,
+                        1,
+                        Optional.empty()),
+                mAnswers::add);
+    }
+
+    @Test
+    public void displacesNothingBeforeEntriesHaveReported() {
+        engine("e1", "m1", "m2");
+        begin();
+        pass(50);
+        ask("m3", 5_000);
+        pass(500);
+        assertThat(mEngines.get("e1").models()).containsExactlyInAnyOrder("m1", "m2");
+        pass(1_000);
+        assertThat(mEngines.get("e1").models()).contains("m3");
+        assertThat(mAnswers).singleElement().isInstanceOf(ModelAnswer.Held.class);
+    }
+
+    @Test
+    public void fewLoadsReadTheStoreAtOnce() {
+        for (int i = 0; i < 12; i++) {
+            engine("e" + i);
+        }
+        begin();
+        pass(50);
+        for (int i = 0; i < RARE_MODELS; i++) {
+            ask("r" + i, 60_000);
+        }
+        for (int i = 0; i < 800; i++) {
+            pass(10);
+            long reading = mEngines.values().stream().filter(SimulatedEngine::readsStore).count();
+            assertThat(reading).isLessThanOrEqualTo(STORE_LOADS);
+        }
+        assertThat(mAnswers).hasSize(RARE_MODELS);
+        assertThat(mEngines.values()).allSatisfy(e -> assertThat(e.overcommits()).isZero());
+    }
+
+    @Test
+    public void wishThatCannotBeMetIsRefusedAtOnce() {
+        engine("e1", "m1", "m2");
+        begin();
+        pass(700);
+        ask("r1", SimulatedEngine.STORE_MILLIS / 3);
+        pass(30);
+        assertThat(mAnswers).singleElement().isInstanceOf(ModelAnswer.TooLate.class);
+    }
+}
--- a/org.cornelway.test/tst/org/cornelway/models/SimulatedEngine.java
+++ b/org.cornelway.test/tst/org/cornelway/models/SimulatedEngine.java
@@ -24,6 +24,10 @@
 final class SimulatedEngine implements EngineControl {
     static final double MODEL_MEGABYTES = 100;
     static final long LOAD_MILLIS = 60;
+    static final long STORE_MILLIS = 600;
+
+    /** Models of which it has copies. */
+    static final Set<String> AT_HAND = Set.of("m1", "m2", "m3", "m4");
 
     private final TestScheduler mTime;
     private final Random mRandom;
@@ -33,6 +37,9 @@
     private long mOrders;
     private boolean mBusy;
     private int mOvercommits;
+    private int mReports;
+    private long mDrainMillis;
+    private boolean mReadsStore;
 
     SimulatedEngine(TestScheduler time, long seed, double lostShare, int places, String... models) {
         mTime = time;
@@ -45,8 +52,12 @@
     }
 
     static ServerRecord record() {
+        return record("e");
+    }
+
+    static ServerRecord record(String id) {
         return new ServerRecord(
-                new ServerLife("e", 1),
+                new ServerLife(id, 1),
                 "s",
                 "127.0.0.1",
                 1,
@@ -63,12 +74,28 @@
         return mModels.keySet();
     }
 
+    /** An unload waits this long for its calls. */
+    void drainFor(long millis) {
+        mDrainMillis = millis;
+    }
+
+    /** Reports that were read. */
+    int reports() {
+        return mReports;
+    }
+
+    /** Whether it loads a model of which it has no copy. */
+    boolean readsStore() {
+        return mReadsStore;
+    }
+
     int overcommits() {
         return mOvercommits;
     }
 
     @Override
     public Single<EngineReport> report(ServerRecord server) {
+        mReports++;
         return Single.timer(2, TimeUnit.MILLISECONDS, mTime)
                 .map(
                         tick ->
@@ -79,7 +106,7 @@
                                         new HashMap<>(mModels),
                                         Set.of(),
                                         Set.of(),
-                                        Set.of("m1", "m2", "m3", "m4"),
+                                        AT_HAND,
                                         0,
                                         0));
     }
@@ -103,23 +130,40 @@
         }
         mOrders++;
         if (!order.load()) {
-            mModels.remove(order.model());
+            unload(order.model());
             return new OrderReply.Accepted();
         }
         if (mModels.size() >= mPlaces && !mModels.containsKey(order.model())) {
             mOvercommits++;
         }
         mBusy = true;
+        mReadsStore = !AT_HAND.contains(order.model());
         mTime.scheduleDirect(
                 () -> {
                     mBusy = false;
+                    mReadsStore = false;
                     mModels.put(order.model(), new HashSet<>());
                 },
-                LOAD_MILLIS,
+                mReadsStore ? STORE_MILLIS : LOAD_MILLIS,
                 TimeUnit.MILLISECONDS);
         return new OrderReply.Accepted();
     }
 
+    private void unload(String model) {
+        if (mDrainMillis == 0) {
+            mModels.remove(model);
+            return;
+        }
+        mBusy = true;
+        mTime.scheduleDirect(
+                () -> {
+                    mBusy = false;
+                    mModels.remove(model);
+                },
+                mDrainMillis,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** An engine that gives no answers at all. */
     static EngineControl silent() {
         return new EngineControl() {
