--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/role/BeliefPublisherTest.java
@@ -0,0 +1,38 @@
+package org.cornelway.role;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelway.platform.KeyValue;
+import org.testng.annotations.Test;
+
+/** Documents that come together are published together. */
+public class BeliefPublisherTest {
+    private final TestScheduler mControl = new TestScheduler();
+    private final List<String> mTaken = new ArrayList<>();
+    private final List<Integer> mPublished = new ArrayList<>();
+    private final BeliefPublisher mPublisher =
+            new BeliefPublisher(
+                    document -> mTaken.add(document.key()),
+                    mControl,
+                    () -> mPublished.add(mTaken.size()));
+
+    private static KeyValue document(String key) {
+        return new KeyValue(key, new byte[0], 1);
+    }
+
+    @Test
+    public void listIsPublishedAsOne() {
+        mPublisher.take(document("servers/a"));
+        mPublisher.take(document("servers/b"));
+        mPublisher.take(document("servers/c"));
+        assertThat(mPublished).isEmpty();
+        mControl.triggerActions();
+        assertThat(mPublished).containsExactly(3);
+        mPublisher.take(document("servers/d"));
+        mControl.triggerActions();
+        assertThat(mPublished).containsExactly(3, 4);
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/role/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the roles' parts. */
+package org.cornelway.role;
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -20,7 +20,6 @@
 import org.cornelway.internal.grpc.PeerServer;
 import org.cornelway.internal.grpc.WireBytes;
 import org.cornelway.invariant.Invariants;
-import org.cornelway.platform.KeyValue;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.relay.MemberTable;
 import org.cornelway.relay.PeerExchanges;
@@ -230,12 +229,6 @@
         mPlane.beliefsChanged();
     }
 
-    private void take(KeyValue document) {
-        if (mBeliefs.take(document)) {
-            publish();
-        }
-    }
-
     @Override
     public String name() {
         return "direct-entry";
@@ -288,7 +281,10 @@
         public Completable start() {
             return Completable.fromAction(
                     () -> {
-                        mCache.changes().observeOn(mControl).subscribe(DirectEntryRole.this::take);
+                        BeliefPublisher publisher =
+                                new BeliefPublisher(
+                                        mBeliefs::take, mControl, DirectEntryRole.this::publish);
+                        mCache.changes().observeOn(mControl).subscribe(publisher::take);
                         mSupervisor.every(
                                 "step", STEP_MILLIS, mControl, DirectEntryRole.this::step);
                         mSupervisor.every(
