--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/role/PlatformBeliefsTest.java
@@ -0,0 +1,59 @@
+package org.cornelway.role;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Optional;
+import org.cornelway.cluster.ClusterKeys;
+import org.cornelway.cluster.ClusterMember;
+import org.cornelway.config.Json;
+import org.cornelway.eventlog.EventLog;
+import org.cornelway.invariant.Invariants;
+import org.cornelway.platform.KeyValue;
+import org.cornelway.relay.DocumentCache;
+import org.cornelway.relay.MemberTable;
+import org.cornelway.result.Result;
+import org.cornelway.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** What a process believes of the other entries. */
+public class PlatformBeliefsTest {
+    private final DocumentCache mCache =
+            new DocumentCache(Invariants.strict(), new MetricRegistry());
+    private final PlatformBeliefs mBeliefs =
+            new PlatformBeliefs(
+                    value -> Result.failed(ResultCode.BAD_REQUEST, "none"),
+                    (id, value) -> Optional.empty(),
+                    mCache,
+                    new MemberTable("b"),
+                    () -> 0,
+                    new EventLog(() -> 0, new MetricRegistry()),
+                    new MetricRegistry());
+
+    private void member(String id, long startedMillis, long revision) {
+        ClusterMember member = new ClusterMember(id, "h:1", "r", "z", startedMillis);
+        KeyValue document = new KeyValue(ClusterKeys.MEMBERS + id, Json.write(member), revision);
+        mCache.offer(document);
+        mBeliefs.take(document);
+    }
+
+    @Test
+    public void entryThatStartedLastComesFirst() {
+        member("a", 100, 1);
+        member("b", 300, 2);
+        member("c", 200, 3);
+        assertThat(mBeliefs.rank("b")).isZero();
+        assertThat(mBeliefs.rank("c")).isEqualTo(1);
+        assertThat(mBeliefs.rank("a")).isEqualTo(2);
+        member("a", 400, 4);
+        assertThat(mBeliefs.rank("a")).isZero();
+        assertThat(mBeliefs.rank("unknown")).isEqualTo(3);
+    }
+
+    @Test
+    public void malformedConfigurationChangesNothing() {
+        KeyValue document = new KeyValue(ClusterKeys.CONFIGURATION, new byte[] {1}, 1);
+        assertThat(mBeliefs.take(document)).isFalse();
+        assertThat(mBeliefs.version()).isZero();
+    }
+}
