--- a/org.cornelway.pgm/src/org/cornelway/pgm/EventLogConfiguration.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/EventLogConfiguration.java
@@ -12,11 +12,13 @@
 /**
  * Logs to standard output without ever waiting for it: lines are dropped when nobody reads.
  *
- * <p>Built without the log library's plugins, which would take a sixth of the start of a process.
+ * <p>Built without the log library's plugins, whose loading would delay the start of a process.
  * Used by the library under its own locks.
  */
 final class EventLogConfiguration extends AbstractConfiguration {
+    /** Lines that wait for standard output; some seconds of what a process may write. */
     private static final int BUFFERED_LINES = 1_024;
+
     private static final String CONSOLE = "out";
     private static final String ASYNC = "async";
     private static final String OWN_LOGGERS = "org.cornelway";
