Refuse a waiting call before its caller abandons it

Cause: callers abandon a stream after a silence (2 s, four times the objective or eight times the pause), also before its first event. A call that waited for a model was held until its own deadline, so its caller left without an answer and did not come back.

Change: ModelWait refuses the call 200 ms before that moment, with a time to retry. LoopDelay measures how late the traffic thread is; a request counts as arrived that much earlier, and while the thread is late the caller's connection is read once more before the call is sent. An attempt checks the deadline again once it has a connection. CallResponder is split from CallHandler; SuspendAwareClock moves to time.

--- a/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -16,6 +16,7 @@
 import org.cornelway.standin.InMemoryKeyValueStore.CallBehavior;
 import org.cornelway.standin.KeyValueState;
 import org.cornelway.time.Clock;
+import org.cornelway.time.SuspendAwareClock;
 import org.testng.annotations.Test;
 
 /**
--- a/org.cornelway.test/tst/org/cornelway/cluster/SuspendAwareClockTest.java
+++ b/org.cornelway.test/tst/org/cornelway/time/SuspendAwareClockTest.java
@@ -1,4 +1,4 @@
-package org.cornelway.cluster;
+package org.cornelway.time;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/time/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of clocks and deadlines. */
+package org.cornelway.time;
--- a/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
+++ b/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValueStore;
+import org.cornelway.time.SuspendAwareClock;
 
 /**
  * The lease that all keys of this process are bound to.
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -18,7 +18,6 @@
 import org.cornelway.cluster.Registration;
 import org.cornelway.cluster.StoreFollower;
 import org.cornelway.cluster.StoreHealth;
-import org.cornelway.cluster.SuspendAwareClock;
 import org.cornelway.cluster.UsageReporter;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
@@ -30,6 +29,7 @@
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.supervisor.Component;
 import org.cornelway.time.Clock;
+import org.cornelway.time.SuspendAwareClock;
 import org.cornelway.traffic.ModelRequester;
 import org.cornelway.traffic.TrafficPlane;
 
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -110,6 +110,13 @@
             }
             return;
         }
+        if (mCallHandler.deadline().isPast(mContext.clock().nowMillis())) {
+            mContext.pool().release(connection);
+            if (markEnded()) {
+                mCallHandler.onNotSent(this, "the deadline passed before the send");
+            }
+            return;
+        }
         mConnection = Optional.of(connection);
         mLastProgressMillis = mContext.clock().nowMillis();
         connection.send(buildUpstreamRequest(), this);
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -33,6 +33,9 @@
     /** Delay before dispatching again if the directory lacks the server the controller named. */
     private static final long DIRECTORY_DELAY_MILLIS = 60;
 
+    /** Delay after which the event loop has read all connections at least once more. */
+    private static final long NEXT_READ_DELAY_MILLIS = 1;
+
     /** Default delay after which a caller may retry a refused call. */
     private static final long RETRY_AFTER_MILLIS = 300;
 
@@ -41,39 +44,54 @@
     private final CallerResponse mResponse;
     private final CallLog mLog;
     private final SendHistory mHistory = new SendHistory();
+    private final CallResponder mResponder;
     private Optional<Route> mRoute = Optional.empty();
     private String mService = "";
     private Deadline mDeadline;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<StreamRelay> mRelay = Optional.empty();
     private Optional<FullResponse> mErrorResponse = Optional.empty();
-    private Optional<ServerIncarnation> mNotHeldBy = Optional.empty();
+    private final ModelWait mModelWait;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
     private long mConfigurationVersion;
-    private boolean mAwaitingModel;
-    private boolean mModelRequested;
-    private boolean mDone;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
         mContext = context;
         mRequest = request;
         mResponse = response;
         mLog = new CallLog(context, request);
+        mResponder = new CallResponder(context, request, response, mHistory, mLog);
+        mModelWait = new ModelWait(context, request);
         mDeadline = request.callerDeadline();
     }
 
-    /** Finds the route and dispatches the call. */
+    /**
+     * Finds the route and dispatches the call. If the traffic thread is late, reads the caller's
+     * connection once more before, since the caller may have left already.
+     */
     void start() {
+        if (mContext.loopDelay().isLate()) {
+            mContext.loop().schedule(this::begin, NEXT_READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            begin();
+        }
+    }
+
+    private void begin() {
+        if (mResponder.isDone()) {
+            return;
+        }
         TrafficView view = mContext.view().get();
         if (view.routes().isEmpty()) {
-            refuse(ResultCode.NOT_CONFIGURED, "no configuration is known yet", RETRY_AFTER_MILLIS);
+            mResponder.refuse(
+                    ResultCode.NOT_CONFIGURED, "no configuration is known yet", RETRY_AFTER_MILLIS);
             return;
         }
         mConfigurationVersion = view.configurationVersion();
         RouteTable routes = view.routes().get();
         mRoute = routes.find(mRequest.head().host(), mRequest.message().uri());
         if (mRoute.isEmpty()) {
-            respondLocally(
+            mResponder.respondLocally(
                     HttpResponseStatus.NOT_FOUND,
                     ResultCode.UNKNOWN_SERVICE,
                     "no route for this host and path",
@@ -81,6 +99,7 @@
             return;
         }
         Route route = mRoute.get();
+        mResponder.setRoute(route);
         mService = route.selectService(mRequest.head().requestId().hashCode());
         mContext.retryBudget().recordCall(mService);
         if (route.kind() == CallKind.STREAM) {
@@ -114,7 +133,7 @@
     }
 
     private void dispatch() {
-        if (mDone || mAttempt.isPresent()) {
+        if (mResponder.isDone() || mAttempt.isPresent()) {
             return;
         }
         if (mDeadline.remainingMillis(now()) < MIN_REMAINING_MILLIS) {
@@ -124,10 +143,11 @@
         Optional<ModelTarget> target = mRequest.head().target();
         List<Candidate> candidates = eligible().stream().map(mContext.loads()::candidate).toList();
         boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
-        if (target.isPresent() && (candidates.isEmpty() || allSuspect && !mModelRequested)) {
+        if (target.isPresent()
+                && (candidates.isEmpty() || allSuspect && !mModelWait.wasRequested())) {
             // If all holders are suspect, the controller is asked once for another server.
             candidates.stream().findFirst().ifPresent(c -> onNotHeld(c.server().incarnation()));
-            requestModel(target.get());
+            requestModel();
             return;
         }
         Optional<Candidate> chosen =
@@ -153,29 +173,17 @@
         attempt.start();
     }
 
-    private void requestModel(ModelTarget target) {
-        if (mAwaitingModel) {
-            return;
-        }
-        mAwaitingModel = true;
-        mModelRequested = true;
-        mContext.modelRequester()
-                .requestModel(
-                        new ModelRequester.Request(
-                                mService, target, modelDeadline(), route().priority(), mNotHeldBy),
-                        this::onModelTooLate);
+    private void requestModel() {
+        mModelWait.request(mService, route(), mDeadline, isStreamBegun(), this::onModelTooLate);
     }
 
-    /** The call's deadline or, if earlier, the time at which callers abandon a silent stream. */
-    private Deadline modelDeadline() {
-        boolean streamBegun = mRelay.map(StreamRelay::isHeadSent).orElse(false);
-        long fromMillis = streamBegun ? now() : mRequest.arrivedMillis();
-        Deadline silenceDeadline = Deadline.after(fromMillis, route().streamSilenceTimeoutMillis());
-        return silenceDeadline.compareTo(mDeadline) < 0 ? silenceDeadline : mDeadline;
+    /** Whether the caller has received a part of a stream. */
+    private boolean isStreamBegun() {
+        return mRelay.map(StreamRelay::isHeadSent).orElse(false);
     }
 
     private void onModelTooLate(long expectedMillis) {
-        if (!mDone && mAttempt.isEmpty()) {
+        if (!mResponder.isDone() && mAttempt.isEmpty()) {
             mRetryAfterMillis = Math.max(RETRY_AFTER_MILLIS, expectedMillis);
             fail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
         }
@@ -183,8 +191,8 @@
 
     /** Dispatches the call if it waits for a model that a server holds now. */
     void onHoldingsChanged() {
-        if (mAwaitingModel && mAttempt.isEmpty() && !eligible().isEmpty()) {
-            mAwaitingModel = false;
+        if (mModelWait.isWaiting() && mAttempt.isEmpty() && !eligible().isEmpty()) {
+            mModelWait.end();
             dispatch();
         }
     }
@@ -200,10 +208,10 @@
 
     /** Called when the controller has named a server that holds a model. */
     void onModelGranted(ModelTarget target) {
-        if (!mAwaitingModel || !mRequest.head().target().equals(Optional.of(target))) {
+        if (!mModelWait.isWaiting() || !mRequest.head().target().equals(Optional.of(target))) {
             return;
         }
-        mAwaitingModel = false;
+        mModelWait.end();
         if (eligible().isEmpty()) {
             // This process's directory does not list the server yet, or no longer lists it.
             mContext.loop().schedule(this::dispatch, DIRECTORY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
@@ -243,7 +251,7 @@
 
     /** Records a server that does not serve the model although it was expected to hold it. */
     void onNotHeld(ServerIncarnation incarnation) {
-        mNotHeldBy = Optional.of(incarnation);
+        mModelWait.recordNotHeldBy(incarnation);
     }
 
     /** Called when an attempt failed and the call may have run. */
@@ -274,51 +282,42 @@
     }
 
     private boolean canRepeat(int possibleRuns) {
-        boolean streamBegun = mRelay.map(StreamRelay::isHeadSent).orElse(false);
         return route().isIdempotent()
                 && possibleRuns < route().maxAttempts()
                 && mHistory.sends() < MAX_SENDS
                 && mDeadline.remainingMillis(now()) >= MIN_REMAINING_MILLIS
-                && (!streamBegun || mRelay.get().canResume());
+                && (!isStreamBegun() || mRelay.get().canResume());
     }
 
     void onFullResponse(FullResponse response) {
         mAttempt = Optional.empty();
-        forward(response);
-    }
-
-    private void forward(FullResponse response) {
-        if (mDone) {
-            return;
+        if (!mResponder.isDone()) {
+            mResponder.forward(response);
         }
-        markDone("answered", response.status().code(), "");
-        mResponse.sendFull(response.status(), response.headers(), response.body());
     }
 
     void onStreamEnd() {
         mAttempt = Optional.empty();
-        if (!mDone) {
-            markDone("streamed", HttpResponseStatus.OK.code(), "");
-            mRelay.orElseThrow().end();
+        if (!mResponder.isDone()) {
+            mResponder.endStream(mRelay.orElseThrow());
         }
     }
 
     /** Aborts a response that has begun; else sends the server's error response or a local one. */
     private void fail(ResultCode code, String reason) {
-        if (mDone) {
+        if (mResponder.isDone()) {
             return;
         }
         mAttempt.ifPresent(Attempt::cancel);
-        if (mRelay.map(StreamRelay::isHeadSent).orElse(false)) {
-            markDone("cut", 0, reason);
-            mResponse.abort();
+        if (isStreamBegun()) {
+            mResponder.abort(reason);
         } else if (mErrorResponse.isPresent()) {
-            forward(mErrorResponse.get());
+            mResponder.forward(mErrorResponse.get());
         } else if (mHistory.possibleRunCount() == 0) {
-            refuse(code, reason, mRetryAfterMillis);
+            mResponder.refuse(code, reason, mRetryAfterMillis);
         } else {
             boolean late = mDeadline.isPast(now());
-            respondLocally(
+            mResponder.respondLocally(
                     late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
                     late ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.OUTCOME_UNKNOWN,
                     reason,
@@ -326,23 +325,6 @@
         }
     }
 
-    /** Refuses a call that has not run and never will. */
-    private void refuse(ResultCode code, String reason, long retryAfterMillis) {
-        respondLocally(HttpResponseStatus.SERVICE_UNAVAILABLE, code, reason, retryAfterMillis);
-    }
-
-    private void respondLocally(
-            HttpResponseStatus status, ResultCode code, String reason, long retryAfterMillis) {
-        markDone("own", status.code(), code + ": " + reason);
-        LocalResponse.send(
-                mContext.codec(), mRequest, mResponse, status, code, reason, retryAfterMillis);
-    }
-
-    private void markDone(String outcome, int status, String reason) {
-        mDone = true;
-        mLog.recordEnd(mRoute, outcome, status, mHistory.sends(), reason);
-    }
-
     /** Refuses the call, so that its caller can retry, unless it is being sent or may have run. */
     void refuseIfWaiting() {
         if (mAttempt.isEmpty() && mHistory.possibleRunCount() == 0) {
@@ -363,14 +345,16 @@
 
     /** Applies a changed timeout and checks the deadline and the attempt; called periodically. */
     void tick() {
-        if (mDone) {
+        if (mResponder.isDone()) {
             return;
         }
         applyConfiguration();
         if (mDeadline.isPast(now())) {
             end(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mHistory.lastReason());
-        } else {
-            mAttempt.ifPresent(Attempt::tick);
+        } else if (mAttempt.isPresent()) {
+            mAttempt.get().tick();
+        } else if (!isStreamBegun() && mModelWait.mustRefuse(now())) {
+            fail(ResultCode.DEADLINE_INFEASIBLE, "no server holds the model yet");
         }
     }
 
@@ -391,8 +375,8 @@
 
     /** Called when the caller has closed its connection; the call is cancelled. */
     void onCallerDisconnected() {
-        if (!mDone) {
-            markDone("left", 0, "the caller closed the connection");
+        if (!mResponder.isDone()) {
+            mResponder.recordCallerLeft();
             mAttempt.ifPresent(Attempt::cancel);
             mAttempt = Optional.empty();
         }
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -0,0 +1,86 @@
+package org.cornelway.traffic;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.cornelway.result.ResultCode;
+import org.cornelway.route.Route;
+
+/**
+ * Sends the response of one call and records how the call ended.
+ *
+ * <p>Invariant: the call ends once; its caller checks {@link #isDone} before it ends the call.
+ * Confined to the traffic thread.
+ */
+final class CallResponder {
+    private final TrafficContext mContext;
+    private final CallerRequest mRequest;
+    private final CallerResponse mResponse;
+    private final SendHistory mHistory;
+    private final CallLog mLog;
+    private Optional<Route> mRoute = Optional.empty();
+    private boolean mDone;
+
+    CallResponder(
+            TrafficContext context,
+            CallerRequest request,
+            CallerResponse response,
+            SendHistory history,
+            CallLog log) {
+        mContext = context;
+        mRequest = request;
+        mResponse = response;
+        mHistory = history;
+        mLog = log;
+    }
+
+    /** Sets the route that the end of the call is recorded with. */
+    void setRoute(Route route) {
+        mRoute = Optional.of(route);
+    }
+
+    /** Whether the call has ended. */
+    boolean isDone() {
+        return mDone;
+    }
+
+    /** Ends the call with a server's response. */
+    void forward(FullResponse response) {
+        markDone("answered", response.status().code(), "");
+        mResponse.sendFull(response.status(), response.headers(), response.body());
+    }
+
+    /** Ends the call with the end of a complete stream. */
+    void endStream(StreamRelay relay) {
+        markDone("streamed", HttpResponseStatus.OK.code(), "");
+        relay.end();
+    }
+
+    /** Ends the call by closing the connection within its response. */
+    void abort(String reason) {
+        markDone("cut", 0, reason);
+        mResponse.abort();
+    }
+
+    /** Ends the call with a response that states that it has not run and never will. */
+    void refuse(ResultCode code, String reason, long retryAfterMillis) {
+        respondLocally(HttpResponseStatus.SERVICE_UNAVAILABLE, code, reason, retryAfterMillis);
+    }
+
+    /** Ends the call with a response of this process. */
+    void respondLocally(
+            HttpResponseStatus status, ResultCode code, String reason, long retryAfterMillis) {
+        markDone("own", status.code(), code + ": " + reason);
+        LocalResponse.send(
+                mContext.codec(), mRequest, mResponse, status, code, reason, retryAfterMillis);
+    }
+
+    /** Ends the call without a response, since its caller has closed the connection. */
+    void recordCallerLeft() {
+        markDone("left", 0, "the caller closed the connection");
+    }
+
+    private void markDone(String outcome, int status, String reason) {
+        mDone = true;
+        mLog.recordEnd(mRoute, outcome, status, mHistory.sends(), reason);
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -223,14 +223,16 @@
         }
         mIncomingRequest = Optional.empty();
         RequestHead head = parsed.toOptional().get();
-        long now = mContext.clock().nowMillis();
+        // The request may have waited unread while the traffic thread was late.
+        long arrived = mContext.clock().nowMillis() - mContext.loopDelay().millis();
         CallerRequest request =
                 new CallerRequest(
                         message,
                         head,
                         mIncomingBody,
-                        now,
-                        Deadline.after(now, head.timeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS)));
+                        arrived,
+                        Deadline.after(
+                                arrived, head.timeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS)));
         CallHandler callHandler = new CallHandler(mContext, request, this);
         mCallHandler = Optional.of(callHandler);
         if (mAcceptingStopped.getAsBoolean()) {
--- a/org.cornelway/src/org/cornelway/traffic/CallerRequest.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerRequest.java
@@ -10,7 +10,8 @@
  * @param message request line and headers as the caller sent them
  * @param head the parsed headers
  * @param body the complete body; released by the connection after the response
- * @param arrivedMillis when the last byte of the request arrived, in milliseconds since the epoch
+ * @param arrivedMillis earliest time at which the last byte of the request may have arrived, in
+ *     milliseconds since the epoch
  * @param callerDeadline when the caller stops waiting; far in the future if it states no timeout
  */
 record CallerRequest(
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -37,7 +37,7 @@
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 << 10, 128 << 10);
 
-    private static final long SWEEP_INTERVAL_MILLIS = 50;
+    static final long SWEEP_INTERVAL_MILLIS = 50;
 
     /**
      * Time for which a draining process still accepts calls. The load balancer probes once a second
@@ -115,6 +115,7 @@
      * connections if the server no longer accepts calls.
      */
     private void sweep() {
+        mContext.metrics().histogram("traffic.delay_millis").update(mContext.loopDelay().tick());
         int openCalls = 0;
         for (CallerConnection connection : Set.copyOf(mConnections)) {
             connection.tick();
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -25,6 +25,7 @@
  * @param modelRequester requests models from the controller
  * @param usage calls in progress and call rates, reported to the controller
  * @param clock monotonic clock
+ * @param loopDelay measures how late the traffic thread is
  * @param log log of structured events
  * @param metrics registry for counters
  */
@@ -40,5 +41,6 @@
         ModelRequester modelRequester,
         ModelUsage usage,
         Clock clock,
+        LoopDelay loopDelay,
         EventLog log,
         MetricRegistry metrics) {}
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -20,6 +20,7 @@
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.time.Clock;
+import org.cornelway.time.SuspendAwareClock;
 
 /**
  * The traffic thread and the components that are confined to it.
@@ -79,6 +80,8 @@
                         modelRequester,
                         mUsage,
                         clock,
+                        new LoopDelay(
+                                SuspendAwareClock.system(), FrontServer.SWEEP_INTERVAL_MILLIS),
                         log,
                         metrics);
         mFrontServer = new FrontServer(frontEndpoint, mContext);
