Renew the lease apart from the control thread and the calls

Cause: the control thread renewed the lease, elected, planned and read replies one after the other, and the renewal went through the event loop of the calls.

Change: ProcessLease has a scheduler of its own, and requests to the platform have an event loop and connections of their own. An order carries a SendPermit that is checked on the event loop when the order is written, so a process that was paused between the decision and the write sends nothing; before, only the decision was checked. A lease or a claim that is granted after the process has resigned is given back.

--- a/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -59,7 +59,7 @@
                     new InMemoryKeyValueStore(store, mTime, this::nextCallBehavior);
             StoreHealth health = new StoreHealth(mClock, log, metrics, () -> {}, () -> {});
             SuspendAwareClock clock = new SuspendAwareClock(this::localMillis, this::localMillis);
-            mLease = new ProcessLease(keyValueStore, mTime, clock, health, log);
+            mLease = new ProcessLease(keyValueStore, mTime, mTime, clock, health, log);
             ClusterMember self = new ClusterMember("p" + rank, "h:" + rank, "r", "z", rank);
             mElection = new Election(self, keyValueStore, mLease, mCache, mTime, log, this);
         }
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -18,6 +18,7 @@
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineReport;
 import org.cornelway.platform.OrderReply;
+import org.cornelway.platform.SendPermit;
 import org.cornelway.platform.ServerOrder;
 import org.cornelway.route.CallerLimits;
 import org.cornelway.route.EngineDefinition;
@@ -82,8 +83,8 @@
         }
 
         @Override
-        public Single<OrderReply> order(ServerRecord server, ServerOrder order) {
-            return mEngines.get(server.id()).order(server, order);
+        public Single<OrderReply> order(ServerRecord server, ServerOrder order, SendPermit permit) {
+            return mEngines.get(server.id()).order(server, order, permit);
         }
     }
 
--- a/org.cornelway.test/tst/org/cornelway/models/SimulatedEngine.java
+++ b/org.cornelway.test/tst/org/cornelway/models/SimulatedEngine.java
@@ -14,6 +14,7 @@
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineReport;
 import org.cornelway.platform.OrderReply;
+import org.cornelway.platform.SendPermit;
 import org.cornelway.platform.ServerOrder;
 
 /**
@@ -125,7 +126,7 @@
     }
 
     @Override
-    public Single<OrderReply> order(ServerRecord server, ServerOrder order) {
+    public Single<OrderReply> order(ServerRecord server, ServerOrder order, SendPermit permit) {
         if (mRandom.nextDouble() < mLossRate) {
             long delayMillis = 100 + mRandom.nextInt(3_000);
             if (mRandom.nextBoolean()) {
@@ -186,7 +187,8 @@
             }
 
             @Override
-            public Single<OrderReply> order(ServerRecord server, ServerOrder order) {
+            public Single<OrderReply> order(
+                    ServerRecord server, ServerOrder order, SendPermit permit) {
                 throw new AssertionError("an order was sent before a report was read");
             }
         };
--- a/org.cornelway/src/org/cornelway/cluster/Election.java
+++ b/org.cornelway/src/org/cornelway/cluster/Election.java
@@ -17,7 +17,8 @@
  *
  * <p>Invariants: the fencing number of a term is the revision of the write that began the term, so
  * a later term has a higher number. A process stops sending orders before the key-value service
- * ends its lease. Confined to the control thread.
+ * ends its lease. Confined to the control thread, except {@link #fencingNumber} and {@link
+ * #holder}, which are thread-safe.
  */
 public final class Election implements ModelController.TermSource {
     /**
@@ -37,13 +38,8 @@
     private final EventLog mLog;
     private final Listener mListener;
 
-    /**
-     * Fencing number of the current term; kept until {@link #endTerm}, even if the lease is lost.
-     */
-    private Optional<Long> mFencingNumber = Optional.empty();
-
-    /** Lease that the controller key was bound to when the term began. */
-    private Optional<Long> mTermLease = Optional.empty();
+    /** The current term; kept until {@link #endTerm}, even if the lease is lost. */
+    private volatile Optional<Term> mTerm = Optional.empty();
 
     private long mNextClaimMillis;
 
@@ -53,6 +49,13 @@
     private boolean mClaiming;
     private boolean mResigned;
 
+    /**
+     * A term of this process. Immutable.
+     *
+     * @param lease lease that the controller key was bound to when the term began
+     */
+    private record Term(long fencingNumber, Optional<Long> lease) {}
+
     /**
      * Receives a notification when a term of this process begins or ends. Called on the control
      * thread.
@@ -102,7 +105,7 @@
 
     @Override
     public Optional<Long> fencingNumber() {
-        return mLease.id().equals(mTermLease) ? mFencingNumber : Optional.empty();
+        return mTerm.filter(term -> mLease.id().equals(term.lease())).map(Term::fencingNumber);
     }
 
     @Override
@@ -124,10 +127,10 @@
      * @param rank position of this process among the candidates, 0 first
      */
     public void step(boolean isCandidate, int rank) {
-        if (mFencingNumber.isPresent() && fencingNumber().isEmpty()) {
+        if (mTerm.isPresent() && fencingNumber().isEmpty()) {
             endTerm("the lease is not held");
         }
-        if (mFencingNumber.isPresent() && isSuperseded()) {
+        if (mTerm.isPresent() && isSuperseded()) {
             endTerm("the controller key has changed");
         }
         long now = mControl.now(TimeUnit.MILLISECONDS);
@@ -135,7 +138,7 @@
         boolean claimable =
                 controllerDocument.isEmpty()
                         || controllerDocument.filter(this::wasWrittenByThisInstance).isPresent();
-        if (!claimable || mFencingNumber.isPresent()) {
+        if (!claimable || mTerm.isPresent()) {
             mClaimableSinceMillis = -1;
             return;
         }
@@ -151,7 +154,7 @@
 
     /** Whether the controller key was written or deleted after this process's term began. */
     private boolean isSuperseded() {
-        return mCache.revision(ClusterKeys.CONTROLLER) > mFencingNumber.get();
+        return mCache.revision(ClusterKeys.CONTROLLER) > mTerm.get().fencingNumber();
     }
 
     /** Whether this instance wrote the key in an earlier term, for example before a restart. */
@@ -172,6 +175,10 @@
 
     private void onClaimResult(byte[] value, Optional<Long> lease, SwapResult result) {
         mClaiming = false;
+        if (mResigned && result instanceof SwapResult.Swapped swapped) {
+            deleteClaim(swapped.revision());
+            return;
+        }
         mNextClaimMillis = mControl.now(TimeUnit.MILLISECONDS) + RETRY_MILLIS;
         if (result instanceof SwapResult.Swapped swapped) {
             beginTerm(new KeyValue(ClusterKeys.CONTROLLER, value, swapped.revision()), lease);
@@ -189,17 +196,16 @@
 
     private void beginTerm(KeyValue written, Optional<Long> lease) {
         mCache.offer(written);
-        mFencingNumber = Optional.of(written.revision());
-        mTermLease = lease;
+        mTerm = Optional.of(new Term(written.revision(), lease));
         mClaimableSinceMillis = -1;
         mLog.write("controller.began", "fence", written.revision(), "lease", lease.orElse(0L));
         mListener.onTermBegan(written.revision());
     }
 
     private void endTerm(String reason) {
-        if (mFencingNumber.isPresent()) {
-            mLog.write("controller.ended", "fence", mFencingNumber.get(), "reason", reason);
-            mFencingNumber = Optional.empty();
+        if (mTerm.isPresent()) {
+            mLog.write("controller.ended", "fence", mTerm.get().fencingNumber(), "reason", reason);
+            mTerm = Optional.empty();
             mListener.onTermEnded();
         }
     }
@@ -211,12 +217,12 @@
      */
     public void resign() {
         mResigned = true;
-        Optional<Long> fencingNumber = mFencingNumber;
+        Optional<Term> term = mTerm;
         endTerm("the process is stopping");
-        fencingNumber.ifPresent(
-                revision ->
-                        mStore.delete(ClusterKeys.CONTROLLER, revision)
-                                .onErrorComplete()
-                                .subscribe());
+        term.map(Term::fencingNumber).ifPresent(this::deleteClaim);
+    }
+
+    private void deleteClaim(long revision) {
+        mStore.delete(ClusterKeys.CONTROLLER, revision).onErrorComplete().subscribe();
     }
 }
--- a/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
+++ b/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
@@ -2,20 +2,25 @@
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValueStore;
+import org.cornelway.supervisor.Component;
 import org.cornelway.time.SuspendAwareClock;
 
 /**
  * The lease that all keys of this process are bound to.
  *
+ * <p>Renewals run on a scheduler of their own, so that a busy control thread does not let the lease
+ * expire.
+ *
  * <p>Invariant: {@link #isHeld} returns true only while the lease cannot have expired in the
- * key-value service, even if the host was suspended in the meantime. Confined to the control
- * thread.
+ * key-value service, even if the host was suspended in the meantime. {@link #id} and {@link
+ * #isHeld} are thread-safe; all else is confined to the lease's scheduler.
  */
-public final class ProcessLease {
+public final class ProcessLease implements Component {
     /** Time without a renewal after which the lease expires. */
     private static final long TTL_SECONDS = 2;
 
@@ -35,64 +40,96 @@
     /** Delay before a failed request or renewal is repeated. */
     private static final long RETRY_DELAY_MILLIS = 250;
 
+    /** Interval at which due calls are made. */
+    private static final long STEP_PERIOD_MILLIS = 50;
+
     private final KeyValueStore mStore;
+    private final Scheduler mScheduler;
     private final Scheduler mControl;
     private final SuspendAwareClock mClock;
     private final StoreHealth mHealth;
     private final EventLog mLog;
-    private Optional<Long> mLeaseId = Optional.empty();
 
-    /**
-     * When the last successful request or renewal was sent; the lease expires no earlier than its
-     * TTL after this.
-     */
-    private SuspendAwareClock.Mark mTtlStart;
+    /** The lease after the last successful request or renewal; empty if there is none. */
+    private volatile Optional<Grant> mGrant = Optional.empty();
 
+    private Disposable mSteps = Disposable.disposed();
     private long mNextCallMillis;
     private boolean mCallInFlight;
     private boolean mStopped;
 
     /**
+     * A lease as last granted or renewed; it expires no earlier than its TTL after the call was
+     * sent. Immutable.
+     */
+    private record Grant(long id, SuspendAwareClock.Mark sent) {}
+
+    /**
+     * @param scheduler scheduler of the renewals, with one thread
+     * @param control scheduler that the health is confined to
      * @param clock clock that includes suspensions of the host
      */
     public ProcessLease(
             KeyValueStore store,
+            Scheduler scheduler,
             Scheduler control,
             SuspendAwareClock clock,
             StoreHealth health,
             EventLog log) {
         mStore = store;
+        mScheduler = scheduler;
         mControl = control;
         mClock = clock;
         mHealth = health;
         mLog = log;
-        mTtlStart = clock.mark();
+    }
+
+    @Override
+    public String name() {
+        return "process-lease";
+    }
+
+    @Override
+    public Completable start() {
+        return Completable.fromAction(
+                () ->
+                        mSteps =
+                                mScheduler.schedulePeriodicallyDirect(
+                                        this::step, 0, STEP_PERIOD_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    @Override
+    public Completable stop() {
+        return Completable.fromAction(mSteps::dispose);
     }
 
     /** Returns the id of the lease, or empty if there is none or it may have expired. */
     public Optional<Long> id() {
-        return isHeld() ? mLeaseId : Optional.empty();
+        return mGrant.filter(this::isValid).map(Grant::id);
     }
 
     /** Whether this process has a lease that cannot have expired yet. */
     public boolean isHeld() {
-        return mLeaseId.isPresent()
-                && mClock.elapsedMillisSince(mTtlStart) < TTL_MILLIS - EXPIRY_MARGIN_MILLIS;
+        return mGrant.filter(this::isValid).isPresent();
+    }
+
+    private boolean isValid(Grant grant) {
+        return mClock.elapsedMillisSince(grant.sent()) < TTL_MILLIS - EXPIRY_MARGIN_MILLIS;
     }
 
     private long now() {
-        return mControl.now(TimeUnit.MILLISECONDS);
+        return mScheduler.now(TimeUnit.MILLISECONDS);
     }
 
     /** Requests or renews the lease if a call to the service is due. */
-    public void step() {
+    void step() {
         if (mCallInFlight || mStopped || now() < mNextCallMillis) {
             return;
         }
         mCallInFlight = true;
         SuspendAwareClock.Mark sent = mClock.mark();
-        if (mLeaseId.isPresent()) {
-            renewLease(mLeaseId.get(), sent);
+        if (mGrant.isPresent()) {
+            renewLease(mGrant.get().id(), sent);
         } else {
             requestLease(sent);
         }
@@ -100,53 +137,61 @@
 
     private void requestLease(SuspendAwareClock.Mark sent) {
         mStore.grantLease(TTL_SECONDS)
-                .observeOn(mControl)
-                .subscribe(
-                        id -> {
-                            mLeaseId = Optional.of(id);
-                            mTtlStart = sent;
-                            mLog.write("lease.granted", "lease", id);
-                            onSuccess(RENEWAL_PERIOD_MILLIS);
-                        },
-                        this::onFailure);
+                .observeOn(mScheduler)
+                .subscribe(id -> onGranted(id, sent), this::onFailure);
+    }
+
+    private void onGranted(long id, SuspendAwareClock.Mark sent) {
+        mLog.write("lease.granted", "lease", id);
+        if (mStopped) {
+            mStore.revokeLease(id).onErrorComplete().subscribe();
+            return;
+        }
+        mGrant = Optional.of(new Grant(id, sent));
+        onSuccess(RENEWAL_PERIOD_MILLIS);
     }
 
     private void renewLease(long id, SuspendAwareClock.Mark sent) {
         mStore.keepAlive(id)
-                .observeOn(mControl)
-                .subscribe(
-                        alive -> {
-                            if (alive) {
-                                mTtlStart = sent;
-                                onSuccess(RENEWAL_PERIOD_MILLIS);
-                            } else {
-                                mLog.write("lease.lost", "lease", id);
-                                mLeaseId = Optional.empty();
-                                onSuccess(0);
-                            }
-                        },
-                        this::onFailure);
+                .observeOn(mScheduler)
+                .subscribe(alive -> onRenewalReply(id, sent, alive), this::onFailure);
+    }
+
+    private void onRenewalReply(long id, SuspendAwareClock.Mark sent, boolean alive) {
+        if (alive) {
+            if (!mStopped) {
+                mGrant = Optional.of(new Grant(id, sent));
+            }
+            onSuccess(RENEWAL_PERIOD_MILLIS);
+        } else {
+            mLog.write("lease.lost", "lease", id);
+            mGrant = Optional.empty();
+            onSuccess(0);
+        }
     }
 
     private void onSuccess(long delayMillis) {
-        mHealth.recordSuccess();
+        mControl.scheduleDirect(mHealth::recordSuccess);
         mCallInFlight = false;
         mNextCallMillis = now() + delayMillis;
     }
 
     private void onFailure(Throwable e) {
-        mHealth.recordFailure("lease", e);
+        mControl.scheduleDirect(() -> mHealth.recordFailure("lease", e));
         mCallInFlight = false;
         mNextCallMillis = now() + RETRY_DELAY_MILLIS;
     }
 
     /** Revokes the lease, which deletes all keys of this process, and requests no further lease. */
     public Completable release() {
+        return Completable.defer(this::revoke).subscribeOn(mScheduler);
+    }
+
+    private Completable revoke() {
         mStopped = true;
-        Completable revocation =
-                mLeaseId.map(id -> mStore.revokeLease(id).onErrorComplete())
-                        .orElse(Completable.complete());
-        mLeaseId = Optional.empty();
-        return revocation;
+        Optional<Grant> held = mGrant;
+        mGrant = Optional.empty();
+        return held.map(grant -> mStore.revokeLease(grant.id()).onErrorComplete())
+                .orElse(Completable.complete());
     }
 }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -299,7 +299,7 @@
                         mAcceptedOrders,
                         term.get().holder(),
                         term.get().fencingNumber());
-        mEngines.order(mServer, order)
+        mEngines.order(mServer, order, () -> mListener.term().equals(term))
                 .observeOn(mControl)
                 .subscribe(
                         reply -> {
--- a/org.cornelway/src/org/cornelway/models/EngineListener.java
+++ b/org.cornelway/src/org/cornelway/models/EngineListener.java
@@ -7,7 +7,7 @@
 
 /**
  * Receives events of an engine driver, and supplies the term under which the driver sends orders.
- * Called on the control thread.
+ * Called on the control thread, except {@link #term}.
  */
 interface EngineListener {
     /**
@@ -19,7 +19,7 @@
      */
     record Term(String holder, long fencingNumber) {}
 
-    /** Returns the current term, or empty while no orders may be sent. */
+    /** Returns the current term, or empty while no orders may be sent. Thread-safe. */
     Optional<Term> term();
 
     /** Called when the known state of an engine or of its orders may have changed. */
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -75,7 +75,10 @@
         }
     }
 
-    /** Source of the term under which orders are sent. Called on the control thread. */
+    /**
+     * Source of the term under which orders are sent. Called on the control thread, except {@link
+     * #fencingNumber} and {@link #holder}, which are thread-safe.
+     */
     public interface TermSource {
         /**
          * Returns the fencing number of the term, or empty while this process may not send orders.
--- a/org.cornelway/src/org/cornelway/platform/EngineControl.java
+++ b/org.cornelway/src/org/cornelway/platform/EngineControl.java
@@ -11,6 +11,9 @@
     /** Reads an engine's report on its own state. */
     Single<EngineReport> report(ServerRecord server);
 
-    /** Sends an order. Never fails: a failure is returned as a reply. */
-    Single<OrderReply> order(ServerRecord server, ServerOrder order);
+    /**
+     * Sends an order if the permit is valid when the order is written to the connection. Never
+     * fails: a failure is returned as a reply.
+     */
+    Single<OrderReply> order(ServerRecord server, ServerOrder order, SendPermit permit);
 }
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -78,6 +78,7 @@
      *
      * @param self registration of this process
      * @param store the key-value service
+     * @param leaseScheduler scheduler of the renewals of the lease
      */
     record Dependencies(
             ClusterMember self,
@@ -88,6 +89,7 @@
             ClusterState clusterState,
             DocumentCache cache,
             Scheduler control,
+            Scheduler leaseScheduler,
             Clock clock,
             EventLog log,
             MetricRegistry metrics) {}
@@ -105,7 +107,7 @@
                         deps.metrics(),
                         clusterState::onStoreUnavailable,
                         clusterState::onStoreAvailable);
-        mLease = new ProcessLease(keys, control, SuspendAwareClock.system(), mHealth, log);
+        mLease = newLease();
         mRegistration = new Registration(deps.self(), keys, mLease, deps.cache(), control);
         mElection = new Election(deps.self(), keys, mLease, deps.cache(), control, log, this);
         EngineControl engines = deps.ports().engines().apply(deps.traffic().platformClient());
@@ -116,14 +118,7 @@
                 new ControllerRequestHandler(
                         mController, mElection, this::findIncarnation, control);
         mModelRequester = newModelRequester();
-        mUsageReporter =
-                new UsageReporter(
-                        deps.self().id(),
-                        mElection,
-                        mRequestHandler,
-                        deps.controllerClient(),
-                        control,
-                        deps.traffic());
+        mUsageReporter = newUsageReporter();
         mFollowers =
                 List.of(
                         newFollower(ClusterKeys.CONFIGURATION_PREFIX, CONFIGURATION_PAUSE_MILLIS),
@@ -135,6 +130,26 @@
         return mDeps.traffic().view().directory().find(serverId).map(ServerRecord::incarnation);
     }
 
+    private ProcessLease newLease() {
+        return new ProcessLease(
+                mDeps.store().keys(),
+                mDeps.leaseScheduler(),
+                mDeps.control(),
+                SuspendAwareClock.system(),
+                mHealth,
+                mDeps.log());
+    }
+
+    private UsageReporter newUsageReporter() {
+        return new UsageReporter(
+                mDeps.self().id(),
+                mElection,
+                mRequestHandler,
+                mDeps.controllerClient(),
+                mDeps.control(),
+                mDeps.traffic());
+    }
+
     private CoalescingModelRequester newModelRequester() {
         return new CoalescingModelRequester(
                 mDeps.self().id(),
@@ -166,6 +181,11 @@
         return mFollowers;
     }
 
+    /** Returns the component that renews the lease of this process. */
+    Component lease() {
+        return mLease;
+    }
+
     /** Returns the component that requests models for the calls of this process. */
     ModelRequester modelRequester() {
         return mModelRequester;
@@ -186,7 +206,6 @@
 
     /** Runs all steps that are due; called periodically. */
     void step() {
-        mLease.step();
         mRegistration.step();
         mElection.step(!mResigned, mDeps.clusterState().electionRank(mDeps.self().id()));
         mController.runRound();
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -55,7 +55,8 @@
     private final SettingsSource mSettingsSource;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Clock mClock = Clock.system();
-    private final Scheduler mControl = newControlScheduler();
+    private final Scheduler mControl = newSingleThreadScheduler("control");
+    private final Scheduler mLeaseScheduler = newSingleThreadScheduler("lease");
     private final EventLog mLog = new EventLog(mClock, mMetrics);
     private final DocumentCache mCache =
             new DocumentCache(new Invariants(mMetrics, false), mMetrics);
@@ -95,32 +96,15 @@
                         bounds.retrySlack());
         DelegatingModelRequester modelRequester = new DelegatingModelRequester();
         mTraffic = newTraffic(settings, ports, modelRequester);
-        mControlPlane =
-                new ControlPlane(
-                        new ControlPlane.Dependencies(
-                                newRegistration(settings),
-                                ports,
-                                ports.store()
-                                        .apply(
-                                                new PlatformPorts.StoreEndpoint(
-                                                        mTraffic.platformClient(),
-                                                        settings.store())),
-                                mTraffic,
-                                new GrpcControllerClient(mChannels, mAuthenticator),
-                                mClusterState,
-                                mCache,
-                                mControl,
-                                mClock,
-                                mLog,
-                                mMetrics));
+        mControlPlane = newControlPlane(settings, ports);
         modelRequester.setDelegate(mControlPlane.modelRequester());
         mGossip = newGossip(settings);
         mSupervisor = newSupervisor();
     }
 
-    private static Scheduler newControlScheduler() {
+    private static Scheduler newSingleThreadScheduler(String thread) {
         return Schedulers.from(
-                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control")));
+                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, thread)));
     }
 
     private static ClusterMember newRegistration(DirectEntrySettings settings) {
@@ -132,6 +116,26 @@
                 System.currentTimeMillis());
     }
 
+    private ControlPlane newControlPlane(DirectEntrySettings settings, PlatformPorts ports) {
+        return new ControlPlane(
+                new ControlPlane.Dependencies(
+                        newRegistration(settings),
+                        ports,
+                        ports.store()
+                                .apply(
+                                        new PlatformPorts.StoreEndpoint(
+                                                mTraffic.platformClient(), settings.store())),
+                        mTraffic,
+                        new GrpcControllerClient(mChannels, mAuthenticator),
+                        mClusterState,
+                        mCache,
+                        mControl,
+                        mLeaseScheduler,
+                        mClock,
+                        mLog,
+                        mMetrics));
+    }
+
     private TrafficPlane newTraffic(
             DirectEntrySettings settings,
             PlatformPorts ports,
@@ -182,7 +186,8 @@
         Supervisor supervisor =
                 new Supervisor("direct-entry", mMetrics)
                         .add(mChannels)
-                        .add(new ClusterStateUpdater());
+                        .add(new ClusterStateUpdater())
+                        .add(mControlPlane.lease());
         mControlPlane.followers().forEach(supervisor::add);
         return supervisor
                 .add(mTraffic.frontServer())
--- a/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
@@ -18,12 +18,14 @@
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.internal.platform.HttpReply;
 import org.cornelway.internal.platform.NotSentException;
+import org.cornelway.platform.SendPermit;
 
 /**
  * Sends HTTP requests of this process to the platform and collects the complete responses.
  *
- * <p>Thread-safe; requests are processed on the traffic thread. Each request ends within its
- * timeout, and one that fails with {@link NotSentException} was not sent.
+ * <p>Thread-safe; requests are processed on an event loop of their own, so that they do not wait
+ * for calls. Each request ends within its timeout, and one that fails with {@link NotSentException}
+ * was not sent.
  */
 public final class PlatformHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
@@ -36,6 +38,17 @@
         mPool = pool;
     }
 
+    /** Does the same as {@link #send}, for a request that needs no permit. */
+    public Single<HttpReply> send(
+            HttpEndpoint endpoint,
+            String method,
+            String target,
+            Map<String, String> headers,
+            byte[] json,
+            long timeoutMillis) {
+        return send(endpoint, method, target, headers, json, timeoutMillis, SendPermit.ALWAYS);
+    }
+
     /**
      * Returns an operation that sends a request when it is subscribed to.
      *
@@ -45,6 +58,8 @@
      * @param headers headers other than Host, Content-Type and Content-Length
      * @param json the body; empty if the request has none
      * @param timeoutMillis time limit from the start of the request to the complete response
+     * @param permit checked when the request is written to the connection; if it is not valid then,
+     *     the request fails with {@link NotSentException}
      * @return emits the response, whatever its status, or fails if there is no complete response
      */
     public Single<HttpReply> send(
@@ -53,7 +68,8 @@
             String target,
             Map<String, String> headers,
             byte[] json,
-            long timeoutMillis) {
+            long timeoutMillis,
+            SendPermit permit) {
         HttpHeaders allHeaders = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         allHeaders.set(HttpHeaderNames.HOST, endpoint.toString());
         headers.forEach(allHeaders::set);
@@ -72,14 +88,15 @@
                 emitter ->
                         mLoop.execute(
                                 () ->
-                                        new PendingRequest(emitter, timeoutMillis)
+                                        new PendingRequest(emitter, timeoutMillis, permit)
                                                 .start(endpoint, request)));
     }
 
-    /** A request whose response is not complete yet. Confined to the traffic thread. */
+    /** A request whose response is not complete yet. Confined to the event loop. */
     private final class PendingRequest implements ResponseListener, UpstreamPool.AcquireListener {
         private final SingleEmitter<HttpReply> mEmitter;
         private final long mTimeoutMillis;
+        private final SendPermit mPermit;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private Optional<UpstreamConnection> mConnection = Optional.empty();
         private UpstreamRequest mRequest;
@@ -87,9 +104,10 @@
         private String mContentType = "";
         private boolean mDone;
 
-        PendingRequest(SingleEmitter<HttpReply> emitter, long timeoutMillis) {
+        PendingRequest(SingleEmitter<HttpReply> emitter, long timeoutMillis, SendPermit permit) {
             mEmitter = emitter;
             mTimeoutMillis = timeoutMillis;
+            mPermit = permit;
         }
 
         void start(HttpEndpoint endpoint, UpstreamRequest request) {
@@ -104,6 +122,11 @@
                 mPool.release(connection);
                 return;
             }
+            if (!mPermit.isValid()) {
+                mPool.release(connection);
+                fail(new NotSentException("the permit to send has expired"));
+                return;
+            }
             mConnection = Optional.of(connection);
             connection.send(mRequest, this);
         }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -31,11 +31,20 @@
 public final class TrafficPlane {
     private static final long SWEEP_INTERVAL_MILLIS = 1_000;
 
-    private final MultiThreadIoEventLoopGroup mGroup =
-            new MultiThreadIoEventLoopGroup(
-                    1, new DefaultThreadFactory("traffic"), NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup mGroup = newSingleThreadGroup("traffic");
+
+    /**
+     * Event loop of the requests to the platform, which would otherwise wait while the traffic
+     * thread is late.
+     */
+    private final MultiThreadIoEventLoopGroup mPlatformGroup = newSingleThreadGroup("platform");
+
     private final EventLoop mLoop;
     private final UpstreamPool mPool;
+
+    /** Connections for the platform client; confined to its event loop. */
+    private final UpstreamPool mPlatformPool;
+
     private final Holdings mHoldings = new Holdings();
     private final ModelUsage mUsage;
     private final ServerLoads mLoads;
@@ -85,12 +94,19 @@
                         log,
                         metrics);
         mFrontServer = new FrontServer(frontEndpoint, mContext);
-        mPlatformClient = new PlatformHttpClient(mLoop, mPool);
+        EventLoop platformLoop = (EventLoop) mPlatformGroup.next();
+        mPlatformPool = new UpstreamPool(platformLoop, codec, clock);
+        mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool);
         metrics.registerGauge("connections.opened", mPool::openedCount);
         mLoop.scheduleAtFixedRate(
                 this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private static MultiThreadIoEventLoopGroup newSingleThreadGroup(String name) {
+        return new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory(name), NioIoHandler.newFactory());
+    }
+
     /** Returns the client for requests of this process to the platform. */
     public PlatformHttpClient platformClient() {
         return mPlatformClient;
@@ -166,11 +182,13 @@
             incarnations.add(server.incarnation());
         }
         mPool.sweep(addresses);
+        mPlatformGroup.execute(() -> mPlatformPool.sweep(addresses));
         mLoads.retain(incarnations);
     }
 
     /** Stops the traffic thread within about a second; returns without waiting for it to end. */
     public void shutdown() {
         mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        mPlatformGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
