Count demand by what each report changes

Cause: each usage report made the next question recount all reports of all entries; 15 entries report 60 times a second, so the control thread recounted for nearly each question of a round.

Change: a report adds its calls and takes back those of its entry's previous report. Test: countsEqualTheSumOverEntries compares with the sum over entries in a random run.

--- a/org.cornelway.test/tst/org/cornelway/models/DemandTableTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/DemandTableTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 import org.cornelway.traffic.ModelUsage;
@@ -49,4 +51,31 @@
         assertThat(mDemand.rate("m", 12_000).callsPerSecond()).isEqualTo(6);
         assertThat(mDemand.isIdle(12_000)).isFalse();
     }
+
+    /** Plays random reports, some of which stop, against a table that is built anew each time. */
+    @Test
+    public void countsEqualTheSumOverEntries() {
+        Random random = new Random(1);
+        DemandTable demand = new DemandTable();
+        Map<String, ModelUsage.Snapshot> last = new HashMap<>();
+        for (long now = 0; now < 100_000; now += 20) {
+            String entry = "p" + random.nextInt(8);
+            ModelUsage.Snapshot usage =
+                    usage(random.nextInt(4), random.nextInt(900), random.nextInt(5));
+            demand.recordReport(entry, usage, now);
+            last.put(entry, usage);
+            int expected =
+                    last.values().stream()
+                            .mapToInt(each -> each.activeCalls().get(0).count())
+                            .sum();
+            assertThat(demand.activeCalls("s", "m", now)).isEqualTo(expected);
+            assertThat(demand.totalActiveCalls("m", now)).isEqualTo(expected);
+            double rate =
+                    last.values().stream()
+                            .mapToDouble(each -> each.rates().get("m").callsPerSecond())
+                            .sum();
+            assertThat(demand.rate("m", now).callsPerSecond()).isEqualTo(rate);
+        }
+        assertThat(demand.isIdle(200_000)).isTrue();
+    }
 }
--- a/org.cornelway/src/org/cornelway/models/DemandTable.java
+++ b/org.cornelway/src/org/cornelway/models/DemandTable.java
@@ -1,6 +1,7 @@
 package org.cornelway.models;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
@@ -9,6 +10,9 @@
 /**
  * Computes the demand for each model from the usage reports of all entries.
  *
+ * <p>Invariant: the counts are the sums over the last reports of all entries that have not expired.
+ * A report changes only the counts of the calls that it and the previous one of its entry list.
+ *
  * <p>At the start of a term it also holds the rates that an earlier controller stored in the
  * key-value service. These decay with time. The rate of a model is the larger of the restored and
  * the reported one. Confined to the control thread.
@@ -20,10 +24,8 @@
     /** Age after which a report is ignored if its entry has sent no newer one. */
     private static final long MAX_REPORT_AGE_MILLIS = 2_500;
 
-    /**
-     * Interval at which the counts are recomputed even without a new report, since reports expire.
-     */
-    private static final long RECOUNT_INTERVAL_MILLIS = 500;
+    /** Interval at which reports that have expired are removed. */
+    private static final long EXPIRY_INTERVAL_MILLIS = 500;
 
     /**
      * Lower bound of the expected remaining time of active calls, since calls may have ended or
@@ -33,12 +35,16 @@
 
     private final Map<String, Report> mReports = new HashMap<>();
     private final Map<CountKey, Integer> mActiveCounts = new HashMap<>();
-    private final Map<CountKey, Long> mExpectedEndMillis = new HashMap<>();
-    private final Map<String, ModelRate> mRates = new HashMap<>();
+
+    /** When the active calls of each entry are expected to end, by server and model. */
+    private final Map<CountKey, Map<String, Long>> mExpectedEndMillis = new HashMap<>();
+
+    /** The rate that each entry has reported, by model. */
+    private final Map<String, Map<String, ModelRate>> mRates = new HashMap<>();
+
     private Map<String, ModelRate> mRestored = Map.of();
     private long mRestoredMillis;
-    private boolean mStale;
-    private long mNextRecountMillis;
+    private long mNextExpiryMillis;
 
     /**
      * Key by which calls are counted; an empty component stands for all values. The name of an
@@ -51,8 +57,12 @@
 
     /** Records the latest usage report of an entry, which replaces its previous one. */
     public void recordReport(String entry, ModelUsage.Snapshot usage, long nowMillis) {
-        mStale = true;
-        mReports.put(entry, new Report(nowMillis, usage));
+        Report report = new Report(nowMillis, usage);
+        Report previous = mReports.put(entry, report);
+        if (previous != null) {
+            remove(entry, previous);
+        }
+        add(entry, report);
     }
 
     /** Sets the rates that an earlier controller has stored; they replace any restored before. */
@@ -65,8 +75,8 @@
      * Returns the call rate and latency objective of a model; {@link ModelRate#NONE} if unknown.
      */
     public ModelRate rate(String model, long nowMillis) {
-        refresh(nowMillis);
-        ModelRate reported = mRates.getOrDefault(model, ModelRate.NONE);
+        expire(nowMillis);
+        ModelRate reported = reportedRate(model);
         ModelRate restored = mRestored.getOrDefault(model, ModelRate.NONE);
         double halfLives = (nowMillis - mRestoredMillis) / RESTORED_HALF_LIFE_MILLIS;
         double decayedCallsPerSecond = restored.callsPerSecond() * Math.pow(0.5, halfLives);
@@ -77,14 +87,16 @@
 
     /** Returns the call rate and latency objective of each model, from reports alone. */
     public Map<String, ModelRate> rates(long nowMillis) {
-        refresh(nowMillis);
-        return Map.copyOf(mRates);
+        expire(nowMillis);
+        Map<String, ModelRate> rates = new HashMap<>();
+        mRates.keySet().forEach(model -> rates.put(model, reportedRate(model)));
+        return rates;
     }
 
     /** Returns whether the reports show neither active calls nor recent ones. */
     public boolean isIdle(long nowMillis) {
-        refresh(nowMillis);
-        return mRates.isEmpty() && mActiveCounts.values().stream().allMatch(count -> count == 0);
+        expire(nowMillis);
+        return mRates.isEmpty() && mActiveCounts.isEmpty();
     }
 
     /** Returns the number of active calls to a model on a server. */
@@ -101,8 +113,12 @@
         if (count(key, nowMillis) == 0) {
             return 0;
         }
-        return Math.max(
-                MIN_REMAINING_MILLIS, mExpectedEndMillis.getOrDefault(key, nowMillis) - nowMillis);
+        long endMillis =
+                mExpectedEndMillis.getOrDefault(key, Map.of()).values().stream()
+                        .mapToLong(Long::longValue)
+                        .max()
+                        .orElse(nowMillis);
+        return Math.max(MIN_REMAINING_MILLIS, endMillis - nowMillis);
     }
 
     /**
@@ -124,43 +140,84 @@
     }
 
     private int count(CountKey key, long nowMillis) {
-        refresh(nowMillis);
+        expire(nowMillis);
         return mActiveCounts.getOrDefault(key, 0);
     }
 
-    private void refresh(long nowMillis) {
-        if (!mStale && nowMillis < mNextRecountMillis) {
+    private ModelRate reportedRate(String model) {
+        return mRates.getOrDefault(model, Map.of()).values().stream()
+                .reduce(ModelRate::plus)
+                .orElse(ModelRate.NONE);
+    }
+
+    /** Removes the reports that have expired, if a check is due. */
+    private void expire(long nowMillis) {
+        if (nowMillis < mNextExpiryMillis) {
             return;
         }
-        mStale = false;
-        mNextRecountMillis = nowMillis + RECOUNT_INTERVAL_MILLIS;
-        mActiveCounts.clear();
-        mExpectedEndMillis.clear();
-        mRates.clear();
-        mReports.values()
-                .removeIf(report -> nowMillis - report.arrivedMillis() > MAX_REPORT_AGE_MILLIS);
-        mReports.values().forEach(this::addReport);
-    }
-
-    private void addReport(Report report) {
-        report.usage().rates().forEach((model, rate) -> mRates.merge(model, rate, ModelRate::plus));
+        mNextExpiryMillis = nowMillis + EXPIRY_INTERVAL_MILLIS;
+        List<String> expired =
+                mReports.keySet().stream().filter(entry -> isExpired(entry, nowMillis)).toList();
+        expired.forEach(entry -> remove(entry, mReports.remove(entry)));
+    }
+
+    private boolean isExpired(String entry, long nowMillis) {
+        return nowMillis - mReports.get(entry).arrivedMillis() > MAX_REPORT_AGE_MILLIS;
+    }
+
+    private void add(String entry, Report report) {
+        report.usage()
+                .rates()
+                .forEach(
+                        (model, rate) ->
+                                mRates.computeIfAbsent(model, key -> new HashMap<>())
+                                        .put(entry, rate));
         for (ModelUsage.ActiveCalls calls : report.usage().activeCalls()) {
-            String model = calls.target().model();
-            CountKey onServer = new CountKey(calls.server(), model, "");
             if (calls.count() > 0) {
-                mExpectedEndMillis.merge(
-                        onServer, report.arrivedMillis() + calls.remainingMillis(), Math::max);
+                mExpectedEndMillis
+                        .computeIfAbsent(onServer(calls), key -> new HashMap<>())
+                        .merge(entry, report.arrivedMillis() + calls.remainingMillis(), Math::max);
             }
-            addActive(
-                    new CountKey(calls.server(), model, "/" + calls.target().adapter()),
-                    calls.count());
-            addActive(onServer, calls.count());
-            addActive(new CountKey("", model, ""), calls.count());
-            addActive(new CountKey(calls.server(), "", ""), calls.count());
+            addActive(calls, calls.count());
         }
     }
 
-    private void addActive(CountKey key, int active) {
-        mActiveCounts.merge(key, active, Integer::sum);
+    /** Takes back what {@link #add} has added for a report. */
+    private void remove(String entry, Report report) {
+        report.usage().rates().keySet().forEach(model -> removeFrom(mRates, model, entry));
+        for (ModelUsage.ActiveCalls calls : report.usage().activeCalls()) {
+            removeFrom(mExpectedEndMillis, onServer(calls), entry);
+            addActive(calls, -calls.count());
+        }
+    }
+
+    private static <K, V> void removeFrom(Map<K, Map<String, V>> map, K key, String entry) {
+        Map<String, V> byEntry = map.getOrDefault(key, new HashMap<>());
+        byEntry.remove(entry);
+        if (byEntry.isEmpty()) {
+            map.remove(key);
+        }
+    }
+
+    private static CountKey onServer(ModelUsage.ActiveCalls calls) {
+        return new CountKey(calls.server(), calls.target().model(), "");
+    }
+
+    /** Adds a number of active calls, which may be negative, to all counts that they belong to. */
+    private void addActive(ModelUsage.ActiveCalls calls, int change) {
+        String model = calls.target().model();
+        addActive(new CountKey(calls.server(), model, "/" + calls.target().adapter()), change);
+        addActive(onServer(calls), change);
+        addActive(new CountKey("", model, ""), change);
+        addActive(new CountKey(calls.server(), "", ""), change);
+    }
+
+    private void addActive(CountKey key, int change) {
+        int count = mActiveCounts.getOrDefault(key, 0) + change;
+        if (count == 0) {
+            mActiveCounts.remove(key);
+        } else {
+            mActiveCounts.put(key, count);
+        }
     }
 }
