Send entries only the holdings that have changed

Cause: while models are loaded the version of the holdings changes many times a second, so the controller built and sent the list of all engines with each of the 4 reports a second of each entry.

Change: HoldingsHistory keeps the version in which each engine's list last changed; a reply holds what changed since the version that the entry knows, and all after a new term. An entry prefers what the controller has reported to announcements, which are older, while the controller replies.

--- a/org.cornelway.test/tst/org/cornelway/dispatch/HoldingsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/HoldingsTest.java
@@ -12,6 +12,7 @@
 
 /** Tests the record of the models and adapters that engines are expected to hold. */
 public class HoldingsTest {
+    private static final long NOW_MILLIS = 1_000;
     private static final ModelTarget MODEL = new ModelTarget("m", "");
     private static final ModelTarget ADAPTER = new ModelTarget("m", "a1");
 
@@ -38,12 +39,12 @@
     public void addedAdapterIsKeptByRepeatedAnnouncementUntilRemoved() {
         Holdings holdings = new Holdings();
         ServerRecord first = record(1, Map.of("m", Set.of()));
-        holdings.applyAnnouncements(directory(first));
+        holdings.applyAnnouncements(directory(first), NOW_MILLIS);
         assertThat(holdings.holds(first.incarnation(), MODEL)).isTrue();
         assertThat(holdings.holds(first.incarnation(), ADAPTER)).isFalse();
         holdings.add(first.incarnation(), ADAPTER);
         assertThat(holdings.holds(first.incarnation(), ADAPTER)).isTrue();
-        holdings.applyAnnouncements(directory(first));
+        holdings.applyAnnouncements(directory(first), NOW_MILLIS);
         assertThat(holdings.holds(first.incarnation(), ADAPTER)).isTrue();
         holdings.remove(first.incarnation(), ADAPTER);
         assertThat(holdings.holds(first.incarnation(), ADAPTER)).isFalse();
@@ -54,10 +55,25 @@
     public void newIncarnationDoesNotInheritModels() {
         Holdings holdings = new Holdings();
         ServerRecord first = record(1, Map.of("m", Set.of()));
-        holdings.applyAnnouncements(directory(first));
+        holdings.applyAnnouncements(directory(first), NOW_MILLIS);
         ServerRecord second = record(2, Map.of());
-        holdings.applyAnnouncements(directory(second));
+        holdings.applyAnnouncements(directory(second), NOW_MILLIS);
         assertThat(holdings.holds(second.incarnation(), MODEL)).isFalse();
         assertThat(holdings.holds(first.incarnation(), MODEL)).isFalse();
     }
+
+    @Test
+    public void reportOfTheControllerGoesBeforeAnnouncementsWhileItReplies() {
+        Holdings holdings = new Holdings();
+        ServerRecord first = record(1, Map.of("m", Set.of()));
+        holdings.applyAnnouncements(directory(first), NOW_MILLIS);
+        holdings.recordControllerReply(NOW_MILLIS);
+        holdings.replace(first.incarnation(), Map.of("n", Set.of()));
+        ServerRecord older = record(1, Map.of("o", Set.of()));
+        holdings.applyAnnouncements(directory(older), NOW_MILLIS + 500);
+        assertThat(holdings.holds(first.incarnation(), new ModelTarget("n", ""))).isTrue();
+        assertThat(holdings.holds(first.incarnation(), new ModelTarget("o", ""))).isFalse();
+        holdings.applyAnnouncements(directory(older), NOW_MILLIS + 5_000);
+        assertThat(holdings.holds(first.incarnation(), new ModelTarget("o", ""))).isTrue();
+    }
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -12,11 +12,9 @@
 import org.cornelway.models.ModelController;
 import org.cornelway.models.ModelRequest;
 import org.cornelway.models.ModelRequestOutcome;
-import org.cornelway.rpc.HeldModel;
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
-import org.cornelway.rpc.ServerHoldings;
 import org.cornelway.rpc.UseReport;
 import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelRate;
@@ -34,6 +32,7 @@
     private final ModelController.TermSource mTerms;
     private final Function<String, Optional<ServerIncarnation>> mIncarnations;
     private final Scheduler mControl;
+    private final HoldingsHistory mHoldings = new HoldingsHistory();
 
     /**
      * @param incarnations looks up the current incarnation of a server by the server's id
@@ -87,7 +86,7 @@
 
     /**
      * Records an entry's usage report if this process is the controller. The reply then lists the
-     * models on all engines, unless the list that the entry has is up to date.
+     * models on the engines that have changed since the version that the entry knows.
      */
     public HoldingsReply handleUsageReport(UseReport report) {
         Optional<Long> fencingNumber = mTerms.fencingNumber();
@@ -98,15 +97,12 @@
                 .demand()
                 .recordReport(
                         report.getFrom(), toUsage(report), mControl.now(TimeUnit.MILLISECONDS));
-        HoldingsReply.Builder reply =
-                HoldingsReply.newBuilder()
-                        .setController(true)
-                        .setTerm(fencingNumber.get())
-                        .setVersion(mController.holdingsVersion());
-        boolean isUpToDate =
-                report.getTerm() == fencingNumber.get()
-                        && report.getHoldingsVersion() == mController.holdingsVersion();
-        return isUpToDate ? reply.build() : withHoldings(reply);
+        long term = fencingNumber.get();
+        long version = mController.holdingsVersion();
+        if (!mHoldings.isCurrent(term, version)) {
+            mHoldings.update(term, version, mController.holdings());
+        }
+        return mHoldings.replyTo(report.getTerm(), report.getHoldingsVersion());
     }
 
     private static ModelUsage.Snapshot toUsage(UseReport report) {
@@ -132,24 +128,4 @@
                                                 rate.getObjectiveMillis())));
         return new ModelUsage.Snapshot(activeCalls, rates);
     }
-
-    private HoldingsReply withHoldings(HoldingsReply.Builder reply) {
-        mController
-                .holdings()
-                .forEach(
-                        (incarnation, models) -> {
-                            ServerHoldings.Builder server =
-                                    ServerHoldings.newBuilder()
-                                            .setServer(incarnation.id())
-                                            .setBorn(incarnation.startedMillis());
-                            models.forEach(
-                                    (model, adapters) ->
-                                            server.addModels(
-                                                    HeldModel.newBuilder()
-                                                            .setModel(model)
-                                                            .addAllAdapters(adapters.names())));
-                            reply.addServers(server);
-                        });
-        return reply.setChanged(true).build();
-    }
 }
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -17,8 +17,8 @@
 import org.cornelway.traffic.TrafficPlane;
 
 /**
- * Reports this process's usage of models to the controller. The reply lists the models that each
- * engine holds; the list is passed on to the traffic thread.
+ * Reports this process's usage of models to the controller. The reply lists the models on the
+ * engines that have changed since the last reply; the list is passed on to the traffic thread.
  *
  * <p>Confined to the control thread.
  */
@@ -111,8 +111,7 @@
 
     private void onReply(HoldingsReply reply) {
         mReportInProgress = false;
-        // Without a list: the receiver is not the controller, or the list has not changed.
-        if (!reply.getController() || !reply.getChanged()) {
+        if (!reply.getController()) {
             return;
         }
         mHoldingsTerm = reply.getTerm();
@@ -125,6 +124,7 @@
             }
             holdings.put(new ServerIncarnation(server.getServer(), server.getBorn()), models);
         }
+        // Also without a change, since the reply shows that the earlier ones still hold.
         mTraffic.updateHoldings(holdings);
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -135,7 +135,7 @@
         mView = view;
         mLoop.execute(
                 () -> {
-                    mHoldings.applyAnnouncements(view.directory());
+                    mHoldings.applyAnnouncements(view.directory(), mContext.clock().nowMillis());
                     mFrontServer.onHoldingsChanged();
                 });
     }
@@ -149,8 +149,11 @@
     public void updateHoldings(Map<ServerIncarnation, Map<String, Set<String>>> holdings) {
         mLoop.execute(
                 () -> {
+                    mHoldings.recordControllerReply(mContext.clock().nowMillis());
                     holdings.forEach(mHoldings::replace);
-                    mFrontServer.onHoldingsChanged();
+                    if (!holdings.isEmpty()) {
+                        mFrontServer.onHoldingsChanged();
+                    }
                 });
     }
 
