Plan a round from one index of the engines

Cause: for each waiting request a round sorted the engines, counted replicas and copies and built a view of each engine anew, and looked for replicas with engines x models questions; each report or reply started another round.

Change: SchedulingRound indexes holders, loaders and copies once a round and builds each view once; orders of the round update it. The next round waits as long as the last one took. ReplicaCounts is replaced by it.

Test: requestsOfRoundShareTheViewsOfEngines (30 requests over 10 engines built 300 views before).

--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -6,10 +6,13 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cornelway.directory.DirectorySnapshot;
@@ -49,11 +52,19 @@
     private ModelController mController;
     private List<ModelRequestOutcome> mOutcomes;
 
+    /** The different views that the planner was given. */
+    private final Set<EngineView> mSeenViews = Collections.newSetFromMap(new IdentityHashMap<>());
+
+    /** How often the planner was given a view, the same one counted each time. */
+    private int mSeenViewCount;
+
     @BeforeMethod
     public void setUp() {
         mTime = new TestScheduler();
         mEngines = new HashMap<>();
         mOutcomes = new ArrayList<>();
+        mSeenViews.clear();
+        mSeenViewCount = 0;
         ModelController.TermSource terms =
                 new ModelController.TermSource() {
                     @Override
@@ -71,8 +82,14 @@
                 };
         EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), new MetricRegistry());
         mController =
-                new ModelController(
-                        new EngineRouter(), mTime, terms, new CheapestLoadPlanner(), log);
+                new ModelController(new EngineRouter(), mTime, terms, this::recordAndPlan, log);
+    }
+
+    /** Records the views that the planner is given. */
+    private Optional<LoadPlan> recordAndPlan(LoadRequest request, List<EngineView> engines) {
+        mSeenViews.addAll(engines);
+        mSeenViewCount += engines.size();
+        return new CheapestLoadPlanner().plan(request, engines);
     }
 
     /** Passes each call to the simulated engine of the server that the call names. */
@@ -198,4 +215,26 @@
         runFor(30);
         assertThat(mOutcomes).singleElement().isInstanceOf(ModelRequestOutcome.TooLate.class);
     }
+
+    /**
+     * Plays requests for many models that no engine can load yet, as when demand moves: the cost of
+     * a round grows with the engines plus the requests.
+     */
+    @Test
+    public void requestsOfRoundShareTheViewsOfEngines() {
+        int engines = 10;
+        for (int i = 0; i < engines; i++) {
+            addEngine("e" + i, "m1", "m2");
+        }
+        beginTerm();
+        runFor(50);
+        for (int i = 0; i < UNCACHED_MODELS; i++) {
+            request("r" + i, 60_000);
+        }
+        mSeenViews.clear();
+        mSeenViewCount = 0;
+        mController.runRound();
+        assertThat(mSeenViewCount).isGreaterThanOrEqualTo(engines * UNCACHED_MODELS);
+        assertThat(mSeenViews.size()).isLessThanOrEqualTo(2 * engines);
+    }
 }
--- a/org.cornelway/src/org/cornelway/models/AdapterScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/AdapterScheduler.java
@@ -47,8 +47,8 @@
             ModelTarget target,
             ModelDefinition model,
             List<EngineDriver> holders,
-            EngineDefinition definition,
-            long nowMillis) {
+            SchedulingRound round) {
+        long nowMillis = round.nowMillis();
         boolean isLoading = false;
         for (EngineDriver engine : holders) {
             HeldAdapters adapters = engine.models().get(target.model());
@@ -59,7 +59,7 @@
             isLoading |= adapters.contains(target.adapter());
         }
         if (!isLoading) {
-            planLoad(target, model, holders, definition, nowMillis);
+            planLoad(target, model, holders, round);
         }
         return Optional.empty();
     }
@@ -73,8 +73,9 @@
             ModelTarget target,
             ModelDefinition model,
             List<EngineDriver> holders,
-            EngineDefinition definition,
-            long nowMillis) {
+            SchedulingRound round) {
+        long nowMillis = round.nowMillis();
+        EngineDefinition definition = round.definition();
         List<EngineDriver> candidates =
                 holders.stream()
                         .filter(EngineDriver::acceptsAdapterOrders)
@@ -86,8 +87,9 @@
                     adapterCount(engine) < definition.adapterSlots()
                             && EngineMemory.freeMegabytes(engine, definition)
                                     >= model.adapterMegabytes();
-            if (hasRoom || planEviction(engine, nowMillis)) {
-                engine.enqueue(
+            if (hasRoom || planEviction(engine, round)) {
+                round.enqueue(
+                        engine,
                         new PlannedOrder(
                                 true,
                                 target.model(),
@@ -104,7 +106,8 @@
      * Plans to unload the least recently used adapter without active calls; returns false if none
      * may be unloaded yet.
      */
-    private boolean planEviction(EngineDriver engine, long nowMillis) {
+    private boolean planEviction(EngineDriver engine, SchedulingRound round) {
+        long nowMillis = round.nowMillis();
         List<IdleAdapter> idle = new ArrayList<>();
         engine.models()
                 .forEach(
@@ -116,7 +119,8 @@
                         .min(Comparator.comparingLong(IdleAdapter::lastUsedMillis));
         victim.ifPresent(
                 each ->
-                        engine.enqueue(
+                        round.enqueue(
+                                engine,
                                 new PlannedOrder(
                                         false,
                                         each.model(),
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelway.directory.DirectorySnapshot;
@@ -61,6 +62,7 @@
     private long mHoldingsVersion;
     private long mNextProactiveMillis;
     private boolean mRoundScheduled;
+    private long mLastRoundMillis;
 
     /** Service and target of a request; requests with equal keys are merged. */
     record RequestKey(String service, ModelTarget target) {}
@@ -225,8 +227,8 @@
         }
     }
 
-    /** Runs a scheduling round. Called a few times a second, and whenever something has changed. */
-    public void runRound() {
+    /** Runs a scheduling round. */
+    void runRound() {
         mRoundScheduled = false;
         if (mTerms.fencingNumber().isEmpty() || mRoutes.isEmpty()) {
             return;
@@ -238,15 +240,12 @@
         pending.sort(
                 Comparator.comparingInt((PendingRequest request) -> request.request().priority())
                         .thenComparing(request -> request.request().deadline()));
+        Map<String, SchedulingRound> rounds = new HashMap<>();
         for (PendingRequest request : pending) {
-            List<EngineDriver> drivers = driversOf(request);
             Optional<ModelRequestOutcome> outcome =
-                    mScheduler.findOrLoad(
-                            request.request(),
-                            replicaCounts(drivers),
-                            drivers,
-                            engineDefinitionOf(request),
-                            now);
+                    round(request.request().service(), rounds, now)
+                            .map(round -> mScheduler.findOrLoad(request.request(), round))
+                            .orElse(Optional.of(new ModelRequestOutcome.TooLate(0)));
             if (outcome.isPresent()) {
                 mPending.remove(
                         new RequestKey(request.request().service(), request.request().target()));
@@ -255,32 +254,36 @@
         }
         if (now >= mNextProactiveMillis) {
             mNextProactiveMillis = now + PROACTIVE_INTERVAL_MILLIS;
-            planProactiveLoads(now);
+            planProactiveLoads(rounds, now);
         }
         // Sends the orders that this round has planned.
         List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
+        mLastRoundMillis = now() - now;
     }
 
     /** Plans loads that no call waits for. */
-    private void planProactiveLoads(long now) {
-        mRoutes.get().configuration().services().keySet().stream()
-                .filter(service -> engineDefinition(service).isPresent())
-                .forEach(
-                        service -> {
-                            List<EngineDriver> all = drivers(service);
-                            EngineDefinition definition = engineDefinition(service).get();
-                            mScheduler.addReplicas(all, definition, replicaCounts(all), now);
-                            mScheduler.fillFreeMemory(all, definition, replicaCounts(all), now);
-                            mScheduler.prefetchFromStore(all, definition, replicaCounts(all), now);
-                        });
-    }
-
-    private ReplicaCounts replicaCounts(List<EngineDriver> drivers) {
-        return new ReplicaCounts(drivers, ReplicaCounts.requestedModels(mPending.keySet()));
+    private void planProactiveLoads(Map<String, SchedulingRound> rounds, long now) {
+        for (String service : mRoutes.get().configuration().services().keySet()) {
+            round(service, rounds, now)
+                    .ifPresent(
+                            round -> {
+                                mScheduler.addReplicas(round);
+                                mScheduler.fillFreeMemory(round);
+                                mScheduler.prefetchFromStore(round);
+                            });
+        }
     }
 
-    private List<EngineDriver> driversOf(PendingRequest pending) {
-        return drivers(pending.request().service());
+    /** Returns the round of a service, or empty if the service has no engines configured. */
+    private Optional<SchedulingRound> round(
+            String service, Map<String, SchedulingRound> rounds, long now) {
+        if (!rounds.containsKey(service)) {
+            Set<String> requested = SchedulingRound.requestedModels(mPending.keySet());
+            engineDefinition(service)
+                    .map(d -> new SchedulingRound(drivers(service), d, requested, now))
+                    .ifPresent(round -> rounds.put(service, round));
+        }
+        return Optional.ofNullable(rounds.get(service));
     }
 
     private List<EngineDriver> drivers(String service) {
@@ -290,10 +293,6 @@
                 .toList();
     }
 
-    private Optional<EngineDefinition> engineDefinitionOf(PendingRequest pending) {
-        return engineDefinition(pending.request().service());
-    }
-
     private void complete(PendingRequest pending, ModelRequestOutcome outcome) {
         pending.mCallbacks.forEach(callback -> callback.accept(outcome));
         mLog.write(
@@ -336,13 +335,16 @@
     }
 
     /**
-     * Schedules a round if none is scheduled. Replies, reports and requests arrive in bursts, so
-     * one round handles all that arrive within {@link #ROUND_DELAY_MILLIS}.
+     * Schedules a round if none is scheduled; called a few times a second, and whenever something
+     * has changed. Replies, reports and requests arrive in bursts, so one round handles all that
+     * arrive within {@link #ROUND_DELAY_MILLIS}. If a round takes longer than that, the next one
+     * waits as long as it took, so that planning leaves half of the control thread to other work.
      */
-    private void scheduleRound() {
+    public void scheduleRound() {
         if (!mRoundScheduled) {
             mRoundScheduled = true;
-            mControl.scheduleDirect(this::runRound, ROUND_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            long delayMillis = Math.max(ROUND_DELAY_MILLIS, mLastRoundMillis);
+            mControl.scheduleDirect(this::runRound, delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/org.cornelway/src/org/cornelway/models/ModelScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ModelScheduler.java
@@ -6,10 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cornelway.directory.ServerIncarnation;
-import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
 import org.cornelway.time.Deadline;
-import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -81,32 +79,26 @@
      * Returns the outcome of a request, or empty while the request is pending. Plans a load if no
      * engine holds the target.
      */
-    Optional<ModelRequestOutcome> findOrLoad(
-            ModelRequest request,
-            ReplicaCounts counts,
-            List<EngineDriver> engines,
-            Optional<EngineDefinition> definition,
-            long nowMillis) {
+    Optional<ModelRequestOutcome> findOrLoad(ModelRequest request, SchedulingRound round) {
         ModelTarget target = request.target();
-        Optional<ModelDefinition> model =
-                definition.flatMap(d -> Optional.ofNullable(d.models().get(target.model())));
-        if (model.isEmpty()) {
+        ModelDefinition model = round.definition().models().get(target.model());
+        if (model == null) {
             return Optional.of(new ModelRequestOutcome.TooLate(0));
         }
         List<EngineDriver> holders =
-                engines.stream()
+                round.holders(target.model()).stream()
                         .filter(EngineDriver::isStateCurrent)
-                        .filter(e -> e.models().containsKey(target.model()))
                         .filter(e -> !e.isUnloading(target.model()))
                         .toList();
-        if (!holders.isEmpty()) {
-            return target.hasAdapter()
-                    ? mAdapterScheduler
-                            .findOrLoad(target, model.get(), holders, definition.get(), nowMillis)
-                            .map(engine -> answerWith(engine, target, nowMillis))
-                    : Optional.of(answerWith(leastBusy(holders, nowMillis), target, nowMillis));
+        if (holders.isEmpty()) {
+            return planLoad(request, model, round);
         }
-        return planLoad(request, model.get(), counts, engines, definition.get(), nowMillis);
+        long now = round.nowMillis();
+        return target.hasAdapter()
+                ? mAdapterScheduler
+                        .findOrLoad(target, model, holders, round)
+                        .map(engine -> answerWith(engine, target, now))
+                : Optional.of(answerWith(leastBusy(holders, now), target, now));
     }
 
     private EngineDriver leastBusy(List<EngineDriver> engines, long nowMillis) {
@@ -130,43 +122,51 @@
      * of each engine, since an engine that has not reported yet may hold the model.
      */
     private Optional<ModelRequestOutcome> planLoad(
-            ModelRequest request,
-            ModelDefinition model,
-            ReplicaCounts counts,
-            List<EngineDriver> engines,
-            EngineDefinition definition,
-            long nowMillis) {
+            ModelRequest request, ModelDefinition model, SchedulingRound round) {
+        long now = round.nowMillis();
         Optional<EngineDriver> loading =
-                engines.stream()
-                        .filter(engine -> engine.isLoading(model.name()))
-                        .min(Comparator.comparingLong(engine -> engine.readyMillis(nowMillis)));
-        Optional<LoadPlan> plan = Optional.empty();
-        if (loading.isEmpty() || mayMove(loading.get(), model.name(), nowMillis)) {
-            plan =
-                    plan(model, Optional.of(request), counts, engines, definition, nowMillis)
-                            .filter(p -> p.waitMillis() == 0 || !counts.awaitsFirstReport());
-        }
+                round.loaders(model.name()).stream()
+                        .min(Comparator.comparingLong(engine -> engine.readyMillis(now)));
         if (loading.isPresent()) {
-            long readyMillis = loading.get().readyMillis(nowMillis);
-            Optional<LoadPlan> soonerPlan =
-                    plan.filter(p -> p.waitMillis() == 0 && p.isWorthwhile())
-                            .filter(
-                                    p ->
-                                            nowMillis + p.totalMillis() + MIN_MOVE_GAIN_MILLIS
-                                                    < readyMillis);
+            long readyMillis = loading.get().readyMillis(now);
+            Optional<LoadPlan> soonerPlan = planSoonerLoad(request, model, loading.get(), round);
             if (soonerPlan.isEmpty()) {
-                return tooLateOrPending(request, readyMillis, nowMillis);
+                return tooLateOrPending(request, readyMillis, now);
             }
-            loading.get().orderQueue().cancelQueuedLoad(model.name());
-            plan = soonerPlan;
+            round.cancelQueuedLoad(loading.get(), model.name());
+            enqueue(soonerPlan.get(), model, round);
+            return tooLateOrPending(request, now + soonerPlan.get().totalMillis(), now);
         }
+        Optional<LoadPlan> plan = planFor(request, model, round);
         if (plan.isEmpty()) {
             return Optional.empty();
         }
         if (plan.get().waitMillis() == 0 && plan.get().isWorthwhile()) {
-            enqueue(plan.get(), model, engines);
+            enqueue(plan.get(), model, round);
         }
-        return tooLateOrPending(request, nowMillis + plan.get().totalMillis(), nowMillis);
+        return tooLateOrPending(request, now + plan.get().totalMillis(), now);
+    }
+
+    private Optional<LoadPlan> planFor(
+            ModelRequest request, ModelDefinition model, SchedulingRound round) {
+        return plan(model, Optional.of(request), round.engines(), round)
+                .filter(p -> p.waitMillis() == 0 || !round.awaitsFirstReport());
+    }
+
+    /** Returns a plan that can begin now and ends sooner than a load that is still queued. */
+    private Optional<LoadPlan> planSoonerLoad(
+            ModelRequest request,
+            ModelDefinition model,
+            EngineDriver loading,
+            SchedulingRound round) {
+        long now = round.nowMillis();
+        if (!mayMove(loading, model.name(), now)) {
+            return Optional.empty();
+        }
+        long latestMillis = loading.readyMillis(now) - MIN_MOVE_GAIN_MILLIS;
+        return planFor(request, model, round)
+                .filter(p -> p.waitMillis() == 0 && p.isWorthwhile())
+                .filter(p -> now + p.totalMillis() < latestMillis);
     }
 
     /** Whether a load may move to another engine: it is queued and not expected to end soon. */
@@ -182,41 +182,44 @@
                 : Optional.empty();
     }
 
+    /**
+     * @param candidates engines that the plan may use
+     */
     private Optional<LoadPlan> plan(
             ModelDefinition model,
             Optional<ModelRequest> modelRequest,
-            ReplicaCounts counts,
-            List<EngineDriver> engines,
-            EngineDefinition definition,
-            long nowMillis) {
-        boolean storeAllowed = !counts.awaitsFirstReport() && counts.storeReads() < mMaxStoreLoads;
+            List<EngineDriver> candidates,
+            SchedulingRound round) {
+        long now = round.nowMillis();
+        boolean storeAllowed = !round.awaitsFirstReport() && round.storeReads() < mMaxStoreLoads;
+        List<EngineDriver> holders = round.holders(model.name());
+        List<EngineDriver> loaders = round.loaders(model.name());
         List<EngineView> views =
-                engines.stream()
+                candidates.stream()
                         .filter(EngineDriver::isStateKnown)
-                        .filter(engine -> !engine.models().containsKey(model.name()))
-                        .filter(engine -> !engine.isLoading(model.name()))
-                        .map(engine -> engineView(engine, counts, definition, nowMillis))
+                        .filter(engine -> !holders.contains(engine) && !loaders.contains(engine))
+                        .map(engine -> view(engine, round))
                         .toList();
-        boolean mayEvict = mEvictionsSuspendedUntil.isPast(nowMillis);
-        ModelRate rate = mDemand.rate(model.name(), nowMillis);
+        boolean mayEvict = mEvictionsSuspendedUntil.isPast(now);
         LoadRequest request =
                 new LoadRequest(
                         model,
                         storeAllowed,
-                        rate,
+                        mDemand.rate(model.name(), now),
                         modelRequest.map(ModelRequest::mergedRequests).orElse(0),
-                        modelRequest.map(r -> nowMillis - r.firstArrivalMillis()).orElse(0L));
+                        modelRequest.map(r -> now - r.firstArrivalMillis()).orElse(0L));
         return mPlanner.plan(request, views).filter(plan -> mayEvict || plan.victims().isEmpty());
     }
 
-    private static void enqueue(LoadPlan plan, ModelDefinition model, List<EngineDriver> engines) {
+    private static void enqueue(LoadPlan plan, ModelDefinition model, SchedulingRound round) {
         EngineDriver engine =
-                engines.stream()
+                round.engines().stream()
                         .filter(each -> each.server().incarnation().equals(plan.engine()))
                         .findFirst()
                         .orElseThrow();
         for (String victim : plan.victims()) {
-            engine.enqueue(
+            round.enqueue(
+                    engine,
                     new PlannedOrder(
                             false,
                             victim,
@@ -225,7 +228,8 @@
                             Math.max(EngineDriver.UNLOAD_MILLIS, plan.drainMillis()),
                             WeightSource.MEMORY));
         }
-        engine.enqueue(
+        round.enqueue(
+                engine,
                 new PlannedOrder(
                         true,
                         model.name(),
@@ -235,62 +239,67 @@
                         plan.source()));
     }
 
-    private EngineView engineView(
-            EngineDriver engine,
-            ReplicaCounts counts,
-            EngineDefinition definition,
-            long nowMillis) {
+    private EngineView view(EngineDriver engine, SchedulingRound round) {
+        return round.view(engine, each -> newView(each, round));
+    }
+
+    private EngineView newView(EngineDriver engine, SchedulingRound round) {
+        long now = round.nowMillis();
         Map<String, ModelView> models = new HashMap<>();
-        String server = engine.server().id();
         engine.models()
                 .forEach(
                         (name, adapters) -> {
-                            ModelDefinition model = definition.models().get(name);
+                            ModelDefinition model = round.definition().models().get(name);
                             if (model != null) {
-                                models.put(
-                                        name,
-                                        new ModelView(
-                                                model.weightsMegabytes()
-                                                        + adapters.count()
-                                                                * model.adapterMegabytes(),
-                                                mDemand.activeCalls(server, name, nowMillis),
-                                                mDemand.remainingMillis(server, name, nowMillis),
-                                                mDemand.rate(name, nowMillis),
-                                                counts.replicas(name),
-                                                neededReplicas(name, definition, nowMillis),
-                                                isPinned(engine, name, counts, nowMillis),
-                                                model.diskLoadMillis()));
+                                models.put(name, newView(engine, model, adapters.count(), round));
                             }
                         });
         return new EngineView(
                 engine.server().incarnation(),
-                EngineMemory.freeMegabytes(engine, definition),
-                engine.waitMillis(nowMillis),
+                EngineMemory.freeMegabytes(engine, round.definition()),
+                engine.waitMillis(now),
                 models,
                 engine.cachedWeights().inMemory(),
                 engine.cachedWeights().onDisk(),
-                counts.soleCopies(engine.cachedWeights().onDisk()),
-                mDemand.activeCalls(server, nowMillis));
+                round.soleCopies(engine.cachedWeights().onDisk()),
+                mDemand.activeCalls(engine.server().id(), now));
+    }
+
+    private ModelView newView(
+            EngineDriver engine, ModelDefinition model, int adapterCount, SchedulingRound round) {
+        long now = round.nowMillis();
+        String server = engine.server().id();
+        String name = model.name();
+        return new ModelView(
+                model.weightsMegabytes() + adapterCount * model.adapterMegabytes(),
+                mDemand.activeCalls(server, name, now),
+                mDemand.remainingMillis(server, name, now),
+                mDemand.rate(name, now),
+                round.replicas(name),
+                neededReplicas(name, round),
+                isPinned(engine, name, round),
+                model.diskLoadMillis());
     }
 
-    private boolean isPinned(
-            EngineDriver engine, String model, ReplicaCounts counts, long nowMillis) {
+    private boolean isPinned(EngineDriver engine, String model, SchedulingRound round) {
         long lastAnsweredMillis =
                 mLastAnsweredMillis
                         .getOrDefault(engine.server().incarnation(), Map.of())
                         // Half the minimum, so that the subtraction below cannot overflow.
                         .getOrDefault(model, Long.MIN_VALUE / 2);
-        return nowMillis - lastAnsweredMillis < MIN_RESIDENT_MILLIS || counts.isRequested(model);
+        return round.nowMillis() - lastAnsweredMillis < MIN_RESIDENT_MILLIS
+                || round.isRequested(model);
     }
 
     /**
      * Returns the number of replicas that a model needs for its active calls, or for the calls
      * expected from its rate if these are more.
      */
-    private int neededReplicas(String model, EngineDefinition definition, long nowMillis) {
+    private int neededReplicas(String model, SchedulingRound round) {
+        long nowMillis = round.nowMillis();
         double rate = mDemand.rate(model, nowMillis).callsPerSecond();
         double calls = Math.max(mDemand.totalActiveCalls(model, nowMillis), rate * CALL_SECONDS);
-        double callsPerReplica = Math.max(1, definition.slots() * SLOT_SHARE_PER_REPLICA);
+        double callsPerReplica = Math.max(1, round.definition().slots() * SLOT_SHARE_PER_REPLICA);
         int minimum = rate >= SPARE_REPLICA_CALLS_PER_SECOND ? 2 : 1;
         return Math.max(minimum, (int) Math.ceil(calls / callsPerReplica));
     }
@@ -299,23 +308,21 @@
      * Plans replicas of models that have fewer than their calls need. Considers only engines that
      * can begin now: an engine that is free now is preferred to a busy one with a cached copy.
      */
-    void addReplicas(
-            List<EngineDriver> engines,
-            EngineDefinition definition,
-            ReplicaCounts counts,
-            long nowMillis) {
+    void addReplicas(SchedulingRound round) {
         List<EngineDriver> available =
-                engines.stream().filter(EngineDriver::acceptsModelOrders).toList();
-        for (ModelDefinition model : definition.models().values()) {
-            int replicas = counts.replicas(model.name());
-            boolean isLoading = engines.stream().anyMatch(e -> e.isLoading(model.name()));
+                round.engines().stream().filter(EngineDriver::acceptsModelOrders).toList();
+        if (available.isEmpty()) {
+            return;
+        }
+        for (ModelDefinition model : round.definition().models().values()) {
+            int replicas = round.replicas(model.name());
             if (replicas > 0
-                    && !isLoading
-                    && replicas < neededReplicas(model.name(), definition, nowMillis)) {
-                plan(model, Optional.empty(), counts, available, definition, nowMillis)
+                    && round.loaders(model.name()).isEmpty()
+                    && replicas < neededReplicas(model.name(), round)) {
+                plan(model, Optional.empty(), available, round)
                         .filter(LoadPlan::isWorthwhile)
                         .filter(plan -> plan.drainMillis() <= MAX_REPLICA_DRAIN_MILLIS)
-                        .ifPresent(plan -> enqueue(plan, model, engines));
+                        .ifPresent(plan -> enqueue(plan, model, round));
             }
         }
     }
@@ -326,75 +333,63 @@
      * calls wait for a model, before the first report of each engine, or while {@link
      * #MAX_PREFETCHES} loads ({@code mMaxStoreLoads} if there are no calls) read the store.
      */
-    void prefetchFromStore(
-            List<EngineDriver> engines,
-            EngineDefinition definition,
-            ReplicaCounts counts,
-            long nowMillis) {
-        int limit = mDemand.isIdle(nowMillis) ? mMaxStoreLoads : MAX_PREFETCHES;
-        if (counts.hasRequests() || counts.storeReads() >= limit || counts.awaitsFirstReport()) {
+    void prefetchFromStore(SchedulingRound round) {
+        int limit = mDemand.isIdle(round.nowMillis()) ? mMaxStoreLoads : MAX_PREFETCHES;
+        if (round.hasRequests() || round.storeReads() >= limit || round.awaitsFirstReport()) {
             return;
         }
-        definition.models().values().stream()
-                .filter(model -> counts.enginesWithCopy(model.name()) < MIN_COPIES)
-                .min(Comparator.comparingInt(model -> counts.enginesWithCopy(model.name())))
+        round.definition().models().values().stream()
+                .filter(model -> round.enginesWithCopy(model.name()) < MIN_COPIES)
+                .min(Comparator.comparingInt(model -> round.enginesWithCopy(model.name())))
                 .ifPresent(
                         model ->
-                                plan(
-                                                model,
-                                                Optional.empty(),
-                                                counts,
-                                                engines,
-                                                definition,
-                                                nowMillis)
-                                        .filter(
-                                                plan ->
-                                                        plan.totalMillis()
-                                                                <= model.storeLoadMillis())
-                                        .filter(plan -> plan.source() == WeightSource.STORE)
-                                        .ifPresent(plan -> enqueue(plan, model, engines)));
+                                plan(model, Optional.empty(), round.engines(), round)
+                                        .filter(p -> p.totalMillis() <= model.storeLoadMillis())
+                                        .filter(p -> p.source() == WeightSource.STORE)
+                                        .ifPresent(p -> enqueue(p, model, round)));
     }
 
     /** Loads a cached model into each engine's free memory; prefers high rates and few replicas. */
-    void fillFreeMemory(
-            List<EngineDriver> engines,
-            EngineDefinition definition,
-            ReplicaCounts counts,
-            long nowMillis) {
-        for (EngineDriver engine : engines) {
-            double free = EngineMemory.freeMegabytes(engine, definition);
-            if (!engine.acceptsModelOrders() || free <= 0) {
-                continue;
+    void fillFreeMemory(SchedulingRound round) {
+        double smallestMegabytes =
+                round.definition().models().values().stream()
+                        .mapToDouble(ModelDefinition::weightsMegabytes)
+                        .min()
+                        .orElse(Double.MAX_VALUE);
+        for (EngineDriver engine : round.engines()) {
+            double free = EngineMemory.freeMegabytes(engine, round.definition());
+            if (engine.acceptsModelOrders() && free >= smallestMegabytes) {
+                fillFreeMemory(engine, free, round);
             }
-            EngineView view = engineView(engine, counts, definition, nowMillis);
-            definition.models().values().stream()
-                    .filter(model -> model.weightsMegabytes() <= free)
-                    .filter(model -> !engine.models().containsKey(model.name()))
-                    .filter(m -> CheapestLoadPlanner.source(m.name(), view) != WeightSource.STORE)
-                    .max(Comparator.comparingDouble(m -> fillPriority(m.name(), counts, nowMillis)))
-                    .ifPresent(
-                            model -> {
-                                WeightSource source =
-                                        CheapestLoadPlanner.source(model.name(), view);
-                                long millis = CheapestLoadPlanner.loadMillis(model, source);
-                                enqueue(
-                                        new LoadPlan(
-                                                view.incarnation(),
-                                                List.of(),
-                                                source,
-                                                0,
-                                                0,
-                                                millis,
-                                                true),
-                                        model,
-                                        engines);
-                            });
         }
     }
 
-    private double fillPriority(String model, ReplicaCounts counts, long nowMillis) {
-        int replicas = counts.replicas(model);
-        double rate = mDemand.rate(model, nowMillis).callsPerSecond() + BASE_CALLS_PER_SECOND;
+    private void fillFreeMemory(EngineDriver engine, double free, SchedulingRound round) {
+        EngineView view = view(engine, round);
+        round.definition().models().values().stream()
+                .filter(model -> model.weightsMegabytes() <= free)
+                .filter(model -> !engine.models().containsKey(model.name()))
+                .filter(m -> CheapestLoadPlanner.source(m.name(), view) != WeightSource.STORE)
+                .max(Comparator.comparingDouble(m -> fillPriority(m.name(), round)))
+                .ifPresent(model -> enqueue(planIntoFreeMemory(model, view), model, round));
+    }
+
+    private static LoadPlan planIntoFreeMemory(ModelDefinition model, EngineView view) {
+        WeightSource source = CheapestLoadPlanner.source(model.name(), view);
+        return new LoadPlan(
+                view.incarnation(),
+                List.of(),
+                source,
+                0,
+                0,
+                CheapestLoadPlanner.loadMillis(model, source),
+                true);
+    }
+
+    private double fillPriority(String model, SchedulingRound round) {
+        int replicas = round.replicas(model);
+        double rate =
+                mDemand.rate(model, round.nowMillis()).callsPerSecond() + BASE_CALLS_PER_SECOND;
         return rate / (1.0 + replicas * (double) replicas * 2);
     }
 }
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -0,0 +1,174 @@
+package org.cornelway.models;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cornelway.route.EngineDefinition;
+
+/**
+ * The engines of one service as one scheduling round sees them.
+ *
+ * <p>Counts and indexes are computed once, at construction, and the view of each engine at its
+ * first use, so that the cost of a round grows with the number of engines plus the number of
+ * requests and not with their product. An order that the round enqueues is added to the indexes.
+ * Used for one round only; confined to the control thread.
+ */
+final class SchedulingRound {
+    private final List<EngineDriver> mEngines;
+    private final EngineDefinition mDefinition;
+    private final long mNowMillis;
+    private final Set<String> mRequested;
+    private final Map<String, List<EngineDriver>> mHolders = new HashMap<>();
+    private final Map<String, List<EngineDriver>> mLoaders = new HashMap<>();
+    private final Map<String, Integer> mCachedCopies = new HashMap<>();
+    private final Map<EngineDriver, EngineView> mViews = new IdentityHashMap<>();
+    private int mStoreReads;
+    private boolean mAwaitsFirstReport;
+
+    /**
+     * @param engines the engines of the service, in a fixed order
+     * @param requested models that calls wait for
+     */
+    SchedulingRound(
+            List<EngineDriver> engines,
+            EngineDefinition definition,
+            Set<String> requested,
+            long nowMillis) {
+        mEngines = engines;
+        mDefinition = definition;
+        mRequested = requested;
+        mNowMillis = nowMillis;
+        engines.forEach(this::index);
+    }
+
+    private void index(EngineDriver engine) {
+        engine.models().keySet().forEach(model -> add(mHolders, model, engine));
+        engine.orderQueue().loadingModels().forEach(model -> add(mLoaders, model, engine));
+        Set<String> cached = new HashSet<>(engine.cachedWeights().onDisk());
+        cached.addAll(engine.cachedWeights().inMemory());
+        cached.forEach(model -> mCachedCopies.merge(model, 1, Integer::sum));
+        mStoreReads += engine.orderQueue().readsStore() ? 1 : 0;
+        mAwaitsFirstReport |= engine.awaitsFirstReport();
+    }
+
+    private static void add(
+            Map<String, List<EngineDriver>> index, String model, EngineDriver engine) {
+        index.computeIfAbsent(model, key -> new ArrayList<>()).add(engine);
+    }
+
+    /** Returns the models that the requests are for, whether or not they name an adapter. */
+    static Set<String> requestedModels(Collection<ModelController.RequestKey> requests) {
+        Set<String> models = new HashSet<>();
+        requests.forEach(request -> models.add(request.target().model()));
+        return models;
+    }
+
+    /** Adds an order to an engine's queue. */
+    void enqueue(EngineDriver engine, PlannedOrder order) {
+        engine.enqueue(order);
+        mViews.remove(engine);
+        if (order.isLoad() && order.adapter().isEmpty()) {
+            add(mLoaders, order.model(), engine);
+            mStoreReads += order.readsCheckpointStore() ? 1 : 0;
+        }
+    }
+
+    /** Removes the queued load of a model from an engine's queue. */
+    void cancelQueuedLoad(EngineDriver engine, String model) {
+        engine.orderQueue().cancelQueuedLoad(model);
+        mViews.remove(engine);
+        mLoaders.getOrDefault(model, new ArrayList<>()).remove(engine);
+    }
+
+    List<EngineDriver> engines() {
+        return mEngines;
+    }
+
+    EngineDefinition definition() {
+        return mDefinition;
+    }
+
+    long nowMillis() {
+        return mNowMillis;
+    }
+
+    /** Returns the engines that hold a model; it may be about to be unloaded. */
+    List<EngineDriver> holders(String model) {
+        return mHolders.getOrDefault(model, List.of());
+    }
+
+    /** Returns the engines with an outstanding load of a model. */
+    List<EngineDriver> loaders(String model) {
+        return mLoaders.getOrDefault(model, List.of());
+    }
+
+    /** Returns the number of engines that hold a model or are loading it. */
+    int replicas(String model) {
+        List<EngineDriver> holders = holders(model);
+        int loading =
+                (int) loaders(model).stream().filter(engine -> !holders.contains(engine)).count();
+        return holders.size() + loading;
+    }
+
+    /** Whether calls wait for a model. */
+    boolean isRequested(String model) {
+        return mRequested.contains(model);
+    }
+
+    /** Whether calls wait for any model. */
+    boolean hasRequests() {
+        return !mRequested.isEmpty();
+    }
+
+    /**
+     * Returns a lower bound of the number of engines that hold, load or have cached a model: the
+     * larger of the number that hold or load it and the number that have a cached copy.
+     */
+    int enginesWithCopy(String model) {
+        return Math.max(replicas(model), mCachedCopies.getOrDefault(model, 0));
+    }
+
+    /**
+     * Returns how many of the given models no engine holds or loads and exactly one engine has
+     * cached.
+     */
+    int soleCopies(Collection<String> models) {
+        int count = 0;
+        for (String model : models) {
+            boolean isSole =
+                    mCachedCopies.getOrDefault(model, 0) == 1
+                            && holders(model).isEmpty()
+                            && loaders(model).isEmpty();
+            count += isSole ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Returns the number of engines with an outstanding load from the checkpoint store. */
+    int storeReads() {
+        return mStoreReads;
+    }
+
+    /**
+     * Whether an engine that is not known to be unreachable has not reported yet, so that the
+     * models that it holds are unknown.
+     */
+    boolean awaitsFirstReport() {
+        return mAwaitsFirstReport;
+    }
+
+    /** Creates the view of an engine. */
+    interface ViewFactory {
+        EngineView create(EngineDriver engine);
+    }
+
+    /** Returns the view of an engine, created at its first use after a change. */
+    EngineView view(EngineDriver engine, ViewFactory factory) {
+        return mViews.computeIfAbsent(engine, factory::create);
+    }
+}
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -208,7 +208,7 @@
     void step() {
         mRegistration.step();
         mElection.step(!mResigned, mDeps.clusterState().electionRank(mDeps.self().id()));
-        mController.runRound();
+        mController.scheduleRound();
         if (isController()) {
             mDemandStore.writeIfDue();
         }
@@ -223,7 +223,7 @@
     void onClusterStateChanged() {
         mDeps.clusterState().routes().ifPresent(mController::applyRoutes);
         mController.applyDirectory(mDeps.traffic().view().directory());
-        mController.runRound();
+        mController.scheduleRound();
     }
 
     /**
