Keep the stored demand out of the prefix that all entries follow

Change: the key has a prefix of its own; a new controller reads it once. An entry of an earlier build doesn't see it and starts without. Test: nextControllerReplacesTheRatesOfTheOneBefore, the others as before.

--- a/org.cornelway.test/tst/org/cornelway/cluster/DemandStoreTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/DemandStoreTest.java
@@ -7,10 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.cornelway.invariant.Invariants;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.models.DemandTable;
-import org.cornelway.platform.KeyValue;
-import org.cornelway.relay.DocumentCache;
 import org.cornelway.standin.InMemoryKeyValueStore;
 import org.cornelway.standin.InMemoryKeyValueStore.CallBehavior;
 import org.cornelway.standin.KeyValueState;
@@ -28,15 +26,15 @@
 
     /** One process with its demand store. */
     private final class Process {
-        private final DocumentCache mCache =
-                new DocumentCache(Invariants.strict(), new MetricRegistry());
         private final DemandTable mDemand = new DemandTable();
         private final DemandStore mDemandStore;
 
         Process(CallBehavior fault) {
             InMemoryKeyValueStore store =
                     new InMemoryKeyValueStore(mStoreState, mScheduler, () -> fault);
-            mDemandStore = new DemandStore(store, mCache, mDemand, mScheduler);
+            EventLog log =
+                    new EventLog(() -> mScheduler.now(TimeUnit.MILLISECONDS), new MetricRegistry());
+            mDemandStore = new DemandStore(store, mDemand, mScheduler, log);
         }
 
         /** Reports demand and calls {@link DemandStore#writeIfDue} every 100 ms. */
@@ -60,9 +58,8 @@
     public void nextControllerRestoresRates() {
         new Process(CallBehavior.NO_FAULT).runFor(10_000);
         Process next = new Process(CallBehavior.NO_FAULT);
-        KeyValue stored = mStoreState.get(ClusterKeys.DEMAND).orElseThrow();
-        next.mCache.offer(stored);
         next.mDemandStore.restore();
+        mScheduler.advanceTimeBy(2 * CallBehavior.NO_FAULT.delayMillis(), TimeUnit.MILLISECONDS);
         long now = mScheduler.now(TimeUnit.MILLISECONDS);
         assertThat(next.mDemand.rate("m", now)).isEqualTo(RATES.get("m"));
     }
@@ -80,8 +77,20 @@
     @Test
     public void malformedValueRestoresNoRates() {
         Process process = new Process(CallBehavior.NO_FAULT);
-        process.mCache.offer(new KeyValue(ClusterKeys.DEMAND, new byte[] {1, 2}, 5));
+        mStoreState.compareAndSwap(ClusterKeys.DEMAND, 0, new byte[] {1, 2}, 0);
         process.mDemandStore.restore();
+        mScheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
         assertThat(process.mDemand.rate("m", 0).callsPerSecond()).isZero();
     }
+
+    @Test
+    public void nextControllerReplacesTheRatesOfTheOneBefore() {
+        new Process(CallBehavior.NO_FAULT).runFor(10_000);
+        long before = mStoreState.get(ClusterKeys.DEMAND).orElseThrow().revision();
+        Process next = new Process(CallBehavior.NO_FAULT);
+        next.mDemandStore.restore();
+        next.runFor(10_000);
+        long after = mStoreState.get(ClusterKeys.DEMAND).orElseThrow().revision();
+        assertThat(after).isGreaterThan(before);
+    }
 }
--- a/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
+++ b/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
@@ -35,8 +35,9 @@
 
     /**
      * Key of the request rates of the models, stored for the next controller; bound to no lease.
+     * Not below {@link #SYSTEM_PREFIX}, since each write would wake all entries that follow it.
      */
-    public static final String DEMAND = SYSTEM_PREFIX + "demand";
+    public static final String DEMAND = "cornelway-state/demand";
 
     private ClusterKeys() {}
 }
--- a/org.cornelway/src/org/cornelway/cluster/DemandStore.java
+++ b/org.cornelway/src/org/cornelway/cluster/DemandStore.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.config.Json;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.models.DemandTable;
 import org.cornelway.platform.KeyValue;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
-import org.cornelway.relay.DocumentCache;
 import org.cornelway.traffic.ModelRate;
 
 /**
@@ -26,19 +26,21 @@
     private static final long WRITE_PERIOD_MILLIS = 4_000;
 
     private final KeyValueStore mStore;
-    private final DocumentCache mCache;
     private final DemandTable mDemand;
     private final Scheduler mControl;
+    private final EventLog mLog;
     private long mNextWriteMillis;
     private boolean mWriteInFlight;
 
+    /** Last known revision of the stored value. */
+    private long mRevision = KeyValueStore.ABSENT;
+
     /**
-     * @param cache holds the last known value of {@link ClusterKeys#DEMAND}
+     * @param demand the rates to store and to restore
      */
-    public DemandStore(
-            KeyValueStore store, DocumentCache cache, DemandTable demand, Scheduler control) {
+    public DemandStore(KeyValueStore store, DemandTable demand, Scheduler control, EventLog log) {
+        mLog = log;
         mStore = store;
-        mCache = cache;
         mDemand = demand;
         mControl = control;
     }
@@ -51,37 +53,47 @@
     }
 
     /**
-     * Restores the rates that an earlier controller stored, if there are any; called when this
-     * process becomes the controller.
+     * Reads the rates that an earlier controller stored, if there are any; called when this process
+     * becomes the controller.
      */
     public void restore() {
-        mCache.find(ClusterKeys.DEMAND)
-                .flatMap(document -> Json.read(document.value(), Rates.class))
-                .ifPresent(rates -> mDemand.restoreRates(rates.byModel(), now()));
         mNextWriteMillis = now() + WRITE_PERIOD_MILLIS;
+        mStore.get(ClusterKeys.DEMAND)
+                .observeOn(mControl)
+                .subscribe(
+                        document -> document.ifPresent(this::restore),
+                        e -> mLog.write("demand.unread", "reason", String.valueOf(e.getMessage())));
+    }
+
+    private void restore(KeyValue document) {
+        mRevision = document.revision();
+        Json.read(document.value(), Rates.class)
+                .ifPresent(rates -> mDemand.restoreRates(rates.byModel(), now()));
     }
 
     /** Writes the current rates if a write is due; called while this process is the controller. */
     public void writeIfDue() {
+        if (mWriteInFlight || now() < mNextWriteMillis) {
+            return;
+        }
         Map<String, ModelRate> rates = mDemand.rates(now());
-        if (mWriteInFlight || now() < mNextWriteMillis || rates.isEmpty()) {
+        if (rates.isEmpty()) {
             return;
         }
         mWriteInFlight = true;
         mNextWriteMillis = now() + WRITE_PERIOD_MILLIS;
         byte[] value = Json.write(new Rates(rates));
-        long expected = mCache.revision(ClusterKeys.DEMAND);
-        mStore.compareAndSwap(ClusterKeys.DEMAND, expected, value, KeyValueStore.NO_LEASE)
+        mStore.compareAndSwap(ClusterKeys.DEMAND, mRevision, value, KeyValueStore.NO_LEASE)
                 .observeOn(mControl)
-                .subscribe(result -> onResult(value, result), e -> mWriteInFlight = false);
+                .subscribe(this::onResult, e -> mWriteInFlight = false);
     }
 
-    private void onResult(byte[] value, SwapResult result) {
+    private void onResult(SwapResult result) {
         mWriteInFlight = false;
         if (result instanceof SwapResult.Swapped swapped) {
-            mCache.offer(new KeyValue(ClusterKeys.DEMAND, value, swapped.revision()));
+            mRevision = swapped.revision();
         } else if (result instanceof SwapResult.Conflict conflict) {
-            conflict.current().ifPresent(mCache::offer);
+            mRevision = conflict.current().map(KeyValue::revision).orElse(KeyValueStore.ABSENT);
         }
     }
 }
