Elect the controller by processor time, and pause by the drain's bound

Each step of each entry, 20 a second, decoded all registrations to find its rank. Each entry read the announcements of servers every 900 ms, however long a drain allows.

Change: registrations carry the instance's processor time from the settings' limits; it ranks first, then the later start. Candidates are sorted when registrations change. The pause after a change of the servers is a share of DrainMs: as before where that is 2 s, 1.8 s where it is 4 s. Settings that are negative are refused.

Tests: entryWithMostProcessorTimeRanksBeforeLaterStarts; a case of settingsErrorNamesFileFieldAndReason. Each test of ClusterStateTest has its own state now.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -238,6 +238,7 @@
         root.putObject("Platform").put("Address", address(mStore.port()));
         root.putObject("Bounds")
                 .put("GraceS", 8)
+                .put("DrainMs", 2_000)
                 .put("RetryWindowS", 10)
                 .put("RetryBudgetRatio", 0.2)
                 .put("RetrySlack", 58);
--- a/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -60,7 +60,7 @@
             StoreHealth health = new StoreHealth(mClock, log, metrics, () -> {}, () -> {});
             SuspendAwareClock clock = new SuspendAwareClock(this::localMillis, this::localMillis);
             mLease = new ProcessLease(keyValueStore, mTime, mTime, clock, health, log);
-            ClusterMember self = new ClusterMember("p" + rank, "h:" + rank, "r", "z", rank);
+            ClusterMember self = new ClusterMember("p" + rank, "h:" + rank, "r", "z", rank, 1);
             mElection = new Election(self, keyValueStore, mLease, mCache, mTime, log, this);
         }
 
--- a/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -175,6 +175,13 @@
         assertThatThrownBy(() -> WireSettings.read(file, "key"))
                 .isInstanceOf(IllegalArgumentException.class)
                 .hasMessage(file + ": Zone: a non-empty text is required");
+        Files.writeString(
+                file,
+                "{\"NodeName\":\"n\",\"Zone\":\"z\",\"Region\":\"r\",\"Limits\":{\"CpuShare\":-1},"
+                        + "\"Listen\":{\"Front\":\"h:1\",\"Ready\":\"h:2\",\"Control\":\"h:3\"},"
+                        + "\"Platform\":{\"Address\":\"h:4\"}}");
+        assertThatThrownBy(() -> WireSettings.read(file, "key"))
+                .hasMessage(file + ": Limits.CpuShare: must not be negative");
         Files.writeString(file, "{");
         assertThatThrownBy(() -> WireSettings.read(file, "key"))
                 .hasMessageStartingWith(file + ": unreadable");
--- a/org.cornelway.test/tst/org/cornelway/role/ClusterStateTest.java
+++ b/org.cornelway.test/tst/org/cornelway/role/ClusterStateTest.java
@@ -14,24 +14,35 @@
 import org.cornelway.relay.MemberTable;
 import org.cornelway.result.Result;
 import org.cornelway.result.ResultCode;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests the election ranks of registered entries and the handling of a malformed configuration. */
 public class ClusterStateTest {
-    private final DocumentCache mCache =
-            new DocumentCache(Invariants.strict(), new MetricRegistry());
-    private final ClusterState mClusterState =
-            new ClusterState(
-                    value -> Result.failed(ResultCode.BAD_REQUEST, "none"),
-                    (id, value) -> Optional.empty(),
-                    mCache,
-                    new MemberTable("b"),
-                    () -> 0,
-                    new EventLog(() -> 0, new MetricRegistry()),
-                    new MetricRegistry());
+    private DocumentCache mCache;
+    private ClusterState mClusterState;
+
+    @BeforeMethod
+    public void setUp() {
+        mCache = new DocumentCache(Invariants.strict(), new MetricRegistry());
+        mClusterState =
+                new ClusterState(
+                        value -> Result.failed(ResultCode.BAD_REQUEST, "none"),
+                        (id, value) -> Optional.empty(),
+                        mCache,
+                        new MemberTable("b"),
+                        () -> 0,
+                        new EventLog(() -> 0, new MetricRegistry()),
+                        new MetricRegistry());
+    }
 
     private void register(String id, long startedMillis, long revision) {
-        ClusterMember member = new ClusterMember(id, "h:1", "r", "z", startedMillis);
+        register(id, startedMillis, 1, revision);
+    }
+
+    private void register(String id, long startedMillis, double processorCores, long revision) {
+        ClusterMember member =
+                new ClusterMember(id, "h:1", "r", "z", startedMillis, processorCores);
         KeyValue document =
                 new KeyValue(ClusterKeys.MEMBERS_PREFIX + id, Json.write(member), revision);
         mCache.offer(document);
@@ -51,6 +62,16 @@
         assertThat(mClusterState.electionRank("unknown")).isEqualTo(3);
     }
 
+    @Test
+    public void entryWithMostProcessorTimeRanksBeforeLaterStarts() {
+        register("small", 900, 0.27, 1);
+        register("large-1", 100, 1.5, 2);
+        register("large-2", 300, 1.5, 3);
+        assertThat(mClusterState.electionRank("large-2")).isZero();
+        assertThat(mClusterState.electionRank("large-1")).isEqualTo(1);
+        assertThat(mClusterState.electionRank("small")).isEqualTo(2);
+    }
+
     @Test
     public void malformedConfigurationIsIgnored() {
         KeyValue document = new KeyValue(ClusterKeys.CONFIGURATION, new byte[] {1}, 1);
--- a/org.cornelway/src/org/cornelway/cluster/PeerGossip.java
+++ b/org.cornelway/src/org/cornelway/cluster/PeerGossip.java
@@ -54,7 +54,7 @@
         mSeeds.clear();
         for (HttpEndpoint seed : seeds) {
             String address = seed.toString();
-            mSeeds.add(new ClusterMember(address, address, "", "", 0).toMember());
+            mSeeds.add(new ClusterMember(address, address, "", "", 0, 0).toMember());
         }
     }
 
--- a/org.cornelway/src/org/cornelway/role/ClusterState.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterState.java
@@ -43,6 +43,9 @@
 
     private Optional<RouteTable> mRoutes = Optional.empty();
 
+    /** Ids of the registered members, the first candidate for controller first. */
+    private List<String> mCandidates = List.of();
+
     ClusterState(
             RoutingDecoder routingDecoder,
             ServerRecordDecoder serverDecoder,
@@ -143,8 +146,18 @@
     }
 
     private void updateMembers() {
-        mMembers.update(registrations().stream().map(ClusterMember::toMember).toList());
-        mLog.write("members.changed", "members", mMembers.all().keySet());
+        List<ClusterMember> registrations = registrations();
+        mMembers.update(registrations.stream().map(ClusterMember::toMember).toList());
+        mCandidates =
+                registrations.stream()
+                        .sorted(
+                                Comparator.comparingDouble(ClusterMember::processorCores)
+                                        .thenComparingLong(ClusterMember::startedMillis)
+                                        .reversed()
+                                        .thenComparing(ClusterMember::id))
+                        .map(ClusterMember::id)
+                        .toList();
+        mLog.write("members.changed", "members", registrations.size());
     }
 
     /** Returns the registered members; skips registrations that cannot be decoded. */
@@ -191,20 +204,13 @@
     }
 
     /**
-     * Returns the position of this process among the candidates for controller. The process that
-     * started last comes first, at 0, because it will not be stopped again in a rolling restart. A
-     * process that is not registered comes after all others.
+     * Returns the position of this process among the candidates for controller, 0 first. Processes
+     * on the instances with most processor time come first, and among these the process that
+     * started last, because it will not be stopped again in a rolling restart. A process that is
+     * not registered comes after all others.
      */
     int electionRank(String selfId) {
-        List<String> latestStartFirst =
-                registrations().stream()
-                        .sorted(
-                                Comparator.comparingLong(ClusterMember::startedMillis)
-                                        .reversed()
-                                        .thenComparing(ClusterMember::id))
-                        .map(ClusterMember::id)
-                        .toList();
-        int rank = latestStartFirst.indexOf(selfId);
-        return rank < 0 ? latestStartFirst.size() : rank;
+        int rank = mCandidates.indexOf(selfId);
+        return rank < 0 ? mCandidates.size() : rank;
     }
 }
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -47,15 +47,15 @@
     private static final long CONFIGURATION_PAUSE_MILLIS = 150;
 
     /**
-     * Pause after a change of the servers, whose announcements change often while models are loaded
-     * and unloaded. A draining server announces that it drains, and an entry sends it no new calls
-     * once the entry has read the announcement. A drain allows two seconds for this; the pause
-     * takes less than half of that time.
+     * Pause after a change of the servers, as a share of the time that a drain allows.
+     * Announcements change often while models are loaded and unloaded. A draining server announces
+     * that it drains, and an entry sends it no new calls once the entry has read the announcement,
+     * so the pause takes less than half of the time allowed.
      */
-    private static final long SERVERS_PAUSE_MILLIS = 900;
+    private static final double SERVERS_PAUSE_SHARE = 0.45;
 
     /** Pause after a change of a key that the system itself writes. */
-    private static final long SYSTEM_PAUSE_MILLIS = 60;
+    private static final long SYSTEM_PAUSE_MILLIS = 150;
 
     /** Longest wait for the revocation of the lease when the process stops. */
     private static final long RELEASE_TIMEOUT_MILLIS = 300;
@@ -77,11 +77,14 @@
      * Dependencies of the control plane. Immutable.
      *
      * @param self registration of this process
+     * @param drainMillis time from the announcement that a backend server drains until no call may
+     *     reach it any more
      * @param store the key-value service
      * @param leaseScheduler scheduler of the renewals of the lease
      */
     record Dependencies(
             ClusterMember self,
+            long drainMillis,
             PlatformPorts ports,
             PlatformPorts.Store store,
             TrafficPlane traffic,
@@ -113,7 +116,7 @@
         EngineControl engines = deps.ports().engines().apply(deps.traffic().platformClient());
         mController =
                 new ModelController(engines, control, mElection, new CheapestLoadPlanner(), log);
-        mDemandStore = new DemandStore(keys, deps.cache(), mController.demand(), control);
+        mDemandStore = new DemandStore(keys, mController.demand(), control, log);
         mRequestHandler =
                 new ControllerRequestHandler(
                         mController, mElection, this::findIncarnation, control);
@@ -122,7 +125,9 @@
         mFollowers =
                 List.of(
                         newFollower(ClusterKeys.CONFIGURATION_PREFIX, CONFIGURATION_PAUSE_MILLIS),
-                        newFollower(ClusterKeys.SERVERS_PREFIX, SERVERS_PAUSE_MILLIS),
+                        newFollower(
+                                ClusterKeys.SERVERS_PREFIX,
+                                (long) (deps.drainMillis() * SERVERS_PAUSE_SHARE)),
                         newFollower(ClusterKeys.SYSTEM_PREFIX, SYSTEM_PAUSE_MILLIS));
     }
 
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -113,13 +113,15 @@
                 settings.control().toString(),
                 settings.region(),
                 settings.zone(),
-                System.currentTimeMillis());
+                System.currentTimeMillis(),
+                settings.processorCores());
     }
 
     private ControlPlane newControlPlane(DirectEntrySettings settings, PlatformPorts ports) {
         return new ControlPlane(
                 new ControlPlane.Dependencies(
                         newRegistration(settings),
+                        settings.bounds().drainMillis(),
                         ports,
                         ports.store()
                                 .apply(
--- a/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
@@ -15,6 +15,7 @@
  * @param store address of the key-value service
  * @param seeds control addresses of some entries, used while no peers are known; may be stale
  * @param clusterKey secret shared by all processes of the system
+ * @param processorCores processor time that this instance gets, in cores of usual speed
  * @param bounds limits set by the platform
  */
 public record DirectEntrySettings(
@@ -27,6 +28,7 @@
         HttpEndpoint store,
         List<HttpEndpoint> seeds,
         String clusterKey,
+        double processorCores,
         Bounds bounds) {
     /**
      * Returns a copy without the settings that a running process can reload. Two copies differ only
@@ -43,17 +45,29 @@
                 store,
                 List.of(),
                 clusterKey,
-                new Bounds(bounds.graceMillis(), bounds.retryWindowMillis(), 0, 0));
+                processorCores,
+                new Bounds(
+                        bounds.graceMillis(),
+                        bounds.drainMillis(),
+                        bounds.retryWindowMillis(),
+                        0,
+                        0));
     }
 
     /**
      * Limits set by the platform. Immutable.
      *
      * @param graceMillis time that the process has to stop before the platform kills it
+     * @param drainMillis time from the announcement that a backend server drains until no call may
+     *     reach it any more
      * @param retryWindowMillis window over which resends are counted
      * @param retryRatio resends allowed per call
      * @param retrySlack additional resends allowed per service and window, over all processes
      */
     public record Bounds(
-            long graceMillis, long retryWindowMillis, double retryRatio, double retrySlack) {}
+            long graceMillis,
+            long drainMillis,
+            long retryWindowMillis,
+            double retryRatio,
+            double retrySlack) {}
 }
