Renew the lease on the event loop that sends the request

A renewal passed from the lease's thread to the event loop and back; on an instance with 0.12 of a core each change of thread waits for the turns of the busy ones.

Change: the lease uses the event loop of the platform client as its scheduler. Late and failed calls for the lease are logged.

--- a/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
+++ b/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
@@ -13,8 +13,8 @@
 /**
  * The lease that all keys of this process are bound to.
  *
- * <p>Renewals run on a scheduler of their own, so that a busy control thread does not let the lease
- * expire.
+ * <p>Renewals run on the scheduler that also sends the requests, so that neither a busy control
+ * thread nor the change between busy threads lets the lease expire.
  *
  * <p>Invariant: {@link #isHeld} returns true only while the lease cannot have expired in the
  * key-value service, even if the host was suspended in the meantime. {@link #id} and {@link
@@ -40,6 +40,9 @@
     /** Delay before a failed request or renewal is repeated. */
     private static final long RETRY_DELAY_MILLIS = 250;
 
+    /** Delay of a call from which it is logged: the threads of this process run late. */
+    private static final long LATE_MILLIS = 300;
+
     /** Interval at which due calls are made. */
     private static final long STEP_PERIOD_MILLIS = 50;
 
@@ -126,6 +129,7 @@
         if (mCallInFlight || mStopped || now() < mNextCallMillis) {
             return;
         }
+        logIfLate();
         mCallInFlight = true;
         SuspendAwareClock.Mark sent = mClock.mark();
         if (mGrant.isPresent()) {
@@ -135,6 +139,13 @@
         }
     }
 
+    private void logIfLate() {
+        long lateMillis = now() - mNextCallMillis;
+        if (mNextCallMillis > 0 && lateMillis >= LATE_MILLIS) {
+            mLog.write("lease.call_late", "late_ms", lateMillis);
+        }
+    }
+
     private void requestLease(SuspendAwareClock.Mark sent) {
         mStore.grantLease(TTL_SECONDS)
                 .observeOn(mScheduler)
@@ -177,6 +188,7 @@
     }
 
     private void onFailure(Throwable e) {
+        mLog.write("lease.call_failed", "reason", String.valueOf(e.getMessage()));
         mControl.scheduleDirect(() -> mHealth.recordFailure("lease", e));
         mCallInFlight = false;
         mNextCallMillis = now() + RETRY_DELAY_MILLIS;
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -80,7 +80,6 @@
      * @param drainMillis time from the announcement that a backend server drains until no call may
      *     reach it any more
      * @param store the key-value service
-     * @param leaseScheduler scheduler of the renewals of the lease
      */
     record Dependencies(
             ClusterMember self,
@@ -92,7 +91,6 @@
             ClusterState clusterState,
             DocumentCache cache,
             Scheduler control,
-            Scheduler leaseScheduler,
             Clock clock,
             EventLog log,
             MetricRegistry metrics) {}
@@ -138,7 +136,7 @@
     private ProcessLease newLease() {
         return new ProcessLease(
                 mDeps.store().keys(),
-                mDeps.leaseScheduler(),
+                mDeps.traffic().platformScheduler(),
                 mDeps.control(),
                 SuspendAwareClock.system(),
                 mHealth,
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -55,8 +55,7 @@
     private final SettingsSource mSettingsSource;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Clock mClock = Clock.system();
-    private final Scheduler mControl = newSingleThreadScheduler("control");
-    private final Scheduler mLeaseScheduler = newSingleThreadScheduler("lease");
+    private final Scheduler mControl = newControlScheduler();
     private final EventLog mLog = new EventLog(mClock, mMetrics);
     private final DocumentCache mCache =
             new DocumentCache(new Invariants(mMetrics, false), mMetrics);
@@ -102,9 +101,9 @@
         mSupervisor = newSupervisor();
     }
 
-    private static Scheduler newSingleThreadScheduler(String thread) {
+    private static Scheduler newControlScheduler() {
         return Schedulers.from(
-                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, thread)));
+                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control")));
     }
 
     private static ClusterMember newRegistration(DirectEntrySettings settings) {
@@ -132,7 +131,6 @@
                         mClusterState,
                         mCache,
                         mControl,
-                        mLeaseScheduler,
                         mClock,
                         mLog,
                         mMetrics));
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -5,6 +5,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -112,6 +114,14 @@
         return mPlatformClient;
     }
 
+    /**
+     * Returns a scheduler that runs tasks on the event loop of the platform client, for requests
+     * that must not wait for another thread.
+     */
+    public Scheduler platformScheduler() {
+        return Schedulers.from(mPlatformGroup.next());
+    }
+
     /** Returns the server that accepts connections from callers. */
     public FrontServer frontServer() {
         return mFrontServer;
