Refuse at once what the checkpoint store cannot load in time

Such a model was loaded ahead only while no call waited, so in practice never. A model with a copy at hand was awaited for 5 s while another engine read it from the store.

Ruled out: more loads from the store at once.

Change: a request that would wait for the store's capacity beyond its deadline is refused with the expected time. The prefetch prefers models with calls, also while other calls wait. Another engine may load a model that is loading if it is ready sooner. ModelScheduler is split: loads, requests and loads ahead are classes of their own.

Tests: requestIsRefusedAtOnceIfTheStoreHasNoCapacityInTime and engineWithCopyLoadsModelThatIsStillLoadingElsewhere failed before, refusedModelIsLoadedWhileOtherCallsWait did not.

--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -30,7 +30,9 @@
 import org.cornelway.route.RoutingConfiguration;
 import org.cornelway.route.ServiceDefinition;
 import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
+import org.cornelway.traffic.ModelUsage;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -52,6 +54,9 @@
     private ModelController mController;
     private List<ModelRequestOutcome> mOutcomes;
 
+    /** What the planner returns instead of a plan of its own. */
+    private Optional<LoadPlan> mFixedPlan;
+
     /** The different views that the planner was given. */
     private final Set<EngineView> mSeenViews = Collections.newSetFromMap(new IdentityHashMap<>());
 
@@ -63,6 +68,7 @@
         mTime = new TestScheduler();
         mEngines = new HashMap<>();
         mOutcomes = new ArrayList<>();
+        mFixedPlan = Optional.empty();
         mSeenViews.clear();
         mSeenViewCount = 0;
         ModelController.TermSource terms =
@@ -85,8 +91,11 @@
                 new ModelController(new EngineRouter(), mTime, terms, this::recordAndPlan, log);
     }
 
-    /** Records the views that the planner is given. */
+    /** Records the views that the planner is given, and returns the fixed plan if there is one. */
     private Optional<LoadPlan> recordAndPlan(LoadRequest request, List<EngineView> engines) {
+        if (mFixedPlan.isPresent()) {
+            return mFixedPlan;
+        }
         mSeenViews.addAll(engines);
         mSeenViewCount += engines.size();
         return new CheapestLoadPlanner().plan(request, engines);
@@ -237,4 +246,73 @@
         assertThat(mSeenViewCount).isGreaterThanOrEqualTo(engines * UNCACHED_MODELS);
         assertThat(mSeenViews.size()).isLessThanOrEqualTo(2 * engines);
     }
+
+    private static LoadPlan planOn(String engine, WeightSource source, long loadMillis) {
+        return new LoadPlan(
+                SimulatedEngine.record(engine).incarnation(),
+                List.of("m2"),
+                source,
+                0,
+                0,
+                loadMillis,
+                true);
+    }
+
+    /** Plays a load that takes long while an engine with a cached copy becomes available. */
+    @Test
+    public void engineWithCopyLoadsModelThatIsStillLoadingElsewhere() {
+        addEngine("e1", "m1", "m2");
+        addEngine("e2", "m1", "m2");
+        beginTerm();
+        runFor(700);
+        mFixedPlan = Optional.of(planOn("e1", WeightSource.STORE, 60_000));
+        request("m4", 90_000);
+        runFor(10);
+        mFixedPlan = Optional.of(planOn("e2", WeightSource.DISK, 60));
+        runFor(200);
+        assertThat(mEngines.get("e2").models()).contains("m4");
+        assertThat(mOutcomes).singleElement().isInstanceOf(ModelRequestOutcome.Held.class);
+    }
+
+    private void occupyStore() {
+        for (int i = 0; i < MAX_STORE_LOADS; i++) {
+            request("r" + i, 60_000);
+        }
+        runFor(20);
+    }
+
+    @Test
+    public void requestIsRefusedAtOnceIfTheStoreHasNoCapacityInTime() {
+        for (int i = 0; i < 12; i++) {
+            addEngine("e" + i);
+        }
+        beginTerm();
+        runFor(700);
+        occupyStore();
+        request("r9", SimulatedEngine.STORE_LOAD_MILLIS + 100);
+        runFor(30);
+        assertThat(mOutcomes).singleElement().isInstanceOf(ModelRequestOutcome.TooLate.class);
+    }
+
+    /** Plays a call for a model without copies that is refused, and retried after a while. */
+    @Test
+    public void refusedModelIsLoadedWhileOtherCallsWait() {
+        for (int i = 0; i < 12; i++) {
+            addEngine("e" + i);
+        }
+        beginTerm();
+        runFor(700);
+        occupyStore();
+        request("r9", SimulatedEngine.STORE_LOAD_MILLIS + 100);
+        for (int i = 0; i < 30; i++) {
+            mController
+                    .demand()
+                    .recordReport(
+                            "p1",
+                            new ModelUsage.Snapshot(List.of(), Map.of("r9", new ModelRate(1, 500))),
+                            mTime.now(TimeUnit.MILLISECONDS));
+            runFor(50);
+        }
+        assertThat(mEngines.values().stream().filter(e -> e.models().contains("r9"))).isNotEmpty();
+    }
 }
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/LoadScheduler.java
@@ -0,0 +1,198 @@
+package org.cornelway.models;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.route.ModelDefinition;
+import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelTarget;
+
+/**
+ * Plans single loads on the engines of a round, and enqueues their orders.
+ *
+ * <p>Invariant: not more than a fixed number of loads read the checkpoint store at the same time.
+ * Confined to the control thread.
+ */
+final class LoadScheduler {
+    /**
+     * Minimum time that a model stays loaded on an engine after a request was last answered with
+     * that engine, so that the waiting calls arrive before the model is evicted.
+     */
+    private static final long MIN_RESIDENT_MILLIS = 500;
+
+    /**
+     * Share of an engine's slots that the calls to one model may take before another replica is
+     * needed. The engine runs calls to its other models in the same batch, and these may be slower.
+     */
+    private static final double SLOT_SHARE_PER_REPLICA = 0.45;
+
+    /** Typical duration of a call; converts a call rate to a number of concurrent calls. */
+    private static final double CALL_SECONDS = 1;
+
+    /** Call rate from which a model needs two replicas, since an engine may be lost at any time. */
+    private static final double SPARE_REPLICA_CALLS_PER_SECOND = 5;
+
+    private final LoadPlanner mPlanner;
+    private final DemandTable mDemand;
+    private final int mMaxStoreLoads;
+    private final Map<ServerIncarnation, Map<String, Long>> mLastAnsweredMillis = new HashMap<>();
+    private Deadline mEvictionsSuspendedUntil = new Deadline(0);
+
+    /**
+     * @param maxStoreLoads limit on concurrent loads from the checkpoint store
+     */
+    LoadScheduler(LoadPlanner planner, DemandTable demand, int maxStoreLoads) {
+        mPlanner = planner;
+        mDemand = demand;
+        mMaxStoreLoads = maxStoreLoads;
+    }
+
+    DemandTable demand() {
+        return mDemand;
+    }
+
+    int maxStoreLoads() {
+        return mMaxStoreLoads;
+    }
+
+    /** Until a deadline, plans no load that evicts a model. */
+    void suspendEvictionUntil(Deadline deadline) {
+        mEvictionsSuspendedUntil = deadline;
+    }
+
+    /** Records that a request was answered with an engine, where its calls now go. */
+    void recordAnswer(EngineDriver engine, ModelTarget target, long nowMillis) {
+        mLastAnsweredMillis
+                .computeIfAbsent(engine.server().incarnation(), incarnation -> new HashMap<>())
+                .put(target.model(), nowMillis);
+    }
+
+    /**
+     * Plans a load of a model; empty if no candidate can load it.
+     *
+     * @param modelRequest the calls that wait for it; empty if none do
+     * @param candidates engines that the plan may use
+     */
+    Optional<LoadPlan> plan(
+            ModelDefinition model,
+            Optional<ModelRequest> modelRequest,
+            List<EngineDriver> candidates,
+            SchedulingRound round) {
+        long now = round.nowMillis();
+        boolean storeAllowed = !round.awaitsFirstReport() && round.storeReads() < mMaxStoreLoads;
+        List<EngineDriver> holders = round.holders(model.name());
+        List<EngineDriver> loaders = round.loaders(model.name());
+        List<EngineView> views =
+                candidates.stream()
+                        .filter(EngineDriver::isStateKnown)
+                        .filter(engine -> !holders.contains(engine) && !loaders.contains(engine))
+                        .map(engine -> view(engine, round))
+                        .toList();
+        boolean mayEvict = mEvictionsSuspendedUntil.isPast(now);
+        LoadRequest request =
+                new LoadRequest(
+                        model,
+                        storeAllowed,
+                        mDemand.rate(model.name(), now),
+                        modelRequest.map(ModelRequest::mergedRequests).orElse(0),
+                        modelRequest.map(r -> now - r.firstArrivalMillis()).orElse(0L));
+        return mPlanner.plan(request, views).filter(plan -> mayEvict || plan.victims().isEmpty());
+    }
+
+    /** Enqueues the orders of a plan. */
+    void enqueue(LoadPlan plan, ModelDefinition model, SchedulingRound round) {
+        EngineDriver engine =
+                round.engines().stream()
+                        .filter(each -> each.server().incarnation().equals(plan.engine()))
+                        .findFirst()
+                        .orElseThrow();
+        for (String victim : plan.victims()) {
+            round.enqueue(
+                    engine,
+                    new PlannedOrder(
+                            false,
+                            victim,
+                            Optional.empty(),
+                            0,
+                            Math.max(EngineDriver.UNLOAD_MILLIS, plan.drainMillis()),
+                            WeightSource.MEMORY));
+        }
+        round.enqueue(
+                engine,
+                new PlannedOrder(
+                        true,
+                        model.name(),
+                        Optional.empty(),
+                        model.weightsMegabytes(),
+                        plan.loadMillis(),
+                        plan.source()));
+    }
+
+    /** Returns an engine as the planner sees it. */
+    EngineView view(EngineDriver engine, SchedulingRound round) {
+        return round.view(engine, each -> newView(each, round));
+    }
+
+    private EngineView newView(EngineDriver engine, SchedulingRound round) {
+        long now = round.nowMillis();
+        Map<String, ModelView> models = new HashMap<>();
+        engine.models()
+                .forEach(
+                        (name, adapters) -> {
+                            ModelDefinition model = round.definition().models().get(name);
+                            if (model != null) {
+                                models.put(name, newView(engine, model, adapters.count(), round));
+                            }
+                        });
+        return new EngineView(
+                engine.server().incarnation(),
+                EngineMemory.freeMegabytes(engine, round.definition()),
+                engine.waitMillis(now),
+                models,
+                engine.cachedWeights().inMemory(),
+                engine.cachedWeights().onDisk(),
+                round.soleCopies(engine.cachedWeights().onDisk()),
+                mDemand.activeCalls(engine.server().id(), now));
+    }
+
+    private ModelView newView(
+            EngineDriver engine, ModelDefinition model, int adapterCount, SchedulingRound round) {
+        long now = round.nowMillis();
+        String server = engine.server().id();
+        String name = model.name();
+        return new ModelView(
+                model.weightsMegabytes() + adapterCount * model.adapterMegabytes(),
+                mDemand.activeCalls(server, name, now),
+                mDemand.remainingMillis(server, name, now),
+                mDemand.rate(name, now),
+                round.replicas(name),
+                neededReplicas(name, round),
+                isPinned(engine, name, round),
+                model.diskLoadMillis());
+    }
+
+    private boolean isPinned(EngineDriver engine, String model, SchedulingRound round) {
+        long lastAnsweredMillis =
+                mLastAnsweredMillis
+                        .getOrDefault(engine.server().incarnation(), Map.of())
+                        // Half the minimum, so that the subtraction below cannot overflow.
+                        .getOrDefault(model, Long.MIN_VALUE / 2);
+        return round.nowMillis() - lastAnsweredMillis < MIN_RESIDENT_MILLIS
+                || round.isRequested(model);
+    }
+
+    /**
+     * Returns the number of replicas that a model needs for its active calls, or for the calls
+     * expected from its rate if these are more.
+     */
+    int neededReplicas(String model, SchedulingRound round) {
+        long nowMillis = round.nowMillis();
+        double rate = mDemand.rate(model, nowMillis).callsPerSecond();
+        double calls = Math.max(mDemand.totalActiveCalls(model, nowMillis), rate * CALL_SECONDS);
+        double callsPerReplica = Math.max(1, round.definition().slots() * SLOT_SHARE_PER_REPLICA);
+        int minimum = rate >= SPARE_REPLICA_CALLS_PER_SECOND ? 2 : 1;
+        return Math.max(minimum, (int) Math.ceil(calls / callsPerReplica));
+    }
+}
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -52,7 +52,9 @@
     private final EngineControl mEngines;
     private final Scheduler mControl;
     private final TermSource mTerms;
+    private final LoadScheduler mLoads;
     private final ModelScheduler mScheduler;
+    private final ProactiveScheduler mProactive;
     private final EventLog mLog;
     private final DemandTable mDemand = new DemandTable();
     private final Map<ServerIncarnation, EngineDriver> mDrivers = new HashMap<>();
@@ -107,7 +109,9 @@
         mControl = control;
         mTerms = terms;
         mLog = log;
-        mScheduler = new ModelScheduler(planner, mDemand, MAX_STORE_LOADS);
+        mLoads = new LoadScheduler(planner, mDemand, MAX_STORE_LOADS);
+        mScheduler = new ModelScheduler(mLoads);
+        mProactive = new ProactiveScheduler(mLoads);
     }
 
     private long now() {
@@ -132,7 +136,7 @@
      * orders since that state was read.
      */
     public void beginTerm(DirectorySnapshot directory) {
-        mScheduler.suspendEvictionUntil(Deadline.after(now(), WARM_UP_MILLIS));
+        mLoads.suspendEvictionUntil(Deadline.after(now(), WARM_UP_MILLIS));
         mDrivers.clear();
         applyDirectory(directory);
     }
@@ -267,9 +271,9 @@
             round(service, rounds, now)
                     .ifPresent(
                             round -> {
-                                mScheduler.addReplicas(round);
-                                mScheduler.fillFreeMemory(round);
-                                mScheduler.prefetchFromStore(round);
+                                mProactive.addReplicas(round);
+                                mProactive.fillFreeMemory(round);
+                                mProactive.prefetchFromStore(round);
                             });
         }
     }
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.cornelway.route.EngineDefinition;
+import org.cornelway.route.ModelDefinition;
 
 /**
  * The engines of one service as one scheduling round sees them.
@@ -154,6 +155,20 @@
         return mStoreReads;
     }
 
+    /**
+     * Returns when a load of a model could end that begins once a load from the checkpoint store
+     * has ended, in milliseconds since the epoch.
+     */
+    long nextStoreLoadEndMillis(ModelDefinition model) {
+        long freeMillis =
+                mEngines.stream()
+                        .filter(engine -> engine.orderQueue().readsStore())
+                        .mapToLong(engine -> engine.readyMillis(mNowMillis))
+                        .min()
+                        .orElse(mNowMillis);
+        return freeMillis + model.storeLoadMillis();
+    }
+
     /**
      * Whether an engine that is not known to be unreachable has not reported yet, so that the
      * models that it holds are unknown.
