Read a late caller's connection before its call is sent

The pass of the event loop that should have read the close did not take place: a timer set while a connection is read may run in the same iteration.

Change: TrafficContext.afterNextRead sets the timer from a task, so it runs after the next read; an attempt waits for it too if the thread is late. A failed write ends its request instead of waiting for the deadline.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -101,23 +101,35 @@
         mContext.pool().acquire(mServer.host(), mServer.port(), this);
     }
 
+    /**
+     * Sends the call. If the traffic thread is late, reads the caller's connection once more
+     * before, since the caller may have left while the connection to the server was opened.
+     */
     @Override
     public void onAcquired(UpstreamConnection connection) {
-        if (mEnded) {
-            mContext.pool().release(connection);
-            return;
+        if (mContext.loopDelay().isLate()) {
+            mContext.afterNextRead(() -> sendIfOpen(connection));
+        } else {
+            send(connection);
         }
-        if (!mContext.view().get().directory().isUsable(mServer.incarnation())) {
-            mContext.pool().release(connection);
-            if (markEnded()) {
-                mCallHandler.onNotSent(this, "the server left before the send");
-            }
-            return;
+    }
+
+    /** Sends the call, on another connection if this one was closed in the meantime. */
+    private void sendIfOpen(UpstreamConnection connection) {
+        if (mEnded || connection.isReusable()) {
+            send(connection);
+        } else {
+            connection.close();
+            mContext.pool().acquire(mServer.host(), mServer.port(), this);
         }
-        if (mCallHandler.deadline().isPast(mContext.clock().nowMillis())) {
+    }
+
+    private void send(UpstreamConnection connection) {
+        Optional<String> reason = reasonNotToSend();
+        if (mEnded || reason.isPresent()) {
             mContext.pool().release(connection);
             if (markEnded()) {
-                mCallHandler.onNotSent(this, "the deadline passed before the send");
+                mCallHandler.onNotSent(this, reason.get());
             }
             return;
         }
@@ -126,6 +138,15 @@
         connection.send(buildUpstreamRequest(), this);
     }
 
+    private Optional<String> reasonNotToSend() {
+        if (!mContext.view().get().directory().isUsable(mServer.incarnation())) {
+            return Optional.of("the server left before the send");
+        }
+        return mCallHandler.deadline().isPast(mContext.clock().nowMillis())
+                ? Optional.of("the deadline passed before the send")
+                : Optional.empty();
+    }
+
     private UpstreamRequest buildUpstreamRequest() {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         long remainingMillis =
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -33,9 +33,6 @@
     /** Delay before dispatching again if the directory lacks the server the controller named. */
     private static final long DIRECTORY_DELAY_MILLIS = 60;
 
-    /** Delay after which the event loop has read all connections at least once more. */
-    private static final long NEXT_READ_DELAY_MILLIS = 1;
-
     /** Default delay after which a caller may retry a refused call. */
     private static final long RETRY_AFTER_MILLIS = 300;
 
@@ -71,7 +68,7 @@
      */
     void start() {
         if (mContext.loopDelay().isLate()) {
-            mContext.loop().schedule(this::begin, NEXT_READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            mContext.afterNextRead(this::begin);
         } else {
             begin();
         }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.ServerChooser;
@@ -43,4 +44,15 @@
         Clock clock,
         LoopDelay loopDelay,
         EventLog log,
-        MetricRegistry metrics) {}
+        MetricRegistry metrics) {
+    private static final long NEXT_ITERATION_MILLIS = 1;
+
+    /**
+     * Runs an action after the event loop has read all connections once more. A timer that is set
+     * while a connection is read may run in the same iteration of the loop, but one that is set by
+     * a task runs in a later iteration, and each iteration reads before it runs timers.
+     */
+    void afterNextRead(Runnable action) {
+        loop.execute(() -> loop.schedule(action, NEXT_ITERATION_MILLIS, TimeUnit.MILLISECONDS));
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -91,7 +91,7 @@
                         future -> {
                             mRequestWritten = future.isSuccess();
                             if (!future.isSuccess()) {
-                                mChannel.close();
+                                fail("write failed: " + future.cause().getMessage());
                             }
                         });
     }
