Follow the checkpoint store's speed, and keep capacity for replicas

No engine that was free had a copy, and 4 loads were reading the store all the time, so no third replica could be planned (a trial printed the plans). Loads took 10 to 16 s instead of 7.8: the store serves 2 at full speed, and 4 were begun.

Change: StoreLoadLimit lowers the limit, 4 at most as before, to the number at which the last slow load would have run at full speed, and raises it while loads run at full speed. While a model lacks replicas, requests leave one of these loads to it. EngineContents is split from EngineDriver.

--- a/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
@@ -42,6 +42,9 @@
                     @Override
                     public void onFenced() {}
 
+                    @Override
+                    public void onStoreLoadEnded(long expectedMillis, long actualMillis) {}
+
                     @Override
                     public void onOrderReply(
                             ServerRecord server, ServerOrder order, OrderReply reply) {}
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -315,4 +315,33 @@
         }
         assertThat(mEngines.values().stream().filter(e -> e.models().contains("r9"))).isNotEmpty();
     }
+
+    /**
+     * Plays a model whose calls need more replicas, without another copy, while calls wait for many
+     * models that must be loaded from the store too.
+     */
+    @Test
+    public void replicaOfBusyModelGetsCapacityOfTheStore() {
+        addEngine("e0", "r20", "r21");
+        for (int i = 1; i < 12; i++) {
+            addEngine("e" + i, "m1", "m2");
+        }
+        beginTerm();
+        runFor(700);
+        for (int i = 0; i < 200; i++) {
+            mController
+                    .demand()
+                    .recordReport(
+                            "p1",
+                            new ModelUsage.Snapshot(
+                                    List.of(), Map.of("r20", new ModelRate(40, 500))),
+                            mTime.now(TimeUnit.MILLISECONDS));
+            for (int model = 0; model < 20; model++) {
+                request("r" + model, 60_000);
+            }
+            runFor(10);
+        }
+        assertThat(mEngines.values().stream().filter(e -> e.models().contains("r20")).count())
+                .isGreaterThan(1);
+    }
 }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -1,11 +1,8 @@
 package org.cornelway.models;
 
 import io.reactivex.rxjava3.core.Scheduler;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineReport;
@@ -58,14 +55,14 @@
     private final EngineControl mEngines;
     private final Scheduler mControl;
     private final EngineListener mListener;
-    private final Map<String, HeldAdapters> mModels = new HashMap<>();
     private final OrderQueue mOrderQueue = new OrderQueue();
     private ServerRecord mServer;
-    private final CachedWeights mCachedWeights;
+    private final EngineContents mContents;
     private boolean mReportRead;
     private boolean mCallInFlight;
     private boolean mReportRequired = true;
     private long mAcceptedOrders;
+    private long mBegunMillis;
     private long mAssumedEndMillis;
     private long mBusyUntilMillis;
     private int mConsecutiveConflicts;
@@ -82,7 +79,7 @@
             Scheduler control,
             EngineListener listener) {
         mServer = server;
-        mCachedWeights = new CachedWeights(server, hostMemoryMegabytes);
+        mContents = new EngineContents(new CachedWeights(server, hostMemoryMegabytes));
         mEngines = engines;
         mControl = control;
         mListener = listener;
@@ -97,7 +94,7 @@
      * models have changed and differ from the known ones while no order is outstanding.
      */
     void updateRecord(ServerRecord server) {
-        boolean differs = mReportRead && !server.models().keySet().equals(mModels.keySet());
+        boolean differs = mReportRead && !server.models().keySet().equals(models().keySet());
         boolean changed = !server.models().equals(mServer.models());
         mServer = server;
         if (changed && differs && mOrderQueue.isEmpty()) {
@@ -144,11 +141,11 @@
     }
 
     Map<String, HeldAdapters> models() {
-        return mModels;
+        return mContents.models();
     }
 
     CachedWeights cachedWeights() {
-        return mCachedWeights;
+        return mContents.cachedWeights();
     }
 
     /** Returns the outstanding orders: queued, running and unconfirmed ones. */
@@ -250,7 +247,8 @@
         Optional<PlannedOrder> unconfirmed = mOrderQueue.unconfirmed();
         boolean moreAccepted = report.acceptedOrders() > mAcceptedOrders;
         mAcceptedOrders = report.acceptedOrders();
-        applyReport(report, nowMillis);
+        mContents.apply(report, nowMillis);
+        reportStoreLoadEnd(report, nowMillis);
         mOrderQueue.setRunning(Optional.empty());
         mOrderQueue.setUnconfirmed(Optional.empty());
         mBusyUntilMillis = nowMillis;
@@ -266,23 +264,16 @@
         advance(nowMillis);
     }
 
-    private void applyReport(EngineReport report, long nowMillis) {
-        mModels.keySet().retainAll(report.models().keySet());
-        report.models()
-                .forEach(
-                        (model, adapters) -> {
-                            Set<String> names = new HashSet<>(adapters);
-                            String prefix = model + "/";
-                            report.pendingAdapters().stream()
-                                    .filter(name -> name.startsWith(prefix))
-                                    .forEach(name -> names.add(name.substring(prefix.length())));
-                            getOrCreateModel(model).replaceNames(names, nowMillis);
-                        });
-        mCachedWeights.update(report);
-    }
-
-    private HeldAdapters getOrCreateModel(String model) {
-        return mModels.computeIfAbsent(model, key -> new HeldAdapters());
+    /** Tells the listener if the running order was a load from the checkpoint store and is done. */
+    private void reportStoreLoadEnd(EngineReport report, long nowMillis) {
+        mOrderQueue
+                .running()
+                .filter(PlannedOrder::readsCheckpointStore)
+                .filter(load -> report.models().containsKey(load.model()))
+                .ifPresent(
+                        load ->
+                                mListener.onStoreLoadEnded(
+                                        load.expectedMillis(), nowMillis - mBegunMillis));
     }
 
     private void sendOrder(PlannedOrder planned) {
@@ -361,36 +352,19 @@
         mConsecutiveConflicts = 0;
         if (planned.adapter().isEmpty()) {
             mOrderQueue.setRunning(Optional.of(planned));
+            mBegunMillis = nowMillis;
             mBusyUntilMillis = nowMillis + planned.expectedMillis();
             mAssumedEndMillis =
                     nowMillis
                             + (planned.isLoad() ? planned.expectedMillis() : UNLOAD_MILLIS)
                             + END_SLACK_MILLIS;
-            if (!planned.isLoad()) {
-                mModels.remove(planned.model());
-            }
-        } else if (planned.isLoad()) {
-            getOrCreateModel(planned.model())
-                    .put(planned.adapter().get(), nowMillis + planned.expectedMillis());
-        } else {
-            getOrCreateModel(planned.model()).remove(planned.adapter().get());
         }
+        mContents.recordBegun(planned, nowMillis);
     }
 
     private void onOrderFinished(PlannedOrder planned, long nowMillis) {
         mOrderQueue.setRunning(Optional.empty());
-        if (planned.adapter().isPresent()) {
-            if (planned.isLoad()) {
-                getOrCreateModel(planned.model()).put(planned.adapter().get(), nowMillis);
-            } else if (mModels.containsKey(planned.model())) {
-                getOrCreateModel(planned.model()).remove(planned.adapter().get());
-            }
-        } else if (planned.isLoad()) {
-            getOrCreateModel(planned.model());
-            mCachedWeights.recordLoad(planned.model(), planned.megabytes());
-        } else {
-            mModels.remove(planned.model());
-        }
+        mContents.recordFinished(planned, nowMillis);
         mListener.onStateChanged(this);
     }
 
--- a/org.cornelway/src/org/cornelway/models/EngineListener.java
+++ b/org.cornelway/src/org/cornelway/models/EngineListener.java
@@ -31,6 +31,14 @@
      */
     void onFenced();
 
+    /**
+     * Called when a report shows that a load from the checkpoint store has ended.
+     *
+     * @param expectedMillis duration of a load that does not compete with others
+     * @param actualMillis time since the engine accepted the order
+     */
+    void onStoreLoadEnded(long expectedMillis, long actualMillis);
+
     /**
      * Called when an attempt to send an order has ended, with or without a reply from the engine.
      */
--- a/org.cornelway/src/org/cornelway/models/LoadScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/LoadScheduler.java
@@ -12,8 +12,8 @@
 /**
  * Plans single loads on the engines of a round, and enqueues their orders.
  *
- * <p>Invariant: not more than a fixed number of loads read the checkpoint store at the same time.
- * Confined to the control thread.
+ * <p>Invariant: no load from the checkpoint store begins while as many as the limit are
+ * outstanding. Confined to the control thread.
  */
 final class LoadScheduler {
     /**
@@ -36,25 +36,40 @@
 
     private final LoadPlanner mPlanner;
     private final DemandTable mDemand;
-    private final int mMaxStoreLoads;
+    private final StoreLoadLimit mStoreLoads;
     private final Map<ServerIncarnation, Map<String, Long>> mLastAnsweredMillis = new HashMap<>();
     private Deadline mEvictionsSuspendedUntil = new Deadline(0);
 
-    /**
-     * @param maxStoreLoads limit on concurrent loads from the checkpoint store
-     */
-    LoadScheduler(LoadPlanner planner, DemandTable demand, int maxStoreLoads) {
+    LoadScheduler(LoadPlanner planner, DemandTable demand, StoreLoadLimit storeLoads) {
         mPlanner = planner;
         mDemand = demand;
-        mMaxStoreLoads = maxStoreLoads;
+        mStoreLoads = storeLoads;
     }
 
     DemandTable demand() {
         return mDemand;
     }
 
+    /** Returns the number of loads that may read the checkpoint store at the same time. */
     int maxStoreLoads() {
-        return mMaxStoreLoads;
+        return mStoreLoads.limit();
+    }
+
+    /**
+     * Returns how many of these loads may be for models that calls wait for. The others are kept
+     * for replicas, as long as calls need more of a model than there are.
+     */
+    int maxStoreLoadsForRequests(SchedulingRound round) {
+        boolean replicaMissing =
+                round.definition().models().keySet().stream()
+                        .anyMatch(model -> lacksReplica(model, round));
+        return replicaMissing ? Math.max(1, maxStoreLoads() - 1) : maxStoreLoads();
+    }
+
+    /** Whether a model is loaded but has fewer replicas than its calls need. */
+    boolean lacksReplica(String model, SchedulingRound round) {
+        int replicas = round.replicas(model);
+        return replicas > 0 && replicas < neededReplicas(model, round);
     }
 
     /** Until a deadline, plans no load that evicts a model. */
@@ -81,7 +96,9 @@
             List<EngineDriver> candidates,
             SchedulingRound round) {
         long now = round.nowMillis();
-        boolean storeAllowed = !round.awaitsFirstReport() && round.storeReads() < mMaxStoreLoads;
+        int maxStoreLoads =
+                modelRequest.isPresent() ? round.maxStoreLoadsForRequests(this) : maxStoreLoads();
+        boolean storeAllowed = !round.awaitsFirstReport() && round.storeReads() < maxStoreLoads;
         List<EngineDriver> holders = round.holders(model.name());
         List<EngineDriver> loaders = round.loaders(model.name());
         List<EngineView> views =
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -32,7 +32,7 @@
  */
 public final class ModelController implements EngineListener {
     /**
-     * Limit on concurrent loads from the checkpoint store. Further loads would share its
+     * Highest limit on concurrent loads from the checkpoint store. Further loads would share its
      * throughput, so that each would take longer.
      */
     private static final int MAX_STORE_LOADS = 4;
@@ -57,6 +57,7 @@
     private final ProactiveScheduler mProactive;
     private final EventLog mLog;
     private final DemandTable mDemand = new DemandTable();
+    private final StoreLoadLimit mStoreLoads = new StoreLoadLimit(MAX_STORE_LOADS);
     private final Map<ServerIncarnation, EngineDriver> mDrivers = new HashMap<>();
     private final Map<RequestKey, PendingRequest> mPending = new HashMap<>();
     private final Map<ServerIncarnation, Deadline> mNextRereadTimes = new HashMap<>();
@@ -109,7 +110,7 @@
         mControl = control;
         mTerms = terms;
         mLog = log;
-        mLoads = new LoadScheduler(planner, mDemand, MAX_STORE_LOADS);
+        mLoads = new LoadScheduler(planner, mDemand, mStoreLoads);
         mScheduler = new ModelScheduler(mLoads);
         mProactive = new ProactiveScheduler(mLoads);
     }
@@ -357,6 +358,26 @@
         mTerms.onFenced();
     }
 
+    @Override
+    public void onStoreLoadEnded(long expectedMillis, long actualMillis) {
+        int concurrentLoads =
+                (int)
+                        mDrivers.values().stream()
+                                .filter(driver -> driver.orderQueue().readsStore())
+                                .count();
+        mStoreLoads.recordLoad(expectedMillis, actualMillis, concurrentLoads);
+        mLog.write(
+                "store_load.ended",
+                "expected_ms",
+                expectedMillis,
+                "ms",
+                actualMillis,
+                "concurrent",
+                concurrentLoads,
+                "limit",
+                mStoreLoads.limit());
+    }
+
     @Override
     public void onOrderReply(ServerRecord server, ServerOrder order, OrderReply reply) {
         mLog.write(
--- a/org.cornelway/src/org/cornelway/models/ModelScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ModelScheduler.java
@@ -105,7 +105,7 @@
     private boolean mustWaitForStore(ModelDefinition model, SchedulingRound round) {
         return !round.awaitsFirstReport()
                 && round.enginesWithCopy(model.name()) == 0
-                && round.storeReads() >= mLoads.maxStoreLoads();
+                && round.storeReads() >= round.maxStoreLoadsForRequests(mLoads);
     }
 
     private Optional<LoadPlan> planFor(
--- a/org.cornelway/src/org/cornelway/models/ProactiveScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ProactiveScheduler.java
@@ -44,10 +44,7 @@
             return;
         }
         for (ModelDefinition model : round.definition().models().values()) {
-            int replicas = round.replicas(model.name());
-            if (replicas > 0
-                    && round.loaders(model.name()).isEmpty()
-                    && replicas < mLoads.neededReplicas(model.name(), round)) {
+            if (round.loaders(model.name()).isEmpty() && mLoads.lacksReplica(model.name(), round)) {
                 mLoads.plan(model, Optional.empty(), available, round)
                         .filter(LoadPlan::isWorthwhile)
                         .filter(plan -> plan.drainMillis() <= MAX_REPLICA_DRAIN_MILLIS)
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -7,6 +7,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
@@ -28,6 +29,7 @@
     private final Map<String, List<EngineDriver>> mLoaders = new HashMap<>();
     private final Map<String, Integer> mCachedCopies = new HashMap<>();
     private final Map<EngineDriver, EngineView> mViews = new IdentityHashMap<>();
+    private Optional<Integer> mMaxStoreLoadsForRequests = Optional.empty();
     private int mStoreReads;
     private boolean mAwaitsFirstReport;
 
@@ -177,6 +179,14 @@
         return mAwaitsFirstReport;
     }
 
+    /** Returns {@link LoadScheduler#maxStoreLoadsForRequests}, computed at its first use. */
+    int maxStoreLoadsForRequests(LoadScheduler loads) {
+        if (mMaxStoreLoadsForRequests.isEmpty()) {
+            mMaxStoreLoadsForRequests = Optional.of(loads.maxStoreLoadsForRequests(this));
+        }
+        return mMaxStoreLoadsForRequests.get();
+    }
+
     /** Creates the view of an engine. */
     interface ViewFactory {
         EngineView create(EngineDriver engine);
