Refuse calls that an engine's queue would hold until their callers leave

One engine held the model while demand moved to it and had up to 62 of its 16 slots' calls, others 5 to 18; an entry sees only its own calls and loads reported within 400 ms, some 1 call in a second to that engine.

Ruled out: waiting for the model before the send (18 of 1,530 summaries waited more than 0.35 s).

PendingRequests is split from ModelController.

--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -151,6 +151,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_ServerActivity_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_ServerActivity_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -235,23 +240,26 @@
       "(\003\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapte" +
       "rs\030\002 \003(\t\"W\n\016ServerHoldings\022\016\n\006server\030\001 \001" +
       "(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models\030\003 \003(\0132\027.corne" +
-      "lway.v1.HeldModel\"\202\001\n\rHoldingsReply\022\022\n\nc" +
+      "lway.v1.HeldModel\"\256\001\n\rHoldingsReply\022\022\n\nc" +
       "ontroller\030\001 \001(\010\022\014\n\004term\030\002 \001(\003\022\017\n\007version" +
       "\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n\007servers\030\005 \003(\013" +
-      "2\034.cornelway.v1.ServerHoldings*-\n\014Reques" +
-      "tClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001" +
-      "\n\014AgentService\022@\n\010Exchange\022\035.cornelway.v" +
-      "1.ExchangeRequest\032\023.cornelway.v1.Frame0\001" +
-      "\022F\n\010Withdraw\022\035.cornelway.v1.WithdrawRequ" +
-      "est\032\033.cornelway.v1.WithdrawReply2\224\001\n\013Pee" +
-      "rService\022=\n\005Relay\022\032.cornelway.v1.RelayRe" +
-      "quest\032\030.cornelway.v1.RelayReply\022F\n\010Descr" +
-      "ibe\022\035.cornelway.v1.DescribeRequest\032\033.cor" +
-      "nelway.v1.DescribeReply2\217\001\n\014EntryService" +
-      "\022<\n\010AskModel\022\026.cornelway.v1.ModelAsk\032\030.c" +
-      "ornelway.v1.ModelGrant\022A\n\tReportUse\022\027.co" +
-      "rnelway.v1.UseReport\032\033.cornelway.v1.Hold" +
-      "ingsReplyB\025\n\021org.cornelway.rpcP\001b\006proto3"
+      "2\034.cornelway.v1.ServerHoldings\022*\n\004busy\030\006" +
+      " \003(\0132\034.cornelway.v1.ServerActivity\"0\n\016Se" +
+      "rverActivity\022\016\n\006server\030\001 \001(\t\022\016\n\006active\030\002" +
+      " \001(\005*-\n\014RequestClass\022\017\n\013INTERACTIVE\020\000\022\014\n" +
+      "\010DEFERRED\020\0012\230\001\n\014AgentService\022@\n\010Exchange" +
+      "\022\035.cornelway.v1.ExchangeRequest\032\023.cornel" +
+      "way.v1.Frame0\001\022F\n\010Withdraw\022\035.cornelway.v" +
+      "1.WithdrawRequest\032\033.cornelway.v1.Withdra" +
+      "wReply2\224\001\n\013PeerService\022=\n\005Relay\022\032.cornel" +
+      "way.v1.RelayRequest\032\030.cornelway.v1.Relay" +
+      "Reply\022F\n\010Describe\022\035.cornelway.v1.Describ" +
+      "eRequest\032\033.cornelway.v1.DescribeReply2\217\001" +
+      "\n\014EntryService\022<\n\010AskModel\022\026.cornelway.v" +
+      "1.ModelAsk\032\030.cornelway.v1.ModelGrant\022A\n\t" +
+      "ReportUse\022\027.cornelway.v1.UseReport\032\033.cor" +
+      "nelway.v1.HoldingsReplyB\025\n\021org.cornelway" +
+      ".rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -406,7 +414,13 @@
     internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HoldingsReply_descriptor,
-        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", });
+        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", "Busy", });
+    internal_static_cornelway_v1_ServerActivity_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_cornelway_v1_ServerActivity_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_ServerActivity_descriptor,
+        new java.lang.String[] { "Server", "Active", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -29,6 +29,7 @@
   }
   private HoldingsReply() {
     servers_ = java.util.Collections.emptyList();
+    busy_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -142,6 +143,67 @@
     return servers_.get(index);
   }
 
+  public static final int BUSY_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.ServerActivity> busy_;
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.ServerActivity> getBusyList() {
+    return busy_;
+  }
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.ServerActivityOrBuilder> 
+      getBusyOrBuilderList() {
+    return busy_;
+  }
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  @java.lang.Override
+  public int getBusyCount() {
+    return busy_.size();
+  }
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerActivity getBusy(int index) {
+    return busy_.get(index);
+  }
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerActivityOrBuilder getBusyOrBuilder(
+      int index) {
+    return busy_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -171,6 +233,9 @@
     for (int i = 0; i < servers_.size(); i++) {
       output.writeMessage(5, servers_.get(i));
     }
+    for (int i = 0; i < busy_.size(); i++) {
+      output.writeMessage(6, busy_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -200,6 +265,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = busy_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(busy_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -234,6 +308,8 @@
         != other.getChanged()) return false;
     if (!getServersList()
         .equals(other.getServersList())) return false;
+    if (!getBusyList()
+        .equals(other.getBusyList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -261,6 +337,10 @@
       hash = (37 * hash) + SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + getServersList().hashCode();
     }
+    if (getBusyCount() > 0) {
+      hash = (37 * hash) + BUSY_FIELD_NUMBER;
+      hash = (53 * hash) + getBusyList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -403,6 +483,13 @@
         serversBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (busyBuilder_ == null) {
+        busy_ = java.util.Collections.emptyList();
+      } else {
+        busy_ = null;
+        busyBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -445,6 +532,15 @@
       } else {
         result.servers_ = serversBuilder_.build();
       }
+      if (busyBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          busy_ = java.util.Collections.unmodifiableList(busy_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.busy_ = busy_;
+      } else {
+        result.busy_ = busyBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.HoldingsReply result) {
@@ -513,6 +609,32 @@
           }
         }
       }
+      if (busyBuilder_ == null) {
+        if (!other.busy_.isEmpty()) {
+          if (busy_.isEmpty()) {
+            busy_ = other.busy_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureBusyIsMutable();
+            busy_.addAll(other.busy_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.busy_.isEmpty()) {
+          if (busyBuilder_.isEmpty()) {
+            busyBuilder_.dispose();
+            busyBuilder_ = null;
+            busy_ = other.busy_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            busyBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetBusyFieldBuilder() : null;
+          } else {
+            busyBuilder_.addAllMessages(other.busy_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -570,6 +692,19 @@
               }
               break;
             } // case 42
+            case 50: {
+              org.cornelway.rpc.ServerActivity m =
+                  input.readMessage(
+                      org.cornelway.rpc.ServerActivity.parser(),
+                      extensionRegistry);
+              if (busyBuilder_ == null) {
+                ensureBusyIsMutable();
+                busy_.add(m);
+              } else {
+                busyBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -973,6 +1108,312 @@
       return serversBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.ServerActivity> busy_ =
+      java.util.Collections.emptyList();
+    private void ensureBusyIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        busy_ = new java.util.ArrayList<org.cornelway.rpc.ServerActivity>(busy_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerActivity, org.cornelway.rpc.ServerActivity.Builder, org.cornelway.rpc.ServerActivityOrBuilder> busyBuilder_;
+
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerActivity> getBusyList() {
+      if (busyBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(busy_);
+      } else {
+        return busyBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public int getBusyCount() {
+      if (busyBuilder_ == null) {
+        return busy_.size();
+      } else {
+        return busyBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public org.cornelway.rpc.ServerActivity getBusy(int index) {
+      if (busyBuilder_ == null) {
+        return busy_.get(index);
+      } else {
+        return busyBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder setBusy(
+        int index, org.cornelway.rpc.ServerActivity value) {
+      if (busyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBusyIsMutable();
+        busy_.set(index, value);
+        onChanged();
+      } else {
+        busyBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder setBusy(
+        int index, org.cornelway.rpc.ServerActivity.Builder builderForValue) {
+      if (busyBuilder_ == null) {
+        ensureBusyIsMutable();
+        busy_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        busyBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder addBusy(org.cornelway.rpc.ServerActivity value) {
+      if (busyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBusyIsMutable();
+        busy_.add(value);
+        onChanged();
+      } else {
+        busyBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder addBusy(
+        int index, org.cornelway.rpc.ServerActivity value) {
+      if (busyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBusyIsMutable();
+        busy_.add(index, value);
+        onChanged();
+      } else {
+        busyBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder addBusy(
+        org.cornelway.rpc.ServerActivity.Builder builderForValue) {
+      if (busyBuilder_ == null) {
+        ensureBusyIsMutable();
+        busy_.add(builderForValue.build());
+        onChanged();
+      } else {
+        busyBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder addBusy(
+        int index, org.cornelway.rpc.ServerActivity.Builder builderForValue) {
+      if (busyBuilder_ == null) {
+        ensureBusyIsMutable();
+        busy_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        busyBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder addAllBusy(
+        java.lang.Iterable<? extends org.cornelway.rpc.ServerActivity> values) {
+      if (busyBuilder_ == null) {
+        ensureBusyIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, busy_);
+        onChanged();
+      } else {
+        busyBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder clearBusy() {
+      if (busyBuilder_ == null) {
+        busy_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        busyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public Builder removeBusy(int index) {
+      if (busyBuilder_ == null) {
+        ensureBusyIsMutable();
+        busy_.remove(index);
+        onChanged();
+      } else {
+        busyBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public org.cornelway.rpc.ServerActivity.Builder getBusyBuilder(
+        int index) {
+      return internalGetBusyFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public org.cornelway.rpc.ServerActivityOrBuilder getBusyOrBuilder(
+        int index) {
+      if (busyBuilder_ == null) {
+        return busy_.get(index);  } else {
+        return busyBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.ServerActivityOrBuilder> 
+         getBusyOrBuilderList() {
+      if (busyBuilder_ != null) {
+        return busyBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(busy_);
+      }
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public org.cornelway.rpc.ServerActivity.Builder addBusyBuilder() {
+      return internalGetBusyFieldBuilder().addBuilder(
+          org.cornelway.rpc.ServerActivity.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public org.cornelway.rpc.ServerActivity.Builder addBusyBuilder(
+        int index) {
+      return internalGetBusyFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.ServerActivity.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerActivity.Builder> 
+         getBusyBuilderList() {
+      return internalGetBusyFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerActivity, org.cornelway.rpc.ServerActivity.Builder, org.cornelway.rpc.ServerActivityOrBuilder> 
+        internalGetBusyFieldBuilder() {
+      if (busyBuilder_ == null) {
+        busyBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.ServerActivity, org.cornelway.rpc.ServerActivity.Builder, org.cornelway.rpc.ServerActivityOrBuilder>(
+                busy_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        busy_ = null;
+      }
+      return busyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.HoldingsReply)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
@@ -65,4 +65,48 @@
    */
   org.cornelway.rpc.ServerHoldingsOrBuilder getServersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  java.util.List<org.cornelway.rpc.ServerActivity> 
+      getBusyList();
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  org.cornelway.rpc.ServerActivity getBusy(int index);
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  int getBusyCount();
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.ServerActivityOrBuilder> 
+      getBusyOrBuilderList();
+  /**
+   * <pre>
+   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
+   */
+  org.cornelway.rpc.ServerActivityOrBuilder getBusyOrBuilder(
+      int index);
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -15,6 +15,7 @@
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
+import org.cornelway.rpc.ServerActivity;
 import org.cornelway.rpc.UseReport;
 import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelRate;
@@ -86,7 +87,8 @@
 
     /**
      * Records an entry's usage report if this process is the controller. The reply then lists the
-     * models on the engines that have changed since the version that the entry knows.
+     * models on the engines that have changed since the version that the entry knows, and the
+     * engines that are busy.
      */
     public HoldingsReply handleUsageReport(UseReport report) {
         Optional<Long> fencingNumber = mTerms.fencingNumber();
@@ -102,7 +104,17 @@
         if (!mHoldings.isCurrent(term, version)) {
             mHoldings.update(term, version, mController.holdings());
         }
-        return mHoldings.replyTo(report.getTerm(), report.getHoldingsVersion());
+        HoldingsReply.Builder reply =
+                mHoldings.replyTo(report.getTerm(), report.getHoldingsVersion()).toBuilder();
+        mController
+                .busyEngines()
+                .forEach(
+                        (server, active) ->
+                                reply.addBusy(
+                                        ServerActivity.newBuilder()
+                                                .setServer(server)
+                                                .setActive(active)));
+        return reply.build();
     }
 
     private static ModelUsage.Snapshot toUsage(UseReport report) {
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -125,6 +125,8 @@
             holdings.put(new ServerIncarnation(server.getServer(), server.getBorn()), models);
         }
         // Also without a change, since the reply shows that the earlier ones still hold.
-        mTraffic.updateHoldings(holdings);
+        Map<String, Integer> busy = new HashMap<>();
+        reply.getBusyList().forEach(server -> busy.put(server.getServer(), server.getActive()));
+        mTraffic.updateHoldings(holdings, busy);
     }
 }
--- a/org.cornelway/src/org/cornelway/dispatch/Candidate.java
+++ b/org.cornelway/src/org/cornelway/dispatch/Candidate.java
@@ -8,7 +8,8 @@
  * @param server directory record of the server
  * @param inFlight calls that this process has sent to it and that have not ended
  * @param reportedRequests requests running and waiting in it according to its last report; 0 if
- *     there is no recent report
+ *     there is no recent report; or, if more, those that the controller has counted over all
+ *     entries
  * @param slowness current processing time as a multiple of the usual one; 1 if there is no recent
  *     report
  * @param errorRate share of recent calls that failed there, 0 to 1
--- a/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
@@ -37,9 +37,21 @@
 
     private static final double PERCENT = 100;
 
+    /** Age above which the controller's counts of active calls are ignored. */
+    private static final long MAX_BUSY_AGE_MILLIS = 1_000;
+
+    /** Assumed time that a running stream takes until one has been measured. */
+    private static final double DEFAULT_STREAM_MILLIS = 1_000;
+
+    /** Weight of the newest stream in the mean time that a running stream takes. */
+    private static final double NEWEST_STREAM_WEIGHT = 0.05;
+
     private final Clock mClock;
     private final String mZone;
     private final Map<ServerIncarnation, ServerState> mStates = new HashMap<>();
+    private Map<String, Integer> mBusyEngines = Map.of();
+    private Deadline mBusyEnginesValidUntil = new Deadline(0);
+    private double mStreamMillis = DEFAULT_STREAM_MILLIS;
 
     /** State of one incarnation of a server. */
     private static final class ServerState {
@@ -106,6 +118,31 @@
         state.mReportedMillis = mClock.nowMillis();
     }
 
+    /**
+     * Replaces the numbers of active calls on busy engines that the controller has counted over all
+     * entries, by the engine's id.
+     */
+    public void recordBusyEngines(Map<String, Integer> busyEngines) {
+        mBusyEngines = Map.copyOf(busyEngines);
+        mBusyEnginesValidUntil = Deadline.after(mClock.nowMillis(), MAX_BUSY_AGE_MILLIS);
+    }
+
+    /** Records the time from the first to the last event of a complete stream. */
+    public void recordStream(long millis) {
+        mStreamMillis += NEWEST_STREAM_WEIGHT * (millis - mStreamMillis);
+    }
+
+    /** Returns the mean time that a running stream takes, in milliseconds. */
+    public double streamMillis() {
+        return mStreamMillis;
+    }
+
+    private int busyRequests(String server) {
+        return mBusyEnginesValidUntil.isPast(mClock.nowMillis())
+                ? 0
+                : mBusyEngines.getOrDefault(server, 0);
+    }
+
     /** Records whether a server responded to a call successfully, and updates its error rate. */
     public void recordResponse(ServerIncarnation incarnation, boolean success) {
         ServerState state = getOrCreateState(incarnation);
@@ -148,10 +185,12 @@
     public Candidate candidate(ServerRecord server) {
         ServerState state = getOrCreateState(server.incarnation());
         boolean reportIsCurrent = mClock.nowMillis() - state.mReportedMillis <= MAX_LOAD_AGE_MILLIS;
+        int reported =
+                reportIsCurrent ? state.mReportedLoad.running() + state.mReportedLoad.waiting() : 0;
         return new Candidate(
                 server,
                 state.mInFlight,
-                reportIsCurrent ? state.mReportedLoad.running() + state.mReportedLoad.waiting() : 0,
+                Math.max(reported, busyRequests(server.id())),
                 reportIsCurrent ? state.mReportedLoad.slownessPercent() / PERCENT : 1,
                 state.mErrorRate,
                 isSuspect(server.incarnation()),
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -1,7 +1,6 @@
 package org.cornelway.models;
 
 import io.reactivex.rxjava3.core.Scheduler;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -21,7 +20,6 @@
 import org.cornelway.route.RouteTable;
 import org.cornelway.route.ServiceDefinition;
 import org.cornelway.time.Deadline;
-import org.cornelway.traffic.ModelTarget;
 
 /**
  * Decides which models the engines load and unload while this process is the controller, and
@@ -59,7 +57,7 @@
     private final DemandTable mDemand = new DemandTable();
     private final StoreLoadLimit mStoreLoads = new StoreLoadLimit(MAX_STORE_LOADS);
     private final Map<ServerIncarnation, EngineDriver> mDrivers = new HashMap<>();
-    private final Map<RequestKey, PendingRequest> mPending = new HashMap<>();
+    private final PendingRequests mPending = new PendingRequests();
     private final Map<ServerIncarnation, Deadline> mNextRereadTimes = new HashMap<>();
     private Optional<RouteTable> mRoutes = Optional.empty();
     private long mHoldingsVersion;
@@ -67,19 +65,6 @@
     private boolean mRoundScheduled;
     private long mLastRoundMillis;
 
-    /** Service and target of a request; requests with equal keys are merged. */
-    record RequestKey(String service, ModelTarget target) {}
-
-    /** Merged requests and the callbacks that wait for their outcome. */
-    static final class PendingRequest {
-        private ModelRequest mRequest;
-        private final List<Consumer<ModelRequestOutcome>> mCallbacks = new ArrayList<>();
-
-        ModelRequest request() {
-            return mRequest;
-        }
-    }
-
     /**
      * Source of the term under which orders are sent. Called on the control thread, except {@link
      * #fencingNumber} and {@link #holder}, which are thread-safe.
@@ -147,8 +132,7 @@
      * because another process may be the controller now.
      */
     public void endTerm() {
-        List<PendingRequest> pending = new ArrayList<>(mPending.values());
-        mPending.clear();
+        List<PendingRequests.Pending> pending = mPending.mostUrgentFirst();
         mDrivers.clear();
         pending.forEach(request -> complete(request, new ModelRequestOutcome.NotController()));
     }
@@ -196,26 +180,11 @@
             callback.accept(new ModelRequestOutcome.NotController());
             return;
         }
-        RequestKey key = new RequestKey(request.service(), request.target());
-        PendingRequest pending = mPending.computeIfAbsent(key, k -> new PendingRequest());
-        pending.mRequest = pending.mRequest == null ? request : merged(pending.mRequest, request);
-        pending.mCallbacks.add(callback);
+        mPending.add(request, callback);
         request.notHeldBy().ifPresent(this::rereadEngine);
         scheduleRound();
     }
 
-    private static ModelRequest merged(ModelRequest earlier, ModelRequest later) {
-        boolean extendsDeadline = earlier.deadline().compareTo(later.deadline()) < 0;
-        return new ModelRequest(
-                earlier.service(),
-                earlier.target(),
-                extendsDeadline ? later.deadline() : earlier.deadline(),
-                Math.min(earlier.priority(), later.priority()),
-                earlier.firstArrivalMillis(),
-                earlier.mergedRequests() + later.mergedRequests(),
-                later.notHeldBy().or(earlier::notHeldBy));
-    }
-
     /**
      * Requires a new report from an engine that, according to an entry, does not hold the target or
      * does not reply. Until the report has arrived, no request is answered with that engine. Does
@@ -241,21 +210,12 @@
         long now = now();
         // Completes the orders whose assumed end has passed, before new loads are planned.
         List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
-        List<PendingRequest> pending = new ArrayList<>(mPending.values());
-        pending.sort(
-                Comparator.comparingInt((PendingRequest request) -> request.request().priority())
-                        .thenComparing(request -> request.request().deadline()));
         Map<String, SchedulingRound> rounds = new HashMap<>();
-        for (PendingRequest request : pending) {
-            Optional<ModelRequestOutcome> outcome =
-                    round(request.request().service(), rounds, now)
-                            .map(round -> mScheduler.findOrLoad(request.request(), round))
-                            .orElse(Optional.of(new ModelRequestOutcome.TooLate(0)));
-            if (outcome.isPresent()) {
-                mPending.remove(
-                        new RequestKey(request.request().service(), request.request().target()));
-                complete(request, outcome.get());
-            }
+        for (PendingRequests.Pending pending : mPending.mostUrgentFirst()) {
+            round(pending.request().service(), rounds, now)
+                    .map(round -> mScheduler.findOrLoad(pending.request(), round))
+                    .orElse(Optional.of(new ModelRequestOutcome.TooLate(0)))
+                    .ifPresent(outcome -> complete(pending, outcome));
         }
         if (now >= mNextProactiveMillis) {
             mNextProactiveMillis = now + PROACTIVE_INTERVAL_MILLIS;
@@ -283,7 +243,7 @@
     private Optional<SchedulingRound> round(
             String service, Map<String, SchedulingRound> rounds, long now) {
         if (!rounds.containsKey(service)) {
-            Set<String> requested = SchedulingRound.requestedModels(mPending.keySet());
+            Set<String> requested = mPending.models();
             engineDefinition(service)
                     .map(d -> new SchedulingRound(drivers(service), d, requested, now))
                     .ifPresent(round -> rounds.put(service, round));
@@ -298,20 +258,36 @@
                 .toList();
     }
 
-    private void complete(PendingRequest pending, ModelRequestOutcome outcome) {
-        pending.mCallbacks.forEach(callback -> callback.accept(outcome));
+    private void complete(PendingRequests.Pending pending, ModelRequestOutcome outcome) {
+        mPending.remove(pending);
+        pending.callbacks().forEach(callback -> callback.accept(outcome));
         mLog.write(
                 "model.answered",
                 "model",
                 pending.request().target(),
                 "waiting",
-                pending.mCallbacks.size(),
+                pending.callbacks().size(),
                 "answer",
                 outcome,
                 "version",
                 mHoldingsVersion);
     }
 
+    /**
+     * Returns the number of active calls, over all entries, on each engine that has at least as
+     * many as slots, by the engine's id.
+     */
+    public Map<String, Integer> busyEngines() {
+        Map<String, Integer> busy = new HashMap<>();
+        for (EngineDriver driver : mDrivers.values()) {
+            int active = mDemand.activeCalls(driver.server().id(), now());
+            if (active >= driver.server().slots()) {
+                busy.put(driver.server().id(), active);
+            }
+        }
+        return busy;
+    }
+
     /**
      * Returns the models and adapters that each engine holds, to be announced to the entries.
      * Engines whose state is not known are left out.
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/models/PendingRequests.java
@@ -0,0 +1,89 @@
+package org.cornelway.models;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cornelway.traffic.ModelTarget;
+
+/**
+ * The requests for models that have no outcome yet; requests for the same target are merged.
+ * Confined to the control thread.
+ */
+final class PendingRequests {
+    private final Map<Key, Pending> mByKey = new HashMap<>();
+
+    /** Service and target of a request; requests with equal keys are merged. */
+    private record Key(String service, ModelTarget target) {}
+
+    /** Merged requests and the callbacks that wait for their outcome. */
+    static final class Pending {
+        private final List<Consumer<ModelRequestOutcome>> mCallbacks = new ArrayList<>();
+        private ModelRequest mRequest;
+
+        private Pending(ModelRequest request) {
+            mRequest = request;
+        }
+
+        ModelRequest request() {
+            return mRequest;
+        }
+
+        List<Consumer<ModelRequestOutcome>> callbacks() {
+            return mCallbacks;
+        }
+    }
+
+    private static Key keyOf(ModelRequest request) {
+        return new Key(request.service(), request.target());
+    }
+
+    /** Adds a request, merged with an earlier one for the same target if there is one. */
+    void add(ModelRequest request, Consumer<ModelRequestOutcome> callback) {
+        Pending pending = mByKey.get(keyOf(request));
+        if (pending == null) {
+            pending = new Pending(request);
+            mByKey.put(keyOf(request), pending);
+        } else {
+            pending.mRequest = merged(pending.mRequest, request);
+        }
+        pending.mCallbacks.add(callback);
+    }
+
+    private static ModelRequest merged(ModelRequest earlier, ModelRequest later) {
+        boolean extendsDeadline = earlier.deadline().compareTo(later.deadline()) < 0;
+        return new ModelRequest(
+                earlier.service(),
+                earlier.target(),
+                extendsDeadline ? later.deadline() : earlier.deadline(),
+                Math.min(earlier.priority(), later.priority()),
+                earlier.firstArrivalMillis(),
+                earlier.mergedRequests() + later.mergedRequests(),
+                later.notHeldBy().or(earlier::notHeldBy));
+    }
+
+    /** Removes a request that has its outcome. */
+    void remove(Pending pending) {
+        mByKey.remove(keyOf(pending.request()));
+    }
+
+    /** Returns the requests by priority, and by deadline among equals. */
+    List<Pending> mostUrgentFirst() {
+        List<Pending> all = new ArrayList<>(mByKey.values());
+        all.sort(
+                Comparator.comparingInt((Pending pending) -> pending.request().priority())
+                        .thenComparing(pending -> pending.request().deadline()));
+        return all;
+    }
+
+    /** Returns the models that the requests are for, whether or not they name an adapter. */
+    Set<String> models() {
+        Set<String> models = new HashSet<>();
+        mByKey.keySet().forEach(key -> models.add(key.target().model()));
+        return models;
+    }
+}
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -64,13 +64,6 @@
         index.computeIfAbsent(model, key -> new ArrayList<>()).add(engine);
     }
 
-    /** Returns the models that the requests are for, whether or not they name an adapter. */
-    static Set<String> requestedModels(Collection<ModelController.RequestKey> requests) {
-        Set<String> models = new HashSet<>();
-        requests.forEach(request -> models.add(request.target().model()));
-        return models;
-    }
-
     /** Adds an order to an engine's queue. */
     void enqueue(EngineDriver engine, PlannedOrder order) {
         engine.enqueue(order);
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -62,6 +62,7 @@
      */
     private long mLastProgressMillis;
 
+    private Optional<Long> mFirstEventMillis = Optional.empty();
     private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
 
     Attempt(
@@ -233,6 +234,8 @@
             try {
                 if (mCallHandler.relay().orElseThrow().feed(mStatus, mHeaders, content) > 0) {
                     recordProgress();
+                    mFirstEventMillis =
+                            mFirstEventMillis.or(() -> Optional.of(mLastProgressMillis));
                 }
             } catch (IllegalStateException e) {
                 failWithUnknownOutcome(e.getMessage());
@@ -295,6 +298,8 @@
             mCallHandler.onMayHaveRun(this, "ended within an event", Optional.empty());
         } else {
             mContext.loads().recordResponse(mServer.incarnation(), true);
+            long now = mContext.clock().nowMillis();
+            mFirstEventMillis.ifPresent(first -> mContext.loads().recordStream(now - first));
             mRunningCall.ifPresent(mContext.usage()::callCompleted);
             relay.ensureHeadSent(mStatus, mHeaders);
             mCallHandler.onStreamEnd();
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
@@ -147,6 +148,12 @@
             requestModel();
             return;
         }
+        OptionalLong wait = target.isPresent() ? excessiveWait(candidates) : OptionalLong.empty();
+        if (wait.isPresent()) {
+            mRetryAfterMillis = Math.max(RETRY_AFTER_MILLIS, wait.getAsLong());
+            fail(ResultCode.QUEUE_FULL, "an engine would need " + wait.getAsLong() + " ms");
+            return;
+        }
         Optional<Candidate> chosen =
                 mContext.chooser()
                         .choose(candidates, mRequest.head().sharedPrefixHash(), mHistory.tried());
@@ -157,6 +164,13 @@
         }
     }
 
+    /** As in {@link ModelWait}; empty if the call may have run before. */
+    private OptionalLong excessiveWait(List<Candidate> candidates) {
+        return isStreamBegun() || mHistory.possibleRunCount() > 0
+                ? OptionalLong.empty()
+                : mModelWait.excessiveWaitMillis(candidates, route(), mDeadline);
+    }
+
     private void send(Candidate chosen) {
         int entryCount = mContext.view().get().entryCount();
         if (mHistory.hasArrived() && !mContext.retryBudget().tryAcquire(mService, entryCount)) {
--- a/org.cornelway/src/org/cornelway/traffic/ModelWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelWait.java
@@ -1,8 +1,12 @@
 package org.cornelway.traffic;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongConsumer;
 import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.dispatch.Candidate;
+import org.cornelway.dispatch.EngineQueuePolicy;
 import org.cornelway.route.Route;
 import org.cornelway.time.Deadline;
 
@@ -94,6 +98,20 @@
                 .orElse(false);
     }
 
+    /**
+     * Returns the expected wait in the engines' queues if the caller would abandon the call before
+     * it begins, else empty.
+     *
+     * @param candidates engines that hold the model
+     */
+    OptionalLong excessiveWaitMillis(
+            List<Candidate> candidates, Route route, Deadline callDeadline) {
+        long now = mContext.clock().nowMillis();
+        Deadline end = earlier(callDeadline, abandonment(route, false));
+        return EngineQueuePolicy.excessiveWaitMillis(
+                candidates, mContext.loads().streamMillis(), end.remainingMillis(now));
+    }
+
     /** Ends the wait; the call can be sent. */
     void end() {
         mDeadline = Optional.empty();
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -155,11 +155,14 @@
      * notifies the calls that wait for models.
      *
      * @param holdings models, each with its adapters, by the incarnation of the server
+     * @param busy number of active calls, over all entries, on each busy engine, by its id
      */
-    public void updateHoldings(Map<ServerIncarnation, Map<String, Set<String>>> holdings) {
+    public void updateHoldings(
+            Map<ServerIncarnation, Map<String, Set<String>>> holdings, Map<String, Integer> busy) {
         mLoop.execute(
                 () -> {
                     mHoldings.recordControllerReply(mContext.clock().nowMillis());
+                    mLoads.recordBusyEngines(busy);
                     holdings.forEach(mHoldings::replace);
                     if (!holdings.isEmpty()) {
                         mFrontServer.onHoldingsChanged();
