Measure the store's concurrency when a load begins

The limit used the number when it ended and moved between 1 and 4.

Change: the driver keeps the number of loads that ran when its own began.

--- a/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
@@ -43,7 +43,13 @@
                     public void onFenced() {}
 
                     @Override
-                    public void onStoreLoadEnded(long expectedMillis, long actualMillis) {}
+                    public void onStoreLoadEnded(
+                            long expectedMillis, long actualMillis, int concurrentLoads) {}
+
+                    @Override
+                    public int runningStoreLoads() {
+                        return 0;
+                    }
 
                     @Override
                     public void onOrderReply(
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -63,6 +63,7 @@
     private boolean mReportRequired = true;
     private long mAcceptedOrders;
     private long mBegunMillis;
+    private int mStoreLoadsAtBegin;
     private long mAssumedEndMillis;
     private long mBusyUntilMillis;
     private int mConsecutiveConflicts;
@@ -273,7 +274,9 @@
                 .ifPresent(
                         load ->
                                 mListener.onStoreLoadEnded(
-                                        load.expectedMillis(), nowMillis - mBegunMillis));
+                                        load.expectedMillis(),
+                                        nowMillis - mBegunMillis,
+                                        mStoreLoadsAtBegin));
     }
 
     private void sendOrder(PlannedOrder planned) {
@@ -353,6 +356,7 @@
         if (planned.adapter().isEmpty()) {
             mOrderQueue.setRunning(Optional.of(planned));
             mBegunMillis = nowMillis;
+            mStoreLoadsAtBegin = mListener.runningStoreLoads();
             mBusyUntilMillis = nowMillis + planned.expectedMillis();
             mAssumedEndMillis =
                     nowMillis
--- a/org.cornelway/src/org/cornelway/models/EngineListener.java
+++ b/org.cornelway/src/org/cornelway/models/EngineListener.java
@@ -36,8 +36,12 @@
      *
      * @param expectedMillis duration of a load that does not compete with others
      * @param actualMillis time since the engine accepted the order
+     * @param concurrentLoads loads that read the store when it began, itself included
      */
-    void onStoreLoadEnded(long expectedMillis, long actualMillis);
+    void onStoreLoadEnded(long expectedMillis, long actualMillis, int concurrentLoads);
+
+    /** Returns the number of loads that engines are reading from the checkpoint store. */
+    int runningStoreLoads();
 
     /**
      * Called when an attempt to send an order has ended, with or without a reply from the engine.
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -335,12 +335,16 @@
     }
 
     @Override
-    public void onStoreLoadEnded(long expectedMillis, long actualMillis) {
-        int concurrentLoads =
-                (int)
-                        mDrivers.values().stream()
-                                .filter(driver -> driver.orderQueue().readsStore())
-                                .count();
+    public int runningStoreLoads() {
+        return (int)
+                mDrivers.values().stream()
+                        .flatMap(driver -> driver.orderQueue().running().stream())
+                        .filter(PlannedOrder::readsCheckpointStore)
+                        .count();
+    }
+
+    @Override
+    public void onStoreLoadEnded(long expectedMillis, long actualMillis, int concurrentLoads) {
         mStoreLoads.recordLoad(expectedMillis, actualMillis, concurrentLoads);
         mLog.write(
                 "store_load.ended",
--- a/org.cornelway/src/org/cornelway/models/StoreLoadLimit.java
+++ b/org.cornelway/src/org/cornelway/models/StoreLoadLimit.java
@@ -36,7 +36,7 @@
      *
      * @param expectedMillis duration of a load that does not compete with others; positive
      * @param actualMillis duration of this load
-     * @param concurrentLoads loads that read the store when it ended, itself included
+     * @param concurrentLoads loads that read the store when it began, itself included
      */
     void recordLoad(long expectedMillis, long actualMillis, int concurrentLoads) {
         double ratio = (double) actualMillis / expectedMillis;
