Keep applying documents after one that fails, and test malformed input

Cause: an error while a document was applied ended the subscription that applies them, so the process would have kept its servers and configuration for good. An announced port above 65535 was taken, and threw where the connection is opened.

--- a/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -136,6 +136,8 @@
             {ok.replace("'born':1", "'born':1.5")},
             {ok.replace("ready", "sleeping")},
             {ok.replace("1.2.3.4:80", "1.2.3.4")},
+            {ok.replace("1.2.3.4:80", "1.2.3.4:70000")},
+            {ok.replace("1.2.3.4:80", "1.2.3.4:0")},
             {ok.replace("'Seq':2", "'Seq':null")},
             {ok.replace("'Service':'s'", "'Service':7")},
             {ok.replace("'Seq':2", "'Seq':2,'Models':{}")},
--- a/org.cornelway/src/org/cornelway/role/ClusterStatePublisher.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterStatePublisher.java
@@ -2,6 +2,7 @@
 
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.function.Predicate;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValue;
 
 /**
@@ -15,21 +16,37 @@
     private final Predicate<KeyValue> mApply;
     private final Scheduler mControl;
     private final Runnable mPublish;
+    private final EventLog mLog;
     private boolean mPublishScheduled;
 
     /**
      * @param apply applies a document; returns true if the cluster state must be published
      * @param publish publishes the cluster state
      */
-    ClusterStatePublisher(Predicate<KeyValue> apply, Scheduler control, Runnable publish) {
+    ClusterStatePublisher(
+            Predicate<KeyValue> apply, Scheduler control, Runnable publish, EventLog log) {
         mApply = apply;
         mControl = control;
         mPublish = publish;
+        mLog = log;
     }
 
-    /** Applies a document. */
+    /** Applies a document. One that cannot be applied is logged, and the later ones are applied. */
     void apply(KeyValue document) {
-        if (mApply.test(document) && !mPublishScheduled) {
+        boolean changed = false;
+        try {
+            changed = mApply.test(document);
+        } catch (RuntimeException e) {
+            mLog.write(
+                    "document.failed",
+                    "key",
+                    document.key(),
+                    "revision",
+                    document.revision(),
+                    "reason",
+                    String.valueOf(e));
+        }
+        if (changed && !mPublishScheduled) {
             mPublishScheduled = true;
             mControl.scheduleDirect(this::publish);
         }
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -317,7 +317,8 @@
                                 new ClusterStatePublisher(
                                         mClusterState::apply,
                                         mControl,
-                                        DirectEntryRole.this::publish);
+                                        DirectEntryRole.this::publish,
+                                        mLog);
                         mCache.changes().observeOn(mControl).subscribe(publisher::apply);
                         mSupervisor.schedulePeriodically(
                                 "step", STEP_PERIOD_MILLIS, mControl, DirectEntryRole.this::step);
