Load several replicas of a busy model at once

With the store's limit at 2 loads, those ahead of calls could take all of them.

Change: models with most calls come first, and a model that is loading may be loaded on another engine from a cached copy. Loads ahead of calls leave one load of the store's limit.

Test: demandThatMovesGetsItsReplicasTogether failed before.

--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -344,4 +344,25 @@
         assertThat(mEngines.values().stream().filter(e -> e.models().contains("r20")).count())
                 .isGreaterThan(1);
     }
+
+    /** Plays demand that moves to a model that one engine holds and many engines have cached. */
+    @Test
+    public void demandThatMovesGetsItsReplicasTogether() {
+        addEngine("e0", "m4", "m3");
+        for (int i = 1; i < 8; i++) {
+            addEngine("e" + i, "m1", "m2");
+        }
+        beginTerm();
+        runFor(700);
+        mController
+                .demand()
+                .recordReport(
+                        "p1",
+                        new ModelUsage.Snapshot(List.of(), Map.of("m4", new ModelRate(18, 500))),
+                        mTime.now(TimeUnit.MILLISECONDS));
+        // Two planning intervals and one load; the calls need five replicas.
+        runFor(2 * 150 + 160);
+        assertThat(mEngines.values().stream().filter(e -> e.models().contains("m4")).count())
+                .isGreaterThanOrEqualTo(3);
+    }
 }
--- a/org.cornelway/src/org/cornelway/models/ProactiveScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ProactiveScheduler.java
@@ -34,8 +34,10 @@
     }
 
     /**
-     * Plans replicas of models that have fewer than their calls need. Considers only engines that
-     * can begin now: an engine that is free now is preferred to a busy one with a cached copy.
+     * Plans one replica of each model that has fewer than its calls need, those with most calls
+     * first. Considers only engines that can begin now: an engine that is free now is preferred to
+     * a busy one with a cached copy. While a model is loading, plans another replica only from a
+     * cached copy.
      */
     void addReplicas(SchedulingRound round) {
         List<EngineDriver> available =
@@ -43,14 +45,22 @@
         if (available.isEmpty()) {
             return;
         }
-        for (ModelDefinition model : round.definition().models().values()) {
-            if (round.loaders(model.name()).isEmpty() && mLoads.lacksReplica(model.name(), round)) {
-                mLoads.plan(model, Optional.empty(), available, round)
-                        .filter(LoadPlan::isWorthwhile)
-                        .filter(plan -> plan.drainMillis() <= MAX_REPLICA_DRAIN_MILLIS)
-                        .ifPresent(plan -> mLoads.enqueue(plan, model, round));
-            }
-        }
+        round.definition().models().values().stream()
+                .filter(model -> mLoads.lacksReplica(model.name(), round))
+                .sorted(Comparator.comparingDouble(model -> -callRate(model, round)))
+                .forEach(model -> addReplica(model, available, round));
+    }
+
+    private void addReplica(
+            ModelDefinition model, List<EngineDriver> available, SchedulingRound round) {
+        boolean isLoading = !round.loaders(model.name()).isEmpty();
+        List<EngineDriver> free =
+                available.stream().filter(EngineDriver::acceptsModelOrders).toList();
+        mLoads.plan(model, Optional.empty(), free, round)
+                .filter(LoadPlan::isWorthwhile)
+                .filter(plan -> plan.drainMillis() <= MAX_REPLICA_DRAIN_MILLIS)
+                .filter(plan -> !isLoading || plan.source() != WeightSource.STORE)
+                .ifPresent(plan -> mLoads.enqueue(plan, model, round));
     }
 
     /**
@@ -62,7 +72,7 @@
      * loads ({@link LoadScheduler#maxStoreLoads} if there are no calls) read the store.
      */
     void prefetchFromStore(SchedulingRound round) {
-        int limit = mDemand.isIdle(round.nowMillis()) ? mLoads.maxStoreLoads() : MAX_PREFETCHES;
+        int limit = maxPrefetches(round);
         if (round.storeReads() >= limit || round.awaitsFirstReport()) {
             return;
         }
@@ -81,6 +91,13 @@
                                         .ifPresent(p -> mLoads.enqueue(p, model, round)));
     }
 
+    private int maxPrefetches(SchedulingRound round) {
+        int storeLoads = mLoads.maxStoreLoads();
+        return mDemand.isIdle(round.nowMillis())
+                ? storeLoads
+                : Math.min(MAX_PREFETCHES, Math.max(1, storeLoads - 1));
+    }
+
     private boolean mayPrefetch(ModelDefinition model, SchedulingRound round) {
         int copies = round.enginesWithCopy(model.name());
         return round.hasRequests()
