Log a server when more than what it holds has changed

Change: a line is written when incarnation, service, address or draining differ from the server's last line. Test: serverIsLoggedOnlyWhenMoreThanItsModelsChange (not run on the old code).

--- a/org.cornelway.test/tst/org/cornelway/role/ClusterStateTest.java
+++ b/org.cornelway.test/tst/org/cornelway/role/ClusterStateTest.java
@@ -3,10 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelway.cluster.ClusterKeys;
 import org.cornelway.cluster.ClusterMember;
 import org.cornelway.config.Json;
+import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.invariant.Invariants;
 import org.cornelway.platform.KeyValue;
@@ -19,21 +24,60 @@
 
 /** Tests the election ranks of registered entries and the handling of a malformed configuration. */
 public class ClusterStateTest {
+    private MetricRegistry mMetrics;
     private DocumentCache mCache;
     private ClusterState mClusterState;
 
     @BeforeMethod
     public void setUp() {
+        mMetrics = new MetricRegistry();
         mCache = new DocumentCache(Invariants.strict(), new MetricRegistry());
         mClusterState =
                 new ClusterState(
                         value -> Result.failed(ResultCode.BAD_REQUEST, "none"),
-                        (id, value) -> Optional.empty(),
+                        ClusterStateTest::decode,
                         mCache,
                         new MemberTable("b"),
                         () -> 0,
-                        new EventLog(() -> 0, new MetricRegistry()),
-                        new MetricRegistry());
+                        new EventLog(() -> 0, mMetrics),
+                        mMetrics);
+    }
+
+    /** Reads a server that holds one model; its value is the name, with a mark while it drains. */
+    private static Optional<ServerRecord> decode(String id, byte[] value) {
+        String text = new String(value, StandardCharsets.UTF_8);
+        return Optional.of(
+                new ServerRecord(
+                        new ServerIncarnation(id, 1),
+                        "s",
+                        "127.0.0.1",
+                        1,
+                        "z",
+                        8,
+                        text.endsWith("!"),
+                        1,
+                        Map.of(text, Set.of()),
+                        Set.of(),
+                        Set.of()));
+    }
+
+    private void announce(String value, long revision) {
+        KeyValue document =
+                new KeyValue(
+                        ClusterKeys.SERVERS_PREFIX + "i-1",
+                        value.getBytes(StandardCharsets.UTF_8),
+                        revision);
+        assertThat(mClusterState.apply(document)).isTrue();
+    }
+
+    @Test
+    public void serverIsLoggedOnlyWhenMoreThanItsModelsChange() {
+        announce("m1", 1);
+        announce("m2", 2);
+        announce("m3", 3);
+        assertThat(mMetrics.counter("events.server.known").getCount()).isEqualTo(1);
+        announce("m3!", 4);
+        assertThat(mMetrics.counter("events.server.known").getCount()).isEqualTo(2);
     }
 
     private void register(String id, long startedMillis, long revision) {
--- a/org.cornelway/src/org/cornelway/role/ClusterState.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterState.java
@@ -2,8 +2,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.cornelway.cluster.ClusterKeys;
@@ -11,6 +13,7 @@
 import org.cornelway.cluster.StoreFollower;
 import org.cornelway.config.Json;
 import org.cornelway.directory.ServerDirectory;
+import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValue;
@@ -41,11 +44,18 @@
     /** Ids of servers whose malformed record was logged, so that each id is logged once. */
     private final Set<String> mLoggedMalformedIds = new HashSet<>();
 
+    /** What the last line on each server says. */
+    private final Map<String, LoggedServer> mLoggedServers = new HashMap<>();
+
     private Optional<RouteTable> mRoutes = Optional.empty();
 
     /** Ids of the registered members, the first candidate for controller first. */
     private List<String> mCandidates = List.of();
 
+    /** The parts of an announcement that are logged. */
+    private record LoggedServer(
+            ServerIncarnation incarnation, String service, String address, boolean draining) {}
+
     ClusterState(
             RoutingDecoder routingDecoder,
             ServerRecordDecoder serverDecoder,
@@ -113,6 +123,7 @@
         long now = mClock.nowMillis();
         if (StoreFollower.isTombstone(document)) {
             boolean removed = mDirectory.remove(id, document.revision(), now);
+            mLoggedServers.remove(id);
             mLog.write(
                     "server.ended", "server", id, "revision", document.revision(), "now", removed);
             return removed;
@@ -127,24 +138,41 @@
         }
         boolean changed = mDirectory.put(record.get(), document.revision());
         if (changed) {
-            mLog.write(
-                    "server.known",
-                    "server",
-                    id,
-                    "service",
-                    record.get().service(),
-                    "address",
-                    record.get().address(),
-                    "draining",
-                    record.get().draining(),
-                    "born",
-                    record.get().incarnation().startedMillis(),
-                    "revision",
-                    document.revision());
+            logIfNew(record.get(), document.revision());
         }
         return changed;
     }
 
+    /**
+     * Logs a server unless its last line says the same. What an engine holds changes too often for
+     * a line of each entry; the controller logs the orders.
+     */
+    private void logIfNew(ServerRecord server, long revision) {
+        LoggedServer line =
+                new LoggedServer(
+                        server.incarnation(),
+                        server.service(),
+                        server.address(),
+                        server.draining());
+        if (line.equals(mLoggedServers.put(server.id(), line))) {
+            return;
+        }
+        mLog.write(
+                "server.known",
+                "server",
+                server.id(),
+                "service",
+                server.service(),
+                "address",
+                server.address(),
+                "draining",
+                server.draining(),
+                "born",
+                server.incarnation().startedMillis(),
+                "revision",
+                revision);
+    }
+
     private void updateMembers() {
         List<ClusterMember> registrations = registrations();
         mMembers.update(registrations.stream().map(ClusterMember::toMember).toList());
