Log listings and watches of the store that fail

No line said when a watch was sent and how it ended, so that a watch that is never answered looked like one that skips changes. store.read_failed gives the prefix, the revision and how long it waited.

--- a/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.Change;
 import org.cornelway.platform.ChangeFeed;
 import org.cornelway.platform.ChangePage;
@@ -40,6 +41,7 @@
     private final StoreHealth mHealth;
     private final Scheduler mControl;
     private final Random mRandom;
+    private final EventLog mLog;
     private final MetricRegistry mMetrics;
     private final SerialDisposable mPendingCall = new SerialDisposable();
 
@@ -48,6 +50,9 @@
 
     private int mConsecutiveFailures;
 
+    /** When the last call was sent. */
+    private long mSentMillis;
+
     /**
      * @param prefix prefix of the keys to follow
      * @param pauseMillis pause after a page with changes, so that the next page combines the
@@ -61,6 +66,7 @@
             StoreHealth health,
             Scheduler control,
             Random random,
+            EventLog log,
             MetricRegistry metrics) {
         mPrefix = prefix;
         mPauseMillis = pauseMillis;
@@ -69,6 +75,7 @@
         mHealth = health;
         mControl = control;
         mRandom = random;
+        mLog = log;
         mMetrics = metrics;
     }
 
@@ -93,6 +100,7 @@
     }
 
     private void listOrWatch() {
+        mSentMillis = now();
         mMetrics.counter(mRevision < 0 ? "store.lists" : "store.watches").inc();
         Single<ChangePage> call =
                 mRevision < 0
@@ -138,6 +146,16 @@
             scheduleNext(0);
             return;
         }
+        mLog.write(
+                "store.read_failed",
+                "prefix",
+                mPrefix,
+                "after",
+                mRevision,
+                "waited_ms",
+                now() - mSentMillis,
+                "reason",
+                String.valueOf(e.getMessage()));
         mHealth.recordFailure(mPrefix, e);
         long millis =
                 Math.min(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS << Math.min(mConsecutiveFailures, 5));
@@ -145,6 +163,10 @@
         scheduleNext(millis + mRandom.nextInt((int) FIRST_RETRY_MILLIS));
     }
 
+    private long now() {
+        return mControl.now(TimeUnit.MILLISECONDS);
+    }
+
     private void scheduleNext(long millis) {
         mPendingCall.set(mControl.scheduleDirect(this::listOrWatch, millis, TimeUnit.MILLISECONDS));
     }
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -174,6 +174,7 @@
                 mHealth,
                 mDeps.control(),
                 new Random(),
+                mDeps.log(),
                 mDeps.metrics());
     }
 
