Replace watches that hung through a silence of the store

Callers saw: for up to 20 s after an outage of the key-value service, calls went to backend servers that had said they were leaving, and routes of an old configuration applied, on all entries at once; no entry became the controller, so models that were asked for were not loaded.

Cause: a call that is sent while the service is silent is never answered. The watches of each entry waited their full 20.6 s for it, although the calls of the lease had shown for long that the service was back. Peers did not help: all entries share the silence. The same holds for a call that is lost in a silence too short for the lease to meet.

Ruled out by store.read_failed: a watch that skips changes (no call was answered in between), and calls that wait and are not checked again (the entry did not know of the drain).

Change: StoreHealth reports the first success after any failure; each follower then replaces its call in flight, and repeats one that failed without delay. A watch waits 4 s, so that a silence that no other call meets ends within 4.6 s, less than the 3 s in which the store must be stable and the 2 s of a drain. Disposing of a request to the platform closes its connection, so that replaced watches do not stay at the store.

On the code before, with the same tests, StoreFollowerTest failed twice, SilentStoreProcessTest and PlatformHttpClientTest.disposedRequestClosesItsConnection once each.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/PlatformStoreStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlatformStoreStandin.java
@@ -47,7 +47,10 @@
         NONE,
         /** The service rejects every request with status 503, without executing it. */
         UNAVAILABLE,
-        /** The service ignores every request: it neither executes it nor sends a response. */
+        /**
+         * The service ignores every request, also a watch that waits: it neither executes it nor
+         * sends a response, even after the fault has ended.
+         */
         NO_RESPONSE,
         /**
          * The service executes every request but sends no response to writes and lease requests.
@@ -180,6 +183,9 @@
      * revision was compacted, or with an empty list at the deadline.
      */
     private void watch(HttpServerRequest request, long deadlineNanos) {
+        if (mFault == Fault.NO_RESPONSE) {
+            return;
+        }
         Optional<List<StoreState.Event>> events =
                 mState.events(
                         request.getParam("Prefix"), Long.parseLong(request.getParam("after")));
--- a/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -57,7 +57,8 @@
             EventLog log = new EventLog(mClock, metrics);
             InMemoryKeyValueStore keyValueStore =
                     new InMemoryKeyValueStore(store, mTime, this::nextCallBehavior);
-            StoreHealth health = new StoreHealth(mClock, log, metrics, () -> {}, () -> {});
+            StoreHealth health =
+                    new StoreHealth(mClock, log, metrics, () -> {}, () -> {}, () -> {});
             SuspendAwareClock clock = new SuspendAwareClock(this::localMillis, this::localMillis);
             mLease = new ProcessLease(keyValueStore, mTime, mTime, clock, health, log);
             ClusterMember self = new ClusterMember("p" + rank, "h:" + rank, "r", "z", rank, 1);
--- a/org.cornelway.test/tst/org/cornelway/cluster/ProcessLeaseTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ProcessLeaseTest.java
@@ -40,7 +40,7 @@
                         mBusyControl,
                         new SuspendAwareClock(
                                 mClock::nowMillis, () -> mClock.nowMillis() + mSuspendedMillis),
-                        new StoreHealth(mClock, log, metrics, () -> {}, () -> {}),
+                        new StoreHealth(mClock, log, metrics, () -> {}, () -> {}, () -> {}),
                         log);
         lease.start().blockingAwait();
         mLeaseTime.advanceTimeBy(100, TimeUnit.MILLISECONDS);
--- a/org.cornelway.test/tst/org/cornelway/cluster/StoreHealthTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/StoreHealthTest.java
@@ -17,6 +17,7 @@
     private final AtomicLong mNow = new AtomicLong(1_000);
     private final AtomicInteger mUnavailableNotifications = new AtomicInteger();
     private final AtomicInteger mAvailableNotifications = new AtomicInteger();
+    private final AtomicInteger mRecoveredNotifications = new AtomicInteger();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final StoreHealth mHealth =
             new StoreHealth(
@@ -24,7 +25,8 @@
                     new EventLog(mNow::get, mMetrics),
                     mMetrics,
                     mUnavailableNotifications::incrementAndGet,
-                    mAvailableNotifications::incrementAndGet);
+                    mAvailableNotifications::incrementAndGet,
+                    mRecoveredNotifications::incrementAndGet);
 
     private void fail() {
         mHealth.recordFailure("call", new IOException("reset"));
@@ -46,4 +48,14 @@
         assertThat(mUnavailableNotifications.get()).isEqualTo(1);
         assertThat(mAvailableNotifications.get()).isEqualTo(1);
     }
+
+    @Test
+    public void firstSuccessAfterAnyFailureIsReportedOnce() {
+        mHealth.recordSuccess();
+        assertThat(mRecoveredNotifications.get()).isZero();
+        fail();
+        mHealth.recordSuccess();
+        mHealth.recordSuccess();
+        assertThat(mRecoveredNotifications.get()).isEqualTo(1);
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.reactivex.rxjava3.disposables.Disposable;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -14,6 +15,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cornelway.internal.platform.HttpEndpoint;
@@ -155,6 +157,24 @@
         assertThatThrownBy(() -> send(SendPermit.ALWAYS)).hasCauseInstanceOf(IOException.class);
     }
 
+    @Test
+    public void disposedRequestClosesItsConnection() {
+        CompletableFuture<Void> received = new CompletableFuture<>();
+        CompletableFuture<Integer> next = new CompletableFuture<>();
+        serveConnections(
+                (in, out) -> {
+                    readHead(in);
+                    received.complete(null);
+                    next.complete(in.read());
+                });
+        Disposable call =
+                mClient.send(mEndpoint, "GET", "/watch", Map.of(), EMPTY_BODY, TIMEOUT_MILLIS)
+                        .subscribe(reply -> {}, e -> {});
+        received.orTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
+        call.dispose();
+        assertThat(next.orTimeout(TIMEOUT_MILLIS / 2, TimeUnit.MILLISECONDS).join()).isEqualTo(-1);
+    }
+
     @Test
     public void endlessBodyEndsTheRequest() {
         serveConnections(
--- a/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
@@ -24,11 +24,17 @@
  * <p>Lists the keys under the prefix once, then watches for changes. Lists them again if the
  * service no longer has all changes since the last known revision. A deleted key is kept as a
  * tombstone, a document with an empty value, so that a peer cannot bring back an older value.
- * Confined to the control thread.
+ *
+ * <p>A service that was silent for a moment may never answer the calls of that time. So each watch
+ * is short, and a call in flight is replaced as soon as another call shows that the service is
+ * available again. Confined to the control thread.
  */
 public final class StoreFollower implements Component {
-    /** Longest wait of one watch call; the service allows 30 s. */
-    private static final long WAIT_MILLIS = 20_000;
+    /**
+     * Longest wait of one watch call. It bounds how long changes go unnoticed if the service has
+     * lost the call and no other call has failed.
+     */
+    private static final long WAIT_MILLIS = 4_000;
 
     private static final long FIRST_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 1_000;
@@ -53,6 +59,9 @@
     /** When the last call was sent. */
     private long mSentMillis;
 
+    /** Whether a call is in flight or waits to be repeated after a failure. */
+    private boolean mWaitsForResponse;
+
     /**
      * @param prefix prefix of the keys to follow
      * @param pauseMillis pause after a page with changes, so that the next page combines the
@@ -99,8 +108,20 @@
         return Completable.fromAction(mPendingCall::dispose);
     }
 
+    /**
+     * Sends the call in flight, or the next one after a failure, again without delay. Called when
+     * the service has answered a call after others had failed.
+     */
+    public void onServiceRecovered() {
+        if (mWaitsForResponse) {
+            mMetrics.counter("store.restarts").inc();
+            listOrWatch();
+        }
+    }
+
     private void listOrWatch() {
         mSentMillis = now();
+        mWaitsForResponse = true;
         mMetrics.counter(mRevision < 0 ? "store.lists" : "store.watches").inc();
         Single<ChangePage> call =
                 mRevision < 0
@@ -111,6 +132,7 @@
 
     private void apply(ChangePage page) {
         mConsecutiveFailures = 0;
+        mWaitsForResponse = false;
         mHealth.recordSuccess();
         page.changes().forEach(this::offer);
         if (page.complete()) {
@@ -141,6 +163,7 @@
     private void onFailure(Throwable e) {
         if (e instanceof HistoryLostException) {
             // The service has replied, so it is available.
+            mWaitsForResponse = false;
             mHealth.recordSuccess();
             mRevision = -1;
             scheduleNext(0);
--- a/org.cornelway/src/org/cornelway/cluster/StoreHealth.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreHealth.java
@@ -28,6 +28,7 @@
     private final MetricRegistry mMetrics;
     private final Runnable mOnUnavailable;
     private final Runnable mOnAvailable;
+    private final Runnable mOnRecovered;
     private int mFailures;
     private long mFirstFailureMillis;
     private boolean mUnavailable;
@@ -35,18 +36,22 @@
     /**
      * @param onUnavailable called when the service becomes unavailable
      * @param onAvailable called when the service is available again
+     * @param onRecovered called at the first success after any failure, also if the service did not
+     *     count as unavailable: calls that were in flight may never be answered
      */
     public StoreHealth(
             Clock clock,
             EventLog log,
             MetricRegistry metrics,
             Runnable onUnavailable,
-            Runnable onAvailable) {
+            Runnable onAvailable,
+            Runnable onRecovered) {
         mClock = clock;
         mLog = log;
         mMetrics = metrics;
         mOnUnavailable = onUnavailable;
         mOnAvailable = onAvailable;
+        mOnRecovered = onRecovered;
     }
 
     /** Whether the service is unavailable to this process. */
@@ -56,12 +61,16 @@
 
     /** Records a call that the service answered. */
     public void recordSuccess() {
+        boolean recovered = mFailures > 0;
         mFailures = 0;
         if (mUnavailable) {
             mUnavailable = false;
             mLog.write("store.regained");
             mOnAvailable.run();
         }
+        if (recovered) {
+            mOnRecovered.run();
+        }
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -107,7 +107,8 @@
                         log,
                         deps.metrics(),
                         clusterState::onStoreUnavailable,
-                        clusterState::onStoreAvailable);
+                        clusterState::onStoreAvailable,
+                        this::onStoreRecovered);
         mLease = newLease();
         mRegistration = new Registration(deps.self(), keys, mLease, deps.cache(), control);
         mElection = new Election(deps.self(), keys, mLease, deps.cache(), control, log, this);
@@ -204,6 +205,10 @@
         return mElection.fencingNumber().isPresent();
     }
 
+    private void onStoreRecovered() {
+        mFollowers.forEach(StoreFollower::onServiceRecovered);
+    }
+
     boolean isStoreUnavailable() {
         return mHealth.isUnavailable();
     }
--- a/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
@@ -60,7 +60,8 @@
      * @param timeoutMillis time limit from the start of the request to the complete response
      * @param permit checked when the request is written to the connection; if it is not valid then,
      *     the request fails with {@link NotSentException}
-     * @return emits the response, whatever its status, or fails if there is no complete response
+     * @return emits the response, whatever its status, or fails if there is no complete response;
+     *     disposing of it closes the connection of a request that was sent
      */
     public Single<HttpReply> send(
             HttpEndpoint endpoint,
@@ -85,11 +86,11 @@
                         Unpooled.wrappedBuffer(json),
                         Optional.empty());
         return Single.create(
-                emitter ->
-                        mLoop.execute(
-                                () ->
-                                        new PendingRequest(emitter, timeoutMillis, permit)
-                                                .start(endpoint, request)));
+                emitter -> {
+                    PendingRequest pending = new PendingRequest(emitter, timeoutMillis, permit);
+                    emitter.setCancellable(() -> mLoop.execute(pending::cancel));
+                    mLoop.execute(() -> pending.start(endpoint, request));
+                });
     }
 
     /** A request whose response is not complete yet. Confined to the event loop. */
@@ -178,6 +179,14 @@
             }
         }
 
+        /** Ends the request if its caller has no more use for the response. */
+        void cancel() {
+            if (!mDone) {
+                mDone = true;
+                mConnection.ifPresent(UpstreamConnection::cancel);
+            }
+        }
+
         private void fail(Exception cause) {
             if (!mDone) {
                 mDone = true;
