List keys after a watch without response, and wait long for own keys

A service that answers all calls but watches would hide changes for good: a watch that got no response was followed by another watch. A failed watch is now followed by a listing, so that changes are seen after 4.6 s at most. StoreFollowerTest.changesAreSeen- ThoughTheServiceAnswersNoWatch failed before.

Only the configuration and the servers have bounds of their own; a watch of the system's keys that hangs is replaced when any call recovers.

--- a/org.cornelway.test/tst/org/cornelway/cluster/StoreFollowerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/StoreFollowerTest.java
@@ -32,6 +32,9 @@
      */
     private static final long MAX_SILENCE_MILLIS = 5_000;
 
+    /** Longest wait of a watch. */
+    private static final long WAIT_MILLIS = 4_000;
+
     /** Time limit of a request besides its wait. */
     private static final long REQUEST_TIMEOUT_MILLIS = 600;
 
@@ -47,11 +50,12 @@
     /** A feed that answers listings, and watches only when the test does. */
     private final class SilentFeed implements ChangeFeed {
         private final List<SingleSubject<ChangePage>> mWatches = new ArrayList<>();
+        private ChangePage mListing = new ChangePage(List.of(), 1, true);
         private int mDisposed;
 
         @Override
         public Single<ChangePage> listAll(String prefix) {
-            return Single.just(new ChangePage(List.of(), 1, true));
+            return Single.just(mListing);
         }
 
         @Override
@@ -86,7 +90,14 @@
                         () -> mFollower.onServiceRecovered());
         mFollower =
                 new StoreFollower(
-                        PREFIX, 0, mFeed, mCache, mHealth, mTime, new Random(1), mLog, mMetrics);
+                        new StoreFollower.Keys(PREFIX, WAIT_MILLIS, 0),
+                        mFeed,
+                        mCache,
+                        mHealth,
+                        mTime,
+                        new Random(1),
+                        mLog,
+                        mMetrics);
         mFollower.start().blockingAwait();
         advance(10);
         assertThat(mFeed.mWatches).hasSize(1);
@@ -126,4 +137,11 @@
         advance(0);
         assertThat(mCache.revision(PREFIX + "a")).isEqualTo(2);
     }
+
+    @Test
+    public void changesAreSeenThoughTheServiceAnswersNoWatch() {
+        mFeed.mListing = new ChangePage(List.of(change(2)), 2, true);
+        advance(MAX_SILENCE_MILLIS);
+        assertThat(mCache.revision(PREFIX + "a")).isEqualTo(2);
+    }
 }
--- a/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
@@ -25,23 +25,17 @@
  * service no longer has all changes since the last known revision. A deleted key is kept as a
  * tombstone, a document with an empty value, so that a peer cannot bring back an older value.
  *
- * <p>A service that was silent for a moment may never answer the calls of that time. So each watch
- * is short, and a call in flight is replaced as soon as another call shows that the service is
- * available again. Confined to the control thread.
+ * <p>A service that was silent for a moment may never answer the calls of that time. So a call in
+ * flight is replaced as soon as another call shows that the service is available again, and the
+ * keys are listed after a watch that failed, since a service may answer all calls but watches.
+ * Confined to the control thread.
  */
 public final class StoreFollower implements Component {
-    /**
-     * Longest wait of one watch call. It bounds how long changes go unnoticed if the service has
-     * lost the call and no other call has failed.
-     */
-    private static final long WAIT_MILLIS = 4_000;
-
     private static final long FIRST_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 1_000;
     private static final byte[] TOMBSTONE = new byte[0];
 
-    private final String mPrefix;
-    private final long mPauseMillis;
+    private final Keys mKeys;
     private final ChangeFeed mFeed;
     private final DocumentCache mCache;
     private final StoreHealth mHealth;
@@ -63,13 +57,21 @@
     private boolean mWaitsForResponse;
 
     /**
-     * @param prefix prefix of the keys to follow
+     * The keys to follow. Immutable.
+     *
+     * @param prefix prefix of the keys
+     * @param waitMillis longest wait of one watch call. It bounds how long changes go unnoticed if
+     *     the service has lost the call and no other call has failed.
      * @param pauseMillis pause after a page with changes, so that the next page combines the
      *     changes made meanwhile
      */
+    public record Keys(String prefix, long waitMillis, long pauseMillis) {}
+
+    /**
+     * @param keys the keys to follow
+     */
     public StoreFollower(
-            String prefix,
-            long pauseMillis,
+            Keys keys,
             ChangeFeed feed,
             DocumentCache cache,
             StoreHealth health,
@@ -77,8 +79,7 @@
             Random random,
             EventLog log,
             MetricRegistry metrics) {
-        mPrefix = prefix;
-        mPauseMillis = pauseMillis;
+        mKeys = keys;
         mFeed = feed;
         mCache = cache;
         mHealth = health;
@@ -95,7 +96,7 @@
 
     @Override
     public String name() {
-        return "store-follower " + mPrefix;
+        return "store-follower " + mKeys.prefix();
     }
 
     @Override
@@ -125,8 +126,8 @@
         mMetrics.counter(mRevision < 0 ? "store.lists" : "store.watches").inc();
         Single<ChangePage> call =
                 mRevision < 0
-                        ? mFeed.listAll(mPrefix)
-                        : mFeed.changes(mPrefix, mRevision, WAIT_MILLIS);
+                        ? mFeed.listAll(mKeys.prefix())
+                        : mFeed.changes(mKeys.prefix(), mRevision, mKeys.waitMillis());
         mPendingCall.set(call.observeOn(mControl).subscribe(this::apply, this::onFailure));
     }
 
@@ -139,7 +140,7 @@
             deleteMissing(page);
         }
         mRevision = Math.max(mRevision, page.revision());
-        scheduleNext(page.changes().isEmpty() ? 0 : mPauseMillis);
+        scheduleNext(page.changes().isEmpty() ? 0 : mKeys.pauseMillis());
     }
 
     private void offer(Change change) {
@@ -153,7 +154,7 @@
         page.changes().forEach(change -> present.add(change.key()));
         for (KeyValue document : mCache.all()) {
             boolean missing =
-                    document.key().startsWith(mPrefix) && !present.contains(document.key());
+                    document.key().startsWith(mKeys.prefix()) && !present.contains(document.key());
             if (missing && !isTombstone(document)) {
                 mCache.offer(new KeyValue(document.key(), TOMBSTONE, page.revision()));
             }
@@ -172,14 +173,15 @@
         mLog.write(
                 "store.read_failed",
                 "prefix",
-                mPrefix,
+                mKeys.prefix(),
                 "after",
                 mRevision,
                 "waited_ms",
                 now() - mSentMillis,
                 "reason",
                 String.valueOf(e.getMessage()));
-        mHealth.recordFailure(mPrefix, e);
+        mRevision = -1;
+        mHealth.recordFailure(mKeys.prefix(), e);
         long millis =
                 Math.min(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS << Math.min(mConsecutiveFailures, 5));
         mConsecutiveFailures++;
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.cornelway.cluster.ClusterKeys;
 import org.cornelway.cluster.ClusterMember;
 import org.cornelway.cluster.CoalescingModelRequester;
@@ -54,6 +55,15 @@
      */
     private static final double SERVERS_PAUSE_SHARE = 0.45;
 
+    /**
+     * Longest wait for a change of the configuration or the servers. A wait that the service has
+     * lost ends soon enough for the bounds of these changes.
+     */
+    private static final long PLATFORM_WAIT_MILLIS = 4_000;
+
+    /** Longest wait for a change of a key that the system itself writes. */
+    private static final long SYSTEM_WAIT_MILLIS = 20_000;
+
     /** Pause after a change of a key that the system itself writes. */
     private static final long SYSTEM_PAUSE_MILLIS = 150;
 
@@ -121,13 +131,24 @@
                         mController, mElection, this::findIncarnation, control);
         mModelRequester = newModelRequester();
         mUsageReporter = newUsageReporter();
-        mFollowers =
-                List.of(
-                        newFollower(ClusterKeys.CONFIGURATION_PREFIX, CONFIGURATION_PAUSE_MILLIS),
-                        newFollower(
+        mFollowers = newFollowers();
+    }
+
+    private List<StoreFollower> newFollowers() {
+        long serversPauseMillis = (long) (mDeps.drainMillis() * SERVERS_PAUSE_SHARE);
+        return Stream.of(
+                        new StoreFollower.Keys(
+                                ClusterKeys.CONFIGURATION_PREFIX,
+                                PLATFORM_WAIT_MILLIS,
+                                CONFIGURATION_PAUSE_MILLIS),
+                        new StoreFollower.Keys(
                                 ClusterKeys.SERVERS_PREFIX,
-                                (long) (deps.drainMillis() * SERVERS_PAUSE_SHARE)),
-                        newFollower(ClusterKeys.SYSTEM_PREFIX, SYSTEM_PAUSE_MILLIS));
+                                PLATFORM_WAIT_MILLIS,
+                                serversPauseMillis),
+                        new StoreFollower.Keys(
+                                ClusterKeys.SYSTEM_PREFIX, SYSTEM_WAIT_MILLIS, SYSTEM_PAUSE_MILLIS))
+                .map(this::newFollower)
+                .toList();
     }
 
     private Optional<ServerIncarnation> findIncarnation(String serverId) {
@@ -166,10 +187,9 @@
                 mDeps.traffic());
     }
 
-    private StoreFollower newFollower(String prefix, long pauseMillis) {
+    private StoreFollower newFollower(StoreFollower.Keys keys) {
         return new StoreFollower(
-                prefix,
-                pauseMillis,
+                keys,
                 mDeps.store().feed(),
                 mDeps.cache(),
                 mHealth,
