--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -50,6 +50,7 @@
             org.cornelway.rpc.HoldingsReply.class, org.cornelway.rpc.HoldingsReply.Builder.class);
   }
 
+  private int bitField0_;
   public static final int CONTROLLER_FIELD_NUMBER = 1;
   private boolean controller_ = false;
   /**
@@ -204,6 +205,59 @@
     return busy_.get(index);
   }
 
+  public static final int EVIDENCE_VERSION_FIELD_NUMBER = 7;
+  private long evidenceVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the controller's crash evidence.
+   * </pre>
+   *
+   * <code>int64 evidence_version = 7;</code>
+   * @return The evidenceVersion.
+   */
+  @java.lang.Override
+  public long getEvidenceVersion() {
+    return evidenceVersion_;
+  }
+
+  public static final int EVIDENCE_FIELD_NUMBER = 8;
+  private org.cornelway.rpc.CrashEvidence evidence_;
+  /**
+   * <pre>
+   * What all entries know of crashes; absent if the sender has this version.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+   * @return Whether the evidence field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvidence() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * What all entries know of crashes; absent if the sender has this version.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+   * @return The evidence.
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CrashEvidence getEvidence() {
+    return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+  }
+  /**
+   * <pre>
+   * What all entries know of crashes; absent if the sender has this version.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder() {
+    return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -236,6 +290,12 @@
     for (int i = 0; i < busy_.size(); i++) {
       output.writeMessage(6, busy_.get(i));
     }
+    if (evidenceVersion_ != 0L) {
+      output.writeInt64(7, evidenceVersion_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(8, getEvidence());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -274,6 +334,14 @@
           }
           size += 1 * count;
         }
+    if (evidenceVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, evidenceVersion_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getEvidence());
+    }
     return size;
   }
   @java.lang.Override
@@ -310,6 +378,13 @@
         .equals(other.getServersList())) return false;
     if (!getBusyList()
         .equals(other.getBusyList())) return false;
+    if (getEvidenceVersion()
+        != other.getEvidenceVersion()) return false;
+    if (hasEvidence() != other.hasEvidence()) return false;
+    if (hasEvidence()) {
+      if (!getEvidence()
+          .equals(other.getEvidence())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -341,6 +416,13 @@
       hash = (37 * hash) + BUSY_FIELD_NUMBER;
       hash = (53 * hash) + getBusyList().hashCode();
     }
+    hash = (37 * hash) + EVIDENCE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvidenceVersion());
+    if (hasEvidence()) {
+      hash = (37 * hash) + EVIDENCE_FIELD_NUMBER;
+      hash = (53 * hash) + getEvidence().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -460,13 +542,21 @@
 
     // Construct using org.cornelway.rpc.HoldingsReply.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetServersFieldBuilder();
+        internalGetBusyFieldBuilder();
+        internalGetEvidenceFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -490,6 +580,12 @@
         busyBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      evidenceVersion_ = 0L;
+      evidence_ = null;
+      if (evidenceBuilder_ != null) {
+        evidenceBuilder_.dispose();
+        evidenceBuilder_ = null;
+      }
       return this;
     }
 
@@ -557,6 +653,17 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.changed_ = changed_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.evidenceVersion_ = evidenceVersion_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.evidence_ = evidenceBuilder_ == null
+            ? evidence_
+            : evidenceBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -635,6 +742,12 @@
           }
         }
       }
+      if (other.getEvidenceVersion() != 0L) {
+        setEvidenceVersion(other.getEvidenceVersion());
+      }
+      if (other.hasEvidence()) {
+        mergeEvidence(other.getEvidence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -705,6 +818,18 @@
               }
               break;
             } // case 50
+            case 56: {
+              evidenceVersion_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 66: {
+              input.readMessage(
+                  internalGetEvidenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1414,6 +1539,205 @@
       return busyBuilder_;
     }
 
+    private long evidenceVersion_ ;
+    /**
+     * <pre>
+     * Version of the controller's crash evidence.
+     * </pre>
+     *
+     * <code>int64 evidence_version = 7;</code>
+     * @return The evidenceVersion.
+     */
+    @java.lang.Override
+    public long getEvidenceVersion() {
+      return evidenceVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the controller's crash evidence.
+     * </pre>
+     *
+     * <code>int64 evidence_version = 7;</code>
+     * @param value The evidenceVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvidenceVersion(long value) {
+
+      evidenceVersion_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the controller's crash evidence.
+     * </pre>
+     *
+     * <code>int64 evidence_version = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvidenceVersion() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      evidenceVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private org.cornelway.rpc.CrashEvidence evidence_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.CrashEvidence, org.cornelway.rpc.CrashEvidence.Builder, org.cornelway.rpc.CrashEvidenceOrBuilder> evidenceBuilder_;
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     * @return Whether the evidence field is set.
+     */
+    public boolean hasEvidence() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     * @return The evidence.
+     */
+    public org.cornelway.rpc.CrashEvidence getEvidence() {
+      if (evidenceBuilder_ == null) {
+        return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+      } else {
+        return evidenceBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    public Builder setEvidence(org.cornelway.rpc.CrashEvidence value) {
+      if (evidenceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        evidence_ = value;
+      } else {
+        evidenceBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    public Builder setEvidence(
+        org.cornelway.rpc.CrashEvidence.Builder builderForValue) {
+      if (evidenceBuilder_ == null) {
+        evidence_ = builderForValue.build();
+      } else {
+        evidenceBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    public Builder mergeEvidence(org.cornelway.rpc.CrashEvidence value) {
+      if (evidenceBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          evidence_ != null &&
+          evidence_ != org.cornelway.rpc.CrashEvidence.getDefaultInstance()) {
+          getEvidenceBuilder().mergeFrom(value);
+        } else {
+          evidence_ = value;
+        }
+      } else {
+        evidenceBuilder_.mergeFrom(value);
+      }
+      if (evidence_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    public Builder clearEvidence() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      evidence_ = null;
+      if (evidenceBuilder_ != null) {
+        evidenceBuilder_.dispose();
+        evidenceBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    public org.cornelway.rpc.CrashEvidence.Builder getEvidenceBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetEvidenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    public org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder() {
+      if (evidenceBuilder_ != null) {
+        return evidenceBuilder_.getMessageOrBuilder();
+      } else {
+        return evidence_ == null ?
+            org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+      }
+    }
+    /**
+     * <pre>
+     * What all entries know of crashes; absent if the sender has this version.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.CrashEvidence, org.cornelway.rpc.CrashEvidence.Builder, org.cornelway.rpc.CrashEvidenceOrBuilder> 
+        internalGetEvidenceFieldBuilder() {
+      if (evidenceBuilder_ == null) {
+        evidenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelway.rpc.CrashEvidence, org.cornelway.rpc.CrashEvidence.Builder, org.cornelway.rpc.CrashEvidenceOrBuilder>(
+                getEvidence(),
+                getParentForChildren(),
+                isClean());
+        evidence_ = null;
+      }
+      return evidenceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.HoldingsReply)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
@@ -109,4 +109,41 @@
    */
   org.cornelway.rpc.ServerActivityOrBuilder getBusyOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Version of the controller's crash evidence.
+   * </pre>
+   *
+   * <code>int64 evidence_version = 7;</code>
+   * @return The evidenceVersion.
+   */
+  long getEvidenceVersion();
+
+  /**
+   * <pre>
+   * What all entries know of crashes; absent if the sender has this version.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+   * @return Whether the evidence field is set.
+   */
+  boolean hasEvidence();
+  /**
+   * <pre>
+   * What all entries know of crashes; absent if the sender has this version.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+   * @return The evidence.
+   */
+  org.cornelway.rpc.CrashEvidence getEvidence();
+  /**
+   * <pre>
+   * What all entries know of crashes; absent if the sender has this version.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
+   */
+  org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder();
 }
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -51,6 +51,7 @@
             org.cornelway.rpc.UseReport.class, org.cornelway.rpc.UseReport.Builder.class);
   }
 
+  private int bitField0_;
   public static final int FROM_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object from_ = "";
@@ -202,6 +203,59 @@
     return rates_.get(index);
   }
 
+  public static final int EVIDENCE_VERSION_FIELD_NUMBER = 6;
+  private long evidenceVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the crash evidence that the sender has of that term, 0 for none.
+   * </pre>
+   *
+   * <code>int64 evidence_version = 6;</code>
+   * @return The evidenceVersion.
+   */
+  @java.lang.Override
+  public long getEvidenceVersion() {
+    return evidenceVersion_;
+  }
+
+  public static final int EVIDENCE_FIELD_NUMBER = 7;
+  private org.cornelway.rpc.CrashEvidence evidence_;
+  /**
+   * <pre>
+   * What the sender knows of crashes; absent if it has told the controller of that term.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+   * @return Whether the evidence field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvidence() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * What the sender knows of crashes; absent if it has told the controller of that term.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+   * @return The evidence.
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CrashEvidence getEvidence() {
+    return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+  }
+  /**
+   * <pre>
+   * What the sender knows of crashes; absent if it has told the controller of that term.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder() {
+    return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -231,6 +285,12 @@
     for (int i = 0; i < rates_.size(); i++) {
       output.writeMessage(5, rates_.get(i));
     }
+    if (evidenceVersion_ != 0L) {
+      output.writeInt64(6, evidenceVersion_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(7, getEvidence());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -264,6 +324,14 @@
           }
           size += 1 * count;
         }
+    if (evidenceVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, evidenceVersion_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getEvidence());
+    }
     return size;
   }
   @java.lang.Override
@@ -298,6 +366,13 @@
         .equals(other.getUsesList())) return false;
     if (!getRatesList()
         .equals(other.getRatesList())) return false;
+    if (getEvidenceVersion()
+        != other.getEvidenceVersion()) return false;
+    if (hasEvidence() != other.hasEvidence()) return false;
+    if (hasEvidence()) {
+      if (!getEvidence()
+          .equals(other.getEvidence())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -325,6 +400,13 @@
       hash = (37 * hash) + RATES_FIELD_NUMBER;
       hash = (53 * hash) + getRatesList().hashCode();
     }
+    hash = (37 * hash) + EVIDENCE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvidenceVersion());
+    if (hasEvidence()) {
+      hash = (37 * hash) + EVIDENCE_FIELD_NUMBER;
+      hash = (53 * hash) + getEvidence().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -444,13 +526,21 @@
 
     // Construct using org.cornelway.rpc.UseReport.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetUsesFieldBuilder();
+        internalGetRatesFieldBuilder();
+        internalGetEvidenceFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -473,6 +563,12 @@
         ratesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      evidenceVersion_ = 0L;
+      evidence_ = null;
+      if (evidenceBuilder_ != null) {
+        evidenceBuilder_.dispose();
+        evidenceBuilder_ = null;
+      }
       return this;
     }
 
@@ -537,6 +633,17 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.term_ = term_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.evidenceVersion_ = evidenceVersion_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.evidence_ = evidenceBuilder_ == null
+            ? evidence_
+            : evidenceBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -614,6 +721,12 @@
           }
         }
       }
+      if (other.getEvidenceVersion() != 0L) {
+        setEvidenceVersion(other.getEvidenceVersion());
+      }
+      if (other.hasEvidence()) {
+        mergeEvidence(other.getEvidence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -679,6 +792,18 @@
               }
               break;
             } // case 42
+            case 48: {
+              evidenceVersion_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 58: {
+              input.readMessage(
+                  internalGetEvidenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1324,6 +1449,205 @@
       return ratesBuilder_;
     }
 
+    private long evidenceVersion_ ;
+    /**
+     * <pre>
+     * Version of the crash evidence that the sender has of that term, 0 for none.
+     * </pre>
+     *
+     * <code>int64 evidence_version = 6;</code>
+     * @return The evidenceVersion.
+     */
+    @java.lang.Override
+    public long getEvidenceVersion() {
+      return evidenceVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the crash evidence that the sender has of that term, 0 for none.
+     * </pre>
+     *
+     * <code>int64 evidence_version = 6;</code>
+     * @param value The evidenceVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvidenceVersion(long value) {
+
+      evidenceVersion_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the crash evidence that the sender has of that term, 0 for none.
+     * </pre>
+     *
+     * <code>int64 evidence_version = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvidenceVersion() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      evidenceVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private org.cornelway.rpc.CrashEvidence evidence_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.CrashEvidence, org.cornelway.rpc.CrashEvidence.Builder, org.cornelway.rpc.CrashEvidenceOrBuilder> evidenceBuilder_;
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     * @return Whether the evidence field is set.
+     */
+    public boolean hasEvidence() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     * @return The evidence.
+     */
+    public org.cornelway.rpc.CrashEvidence getEvidence() {
+      if (evidenceBuilder_ == null) {
+        return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+      } else {
+        return evidenceBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    public Builder setEvidence(org.cornelway.rpc.CrashEvidence value) {
+      if (evidenceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        evidence_ = value;
+      } else {
+        evidenceBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    public Builder setEvidence(
+        org.cornelway.rpc.CrashEvidence.Builder builderForValue) {
+      if (evidenceBuilder_ == null) {
+        evidence_ = builderForValue.build();
+      } else {
+        evidenceBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    public Builder mergeEvidence(org.cornelway.rpc.CrashEvidence value) {
+      if (evidenceBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          evidence_ != null &&
+          evidence_ != org.cornelway.rpc.CrashEvidence.getDefaultInstance()) {
+          getEvidenceBuilder().mergeFrom(value);
+        } else {
+          evidence_ = value;
+        }
+      } else {
+        evidenceBuilder_.mergeFrom(value);
+      }
+      if (evidence_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    public Builder clearEvidence() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      evidence_ = null;
+      if (evidenceBuilder_ != null) {
+        evidenceBuilder_.dispose();
+        evidenceBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    public org.cornelway.rpc.CrashEvidence.Builder getEvidenceBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return internalGetEvidenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    public org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder() {
+      if (evidenceBuilder_ != null) {
+        return evidenceBuilder_.getMessageOrBuilder();
+      } else {
+        return evidence_ == null ?
+            org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of crashes; absent if it has told the controller of that term.
+     * </pre>
+     *
+     * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.CrashEvidence, org.cornelway.rpc.CrashEvidence.Builder, org.cornelway.rpc.CrashEvidenceOrBuilder> 
+        internalGetEvidenceFieldBuilder() {
+      if (evidenceBuilder_ == null) {
+        evidenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelway.rpc.CrashEvidence, org.cornelway.rpc.CrashEvidence.Builder, org.cornelway.rpc.CrashEvidenceOrBuilder>(
+                getEvidence(),
+                getParentForChildren(),
+                isClean());
+        evidence_ = null;
+      }
+      return evidenceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.UseReport)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
@@ -89,4 +89,41 @@
    */
   org.cornelway.rpc.ModelRateOrBuilder getRatesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Version of the crash evidence that the sender has of that term, 0 for none.
+   * </pre>
+   *
+   * <code>int64 evidence_version = 6;</code>
+   * @return The evidenceVersion.
+   */
+  long getEvidenceVersion();
+
+  /**
+   * <pre>
+   * What the sender knows of crashes; absent if it has told the controller of that term.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+   * @return Whether the evidence field is set.
+   */
+  boolean hasEvidence();
+  /**
+   * <pre>
+   * What the sender knows of crashes; absent if it has told the controller of that term.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+   * @return The evidence.
+   */
+  org.cornelway.rpc.CrashEvidence getEvidence();
+  /**
+   * <pre>
+   * What the sender knows of crashes; absent if it has told the controller of that term.
+   * </pre>
+   *
+   * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
+   */
+  org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder();
 }
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -1,8 +1,6 @@
 package org.cornelway.standin.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -36,15 +34,22 @@
     private final Vertx mVertx;
     private final String mId;
     private final NetServer mServer;
-    private final long mStartedMillis = System.currentTimeMillis();
+    private final Set<NetSocket> mOpenSockets = ConcurrentHashMap.newKeySet();
+    private volatile long mStartedMillis = System.currentTimeMillis();
 
     /** The adapters of each loaded model, by name of the model. */
     private final Map<String, Set<String>> mModels = new ConcurrentHashMap<>();
 
+    private final BackendServerDocuments mDocuments = new BackendServerDocuments(mModels);
+
     private final ConcurrentLinkedQueue<ReceivedCall> mReceivedCalls =
             new ConcurrentLinkedQueue<>();
     private final AtomicInteger mAbandonedStreams = new AtomicInteger();
     private volatile Fault mFault = Fault.NONE;
+
+    /** A call whose prompt contains this part crashes the server; empty for none. */
+    private volatile String mDeadlyPart = "";
+
     private volatile int mStreamEventCount = 5;
     private volatile long mEventIntervalMillis = 5;
     private volatile long mLoadMillis = 30;
@@ -129,6 +134,11 @@
         mFault = fault;
     }
 
+    /** Makes the server crash as it begins to answer a call whose prompt contains a part. */
+    public void crashOnPart(String part) {
+        mDeadlyPart = part;
+    }
+
     /** Sets the number of events in a stream and the time between two events. */
     public void configureStream(int eventCount, long eventIntervalMillis) {
         mStreamEventCount = eventCount;
@@ -161,29 +171,8 @@
      *     number than one it has read before
      */
     public byte[] announcement(String service, String serverState, long heartbeatSequence) {
-        ObjectNode node =
-                Json.lenientMapper()
-                        .createObjectNode()
-                        .put("Service", service)
-                        .put("Address", "127.0.0.1:" + port())
-                        .put("Zone", "z")
-                        .put("Slots", 8)
-                        .put("State", serverState)
-                        .put("Seq", heartbeatSequence)
-                        .put("born", mStartedMillis);
-        node.set("Models", modelList(mModels));
-        return Json.write(node);
-    }
-
-    private static ArrayNode modelList(Map<String, Set<String>> loaded) {
-        ArrayNode list = Json.lenientMapper().createArrayNode();
-        loaded.forEach(
-                (model, adapters) -> {
-                    ObjectNode node = list.addObject().put("Name", model);
-                    ArrayNode names = node.putArray("Adapters");
-                    adapters.forEach(names::add);
-                });
-        return list;
+        return mDocuments.announcement(
+                service, port(), serverState, heartbeatSequence, mStartedMillis);
     }
 
     @Override
@@ -192,6 +181,8 @@
     }
 
     private void accept(NetSocket socket) {
+        mOpenSockets.add(socket);
+        socket.closeHandler(closed -> mOpenSockets.remove(socket));
         RequestParser.parse(
                 socket,
                 request -> {
@@ -209,7 +200,11 @@
         if (!target.equals(mId)) {
             write(socket, "421 Misdirected Request", "X-Instance-Id: " + mId + "\r\n", "");
         } else if (path.equals("/report")) {
-            write(socket, "200 OK", "", new String(report()));
+            write(
+                    socket,
+                    "200 OK",
+                    "",
+                    new String(mDocuments.report(mAcceptedOrders, mStartedMillis)));
         } else if (path.equals("/order")) {
             handleOrder(socket, Json.lenientMapper().readTree(request.body()));
         } else {
@@ -217,18 +212,6 @@
         }
     }
 
-    private byte[] report() {
-        ObjectNode node =
-                Json.lenientMapper()
-                        .createObjectNode()
-                        .put("Busy", false)
-                        .put("Seq", mAcceptedOrders)
-                        .put("born", mStartedMillis);
-        node.set("Models", modelList(mModels));
-        node.putObject("AtHand").putArray("OnDisk");
-        return Json.write(node);
-    }
-
     /**
      * Accepts an order, unless its fencing number is lower than that of an earlier order or its
      * expected number of accepted orders differs from the actual one. An accepted load of a model
@@ -271,6 +254,11 @@
             write(socket, "421 Misdirected Request", "X-Instance-Id: " + mId + "\r\n", "");
             return;
         }
+        String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
+        if (!mDeadlyPart.isEmpty() && prompt.contains(mDeadlyPart)) {
+            crash();
+            return;
+        }
         switch (mFault) {
             case NO_RESPONSE -> {}
             case CLOSE_CONNECTION -> socket.close();
@@ -294,6 +282,12 @@
         }
     }
 
+    /** Closes all connections, as a crash does, and starts a new incarnation. */
+    private void crash() {
+        mStartedMillis = Math.max(mStartedMillis + 1, System.currentTimeMillis());
+        List.copyOf(mOpenSockets).forEach(NetSocket::close);
+    }
+
     /** Sends bytes that never become a response, as the fault says. */
     private void sendEndlessly(NetSocket socket) {
         if (mFault == Fault.ENDLESS_HEAD) {
--- a/org.cornelway.test/tst/org/cornelway/traffic/TrafficContextTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/TrafficContextTest.java
@@ -83,6 +83,7 @@
 
     private static TrafficContext contextOf(EventLoop loop) {
         return new TrafficContext(
-                loop, null, null, null, null, null, null, null, null, null, null, null, null, null);
+                loop, null, null, null, null, null, null, null, null, null, null, null, null, null,
+                null);
     }
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.models.ModelController;
 import org.cornelway.models.ModelRequest;
 import org.cornelway.models.ModelRequestOutcome;
@@ -35,6 +36,9 @@
     private final Scheduler mControl;
     private final HoldingsHistory mHoldings = new HoldingsHistory();
 
+    /** What all entries have reported; kept from term to term. */
+    private final CrashEvidence mEvidence = new CrashEvidence();
+
     /**
      * @param incarnations looks up the current incarnation of a server by the server's id
      */
@@ -114,9 +118,27 @@
                                         ServerActivity.newBuilder()
                                                 .setServer(server)
                                                 .setActive(active)));
+        addEvidence(report, reply);
         return reply.build();
     }
 
+    /** Merges the evidence of a report, and adds all evidence to the reply if there is news. */
+    private void addEvidence(UseReport report, HoldingsReply.Builder reply) {
+        long now = mControl.now(TimeUnit.MILLISECONDS);
+        mEvidence.expire(now);
+        if (report.hasEvidence()) {
+            CrashEvidence.Snapshot reported = EvidenceMessages.fromMessage(report.getEvidence());
+            mEvidence.merge(reported.crashes(), reported.cleared(), now);
+        }
+        CrashEvidence.Snapshot all = mEvidence.snapshot();
+        reply.setEvidenceVersion(all.version());
+        boolean isKnown =
+                report.getTerm() == reply.getTerm() && report.getEvidenceVersion() == all.version();
+        if (!isKnown && !all.crashes().isEmpty()) {
+            reply.setEvidence(EvidenceMessages.toMessage(all));
+        }
+    }
+
     private static ModelUsage.Snapshot toUsage(UseReport report) {
         List<ModelUsage.ActiveCalls> activeCalls =
                 report.getUsesList().stream()
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.platform.Member;
 import org.cornelway.rpc.HeldModel;
 import org.cornelway.rpc.HoldingsReply;
@@ -15,10 +16,13 @@
 import org.cornelway.rpc.UseReport;
 import org.cornelway.traffic.ModelUsage;
 import org.cornelway.traffic.TrafficPlane;
+import org.cornelway.traffic.TrafficReport;
 
 /**
  * Reports this process's usage of models to the controller. The reply lists the models on the
- * engines that have changed since the last reply; the list is passed on to the traffic thread.
+ * engines that have changed since the last reply; the list is passed on to the traffic thread. Also
+ * exchanges the evidence on parts of prompts that crash servers, so that all entries block the same
+ * parts.
  *
  * <p>Confined to the control thread.
  */
@@ -39,6 +43,12 @@
     /** Version of the last list within its term. */
     private long mHoldingsVersion;
 
+    /** Version of the evidence in the last reply, within the controller's term. */
+    private long mEvidenceVersion;
+
+    /** Version of this process's evidence that the controller of that term has; -1 for none. */
+    private long mReportedEvidence = -1;
+
     private boolean mReportInProgress;
 
     /**
@@ -64,17 +74,45 @@
     public void step() {
         if (!mReportInProgress) {
             mReportInProgress = true;
-            mTraffic.reportUsage(snapshot -> mControl.scheduleDirect(() -> send(snapshot)));
+            mTraffic.report(report -> mControl.scheduleDirect(() -> send(report)));
         }
     }
 
-    private void send(ModelUsage.Snapshot snapshot) {
+    private void send(TrafficReport traffic) {
+        CrashEvidence.Snapshot evidence = traffic.evidence();
+        boolean isEvidenceNew = evidence.version() != mReportedEvidence;
+        UseReport.Builder message = newReport(traffic.usage());
+        if (isEvidenceNew) {
+            message.setEvidence(EvidenceMessages.toMessage(evidence));
+        }
+        UseReport report = message.build();
+        long reported = isEvidenceNew ? evidence.version() : -1;
+        if (mElection.fencingNumber().isPresent()) {
+            onReply(mLocalHandler.handleUsageReport(report), reported);
+            return;
+        }
+        Optional<Member> controller =
+                mElection
+                        .controller()
+                        .map(ClusterMember::toMember)
+                        .filter(member -> !member.id().equals(mSelf));
+        if (controller.isEmpty()) {
+            mReportInProgress = false;
+            return;
+        }
+        mClient.reportUsage(controller.get(), report)
+                .observeOn(mControl)
+                .subscribe(reply -> onReply(reply, reported), e -> mReportInProgress = false);
+    }
+
+    private UseReport.Builder newReport(ModelUsage.Snapshot usage) {
         UseReport.Builder report =
                 UseReport.newBuilder()
                         .setFrom(mSelf)
                         .setTerm(mHoldingsTerm)
-                        .setHoldingsVersion(mHoldingsVersion);
-        for (ModelUsage.ActiveCalls calls : snapshot.activeCalls()) {
+                        .setHoldingsVersion(mHoldingsVersion)
+                        .setEvidenceVersion(mEvidenceVersion);
+        for (ModelUsage.ActiveCalls calls : usage.activeCalls()) {
             report.addUses(
                     ModelUse.newBuilder()
                             .setServer(calls.server())
@@ -83,7 +121,7 @@
                             .setActive(calls.count())
                             .setRemainingMillis(calls.remainingMillis()));
         }
-        snapshot.rates()
+        usage.rates()
                 .forEach(
                         (model, rate) ->
                                 report.addRates(
@@ -91,29 +129,18 @@
                                                 .setModel(model)
                                                 .setCallsPerSecond(rate.callsPerSecond())
                                                 .setObjectiveMillis(rate.objectiveMillis())));
-        if (mElection.fencingNumber().isPresent()) {
-            onReply(mLocalHandler.handleUsageReport(report.build()));
-            return;
-        }
-        Optional<Member> controller =
-                mElection
-                        .controller()
-                        .map(ClusterMember::toMember)
-                        .filter(member -> !member.id().equals(mSelf));
-        if (controller.isEmpty()) {
-            mReportInProgress = false;
-            return;
-        }
-        mClient.reportUsage(controller.get(), report.build())
-                .observeOn(mControl)
-                .subscribe(this::onReply, e -> mReportInProgress = false);
+        return report;
     }
 
-    private void onReply(HoldingsReply reply) {
+    /**
+     * @param reportedEvidence version of the evidence in the report; -1 if it had none
+     */
+    private void onReply(HoldingsReply reply, long reportedEvidence) {
         mReportInProgress = false;
         if (!reply.getController()) {
             return;
         }
+        applyEvidence(reply, reportedEvidence);
         mHoldingsTerm = reply.getTerm();
         mHoldingsVersion = reply.getVersion();
         Map<ServerIncarnation, Map<String, Set<String>>> holdings = new HashMap<>();
@@ -129,4 +156,16 @@
         reply.getBusyList().forEach(server -> busy.put(server.getServer(), server.getActive()));
         mTraffic.updateHoldings(holdings, busy);
     }
+
+    /** Merges the controller's evidence; a new controller is sent this process's evidence next. */
+    private void applyEvidence(HoldingsReply reply, long reportedEvidence) {
+        boolean isNewTerm = reply.getTerm() != mHoldingsTerm;
+        if (reportedEvidence >= 0 || isNewTerm) {
+            mReportedEvidence = reportedEvidence;
+        }
+        mEvidenceVersion = reply.getEvidenceVersion();
+        if (reply.hasEvidence()) {
+            mTraffic.mergeEvidence(EvidenceMessages.fromMessage(reply.getEvidence()));
+        }
+    }
 }
--- a/org.cornelway/src/org/cornelway/result/ResultCode.java
+++ b/org.cornelway/src/org/cornelway/result/ResultCode.java
@@ -66,6 +66,11 @@
     WITHDRAWN(209, 499, ExecutionState.NOT_RUN, "The request was withdrawn before it started."),
     SLOT_NOT_HELD(
             210, 503, ExecutionState.NOT_RUN, "The backend server holds no slot of the model."),
+    PROMPT_BLOCKED(
+            211,
+            503,
+            ExecutionState.NOT_RUN,
+            "A part of the prompt has crashed backend servers; calls with it are not sent now."),
     OUTCOME_UNKNOWN(
             300,
             502,
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
 import java.util.Optional;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.route.CallKind;
@@ -24,25 +25,6 @@
      */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
-    /**
-     * Time without data from the server after which a call of kind {@link CallKind#SAFE} is sent to
-     * another server. Nearly all such calls complete sooner.
-     */
-    private static final long SAFE_STALL_MILLIS = 450;
-
-    /**
-     * Time without data from the server after which a stream that may be repeated is sent to
-     * another server, if it has no event yet or its route has no objective for the pause between
-     * events.
-     */
-    private static final long FIRST_EVENT_STALL_MILLIS = 1_500;
-
-    /**
-     * A stream that has begun is sent to another server after a pause of this many times its
-     * route's objective for the pause between events.
-     */
-    private static final long STALL_GAP_MULTIPLE = 5;
-
     private final TrafficContext mContext;
     private final CallHandler mCallHandler;
     private final CallerRequest mRequest;
@@ -55,14 +37,11 @@
     private boolean mStreaming;
     private boolean mEnded;
 
-    /**
-     * When the server last sent a head, an event or a part of a body; before that, when the call
-     * was sent. The bytes of an incomplete event do not count, since a stalled server may send
-     * some.
-     */
-    private long mLastProgressMillis;
+    private final AnswerProgress mProgress;
+
+    /** When the call was sent, in milliseconds since the epoch; 0 before. */
+    private long mSentMillis;
 
-    private Optional<Long> mFirstEventMillis = Optional.empty();
     private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
 
     Attempt(
@@ -74,7 +53,7 @@
         mCallHandler = callHandler;
         mRequest = request;
         mServer = server;
-        mLastProgressMillis = context.clock().nowMillis();
+        mProgress = new AnswerProgress(context.clock());
     }
 
     ServerRecord server() {
@@ -135,7 +114,8 @@
             return;
         }
         mConnection = Optional.of(connection);
-        mLastProgressMillis = mContext.clock().nowMillis();
+        mProgress.record();
+        mSentMillis = mContext.clock().nowMillis();
         connection.send(buildUpstreamRequest(), this);
     }
 
@@ -213,10 +193,36 @@
     }
 
     private void recordProgress() {
-        mLastProgressMillis = mContext.clock().nowMillis();
+        mProgress.record();
         mContext.loads().recordActivity(mServer.incarnation());
     }
 
+    private void recordEvents(int count) {
+        recordProgress();
+        if (mProgress.recordEvents(count)) {
+            recordAnswered();
+        }
+    }
+
+    private void recordAnswered() {
+        mContext.evidence()
+                .recordAnswered(mRequest.head().sharedParts(), mContext.clock().nowMillis());
+    }
+
+    /** Records that the server ended the answer before it was complete, as in a crash. */
+    private void recordBreak() {
+        if (!mProgress.isPastBeginning()) {
+            List<String> suspects =
+                    mContext.evidence()
+                            .recordCrash(
+                                    mRequest.head().sharedParts(),
+                                    mServer.incarnation(),
+                                    mSentMillis,
+                                    mContext.clock().nowMillis());
+            mCallHandler.log().logSuspected(mServer.id(), suspects);
+        }
+    }
+
     private void failWithUnknownOutcome(String reason) {
         mConnection.ifPresent(UpstreamConnection::cancel);
         mContext.loads().recordResponse(mServer.incarnation(), false);
@@ -232,10 +238,9 @@
         }
         if (mStreaming) {
             try {
-                if (mCallHandler.relay().orElseThrow().feed(mStatus, mHeaders, content) > 0) {
-                    recordProgress();
-                    mFirstEventMillis =
-                            mFirstEventMillis.or(() -> Optional.of(mLastProgressMillis));
+                int events = mCallHandler.relay().orElseThrow().feed(mStatus, mHeaders, content);
+                if (events > 0) {
+                    recordEvents(events);
                 }
             } catch (IllegalStateException e) {
                 failWithUnknownOutcome(e.getMessage());
@@ -295,11 +300,14 @@
         StreamRelay relay = mCallHandler.relay().orElseThrow();
         if (relay.hasPartialEvent()) {
             mContext.loads().recordResponse(mServer.incarnation(), false);
+            recordBreak();
             mCallHandler.onMayHaveRun(this, "ended within an event", Optional.empty());
         } else {
             mContext.loads().recordResponse(mServer.incarnation(), true);
-            long now = mContext.clock().nowMillis();
-            mFirstEventMillis.ifPresent(first -> mContext.loads().recordStream(now - first));
+            mProgress.streamingMillis().ifPresent(mContext.loads()::recordStream);
+            if (mProgress.streamingMillis().isPresent()) {
+                recordAnswered();
+            }
             mRunningCall.ifPresent(mContext.usage()::callCompleted);
             relay.ensureHeadSent(mStatus, mHeaders);
             mCallHandler.onStreamEnd();
@@ -325,6 +333,7 @@
             return;
         }
         if (sent) {
+            recordBreak();
             mCallHandler.onMayHaveRun(this, reason, Optional.empty());
         } else {
             mCallHandler.onNotSent(this, reason);
@@ -342,9 +351,10 @@
         if (mEnded || mConnection.isEmpty() || !mCallHandler.canRepeat()) {
             return;
         }
-        long silentMillis = mContext.clock().nowMillis() - mLastProgressMillis;
+        long silentMillis = mProgress.silentMillis();
+        boolean begun = mCallHandler.relay().map(StreamRelay::isHeadSent).orElse(false);
         long limitMillis =
-                stallLimitMillis()
+                AnswerProgress.stallLimitMillis(mCallHandler.route(), begun)
                         / (mContext.loads().hasRecentFailure(mServer.incarnation()) ? 2 : 1);
         if (silentMillis > limitMillis && mCallHandler.hasAlternative(mServer.incarnation())) {
             mContext.loads().recordFailure(mServer.incarnation());
@@ -356,18 +366,6 @@
         }
     }
 
-    /** Returns the time without data after which the server counts as silent. */
-    private long stallLimitMillis() {
-        if (mCallHandler.route().kind() == CallKind.SAFE) {
-            return SAFE_STALL_MILLIS;
-        }
-        boolean responseBegun = mCallHandler.relay().map(StreamRelay::isHeadSent).orElse(false);
-        long gapMillis = mCallHandler.route().targetGapMillis();
-        return responseBegun && gapMillis > 0
-                ? STALL_GAP_MULTIPLE * gapMillis
-                : FIRST_EVENT_STALL_MILLIS;
-    }
-
     void setReadingPaused(boolean paused) {
         mConnection.ifPresent(connection -> connection.setReadingPaused(paused));
     }
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -48,7 +48,6 @@
     private Deadline mDeadline;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<StreamRelay> mRelay = Optional.empty();
-    private Optional<FullResponse> mErrorResponse = Optional.empty();
     private final ModelWait mModelWait;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
     private long mConfigurationVersion;
@@ -126,6 +125,10 @@
         return mDeadline;
     }
 
+    CallLog log() {
+        return mLog;
+    }
+
     Optional<StreamRelay> relay() {
         return mRelay;
     }
@@ -138,6 +141,13 @@
             fail(ResultCode.DEADLINE_PASSED, "no time left to send the call");
             return;
         }
+        Optional<Deadline> blockedUntil =
+                mContext.evidence().blockedUntil(mRequest.head().sharedParts(), now());
+        if (blockedUntil.isPresent()) {
+            mRetryAfterMillis = blockedUntil.get().remainingMillis(now());
+            fail(ResultCode.PROMPT_BLOCKED, "a part of the prompt has crashed servers");
+            return;
+        }
         Optional<ModelTarget> target = mRequest.head().target();
         List<Candidate> candidates = eligible().stream().map(mContext.loads()::candidate).toList();
         boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
@@ -270,7 +280,7 @@
         mAttempt = Optional.empty();
         mHistory.recordEnd(reason);
         mHistory.recordPossibleRun();
-        mErrorResponse = errorResponse;
+        mResponder.setErrorResponse(errorResponse);
         mLog.logSendFailed(attempt.server().id(), "may_have_run", reason);
         if (canRepeat(mHistory.possibleRunCount())) {
             mRelay.ifPresent(StreamRelay::dropPartialEvent);
@@ -322,17 +332,8 @@
         mAttempt.ifPresent(Attempt::cancel);
         if (isStreamBegun()) {
             mResponder.abort(reason);
-        } else if (mErrorResponse.isPresent()) {
-            mResponder.forward(mErrorResponse.get());
-        } else if (mHistory.possibleRunCount() == 0) {
-            mResponder.refuse(code, reason, mRetryAfterMillis);
         } else {
-            boolean late = mDeadline.isPast(now());
-            mResponder.respondLocally(
-                    late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
-                    late ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.OUTCOME_UNKNOWN,
-                    reason,
-                    0);
+            mResponder.fail(code, reason, mRetryAfterMillis, mDeadline);
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -1,5 +1,6 @@
 package org.cornelway.traffic;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.cornelway.dispatch.Candidate;
@@ -67,6 +68,14 @@
                         reason);
     }
 
+    /** Logs the parts of the prompt that are suspected of having crashed a server, if any. */
+    void logSuspected(String server, List<String> parts) {
+        if (!parts.isEmpty()) {
+            mContext.log()
+                    .write("prompt.suspected", "id", requestId(), "server", server, "parts", parts);
+        }
+    }
+
     /** Logs the end of the call and counts it by outcome and status. */
     void recordEnd(Optional<Route> route, String outcome, int status, int sends, String reason) {
         long millis = mContext.clock().nowMillis() - mRequest.arrivedMillis();
--- a/org.cornelway/src/org/cornelway/traffic/CallResponder.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.cornelway.result.ResultCode;
 import org.cornelway.route.Route;
+import org.cornelway.time.Deadline;
 
 /**
  * Sends the response of one call and records how the call ended.
@@ -18,6 +19,7 @@
     private final SendHistory mHistory;
     private final CallLog mLog;
     private Optional<Route> mRoute = Optional.empty();
+    private Optional<FullResponse> mErrorResponse = Optional.empty();
     private boolean mDone;
 
     CallResponder(
@@ -38,6 +40,11 @@
         mRoute = Optional.of(route);
     }
 
+    /** Sets the error response of a server that {@link #fail} forwards; empty for none. */
+    void setErrorResponse(Optional<FullResponse> errorResponse) {
+        mErrorResponse = errorResponse;
+    }
+
     /** Whether the call has ended. */
     boolean isDone() {
         return mDone;
@@ -74,6 +81,30 @@
                 mContext.codec(), mRequest, mResponse, status, code, reason, retryAfterMillis);
     }
 
+    /**
+     * Ends a call that has no response yet: with a server's error response if there is one, else
+     * with a local one, which states that the call has not run only if that is proven.
+     *
+     * @param code code of the local response if the call has not run
+     * @param retryAfterMillis when the caller may retry a call that has not run
+     * @param deadline deadline of the call
+     */
+    void fail(ResultCode code, String reason, long retryAfterMillis, Deadline deadline) {
+        if (mErrorResponse.isPresent()) {
+            forward(mErrorResponse.get());
+        } else if (mHistory.possibleRunCount() == 0) {
+            refuse(code, reason, retryAfterMillis);
+        } else if (deadline.isPast(mContext.clock().nowMillis())) {
+            respondLocally(
+                    HttpResponseStatus.GATEWAY_TIMEOUT,
+                    ResultCode.DEADLINE_PASSED_RUNNING,
+                    reason,
+                    0);
+        } else {
+            respondLocally(HttpResponseStatus.BAD_GATEWAY, ResultCode.OUTCOME_UNKNOWN, reason, 0);
+        }
+    }
+
     /** Ends the call without a response, since its caller has closed the connection. */
     void recordCallerLeft() {
         markDone("left", 0, "the caller closed the connection");
--- a/org.cornelway/src/org/cornelway/traffic/RequestHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/RequestHead.java
@@ -24,13 +24,15 @@
         Optional<Long> expectedTokens,
         List<String> promptPartIds,
         Optional<String> lastEventId) {
-    /**
-     * Hash of the prompt parts that other calls may share, which are all but the last; 0 if there
-     * are none.
-     */
-    public int sharedPrefixHash() {
+    /** Ids of the parts of the prompt that other calls may share: all but the last. */
+    public List<String> sharedParts() {
         return promptPartIds.size() < 2
-                ? 0
-                : promptPartIds.subList(0, promptPartIds.size() - 1).hashCode() | 1;
+                ? List.of()
+                : promptPartIds.subList(0, promptPartIds.size() - 1);
+    }
+
+    /** Hash of the shared parts of the prompt; 0 if there are none. */
+    public int sharedPrefixHash() {
+        return sharedParts().isEmpty() ? 0 : sharedParts().hashCode() | 1;
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.ServerChooser;
 import org.cornelway.dispatch.ServerLoads;
@@ -25,6 +26,7 @@
  * @param retryBudget limits how often calls are resent
  * @param modelRequester requests models from the controller
  * @param usage calls in progress and call rates, reported to the controller
+ * @param evidence parts of prompts that crash servers
  * @param clock monotonic clock
  * @param loopDelay measures how late the traffic thread is
  * @param log log of structured events
@@ -41,6 +43,7 @@
         SlidingWindowRetryBudget retryBudget,
         ModelRequester modelRequester,
         ModelUsage usage,
+        CrashEvidence evidence,
         Clock clock,
         LoopDelay loopDelay,
         EventLog log,
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -15,6 +15,7 @@
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.LeastLoadedChooser;
 import org.cornelway.dispatch.ServerLoads;
@@ -49,6 +50,7 @@
 
     private final Holdings mHoldings = new Holdings();
     private final ModelUsage mUsage;
+    private final CrashEvidence mEvidence = new CrashEvidence();
     private final ServerLoads mLoads;
     private final TrafficContext mContext;
     private final FrontServer mFrontServer;
@@ -90,6 +92,7 @@
                         retryBudget,
                         modelRequester,
                         mUsage,
+                        mEvidence,
                         clock,
                         new LoopDelay(
                                 SuspendAwareClock.system(), FrontServer.SWEEP_INTERVAL_MILLIS),
@@ -100,6 +103,7 @@
         mPlatformPool = new UpstreamPool(platformLoop, codec, clock);
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool);
         metrics.registerGauge("connections.opened", mPool::openedCount);
+        metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
         mLoop.scheduleAtFixedRate(
                 this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -179,9 +183,20 @@
                 });
     }
 
-    /** Passes the current usage to the receiver, which is called on the traffic thread. */
-    public void reportUsage(Consumer<ModelUsage.Snapshot> receiver) {
-        mLoop.execute(() -> receiver.accept(mUsage.snapshot()));
+    /** Passes a report on the calls to the receiver, which is called on the traffic thread. */
+    public void report(Consumer<TrafficReport> receiver) {
+        mLoop.execute(
+                () -> receiver.accept(new TrafficReport(mUsage.snapshot(), mEvidence.snapshot())));
+    }
+
+    /** Adds the controller's evidence on parts of prompts that crash servers. */
+    public void mergeEvidence(CrashEvidence.Snapshot evidence) {
+        mLoop.execute(
+                () ->
+                        mEvidence.merge(
+                                evidence.crashes(),
+                                evidence.cleared(),
+                                mContext.clock().nowMillis()));
     }
 
     /**
@@ -200,6 +215,7 @@
         mPool.sweep(addresses);
         mPlatformGroup.execute(() -> mPlatformPool.sweep(addresses));
         mLoads.retain(incarnations);
+        mEvidence.expire(mContext.clock().nowMillis());
     }
 
     /** Stops the traffic thread within about a second; returns without waiting for it to end. */
