--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -66,6 +66,10 @@
         CLOSE_CONNECTION,
         /** The server closes the connection in the middle of a response. */
         TRUNCATED_RESPONSE,
+        /** Responses have neither a length nor chunks, and end with the connection. */
+        UNFRAMED,
+        /** As {@link #UNFRAMED}, but a stream ends in the middle of an event. */
+        UNFRAMED_PARTIAL_EVENT,
         /** The server sends a response to another request before the correct response. */
         MISMATCHED_RESPONSE,
         /** The server responds with status 500. */
@@ -319,7 +323,7 @@
                             + requestIdHeader
                             + SERVER_STAMP_HEADER
                             + "Content-Type: text/event-stream\r\n"
-                            + "Transfer-Encoding: chunked\r\n\r\n");
+                            + (isUnframed() ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
             AtomicBoolean open = new AtomicBoolean(true);
             socket.closeHandler(closed -> open.set(false));
             writeEvent(socket, lastEventId + 1, open);
@@ -330,6 +334,10 @@
                             + SERVER_STAMP_HEADER
                             + "Content-Length: 100\r\n\r\nhalf");
             socket.close();
+        } else if (isUnframed()) {
+            String head = "HTTP/1.1 200 OK\r\n" + requestIdHeader + SERVER_STAMP_HEADER + "\r\n";
+            socket.write(head + "done " + request.body());
+            socket.close();
         } else {
             write(
                     socket,
@@ -339,6 +347,15 @@
         }
     }
 
+    private boolean isUnframed() {
+        return mFault == Fault.UNFRAMED || mFault == Fault.UNFRAMED_PARTIAL_EVENT;
+    }
+
+    /** Returns a part of a stream as it is sent: as it is, or as a chunk. */
+    private String frame(String text) {
+        return isUnframed() ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
     private void writeEvent(NetSocket socket, int id, AtomicBoolean open) {
         if (!open.get()) {
             mAbandonedStreams.incrementAndGet();
@@ -350,13 +367,20 @@
             socket.close();
             return;
         }
+        if (mFault == Fault.UNFRAMED_PARTIAL_EVENT && id > mStreamEventCount / 2) {
+            socket.write(text.substring(0, 5));
+            socket.close();
+            return;
+        }
         if (mFault == Fault.TRICKLE && id > mStreamEventCount / 2) {
             repeat(socket, "1\r\n:\r\n");
             return;
         }
-        socket.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        socket.write(frame(text));
         if (id < mStreamEventCount) {
             mVertx.setTimer(mEventIntervalMillis, timer -> writeEvent(socket, id + 1, open));
+        } else if (isUnframed()) {
+            socket.close();
         } else {
             socket.write("0\r\n\r\n");
         }
--- a/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
@@ -1,7 +1,9 @@
 package org.cornelway.direct;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.List;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.standin.platform.BackendServerStandin.Fault;
 import org.testng.annotations.DataProvider;
@@ -23,6 +25,33 @@
         assertThat(executedCalls("e1")).isPositive();
     }
 
+    @Test
+    public void responsesThatEndWithTheirConnectionAreForwardedWhole() {
+        for (String id : List.of("p1", "p2", "e1", "e2")) {
+            fleet().backendServer(id).injectFault(Fault.UNFRAMED);
+        }
+        assertThat(call("/unsafe/a", "x").body()).isEqualTo("done x");
+        assertThat(call("/safe/a", "x").body()).isEqualTo("done x");
+        assertCompleteStream(stream("/stream/a", "m1"));
+    }
+
+    @Test
+    public void streamThatEndsWithinAnEventIsResumedAtAnotherServer() {
+        fleet().backendServer("e1").injectFault(Fault.UNFRAMED_PARTIAL_EVENT);
+        for (int i = 0; i < CALLS; i++) {
+            assertCompleteStream(stream("/resume/a", "m1"));
+        }
+        assertThat(executedCalls("e1")).isPositive();
+    }
+
+    @Test
+    public void streamThatEndsWithinAnEventAndCannotBeResumedIsNotEndedAsComplete() {
+        fleet().backendServer("e1").injectFault(Fault.UNFRAMED_PARTIAL_EVENT);
+        fleet().backendServer("e2").injectFault(Fault.UNFRAMED_PARTIAL_EVENT);
+        assertThatThrownBy(() -> stream("/stream/a", "m1"))
+                .isInstanceOf(IllegalStateException.class);
+    }
+
     @DataProvider
     public Object[][] endless() {
         return new Object[][] {{Fault.ENDLESS_BYTES}, {Fault.ENDLESS_HEAD}};
