List keys only after a watch that was not answered in time

Reviewed for the target's size: after an outage, 390 entries would each list all announcements, a megabyte, though the changes since the last revision are few. A watch is now followed by a listing only if it got no response although the service answered other calls; after an outage it continues from its revision.

--- a/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
@@ -27,7 +27,7 @@
  *
  * <p>A service that was silent for a moment may never answer the calls of that time. So a call in
  * flight is replaced as soon as another call shows that the service is available again, and the
- * keys are listed after a watch that failed, since a service may answer all calls but watches.
+ * keys are listed after a watch without response, since a service may answer all calls but watches.
  * Confined to the control thread.
  */
 public final class StoreFollower implements Component {
@@ -180,7 +180,10 @@
                 now() - mSentMillis,
                 "reason",
                 String.valueOf(e.getMessage()));
-        mRevision = -1;
+        boolean isUnanswered = now() - mSentMillis >= mKeys.waitMillis();
+        if (isUnanswered && !mHealth.isUnavailable()) {
+            mRevision = -1;
+        }
         mHealth.recordFailure(mKeys.prefix(), e);
         long millis =
                 Math.min(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS << Math.min(mConsecutiveFailures, 5));
