Decide what crashes show only when they change

Reviewed for the target's size: the controller went through all evidence for each of the entries' reports, some 1,500 a second. CrashEvidenceTest passes as it was.

--- a/org.cornelway/src/org/cornelway/dispatch/CrashEvidence.java
+++ b/org.cornelway/src/org/cornelway/dispatch/CrashEvidence.java
@@ -45,6 +45,8 @@
     /** Time for which the crashes of a part that was blocked are remembered. */
     private static final long MEMORY_MILLIS = BLOCK_MILLIS << (MAX_DOUBLINGS + 1);
 
+    private static final long EXPIRY_PERIOD_MILLIS = 1_000;
+
     /** Limit on the number of suspected parts; of those with few crashes, the oldest go first. */
     static final int MAX_PARTS = 256;
 
@@ -67,7 +69,8 @@
             };
 
     private volatile Map<String, Deadline> mBlocked = Map.of();
-    private long mVersion;
+    private Snapshot mSnapshot = new Snapshot(0, List.of(), List.of());
+    private Deadline mNextExpiry = new Deadline(0);
 
     /**
      * All that was recorded or merged and is not forgotten. Immutable.
@@ -140,18 +143,27 @@
         return cleared || !after.equals(before);
     }
 
-    /** Forgets old crashes; called periodically. */
+    /** Forgets old crashes from time to time; called often. */
     public void expire(long nowMillis) {
-        if (!mCrashes.isEmpty()) {
+        if (!mCrashes.isEmpty() && mNextExpiry.isPast(nowMillis)) {
+            mNextExpiry = Deadline.after(nowMillis, EXPIRY_PERIOD_MILLIS);
             forget(nowMillis);
-            mBlocked = blockedParts();
+            decide(mSnapshot.version());
         }
     }
 
     private void update(long nowMillis) {
-        mVersion++;
         forget(nowMillis);
+        decide(mSnapshot.version() + 1);
+    }
+
+    private void decide(long version) {
         mBlocked = blockedParts();
+        mSnapshot =
+                new Snapshot(
+                        version,
+                        mCrashes.values().stream().flatMap(each -> each.values().stream()).toList(),
+                        List.copyOf(mCleared));
     }
 
     private void forget(long nowMillis) {
@@ -295,8 +307,6 @@
 
     /** Returns all evidence, to be merged by another process. */
     public Snapshot snapshot() {
-        List<PartCrash> crashes =
-                mCrashes.values().stream().flatMap(each -> each.values().stream()).toList();
-        return new Snapshot(mVersion, crashes, List.copyOf(mCleared));
+        return mSnapshot;
     }
 }
