Hold only the delay of late ticks

Reviewed: the delay of any tick counted for 250 ms, so that calls on a busy entry counted as arrived some tens of milliseconds too early all the time. Only a tick that is late counts longer; shorter delays count until the next tick, as before. LeavingCallersProcessTest still passes.

--- a/org.cornelway.test/tst/org/cornelway/traffic/LoopDelayTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/LoopDelayTest.java
@@ -53,6 +53,17 @@
         }
     }
 
+    @Test
+    public void shortDelayCountsUntilTheNextTick() {
+        LoopDelay delay = newDelay();
+        advance(INTERVAL_MILLIS + 40);
+        delay.tick();
+        assertThat(delay.millis()).isEqualTo(40);
+        advance(INTERVAL_MILLIS);
+        delay.tick();
+        assertThat(delay.millis()).isZero();
+    }
+
     @Test
     public void delayIsForgottenOnceTheThreadIsInTimeAgain() {
         LoopDelay delay = newDelay();
--- a/org.cornelway/src/org/cornelway/traffic/LoopDelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/LoopDelay.java
@@ -21,8 +21,9 @@
     private final SuspendAwareClock mClock;
     private final long mTickIntervalMillis;
     private SuspendAwareClock.Mark mLastTick;
+    private long mLastDelayMillis;
 
-    /** Delay of the latest of the ticks by which {@link #millis} is determined. */
+    /** Longest delay of the recent late ticks. */
     private long mHeldDelayMillis;
 
     /** When that tick ran. */
@@ -44,13 +45,13 @@
      * @return how late the task runs, in milliseconds
      */
     long tick() {
-        long delayMillis = sinceDueMillis();
+        mLastDelayMillis = sinceDueMillis();
         mLastTick = mClock.mark();
-        if (delayMillis >= heldDelayMillis()) {
-            mHeldDelayMillis = delayMillis;
+        if (mLastDelayMillis >= Math.max(LATE_MILLIS, heldDelayMillis())) {
+            mHeldDelayMillis = mLastDelayMillis;
             mHeldSince = mLastTick;
         }
-        return delayMillis;
+        return mLastDelayMillis;
     }
 
     private long heldDelayMillis() {
@@ -61,9 +62,9 @@
         return Math.max(0, mClock.elapsedMillisSince(mLastTick) - mTickIntervalMillis);
     }
 
-    /** Returns the delay: the longest of the recent ticks or, if longer, that of the tick due. */
+    /** Returns the longest delay of the last tick, of the tick due and of recent late ticks. */
     long millis() {
-        return Math.max(heldDelayMillis(), sinceDueMillis());
+        return Math.max(heldDelayMillis(), Math.max(mLastDelayMillis, sinceDueMillis()));
     }
 
     /** Whether the delay is so long that callers may have left unnoticed. */
