--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -48,7 +48,7 @@
     private volatile Fault mFault = Fault.NONE;
 
     /** A call whose prompt contains this part crashes the server; empty for none. */
-    private volatile String mDeadlyPart = "";
+    private volatile String mPoisonPart = "";
 
     private volatile int mStreamEventCount = 5;
     private volatile long mEventIntervalMillis = 5;
@@ -140,7 +140,7 @@
 
     /** Makes the server crash as it begins to answer a call whose prompt contains a part. */
     public void crashOnPart(String part) {
-        mDeadlyPart = part;
+        mPoisonPart = part;
     }
 
     /** Sets the number of events in a stream and the time between two events. */
@@ -259,7 +259,7 @@
             return;
         }
         String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
-        if (!mDeadlyPart.isEmpty() && prompt.contains(mDeadlyPart)) {
+        if (!mPoisonPart.isEmpty() && prompt.contains(mPoisonPart)) {
             crash();
             return;
         }
--- a/org.cornelway.test/tst/org/cornelway/direct/DeadlyPartProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/PoisonPartProcessTest.java
@@ -10,11 +10,11 @@
 import org.testng.annotations.Test;
 
 /** Tests that entries together learn which part of a prompt crashes servers, and block only it. */
-public class DeadlyPartProcessTest extends DirectTestBase {
+public class PoisonPartProcessTest extends DirectTestBase {
     private static final int UNAVAILABLE = 503;
 
     /** Crashes from which entries may learn, and calls that may still reach servers after them. */
-    private static final int MAX_DEADLY_CALLS = 5 + 3;
+    private static final int MAX_POISON_CALLS = 5 + 3;
 
     private static final int CALLS = 30;
 
@@ -38,26 +38,26 @@
                         headers.toArray(Header[]::new));
     }
 
-    private long deadlyCalls() {
+    private long poisonCalls() {
         return List.of("e1", "e2").stream()
                 .flatMap(id -> fleet().backendServer(id).receivedCalls().stream())
-                .filter(call -> call.header("x-prompt-prefix").contains("deadly"))
+                .filter(call -> call.header("x-prompt-prefix").contains("poison"))
                 .count();
     }
 
     @Test
-    public void callsWithTheDeadlyPartStopReachingServersAndOthersDoNot()
+    public void callsWithThePoisonPartStopReachingServersAndOthersDoNot()
             throws InterruptedException {
-        fleet().backendServer("e1").crashOnPart("deadly");
-        fleet().backendServer("e2").crashOnPart("deadly");
+        fleet().backendServer("e1").crashOnPart("poison");
+        fleet().backendServer("e2").crashOnPart("poison");
         int lastStatus = 0;
         for (int i = 0; i < CALLS; i++) {
-            lastStatus = call(i % 2, "first:10,deadly:10", i).status();
+            lastStatus = call(i % 2, "first:10,poison:10", i).status();
             fleet().announce(DirectFleet.ENGINE_SERVICE, "e1", "ready", 1_000 + i);
             fleet().announce(DirectFleet.ENGINE_SERVICE, "e2", "ready", 1_000 + i);
             Thread.sleep(PAUSE_MILLIS);
         }
-        assertThat(deadlyCalls()).isBetween(1L, (long) MAX_DEADLY_CALLS);
+        assertThat(poisonCalls()).isBetween(1L, (long) MAX_POISON_CALLS);
         assertThat(lastStatus).isEqualTo(UNAVAILABLE);
         for (int i = 0; i < CALLS; i++) {
             assertThat(call(i % 2, "first:10,sound:10", i).status()).isEqualTo(OK);
--- a/org.cornelway.test/tst/org/cornelway/dispatch/CrashEvidenceTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/CrashEvidenceTest.java
@@ -12,7 +12,7 @@
 
 /** Tests which parts of prompts are blocked after crashes, and which are not. */
 public class CrashEvidenceTest {
-    private static final List<String> DEADLY = List.of("first", "deadly");
+    private static final List<String> POISON = List.of("first", "poison");
     private static final List<String> SOUND = List.of("first", "sound");
 
     private CrashEvidence mEvidence;
@@ -50,69 +50,69 @@
     @Test
     public void partOfThreeCrashesIsBlockedAndPartsThatWereAnsweredAreNot() {
         mEvidence.recordAnswered(SOUND, mNow);
-        crash(DEADLY);
-        crash(DEADLY);
-        assertThat(isBlocked(DEADLY)).isFalse();
-        crash(DEADLY);
-        assertThat(isBlocked(DEADLY)).isTrue();
+        crash(POISON);
+        crash(POISON);
+        assertThat(isBlocked(POISON)).isFalse();
+        crash(POISON);
+        assertThat(isBlocked(POISON)).isTrue();
         assertThat(isBlocked(SOUND)).isFalse();
     }
 
     @Test
-    public void callsThatRanBesideTheDeadlyOneAreNotBlocked() {
+    public void callsThatRanBesideThePoisonOneAreNotBlocked() {
         mEvidence.recordAnswered(List.of("first"), mNow);
-        crash(DEADLY, SOUND);
-        crash(DEADLY, SOUND);
-        crash(DEADLY, List.of("first", "other"));
-        crash(DEADLY, SOUND);
-        assertThat(isBlocked(DEADLY)).isTrue();
+        crash(POISON, SOUND);
+        crash(POISON, SOUND);
+        crash(POISON, List.of("first", "other"));
+        crash(POISON, SOUND);
+        assertThat(isBlocked(POISON)).isTrue();
         assertThat(isBlocked(SOUND)).isFalse();
         assertThat(isBlocked(List.of("first", "other"))).isFalse();
     }
 
     @Test
-    public void twoDeadlyPartsAreBothBlocked() {
+    public void twoPoisonPartsAreBothBlocked() {
         mEvidence.recordAnswered(List.of("first"), mNow);
-        List<String> second = List.of("first", "deadly-2");
-        crash(DEADLY, SOUND);
+        List<String> second = List.of("first", "poison-2");
+        crash(POISON, SOUND);
         crash(second, SOUND);
-        crash(DEADLY);
+        crash(POISON);
         crash(second);
-        crash(DEADLY);
+        crash(POISON);
         crash(second);
-        assertThat(isBlocked(DEADLY)).isTrue();
+        assertThat(isBlocked(POISON)).isTrue();
         assertThat(isBlocked(second)).isTrue();
         assertThat(isBlocked(SOUND)).isFalse();
     }
 
     @Test
     public void partsThatNoCrashTellsApartAreBlockedUntilOneIsAnswered() {
-        crash(List.of("deadly", "beside"));
-        crash(List.of("deadly", "beside"));
-        crash(List.of("deadly", "beside"));
+        crash(List.of("poison", "beside"));
+        crash(List.of("poison", "beside"));
+        crash(List.of("poison", "beside"));
         assertThat(isBlocked(List.of("beside"))).isTrue();
         mEvidence.recordAnswered(List.of("beside"), mNow);
         assertThat(isBlocked(List.of("beside"))).isFalse();
-        assertThat(isBlocked(List.of("deadly"))).isTrue();
+        assertThat(isBlocked(List.of("poison"))).isTrue();
     }
 
     @Test
     public void partThatAllCallsShareIsNotBlockedForOneBehindIt() {
-        crash(DEADLY);
-        crash(DEADLY);
-        crash(DEADLY);
-        assertThat(isBlocked(DEADLY)).isTrue();
+        crash(POISON);
+        crash(POISON);
+        crash(POISON);
+        assertThat(isBlocked(POISON)).isTrue();
         assertThat(isBlocked(SOUND)).isFalse();
     }
 
     @Test
     public void firstPartIsBlockedIfCallsWithoutTheOneBehindItCrashServersToo() {
-        crash(DEADLY);
-        crash(DEADLY);
-        crash(DEADLY);
+        crash(POISON);
+        crash(POISON);
+        crash(POISON);
         crash(SOUND);
         assertThat(isBlocked(List.of("first"))).isTrue();
-        assertThat(isBlocked(List.of("deadly"))).isFalse();
+        assertThat(isBlocked(List.of("poison"))).isFalse();
     }
 
     @Test
@@ -138,15 +138,15 @@
 
     @Test
     public void blockEndsAndOneMoreCrashBlocksForLonger() {
-        crash(DEADLY);
-        crash(DEADLY);
-        crash(DEADLY);
+        crash(POISON);
+        crash(POISON);
+        crash(POISON);
         mNow += CrashEvidence.BLOCK_MILLIS;
         mEvidence.expire(mNow);
-        assertThat(isBlocked(DEADLY)).isFalse();
-        crash(DEADLY);
+        assertThat(isBlocked(POISON)).isFalse();
+        crash(POISON);
         mNow += CrashEvidence.BLOCK_MILLIS;
-        assertThat(isBlocked(DEADLY)).isTrue();
+        assertThat(isBlocked(POISON)).isTrue();
     }
 
     @Test
@@ -162,23 +162,23 @@
 
     @Test
     public void randomPartsDoNotGrowTheEvidenceOrUnblockThePart() {
-        crash(DEADLY);
-        crash(DEADLY);
-        crash(DEADLY);
+        crash(POISON);
+        crash(POISON);
+        crash(POISON);
         for (int i = 0; i < 3 * CrashEvidence.MAX_PARTS; i++) {
             crash(List.of("random-" + i));
         }
         assertThat(mEvidence.snapshot().crashes().size())
                 .isLessThanOrEqualTo(CrashEvidence.MAX_PARTS + 4);
-        assertThat(isBlocked(List.of("deadly"))).isTrue();
+        assertThat(isBlocked(List.of("poison"))).isTrue();
     }
 
     @Test
     public void processesThatExchangeEvidenceInAnyOrderBlockTheSameParts() {
         mEvidence.recordAnswered(List.of("first"), mNow);
-        crash(DEADLY, SOUND);
-        crash(DEADLY);
-        crash(DEADLY, SOUND);
+        crash(POISON, SOUND);
+        crash(POISON);
+        crash(POISON, SOUND);
         List<PartCrash> crashes = new ArrayList<>(mEvidence.snapshot().crashes());
         Random random = new Random(1);
         for (int i = 0; i < 50; i++) {
@@ -186,8 +186,8 @@
             CrashEvidence other = new CrashEvidence();
             crashes.forEach(
                     crash -> other.merge(List.of(crash), mEvidence.snapshot().cleared(), mNow));
-            assertThat(other.blockedUntil(DEADLY, mNow))
-                    .isEqualTo(mEvidence.blockedUntil(DEADLY, mNow));
+            assertThat(other.blockedUntil(POISON, mNow))
+                    .isEqualTo(mEvidence.blockedUntil(POISON, mNow));
             assertThat(other.blockedUntil(List.of("sound"), mNow)).isEmpty();
         }
     }
@@ -195,13 +195,13 @@
     @Test
     public void crashesSeenByDifferentProcessesAddUp() {
         CrashEvidence other = new CrashEvidence();
-        crash(DEADLY);
-        crash(DEADLY);
+        crash(POISON);
+        crash(POISON);
         ServerIncarnation third = newServer();
-        other.recordCrash(DEADLY, third, mNow, mNow + 50);
+        other.recordCrash(POISON, third, mNow, mNow + 50);
         mNow += 100;
         CrashEvidence.Snapshot snapshot = mEvidence.snapshot();
         other.merge(snapshot.crashes(), snapshot.cleared(), mNow);
-        assertThat(other.blockedUntil(DEADLY, mNow)).isPresent();
+        assertThat(other.blockedUntil(POISON, mNow)).isPresent();
     }
 }
