Let the stand-ins of the review behave like sound engines

Model servers now carry out orders for models too, where they refused all of them, entries that end by themselves are recorded, and all processes end with the script.

--- a/review/standin/BackendServer.java
+++ b/review/standin/BackendServer.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A stand-in of a backend server: HTTP/1.1 on plain sockets, one thread a connection.
@@ -28,6 +29,7 @@
     private final long mBorn = System.currentTimeMillis();
     private final ServerSocket mListener;
     private final EngineState mEngine;
+    private final AtomicLong mAnnouncements = new AtomicLong(10);
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
 
     /** Number of runs by request id. */
@@ -68,26 +70,43 @@
         }
 
         String headLines() {
-            return "X-Request-Id: " + id() + "\r\nX-Server-Stamp: stamp." + server.mId + "." + id()
+            return "X-Request-Id: "
+                    + id()
+                    + "\r\nX-Server-Stamp: stamp."
+                    + server.mId
+                    + "."
+                    + id()
                     + "\r\n";
         }
 
         /** Answers with a whole body, as a sound plain service does. */
         void answer(String status, String body) throws IOException {
-            write("HTTP/1.1 " + status + "\r\n" + headLines() + "Content-Length: " + body.length()
-                    + "\r\n\r\n" + body);
+            write(
+                    "HTTP/1.1 "
+                            + status
+                            + "\r\n"
+                            + headLines()
+                            + "Content-Length: "
+                            + body.length()
+                            + "\r\n\r\n"
+                            + body);
         }
 
         /** Says that the call has not run here. */
         void refuse() throws IOException {
-            write("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + id()
-                    + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            write(
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: "
+                            + id()
+                            + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
         }
 
         /** Begins a chunked stream of events. */
         void beginStream() throws IOException {
-            write("HTTP/1.1 200 OK\r\n" + headLines()
-                    + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            write(
+                    "HTTP/1.1 200 OK\r\n"
+                            + headLines()
+                            + "Content-Type: text/event-stream\r\n"
+                            + "Transfer-Encoding: chunked\r\n\r\n");
         }
 
         void chunk(String text) throws IOException {
@@ -104,7 +123,10 @@
 
         /** A whole sound stream from the piece after Last-Event-Id on. */
         void stream(int last, long gapMillis) throws IOException, InterruptedException {
-            int done = header("last-event-id").isEmpty() ? 0 : Integer.parseInt(header("last-event-id"));
+            int done =
+                    header("last-event-id").isEmpty()
+                            ? 0
+                            : Integer.parseInt(header("last-event-id"));
             beginStream();
             for (int i = done + 1; i <= last; i++) {
                 event(i);
@@ -120,7 +142,7 @@
         mService = service;
         mId = id;
         mBehavior = behavior;
-        mEngine = new EngineState(bed, id, this::crash, models);
+        mEngine = new EngineState(bed, id, this::crash, this::announce, models);
         mListener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
         start(this::accept);
     }
@@ -140,18 +162,32 @@
         return mRuns.getOrDefault(requestId, 0);
     }
 
+    /** Writes what the server says of itself to the store anew, as its models have changed. */
+    private void announce() {
+        mBed.announce(this, "ready", mAnnouncements.incrementAndGet());
+    }
+
     EngineState engine() {
         return mEngine;
     }
 
     byte[] announcement(String state, long sequence) {
         String text =
-                "{\"Service\":\"" + mService + "\",\"Address\":\"127.0.0.1:"
+                "{\"Service\":\""
+                        + mService
+                        + "\",\"Address\":\"127.0.0.1:"
                         + mListener.getLocalPort()
                         + "\",\"Zone\":\"tn-nord-a\",\"Version\":\"v1\",\"Slots\":"
                         + (mEngine.isEngine() ? 64 : 6)
-                        + ",\"State\":\"" + state + "\",\"ColdLeftMs\":0,\"Stage\":\"unified\",\"Models\":"
-                        + mEngine.models() + ",\"Seq\":" + sequence + ",\"born\":" + mBorn + "}";
+                        + ",\"State\":\""
+                        + state
+                        + "\",\"ColdLeftMs\":0,\"Stage\":\"unified\",\"Models\":"
+                        + mEngine.models()
+                        + ",\"Seq\":"
+                        + sequence
+                        + ",\"born\":"
+                        + mBorn
+                        + "}";
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
@@ -187,7 +223,9 @@
             OutputStream out = socket.getOutputStream();
             for (String line = readLine(in); line != null; line = readLine(in)) {
                 Map<String, String> headers = readHeaders(in);
-                byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+                byte[] body =
+                        in.readNBytes(
+                                Integer.parseInt(headers.getOrDefault("content-length", "0")));
                 String[] words = line.split(" ");
                 answer(new Call(this, words[0], words[1], headers, body, socket, out));
             }
@@ -201,8 +239,12 @@
     private void answer(Call call) throws IOException, InterruptedException {
         String target = call.headers().getOrDefault("x-target-instance", mId);
         if (!target.equals(mId)) {
-            call.write("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + call.id()
-                    + "\r\nX-Instance-Id: " + mId + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            call.write(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: "
+                            + call.id()
+                            + "\r\nX-Instance-Id: "
+                            + mId
+                            + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
         } else if (call.path().equals("/report")) {
             json(call, mEngine.report(mBorn));
         } else if (call.path().equals("/order")) {
@@ -217,21 +259,29 @@
                 mEngine.end(call.header("x-model"));
             }
         } else {
-            call.write("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + call.id()
-                    + "\r\nX-Instance-Id: " + mId + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            call.write(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: "
+                            + call.id()
+                            + "\r\nX-Instance-Id: "
+                            + mId
+                            + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
         }
     }
 
     private static void json(Call call, String body) throws IOException {
-        call.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body);
+        call.write(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body);
     }
 
     private static Map<String, String> readHeaders(InputStream in) throws IOException {
         Map<String, String> headers = new TreeMap<>();
         for (String line = readLine(in); line != null && !line.isEmpty(); line = readLine(in)) {
             int colon = line.indexOf(':');
-            headers.put(line.substring(0, colon).trim().toLowerCase(Locale.ROOT),
+            headers.put(
+                    line.substring(0, colon).trim().toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).trim());
         }
         return new LinkedHashMap<>(headers);
--- a/review/standin/Bed.java
+++ b/review/standin/Bed.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.standin.platform.PlatformStoreStandin;
 
@@ -42,6 +43,7 @@
     private final PlatformStoreStandin mStore = new PlatformStoreStandin(mVertx);
     private final List<BackendServer> mServers = new ArrayList<>();
     private final List<Entry> mEntries = new ArrayList<>();
+    private volatile boolean mClosing;
 
     /** An entry and its ports. */
     static final class Entry {
@@ -67,6 +69,8 @@
             int[] ports = freePorts(3);
             mEntries.add(new Entry("front-" + i, ports[0], ports[1], ports[2]));
         }
+        // Ends the entries also if the script itself is ended before its time.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killEntries));
     }
 
     /** A case: returns 1 if the rule was broken, else 0. */
@@ -123,7 +127,8 @@
         return mEntries.get(index);
     }
 
-    BackendServer addServer(String service, String id, BackendServer.Behavior behavior, String... models)
+    BackendServer addServer(
+            String service, String id, BackendServer.Behavior behavior, String... models)
             throws IOException {
         BackendServer server = new BackendServer(this, service, id, behavior, models);
         mServers.add(server);
@@ -178,7 +183,12 @@
     }
 
     static ObjectNode addRoute(
-            ArrayNode routes, String prefix, String kind, String service, int attempts, int timeout) {
+            ArrayNode routes,
+            String prefix,
+            String kind,
+            String service,
+            int attempts,
+            int timeout) {
         return routes.addObject()
                 .put("Name", "r" + prefix.replace('/', '-'))
                 .put("Host", HOST)
@@ -211,9 +221,24 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(entry).toFile()));
         entry.mProcess = builder.start();
+        entry.mProcess.onExit().thenAccept(process -> recordEnd(entry, process));
         record("start " + entry.mName);
     }
 
+    /** Records an end that this bed has not asked for, with the end of the entry's log. */
+    private void recordEnd(Entry entry, Process process) {
+        if (mClosing) {
+            return;
+        }
+        record(entry.mName + " has ended by itself with code " + process.exitValue());
+        try {
+            List<String> lines = Files.readAllLines(log(entry));
+            lines.subList(Math.max(0, lines.size() - 30), lines.size()).forEach(this::record);
+        } catch (IOException e) {
+            record("its log can't be read: " + e.getMessage());
+        }
+    }
+
     Path log(Entry entry) {
         return mDirectory.resolve(entry.mName + ".log");
     }
@@ -271,7 +296,9 @@
             socket.connect(new InetSocketAddress("127.0.0.1", entry.mReady), 1_000);
             socket.setSoTimeout(1_000);
             socket.getOutputStream()
-                    .write("GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    .write(
+                            "GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n"
+                                    .getBytes(StandardCharsets.US_ASCII));
             byte[] head = socket.getInputStream().readNBytes(12);
             return new String(head, StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
         } catch (IOException e) {
@@ -289,16 +316,15 @@
 
     @Override
     public void close() {
-        for (Entry entry : mEntries) {
-            if (entry.mProcess != null) {
-                if ("1".equals(System.getenv("KEEP_LOGS"))) {
-                    entry.mProcess.destroy();
-                } else {
-                    entry.mProcess.destroyForcibly();
-                }
-                entry.mProcess.onExit().join();
-            }
+        mClosing = true;
+        if ("1".equals(System.getenv("KEEP_LOGS"))) {
+            // The last lines of a log are written as the process stops.
+            started().forEach(Process::destroy);
+            started().forEach(process -> process.onExit().join());
         }
+        killEntries();
+        mStore.close();
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
         if ("1".equals(System.getenv("KEEP_LOGS"))) {
             System.out.println("logs: " + mDirectory);
         } else {
@@ -307,6 +333,15 @@
         mRecord.close();
     }
 
+    private List<Process> started() {
+        return mEntries.stream().map(entry -> entry.mProcess).filter(Objects::nonNull).toList();
+    }
+
+    private void killEntries() {
+        started().forEach(Process::destroyForcibly);
+        started().forEach(process -> process.onExit().join());
+    }
+
     private void deleteDirectory() {
         try (var files = Files.list(mDirectory)) {
             for (Path file : files.toList()) {
--- a/review/standin/Consumer.java
+++ b/review/standin/Consumer.java
@@ -25,12 +25,14 @@
     /**
      * What a consumer got.
      *
-     * @param status the status; 0 if the channel was closed before a head, -1 if nothing came in time
+     * @param status the status; 0 if the channel was closed before a head, -1 if nothing came in
+     *     time
      * @param body the body as far as it came
      * @param complete whether the end of the answer came
      * @param millis time from the last byte sent until the end
      */
-    record Answer(String id, int status, String body, boolean complete, boolean stamped, long millis) {}
+    record Answer(
+            String id, int status, String body, boolean complete, boolean stamped, long millis) {}
 
     Consumer(Bed bed, Bed.Entry entry) {
         mBed = bed;
@@ -56,13 +58,28 @@
      * @param timeLimitMillis sent as X-Deadline-Ms
      * @param patienceMillis how long this stand-in waits for the end of the answer
      */
-    Answer call(String method, String path, byte[] body, int timeLimitMillis, long patienceMillis,
-            String... headers) throws IOException {
+    Answer call(
+            String method,
+            String path,
+            byte[] body,
+            int timeLimitMillis,
+            long patienceMillis,
+            String... headers)
+            throws IOException {
         String id = newId();
         connect();
         StringBuilder head = new StringBuilder();
-        head.append(method + " " + path + " HTTP/1.1\r\nHost: " + Bed.HOST + "\r\nX-Request-Id: " + id
-                + "\r\nX-Deadline-Ms: " + timeLimitMillis + "\r\n");
+        head.append(
+                method
+                        + " "
+                        + path
+                        + " HTTP/1.1\r\nHost: "
+                        + Bed.HOST
+                        + "\r\nX-Request-Id: "
+                        + id
+                        + "\r\nX-Deadline-Ms: "
+                        + timeLimitMillis
+                        + "\r\n");
         for (String header : headers) {
             head.append(header).append("\r\n");
         }
@@ -85,10 +102,23 @@
         if (!answer.complete()) {
             close();
         }
-        String text = answer.body().length() > 120 ? answer.body().substring(0, 120) + ".." : answer.body();
-        mBed.record("answer " + id + " status " + answer.status() + " complete " + answer.complete()
-                + " after " + answer.millis() + " ms, " + answer.body().length() + " bytes: "
-                + text.replace("\n", "\\n").replaceAll("[^ -~]", "?"));
+        String text =
+                answer.body().length() > 120
+                        ? answer.body().substring(0, 120) + ".."
+                        : answer.body();
+        mBed.record(
+                "answer "
+                        + id
+                        + " status "
+                        + answer.status()
+                        + " complete "
+                        + answer.complete()
+                        + " after "
+                        + answer.millis()
+                        + " ms, "
+                        + answer.body().length()
+                        + " bytes: "
+                        + text.replace("\n", "\\n").replaceAll("[^ -~]", "?"));
         return answer;
     }
 
--- a/review/standin/FrozenController.java
+++ b/review/standin/FrozenController.java
@@ -5,8 +5,9 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The process that gives the orders stands still for 3.5 s, up to four times. All places for adapters of an engine are
- * taken by adapters with runs in progress, and a consumer asks for one more adapter.
+ * The process that gives the orders stands still for 3.5 s, up to four times. All places for
+ * adapters of an engine are taken by adapters with runs in progress, and a consumer asks for one
+ * more adapter.
  */
 final class FrozenController {
     private static final int ENTRIES = 5;
@@ -15,7 +16,9 @@
     /** The freeze is repeated, with another controller, until the rule is broken. */
     private static final int ROUNDS = 4;
 
-    /** By how much later each freeze begins, as the lease of the controller is renewed every 600 ms. */
+    /**
+     * By how much later each freeze begins, as the lease of the controller is renewed every 600 ms.
+     */
     private static final long PHASE_MILLIS = 150;
 
     /** Time between two requests for adapters that no engine holds. */
@@ -32,10 +35,14 @@
 
     private static int run(Bed bed) throws Exception {
         BackendServer engine =
-                bed.addServer(Bed.ENGINES, "e1", call -> {
-                    call.run();
-                    call.stream(240, 50);
-                }, "m1");
+                bed.addServer(
+                        Bed.ENGINES,
+                        "e1",
+                        call -> {
+                            call.run();
+                            call.stream(240, 50);
+                        },
+                        "m1");
         for (int i = 1; i <= EngineState.ADAPTER_SLOTS; i++) {
             engine.engine().hold("m1", "a" + i);
         }
@@ -59,8 +66,13 @@
             cut = freezeOnce(bed, engine.engine(), round);
         }
         int overcommits = engine.engine().overcommits();
-        bed.record(overcommits + " loads were ordered beyond the places for adapters; " + cut + " of "
-                + EngineState.ADAPTER_SLOTS + " streams in progress were cut");
+        bed.record(
+                overcommits
+                        + " loads were ordered beyond the places for adapters; "
+                        + cut
+                        + " of "
+                        + EngineState.ADAPTER_SLOTS
+                        + " streams in progress were cut");
         return overcommits > 0 ? 1 : 0;
     }
 
@@ -103,13 +115,16 @@
 
     /** The entry whose name stands in the key of the controller. */
     private static Bed.Entry controller(Bed bed) {
-        String items = bed.store().withState(state -> {
-            StringBuilder text = new StringBuilder();
-            state.list("", "").stream()
-                    .filter(item -> item.key().contains("controller"))
-                    .forEach(item -> text.append(new String(item.value())));
-            return text.toString();
-        });
+        String items =
+                bed.store()
+                        .withState(
+                                state -> {
+                                    StringBuilder text = new StringBuilder();
+                                    state.list("", "").stream()
+                                            .filter(item -> item.key().contains("controller"))
+                                            .forEach(item -> text.append(new String(item.value())));
+                                    return text.toString();
+                                });
         bed.record("controller: " + items);
         return bed.entries().stream()
                 .filter(entry -> items.contains("\"" + entry.mName + "\""))
@@ -119,8 +134,15 @@
 
     private static Consumer.Answer stream(Bed bed, Bed.Entry entry, String model) throws Exception {
         try (Consumer consumer = new Consumer(bed, entry)) {
-            return consumer.call("POST", "/stream/a", "prompt".getBytes(), 20_000, 20_000, model,
-                    "X-Token-Count: 700,1500", "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:300");
+            return consumer.call(
+                    "POST",
+                    "/stream/a",
+                    "prompt".getBytes(),
+                    20_000,
+                    20_000,
+                    model,
+                    "X-Token-Count: 700,1500",
+                    "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:300");
         }
     }
 }
