--- a/review/standin/PausedEngine.java
+++ b/review/standin/PausedEngine.java
@@ -14,6 +14,9 @@
     private static final long GAP_MILLIS = 50;
     private static final long PAUSE_MILLIS = 1_300;
 
+    /** Time from the SIGHUP to the long streams. */
+    private static final long HUP_LEAD_MILLIS = 300;
+
     /** When the engine pauses, in milliseconds since the start of the bed. */
     private static volatile long sPauseAt = Long.MAX_VALUE;
 
@@ -44,14 +47,23 @@
             streams.add(Consumer.async(() -> twoStreams(bed)));
             Thread.sleep(10);
         }
+        // Planned work: the entry that took the streams is told that its settings may have changed.
+        Thread.sleep(Math.max(0, beginMillis(bed) - HUP_LEAD_MILLIS - bed.millis()));
+        bed.signal(bed.entry(0), "HUP");
         int cut = 0;
         int complete = 0;
         for (Consumer.Answer answer : Consumer.joinAll(streams)) {
             cut += answer.status() == 0 || answer.status() == 200 && !answer.complete() ? 1 : 0;
             complete += answer.complete() && answer.status() == 200 ? 1 : 0;
         }
-        bed.record("of " + STREAMS + " streams on kept channels " + complete + " were complete and " + cut
-                + " ended with a closed channel; all were at sound servers");
+        bed.record(
+                "of "
+                        + STREAMS
+                        + " streams on kept channels "
+                        + complete
+                        + " were complete and "
+                        + cut
+                        + " ended with a closed channel; all were at sound servers");
         return cut > 3 ? 1 : 0;
     }
 
@@ -66,7 +78,10 @@
         }
     }
 
-    /** When the long streams begin: all at once, 2 s after the first consumer is done with its short one. */
+    /**
+     * When the long streams begin: all at once, 2 s after the first consumer is done with its short
+     * one.
+     */
     private static synchronized long beginMillis(Bed bed) {
         if (sBeginMillis == 0) {
             sBeginMillis = bed.millis() + 2_000;
@@ -76,8 +91,15 @@
     }
 
     private static Consumer.Answer stream(Consumer consumer, String path) throws IOException {
-        return consumer.call("POST", path, "prompt".getBytes(), 12_000, 12_000, "X-Model: m1",
-                "X-Token-Count: 700,80", "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:300");
+        return consumer.call(
+                "POST",
+                path,
+                "prompt".getBytes(),
+                12_000,
+                12_000,
+                "X-Model: m1",
+                "X-Token-Count: 700,80",
+                "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:300");
     }
 
     private static void stream(Bed bed, BackendServer.Call call, boolean pauses)
@@ -87,7 +109,10 @@
             call.stream(3, 10);
             return;
         }
-        int done = call.header("last-event-id").isEmpty() ? 0 : Integer.parseInt(call.header("last-event-id"));
+        int done =
+                call.header("last-event-id").isEmpty()
+                        ? 0
+                        : Integer.parseInt(call.header("last-event-id"));
         call.beginStream();
         for (int i = done + 1; i <= EVENTS; i++) {
             if (pauses && bed.millis() >= sPauseAt && bed.millis() < sPauseAt + PAUSE_MILLIS) {
