--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 TROUBLE="${TROUBLE:-1}"
 export TROUBLE
-exec java -cp "target/review:target/lib/*" -Dlog4j2.level=off LargeBodies "review/5/record.txt"
+exec java -cp "target/review:target/lib/*" -Dlog4j2.level=off EndlessBody "review/5/record.txt"
