--- a/review/standin/SpoiledId.java
+++ b/review/standin/SpoiledId.java
@@ -7,7 +7,7 @@
 
 /**
  * One model server of three spoils one event of one answer in fifty and sends nothing more of it.
- * One plain server of seven leaves nine of twenty of its calls without an answer; their callers must
+ * Three plain servers of 21 leave nine of twenty of their calls without an answer; the callers must
  * be told at the timeout of the route. TROUBLE=0 leaves out the spoiled answer only.
  */
 final class SpoiledId {
@@ -15,9 +15,16 @@
     private static final int LATEST_MILLIS = TIMEOUT_MILLIS + 500;
     private static final int STREAMS_AT_ONCE = 30;
     private static final int ROUNDS = 5;
-    private static final int CALLS = 238;
+
+    /** Fewer at last, so that connections to all servers are idle, as on most days. */
+    private static final int LAST_STREAMS = 6;
+
+    private static final int CALLS = 315;
     private static final int LATER_CALLS = 20;
 
+    /** Time from the spoiled answer to the calls: they are due after its stream has stalled. */
+    private static final long CALLS_AFTER_MILLIS = 250;
+
     /** Calls that have arrived at the server that leaves some without an answer, and those. */
     private static int sArrived;
 
@@ -33,23 +40,24 @@
         for (String id : List.of("e1", "e2", "e3")) {
             bed.addServer(Bed.ENGINES, id, SpoiledId::answerStream, "m1");
         }
-        for (int i = 1; i <= 7; i++) {
-            boolean isMute = i == 1;
+        for (int i = 1; i <= 21; i++) {
+            boolean isMute = i <= 3;
             bed.addServer(Bed.PLAIN, "p" + i, call -> answerCall(call, isMute));
         }
         ObjectNode config = bed.newConfig(3);
-        Bed.addRoute((ArrayNode) config.get("Routes"), "/ack/", "unsafe", Bed.PLAIN, 1, TIMEOUT_MILLIS);
+        Bed.addRoute(
+                (ArrayNode) config.get("Routes"), "/ack/", "unsafe", Bed.PLAIN, 1, TIMEOUT_MILLIS);
         bed.putConfig(config);
         bed.start(bed.entry(0));
         bed.awaitReady(bed.entry(0));
         Thread.sleep(4_000);
         for (int i = 0; i < ROUNDS; i++) {
-            Consumer.joinAll(soundStreams(bed));
+            Consumer.joinAll(soundStreams(bed, STREAMS_AT_ONCE));
         }
-        List<CompletableFuture<Consumer.Answer>> streams = soundStreams(bed);
+        List<CompletableFuture<Consumer.Answer>> streams = soundStreams(bed, LAST_STREAMS);
         String path = Bed.trouble() ? "/resume/spoiled" : "/resume/sound";
         streams.add(Consumer.async(() -> stream(bed, path)));
-        Thread.sleep(600);
+        Thread.sleep(CALLS_AFTER_MILLIS);
         List<CompletableFuture<Consumer.Answer>> calls = new ArrayList<>();
         for (int i = 0; i < CALLS; i++) {
             calls.add(Consumer.async(() -> call(bed, "POST", "/ack/a")));
@@ -60,8 +68,13 @@
         }
         Consumer.joinAll(streams);
         recordLaterCalls(bed);
-        bed.record(sMute + " calls lasted longer than TimeoutMs " + TIMEOUT_MILLIS + "; " + late
-                + " of them had no final answer 500 ms later");
+        bed.record(
+                sMute
+                        + " calls lasted longer than TimeoutMs "
+                        + TIMEOUT_MILLIS
+                        + "; "
+                        + late
+                        + " of them had no final answer 500 ms later");
         return late >= 8 && late * 4 > sMute ? 1 : 0;
     }
 
@@ -70,13 +83,19 @@
         for (int i = 0; i < LATER_CALLS; i++) {
             served += call(bed, "GET", "/safe/a").status() == 200 ? 1 : 0;
         }
-        bed.record("/ready answers 200: " + Bed.isReady(bed.entry(0)) + "; of " + LATER_CALLS
-                + " later calls " + served + " were served");
+        bed.record(
+                "/ready answers 200: "
+                        + Bed.isReady(bed.entry(0))
+                        + "; of "
+                        + LATER_CALLS
+                        + " later calls "
+                        + served
+                        + " were served");
     }
 
-    private static List<CompletableFuture<Consumer.Answer>> soundStreams(Bed bed) {
+    private static List<CompletableFuture<Consumer.Answer>> soundStreams(Bed bed, int count) {
         List<CompletableFuture<Consumer.Answer>> streams = new ArrayList<>();
-        for (int i = 0; i < STREAMS_AT_ONCE; i++) {
+        for (int i = 0; i < count; i++) {
             streams.add(Consumer.async(() -> stream(bed, "/resume/sound")));
         }
         return streams;
@@ -84,8 +103,15 @@
 
     private static Consumer.Answer stream(Bed bed, String path) throws Exception {
         try (Consumer consumer = new Consumer(bed, bed.entry(0))) {
-            return consumer.call("POST", path, "prompt".getBytes(), 12_000, 5_000, "X-Model: m1",
-                    "X-Token-Count: 700,80", "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:300");
+            return consumer.call(
+                    "POST",
+                    path,
+                    "prompt".getBytes(),
+                    12_000,
+                    5_000,
+                    "X-Model: m1",
+                    "X-Token-Count: 700,80",
+                    "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:300");
         }
     }
 
@@ -95,7 +121,8 @@
         }
     }
 
-    private static void answerStream(BackendServer.Call call) throws IOException, InterruptedException {
+    private static void answerStream(BackendServer.Call call)
+            throws IOException, InterruptedException {
         call.run();
         if (call.path().endsWith("spoiled") && call.header("last-event-id").isEmpty()) {
             call.beginStream();
