--- a/review/standin/Bed.java
+++ b/review/standin/Bed.java
@@ -137,6 +137,9 @@
     }
 
     void announce(BackendServer server, String state, long sequence) {
+        if (mClosing) {
+            return;
+        }
         byte[] value = server.announcement(state, sequence);
         mStore.withState(s -> s.put("servers/" + server.id(), value, 0));
     }
