--- a/review/standin/SpoiledId.java
+++ b/review/standin/SpoiledId.java
@@ -6,7 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * One model server of three spoils one event of one answer in fifty and sends nothing more of it.
+ * One model server of three spoils one event of one answer in fifty or more and sends nothing more
+ * of it.
  * Three plain servers of 21 leave nine of twenty of their calls without an answer; the callers must
  * be told at the timeout of the route. TROUBLE=0 leaves out the spoiled answer only.
  */
@@ -14,7 +15,7 @@
     private static final int TIMEOUT_MILLIS = 1_000;
     private static final int LATEST_MILLIS = TIMEOUT_MILLIS + 500;
     private static final int STREAMS_AT_ONCE = 30;
-    private static final int ROUNDS = 5;
+    private static final int ROUNDS = 10;
 
     /** Fewer at last, so that connections to all servers are idle, as on most days. */
     private static final int LAST_STREAMS = 6;
--- a/review/standin/SpoiledNumber.java
+++ b/review/standin/SpoiledNumber.java
@@ -6,14 +6,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * One model server of three spoils one byte of one answer in some sixty: a digit in the id of an
+ * One model server of three spoils one byte of one answer in fifty or more: a digit in the id of an
  * event. It sends the rest of the answer as it is, and the end.
  */
 final class SpoiledNumber {
     private static final int EVENTS = 40;
     private static final int SPOILED_EVENT = 15;
     private static final int STREAMS_AT_ONCE = 30;
-    private static final int ROUNDS = 6;
+    private static final int ROUNDS = 11;
 
     /** The events that the servers sent for each request. */
     private static final Map<String, String> SENT = new ConcurrentHashMap<>();
