Move the event streams of the backend server stand-in to a class

The writer of streams takes the fault at the start of a response; a new fault gives the event in the middle of a stream a wrong id.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelway.config.Json;
 
@@ -29,7 +28,6 @@
     private static final String SERVER_STAMP_HEADER = "X-Server-Stamp: stand-in\r\n";
 
     private static final int ENDLESS_PART_BYTES = 1_000;
-    private static final long REPEAT_INTERVAL_MILLIS = 20;
 
     private final Vertx mVertx;
     private final String mId;
@@ -84,7 +82,14 @@
         /** The server sends a response head that does not end until the connection is closed. */
         ENDLESS_HEAD,
         /** The server rejects calls with status 503 and declares that it did not execute them. */
-        OVERLOADED
+        OVERLOADED,
+        /** The id of the event in the middle of a stream is wrong. */
+        WRONG_EVENT_ID;
+
+        /** Whether responses have neither a length nor chunks. */
+        boolean isUnframed() {
+            return this == UNFRAMED || this == UNFRAMED_PARTIAL_EVENT;
+        }
     }
 
     /**
@@ -296,20 +301,14 @@
     private void sendEndlessly(NetSocket socket) {
         if (mFault == Fault.ENDLESS_HEAD) {
             socket.write("HTTP/1.1 200 OK\r\n");
-            repeat(socket, "X-More: " + "a".repeat(ENDLESS_PART_BYTES) + "\r\n");
+            repeatedly(socket, "X-More: " + "a".repeat(ENDLESS_PART_BYTES) + "\r\n");
         } else {
-            repeat(socket, "\u0001".repeat(ENDLESS_PART_BYTES));
+            repeatedly(socket, "\u0001".repeat(ENDLESS_PART_BYTES));
         }
     }
 
-    /** Writes a text periodically until the connection is closed. */
-    private void repeat(NetSocket socket, String text) {
-        long timer = mVertx.setPeriodic(REPEAT_INTERVAL_MILLIS, tick -> socket.write(text));
-        socket.closeHandler(
-                closed -> {
-                    mVertx.cancelTimer(timer);
-                    mAbandonedStreams.incrementAndGet();
-                });
+    private void repeatedly(NetSocket socket, String text) {
+        EventStreamWriter.repeat(mVertx, socket, text, mAbandonedStreams::incrementAndGet);
     }
 
     /** Responds to a call to a model with a stream of events, and to another one with its body. */
@@ -318,15 +317,12 @@
         if (!model.isEmpty()) {
             int lastEventId =
                     Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
-            socket.write(
-                    "HTTP/1.1 200 OK\r\n"
-                            + requestIdHeader
-                            + SERVER_STAMP_HEADER
-                            + "Content-Type: text/event-stream\r\n"
-                            + (isUnframed() ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
-            AtomicBoolean open = new AtomicBoolean(true);
-            socket.closeHandler(closed -> open.set(false));
-            writeEvent(socket, lastEventId + 1, open);
+            new EventStreamWriter(mVertx, socket, mId, mFault, mStreamEventCount)
+                    .start(
+                            requestIdHeader + SERVER_STAMP_HEADER,
+                            lastEventId + 1,
+                            mEventIntervalMillis,
+                            mAbandonedStreams::incrementAndGet);
         } else if (mFault == Fault.TRUNCATED_RESPONSE) {
             socket.write(
                     "HTTP/1.1 200 OK\r\n"
@@ -334,7 +330,7 @@
                             + SERVER_STAMP_HEADER
                             + "Content-Length: 100\r\n\r\nhalf");
             socket.close();
-        } else if (isUnframed()) {
+        } else if (mFault.isUnframed()) {
             String head = "HTTP/1.1 200 OK\r\n" + requestIdHeader + SERVER_STAMP_HEADER + "\r\n";
             socket.write(head + "done " + request.body());
             socket.close();
@@ -347,45 +343,6 @@
         }
     }
 
-    private boolean isUnframed() {
-        return mFault == Fault.UNFRAMED || mFault == Fault.UNFRAMED_PARTIAL_EVENT;
-    }
-
-    /** Returns a part of a stream as it is sent: as it is, or as a chunk. */
-    private String frame(String text) {
-        return isUnframed() ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
-    private void writeEvent(NetSocket socket, int id, AtomicBoolean open) {
-        if (!open.get()) {
-            mAbandonedStreams.incrementAndGet();
-            return;
-        }
-        String text = "id: " + id + "\ndata: " + mId + "\n\n";
-        if (mFault == Fault.TRUNCATED_RESPONSE && id > mStreamEventCount / 2) {
-            socket.write(Integer.toHexString(text.length()) + "\r\n" + text.substring(0, 5));
-            socket.close();
-            return;
-        }
-        if (mFault == Fault.UNFRAMED_PARTIAL_EVENT && id > mStreamEventCount / 2) {
-            socket.write(text.substring(0, 5));
-            socket.close();
-            return;
-        }
-        if (mFault == Fault.TRICKLE && id > mStreamEventCount / 2) {
-            repeat(socket, "1\r\n:\r\n");
-            return;
-        }
-        socket.write(frame(text));
-        if (id < mStreamEventCount) {
-            mVertx.setTimer(mEventIntervalMillis, timer -> writeEvent(socket, id + 1, open));
-        } else if (isUnframed()) {
-            socket.close();
-        } else {
-            socket.write("0\r\n\r\n");
-        }
-    }
-
     private static void write(NetSocket socket, String status, String headers, String body) {
         socket.write(
                 "HTTP/1.1 "
