Forward every event of an answer, whatever its id

Cause: StreamRelay dropped each event whose id was not above the last one. That is right only for the answer of a server that resumes a stream. The drop was not remembered, so the end of the answer was taken for the end of the stream. Ruled out: the decoder and the server, whose bytes were all read.

Change: EventSequence forwards each event of one answer, whatever its id. It resumes a stream only after ids that are numbers and rise by one, so a wrong id is never sent to another server as the place to go on at (too high: events left out; a control character: the header is refused). A resumed answer whose first new event is not the next one is broken.

Before: with the old rule in EventSequence eventsAfterWrongIdAreNot- Dropped and eventsAfterWrongEventIdReachTheCaller failed (3 of 16 tests failed, the third for an id that trim() had cleaned). After: 16 of 16.

--- a/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
+import org.cornelway.bench.LoopbackHttpClient.Response;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.standin.platform.BackendServerStandin.Fault;
 import org.testng.annotations.DataProvider;
@@ -52,6 +53,19 @@
                 .isInstanceOf(IllegalStateException.class);
     }
 
+    /** Guards against a complete stream without the events that follow a wrong id. */
+    @Test
+    public void eventsAfterWrongEventIdReachTheCaller() {
+        fleet().backendServer("e1").injectFault(Fault.WRONG_EVENT_ID);
+        fleet().backendServer("e2").injectFault(Fault.WRONG_EVENT_ID);
+        for (String path : List.of("/stream/a", "/resume/a")) {
+            Response response = stream(path, "m1");
+            assertThat(response.status()).isEqualTo(OK);
+            assertThat(response.body().lines().filter(line -> line.startsWith("id: ")))
+                    .containsExactly("id: 1", "id: 2", "id: 83", "id: 4", "id: 5");
+        }
+    }
+
     @DataProvider
     public Object[][] endless() {
         return new Object[][] {{Fault.ENDLESS_BYTES}, {Fault.ENDLESS_HEAD}};
--- a/org.cornelway.test/tst/org/cornelway/traffic/EventStreamReaderTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EventStreamReaderTest.java
@@ -12,7 +12,8 @@
 
 /** Tests that only complete events are returned, however the body is divided into buffers. */
 public class EventStreamReaderTest {
-    private static List<String> readEvents(byte[] bytes, Random random) {
+    private static List<String> readEvents(byte[] bytes, Random random)
+            throws BrokenAnswerException {
         EventStreamReader reader = new EventStreamReader();
         List<String> events = new ArrayList<>();
         int offset = 0;
@@ -34,7 +35,7 @@
     }
 
     @Test
-    public void eventsEndAtBlankLinesHoweverBodyIsDivided() {
+    public void eventsEndAtBlankLinesHoweverBodyIsDivided() throws BrokenAnswerException {
         String text = "id: 1\ndata: a\n\ndata: no id\n\nid:22\r\ndata: b\r\n\r\n: ping\n\n";
         List<String> expected =
                 List.of(
@@ -50,7 +51,7 @@
     }
 
     @Test
-    public void incompleteEventIsNotReturned() {
+    public void incompleteEventIsNotReturned() throws BrokenAnswerException {
         EventStreamReader reader = new EventStreamReader();
         reader.feed(Unpooled.copiedBuffer("id: 1\ndata: half\n", StandardCharsets.UTF_8));
         assertThat(reader.next()).isEmpty();
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
@@ -0,0 +1,97 @@
+package org.cornelway.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which events of a server's answer the caller gets, and when a stream can be resumed. */
+public class StreamRelayTest {
+    private RecordedResponse mResponse;
+    private StreamRelay mRelay;
+
+    @BeforeMethod
+    public void createRelay() {
+        mResponse = new RecordedResponse();
+        mRelay = new StreamRelay(mResponse, Optional.empty());
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: piece\n\n";
+    }
+
+    private static String events(int... ids) {
+        StringBuilder text = new StringBuilder();
+        for (int id : ids) {
+            text.append(event(id));
+        }
+        return text.toString();
+    }
+
+    private void feed(String text) throws BrokenAnswerException {
+        mRelay.feed(
+                HttpResponseStatus.OK,
+                new DefaultHttpHeaders(),
+                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    /** Guards against a complete stream without the events that follow a wrong id. */
+    @Test
+    public void eventsAfterWrongIdAreNotDropped() throws BrokenAnswerException {
+        String sent = events(1, 2, 93, 4, 5);
+        feed(sent);
+        assertThat(mResponse.body()).isEqualTo(sent);
+    }
+
+    @Test
+    public void streamIsNotResumedAfterWrongId() throws BrokenAnswerException {
+        feed(events(1, 2, 93));
+        assertThat(mRelay.canResume()).isFalse();
+        feed(events(4, 5));
+        assertThat(mRelay.canResume()).isFalse();
+    }
+
+    @Test
+    public void streamIsNotResumedAfterAnEventWithoutId() throws BrokenAnswerException {
+        feed(event(1) + "data: piece\n\n");
+        assertThat(mRelay.canResume()).isFalse();
+    }
+
+    @Test
+    public void idThatIsNoNumberIsNeverTheIdToResumeAfter() throws BrokenAnswerException {
+        feed(event(1) + "id: 2\u0001\ndata: piece\n\n");
+        assertThat(mRelay.lastEventId()).isEmpty();
+    }
+
+    @Test
+    public void resumedAnswerSkipsEventsThatTheCallerHas() throws BrokenAnswerException {
+        feed(events(1, 2, 3));
+        assertThat(mRelay.lastEventId()).contains("3");
+        mRelay.prepareNextAttempt();
+        feed(": keep-alive\n\n" + events(2, 3, 4, 5));
+        assertThat(mResponse.body()).isEqualTo(events(1, 2, 3) + ": keep-alive\n\n" + events(4, 5));
+    }
+
+    @Test
+    public void resumedAnswerThatLeavesOutAnEventIsRejected() throws BrokenAnswerException {
+        feed(events(1, 2, 3));
+        mRelay.prepareNextAttempt();
+        assertThatThrownBy(() -> feed(events(5, 6))).isInstanceOf(BrokenAnswerException.class);
+        assertThat(mResponse.body()).isEqualTo(events(1, 2, 3));
+    }
+
+    @Test
+    public void partialEventOfAnEarlierServerIsDiscarded() throws BrokenAnswerException {
+        feed(event(1) + "id: 2\nda");
+        assertThat(mRelay.hasPartialEvent()).isTrue();
+        mRelay.prepareNextAttempt();
+        feed(events(2, 3));
+        assertThat(mResponse.body()).isEqualTo(events(1, 2, 3));
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -242,7 +242,7 @@
                 if (events > 0) {
                     recordEvents(events);
                 }
-            } catch (IllegalStateException e) {
+            } catch (BrokenAnswerException e) {
                 failWithUnknownOutcome(e.getMessage());
             }
         } else if (mBody.readableBytes() + content.readableBytes() > MAX_BUFFERED_BYTES) {
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -283,7 +283,7 @@
         mResponder.setErrorResponse(errorResponse);
         mLog.logSendFailed(attempt.server().id(), "may_have_run", reason);
         if (canRepeat(mHistory.possibleRunCount())) {
-            mRelay.ifPresent(StreamRelay::dropPartialEvent);
+            mRelay.ifPresent(StreamRelay::prepareNextAttempt);
             dispatch();
         } else {
             fail(ResultCode.OUTCOME_UNKNOWN, reason);
--- a/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
+++ b/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
@@ -25,19 +25,20 @@
      *
      * @param bytes the event as received
      * @param id the id of the event; empty if it has none
+     * @param isComment whether all its lines are comments, as in a keep-alive
      */
-    record Event(ByteBuf bytes, Optional<String> id) {}
+    record Event(ByteBuf bytes, Optional<String> id, boolean isComment) {}
 
     /**
      * Adds a part of the body; {@link #next} then returns the events that it completes.
      *
-     * @throws IllegalStateException if the part and the incomplete event before it together exceed
+     * @throws BrokenAnswerException if the part and the incomplete event before it together exceed
      *     {@link #MAX_EVENT_BYTES}
      */
-    void feed(ByteBuf part) {
+    void feed(ByteBuf part) throws BrokenAnswerException {
         int partLength = part.readableBytes();
         if (mLength + partLength > MAX_EVENT_BYTES) {
-            throw new IllegalStateException("an event of more than " + MAX_EVENT_BYTES + " bytes");
+            throw new BrokenAnswerException("an event of more than " + MAX_EVENT_BYTES + " bytes");
         }
         if (mLength + partLength > mBuffer.length) {
             byte[] larger = new byte[Math.max(mBuffer.length * 2, mLength + partLength)];
@@ -51,6 +52,7 @@
     /** Removes and returns the next complete event; empty if more bytes are needed. */
     Optional<Event> next() {
         Optional<String> id = Optional.empty();
+        boolean onlyComments = true;
         int start = 0;
         while (start < mLength) {
             int end = lineEnd(start);
@@ -62,10 +64,11 @@
                 length--;
             }
             if (length == 0) {
-                return Optional.of(removeEvent(end + 1, id));
+                return Optional.of(removeEvent(end + 1, id, onlyComments));
             }
+            onlyComments &= mBuffer[start] == ':';
             if (startsWithId(start, length)) {
-                id = Optional.of(text(start + ID_FIELD.length, length - ID_FIELD.length));
+                id = Optional.of(value(start + ID_FIELD.length, length - ID_FIELD.length));
             }
             start = end + 1;
         }
@@ -93,16 +96,18 @@
         return true;
     }
 
-    private String text(int start, int length) {
-        return new String(mBuffer, start, length, StandardCharsets.UTF_8).trim();
+    /** Returns the value of a field; one space after the colon is not part of it. */
+    private String value(int start, int length) {
+        int skipped = length > 0 && mBuffer[start] == ' ' ? 1 : 0;
+        return new String(mBuffer, start + skipped, length - skipped, StandardCharsets.UTF_8);
     }
 
     /** Removes an event from the start of the buffer. */
-    private Event removeEvent(int length, Optional<String> id) {
+    private Event removeEvent(int length, Optional<String> id, boolean isComment) {
         ByteBuf bytes = Unpooled.copiedBuffer(mBuffer, 0, length);
         mLength -= length;
         System.arraycopy(mBuffer, length, mBuffer, 0, mLength);
-        return new Event(bytes, id);
+        return new Event(bytes, id, isComment);
     }
 
     /** Whether the buffer holds an incomplete event. */
--- a/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
@@ -8,14 +8,13 @@
 /**
  * Forwards the events of a stream to the caller, across all attempts of the call.
  *
- * <p>Invariants: only complete events are forwarded; numeric ids are forwarded in strictly
- * ascending order, each at most once; the head is that of the first server that sent an event.
- * Confined to the traffic thread.
+ * <p>Invariants: only complete events are forwarded; {@link EventSequence} decides which; the head
+ * is that of the first server that sent an event. Confined to the traffic thread.
  */
 final class StreamRelay {
     private final CallerResponse mResponse;
+    private final EventSequence mSequence;
     private EventStreamReader mReader = new EventStreamReader();
-    private Optional<String> mLastEventId;
     private boolean mHeadSent;
 
     /**
@@ -24,17 +23,18 @@
      */
     StreamRelay(CallerResponse response, Optional<String> lastEventId) {
         mResponse = response;
-        mLastEventId = lastEventId;
+        mSequence = new EventSequence(lastEventId);
     }
 
     /**
      * Reads the next part of a server's response body and forwards each event that is now complete;
-     * skips events that were already forwarded.
+     * skips events that the caller has from another server.
      *
      * @return the number of events forwarded
-     * @throws IllegalStateException if an event is too long
+     * @throws BrokenAnswerException if an event is too long or does not continue the stream
      */
-    int feed(HttpResponseStatus status, HttpHeaders headers, ByteBuf part) {
+    int feed(HttpResponseStatus status, HttpHeaders headers, ByteBuf part)
+            throws BrokenAnswerException {
         mReader.feed(part);
         int forwarded = 0;
         Optional<EventStreamReader.Event> event = mReader.next();
@@ -46,24 +46,17 @@
     }
 
     private boolean forwardIfNew(
-            HttpResponseStatus status, HttpHeaders headers, EventStreamReader.Event event) {
-        if (event.id().isPresent() && isAlreadySent(event.id().get())) {
-            return false;
-        }
-        ensureHeadSent(status, headers);
-        mLastEventId = event.id().or(() -> mLastEventId);
-        mResponse.sendPart(event.bytes());
-        return true;
-    }
-
-    private boolean isAlreadySent(String id) {
-        try {
-            return mHeadSent
-                    && mLastEventId.isPresent()
-                    && Long.parseLong(id) <= Long.parseLong(mLastEventId.get());
-        } catch (NumberFormatException e) {
-            // Ids that are not numbers cannot be compared; the server decides where it resumes.
-            return false;
+            HttpResponseStatus status, HttpHeaders headers, EventStreamReader.Event event)
+            throws BrokenAnswerException {
+        switch (mSequence.next(event)) {
+            case SKIP:
+                return false;
+            case MISPLACED:
+                throw new BrokenAnswerException("event does not continue the resumed stream");
+            default:
+                ensureHeadSent(status, headers);
+                mResponse.sendPart(event.bytes());
+                return true;
         }
     }
 
@@ -82,12 +75,12 @@
 
     /** Whether another server can resume the stream: the id of the last event is known. */
     boolean canResume() {
-        return mLastEventId.isPresent();
+        return lastEventId().isPresent();
     }
 
-    /** Id of the last event that was forwarded, or that the caller received earlier, if any. */
+    /** Id of the event after which another server can resume the stream, if it is known. */
     Optional<String> lastEventId() {
-        return mLastEventId;
+        return mSequence.resumableAfter();
     }
 
     /** Whether an incomplete event was received. */
@@ -95,9 +88,12 @@
         return mReader.hasPartialEvent();
     }
 
-    /** Discards an incomplete event. */
-    void dropPartialEvent() {
+    /** Discards an incomplete event and prepares for the answer of another server. */
+    void prepareNextAttempt() {
         mReader = new EventStreamReader();
+        if (mHeadSent) {
+            mSequence.beginResumption();
+        }
     }
 
     /** Ends the response to the caller. */
