Search each byte of an event stream once

Cause: EventStreamReader searched the incomplete event, up to 1 MiB, from its start for each chunk: work with the square of the bytes on the traffic thread, which also checks the deadlines. Ruled out: a missing limit, as an event of more than 1 MiB is refused; it is reached too late.

Change: the reader keeps the start of the line, the id and the place up to which it has searched; each byte is examined and moved once.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -84,7 +84,11 @@
         /** The server rejects calls with status 503 and declares that it did not execute them. */
         OVERLOADED,
         /** The id of the event in the middle of a stream is wrong. */
-        WRONG_EVENT_ID;
+        WRONG_EVENT_ID,
+        /**
+         * A stream goes on with an event that does not end, in small chunks and without a pause.
+         */
+        ENDLESS_EVENT;
 
         /** Whether responses have neither a length nor chunks. */
         boolean isUnframed() {
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
@@ -17,6 +17,9 @@
     /** Added to the id of an event that is sent with a wrong one. */
     private static final int ID_ERROR = 80;
 
+    private static final int ENDLESS_CHUNK_BYTES = 16;
+    private static final int CHUNKS_PER_WRITE = 512;
+
     private final Vertx mVertx;
     private final NetSocket mSocket;
     private final String mServerId;
@@ -89,11 +92,24 @@
             case TRICKLE:
                 repeat(mVertx, mSocket, "1\r\n:\r\n", mOnAbandoned);
                 return true;
+            case ENDLESS_EVENT:
+                writeEndlessEvent();
+                return true;
             default:
                 return false;
         }
     }
 
+    /** Writes small chunks without an end of a line, as fast as the client reads them. */
+    private void writeEndlessEvent() {
+        if (mClosed) {
+            mOnAbandoned.run();
+            return;
+        }
+        mSocket.write(frame("0".repeat(ENDLESS_CHUNK_BYTES)).repeat(CHUNKS_PER_WRITE))
+                .onComplete(written -> writeEndlessEvent());
+    }
+
     /** Returns a part of a stream as it is sent: as it is, or as a chunk. */
     private String frame(String text) {
         return mFault.isUnframed()
--- a/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
@@ -4,8 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelway.bench.LoopbackHttpClient.Header;
 import org.cornelway.bench.LoopbackHttpClient.Response;
 import org.cornelway.bench.ProcessFleet;
+import org.cornelway.bench.direct.DirectFleet;
 import org.cornelway.standin.platform.BackendServerStandin.Fault;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -17,6 +20,9 @@
     /** Number of calls; each server gets some of them. */
     private static final int CALLS = 6;
 
+    private static final int CALLS_BESIDE_ENDLESS_EVENT = 200;
+    private static final String SHORT_DEADLINE_MILLIS = "1500";
+
     @Test
     public void resumableStreamMovesFromServerThatCompletesNoEvent() {
         fleet().backendServer("e1").injectFault(Fault.TRICKLE);
@@ -66,6 +72,32 @@
         }
     }
 
+    /** Guards against an event without end in small chunks that keeps all other calls waiting. */
+    @Test
+    public void callsAreAnsweredWhileAnEventOfAnotherCallNeverEnds() {
+        fleet().backendServer("e1").injectFault(Fault.ENDLESS_EVENT);
+        fleet().backendServer("e2").injectFault(Fault.ENDLESS_EVENT);
+        CompletableFuture<Void> endless =
+                CompletableFuture.runAsync(
+                        () ->
+                                assertThatThrownBy(() -> stream("/stream/a", "m1"))
+                                        .isInstanceOf(IllegalStateException.class));
+        for (int i = 0; i < CALLS_BESIDE_ENDLESS_EVENT; i++) {
+            Response response =
+                    fleet().http()
+                            .call(
+                                    "POST",
+                                    fleet().frontPort(0),
+                                    "/safe/a",
+                                    "x",
+                                    new Header("Host", DirectFleet.HOST),
+                                    new Header("X-Request-Id", newRequestId()),
+                                    new Header("X-Deadline-Ms", SHORT_DEADLINE_MILLIS));
+            assertThat(response.status()).as(response.body()).isEqualTo(OK);
+        }
+        endless.join();
+    }
+
     @DataProvider
     public Object[][] endless() {
         return new Object[][] {{Fault.ENDLESS_BYTES}, {Fault.ENDLESS_HEAD}};
--- a/org.cornelway.test/tst/org/cornelway/traffic/EventStreamReaderTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EventStreamReaderTest.java
@@ -1,7 +1,9 @@
 package org.cornelway.traffic;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,6 +14,8 @@
 
 /** Tests that only complete events are returned, however the body is divided into buffers. */
 public class EventStreamReaderTest {
+    private static final int LONGEST_EVENT_BYTES = 1 << 20;
+
     private static List<String> readEvents(byte[] bytes, Random random)
             throws BrokenAnswerException {
         EventStreamReader reader = new EventStreamReader();
@@ -57,4 +61,30 @@
         assertThat(reader.next()).isEmpty();
         assertThat(reader.hasPartialEvent()).isTrue();
     }
+
+    /**
+     * Guards against work that grows with the square of the bytes of an event, which stops all
+     * calls of the process. Such a reader needs minutes.
+     */
+    @Test(timeOut = 20_000)
+    public void longEventInSmallestPartsIsReadInLinearTime() throws BrokenAnswerException {
+        EventStreamReader reader = new EventStreamReader();
+        ByteBuf part = Unpooled.wrappedBuffer(new byte[] {'a', 'a'});
+        for (int i = 0; i < LONGEST_EVENT_BYTES / 2; i++) {
+            reader.feed(part);
+            assertThat(reader.next()).isEmpty();
+        }
+        assertThatThrownBy(() -> reader.feed(part)).isInstanceOf(BrokenAnswerException.class);
+    }
+
+    @Test
+    public void returnedEventsDoNotCountTowardsTheLongestEvent() throws BrokenAnswerException {
+        EventStreamReader reader = new EventStreamReader();
+        byte[] event = ("data: " + "a".repeat(LONGEST_EVENT_BYTES / 2) + "\n\n").getBytes();
+        for (int i = 0; i < 5; i++) {
+            reader.feed(Unpooled.wrappedBuffer(event));
+            assertThat(reader.next().orElseThrow().bytes().readableBytes()).isEqualTo(event.length);
+        }
+        assertThat(reader.hasPartialEvent()).isFalse();
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
+++ b/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
@@ -3,13 +3,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
  * Splits a {@code text/event-stream} body into complete events.
  *
- * <p>Confined to the traffic thread. The format is specified in the WHATWG HTML standard, section
- * 9.2.
+ * <p>Invariants: {@code mEventStart <= mLineStart <= mScanned <= mLength}; no byte before {@code
+ * mScanned} is examined again, so that the work is linear in the length of the body, however it is
+ * divided into parts. Confined to the traffic thread. The format is specified in the WHATWG HTML
+ * standard, section 9.2.
  */
 final class EventStreamReader {
     /** Longest event that is accepted; engines send events of a few hundred bytes. */
@@ -20,6 +23,18 @@
     private byte[] mBuffer = new byte[1_024];
     private int mLength;
 
+    /** Where the incomplete event starts in the buffer. */
+    private int mEventStart;
+
+    /** Where the incomplete line of that event starts. */
+    private int mLineStart;
+
+    /** Up to where the buffer was searched for the end of a line. */
+    private int mScanned;
+
+    private Optional<String> mId = Optional.empty();
+    private boolean mOnlyComments = true;
+
     /**
      * An event including the blank line that ends it.
      *
@@ -37,63 +52,62 @@
      */
     void feed(ByteBuf part) throws BrokenAnswerException {
         int partLength = part.readableBytes();
-        if (mLength + partLength > MAX_EVENT_BYTES) {
+        if (mLength - mEventStart + partLength > MAX_EVENT_BYTES) {
             throw new BrokenAnswerException("an event of more than " + MAX_EVENT_BYTES + " bytes");
         }
+        discardReturnedEvents();
         if (mLength + partLength > mBuffer.length) {
-            byte[] larger = new byte[Math.max(mBuffer.length * 2, mLength + partLength)];
-            System.arraycopy(mBuffer, 0, larger, 0, mLength);
-            mBuffer = larger;
+            mBuffer = Arrays.copyOf(mBuffer, Math.max(mBuffer.length * 2, mLength + partLength));
         }
         part.getBytes(part.readerIndex(), mBuffer, mLength, partLength);
         mLength += partLength;
     }
 
+    /**
+     * Moves the incomplete event to the start of the buffer. It is part of what the last call of
+     * {@link #feed} has added, so each byte is moved at most once.
+     */
+    private void discardReturnedEvents() {
+        if (mEventStart > 0) {
+            System.arraycopy(mBuffer, mEventStart, mBuffer, 0, mLength - mEventStart);
+            mLength -= mEventStart;
+            mLineStart -= mEventStart;
+            mScanned -= mEventStart;
+            mEventStart = 0;
+        }
+    }
+
     /** Removes and returns the next complete event; empty if more bytes are needed. */
     Optional<Event> next() {
-        Optional<String> id = Optional.empty();
-        boolean onlyComments = true;
-        int start = 0;
-        while (start < mLength) {
-            int end = lineEnd(start);
-            if (end < 0) {
-                return Optional.empty();
+        while (mScanned < mLength) {
+            int end = mScanned++;
+            if (mBuffer[end] != '\n') {
+                continue;
             }
-            int length = end - start;
+            int length = end - mLineStart;
             if (length > 0 && mBuffer[end - 1] == '\r') {
                 length--;
             }
             if (length == 0) {
-                return Optional.of(removeEvent(end + 1, id, onlyComments));
+                return Optional.of(removeEvent());
             }
-            onlyComments &= mBuffer[start] == ':';
-            if (startsWithId(start, length)) {
-                id = Optional.of(value(start + ID_FIELD.length, length - ID_FIELD.length));
-            }
-            start = end + 1;
+            readLine(mLineStart, length);
+            mLineStart = mScanned;
         }
         return Optional.empty();
     }
 
-    private int lineEnd(int from) {
-        for (int i = from; i < mLength; i++) {
-            if (mBuffer[i] == '\n') {
-                return i;
-            }
+    private void readLine(int start, int length) {
+        mOnlyComments &= mBuffer[start] == ':';
+        if (startsWithId(start, length)) {
+            mId = Optional.of(value(start + ID_FIELD.length, length - ID_FIELD.length));
         }
-        return -1;
     }
 
     private boolean startsWithId(int start, int length) {
-        if (length < ID_FIELD.length) {
-            return false;
-        }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (mBuffer[start + i] != ID_FIELD[i]) {
-                return false;
-            }
-        }
-        return true;
+        return length >= ID_FIELD.length
+                && Arrays.equals(
+                        mBuffer, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
     }
 
     /** Returns the value of a field; one space after the colon is not part of it. */
@@ -102,16 +116,19 @@
         return new String(mBuffer, start + skipped, length - skipped, StandardCharsets.UTF_8);
     }
 
-    /** Removes an event from the start of the buffer. */
-    private Event removeEvent(int length, Optional<String> id, boolean isComment) {
-        ByteBuf bytes = Unpooled.copiedBuffer(mBuffer, 0, length);
-        mLength -= length;
-        System.arraycopy(mBuffer, length, mBuffer, 0, mLength);
-        return new Event(bytes, id, isComment);
+    /** Returns the event that ends where the search has got to, and begins the next one there. */
+    private Event removeEvent() {
+        ByteBuf bytes = Unpooled.copiedBuffer(mBuffer, mEventStart, mScanned - mEventStart);
+        Event event = new Event(bytes, mId, mOnlyComments);
+        mEventStart = mScanned;
+        mLineStart = mScanned;
+        mId = Optional.empty();
+        mOnlyComments = true;
+        return event;
     }
 
     /** Whether the buffer holds an incomplete event. */
     boolean hasPartialEvent() {
-        return mLength > 0;
+        return mLength > mEventStart;
     }
 }
