Move the pacing of calls to an engine out of its driver

No change of behaviour: delays after failures and conflicts, and when an engine counts as unreachable, stand in CallPacing. EngineDriverTest and ModelControllerTest pass.

--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -31,27 +31,9 @@
     /** Delay before a reread if the report lags (by some hundred ms) or the engine is busy. */
     private static final long REREAD_DELAY_MILLIS = 70;
 
-    /** Minimum delay before an order that conflicted with another one is retried. */
-    private static final long MIN_CONFLICT_DELAY_MILLIS = 40;
-
-    /** Maximum delay before an order that conflicted with another one is retried. */
-    private static final long MAX_CONFLICT_DELAY_MILLIS = 250;
-
-    /** Number of consecutive conflicts after which a report is read. */
-    private static final int CONFLICTS_PER_REPORT = 5;
-
-    /** Delay after the first failed call; doubles with each further failure up to the maximum. */
-    private static final long MIN_RETRY_DELAY_MILLIS = 150;
-
-    /** Maximum delay after a failed call. */
-    private static final long MAX_RETRY_DELAY_MILLIS = 1_200;
-
     /** Expected time until a required report has been read. */
     private static final long REPORT_READ_MILLIS = 120;
 
-    /** Number of consecutive failed calls after which an engine counts as unreachable. */
-    private static final int UNREACHABLE_FAILURES = 2;
-
     private final EngineControl mEngines;
     private final Scheduler mControl;
     private final EngineListener mListener;
@@ -66,9 +48,7 @@
     private int mStoreLoadsAtBegin;
     private long mAssumedEndMillis;
     private long mBusyUntilMillis;
-    private int mConsecutiveConflicts;
-    private long mNextCallMillis;
-    private int mConsecutiveFailures;
+    private final CallPacing mPacing = new CallPacing();
 
     /**
      * @param hostMemoryMegabytes host memory available for cached copies of weights
@@ -105,12 +85,12 @@
 
     /** Whether a report was read and the engine does not count as unreachable. */
     boolean isStateKnown() {
-        return mReportRead && mConsecutiveFailures < UNREACHABLE_FAILURES;
+        return mReportRead && !mPacing.isUnreachable();
     }
 
     /** Whether no report was read yet and the engine does not count as unreachable. */
     boolean awaitsFirstReport() {
-        return !mReportRead && mConsecutiveFailures < UNREACHABLE_FAILURES;
+        return !mReportRead && !mPacing.isUnreachable();
     }
 
     /** Whether requests may be answered from the state: it is known and no report is required. */
@@ -194,7 +174,7 @@
                 onOrderFinished(running.get(), nowMillis);
             }
         }
-        if (mCallInFlight || nowMillis < mNextCallMillis) {
+        if (mCallInFlight || !mPacing.isCallDue(nowMillis)) {
             return;
         }
         if (mReportRequired || mOrderQueue.unconfirmed().isPresent()) {
@@ -211,7 +191,7 @@
                 .subscribe(
                         report -> {
                             mCallInFlight = false;
-                            mConsecutiveFailures = 0;
+                            mPacing.recordReply();
                             onReport(report, now());
                         },
                         e -> {
@@ -221,12 +201,7 @@
     }
 
     private void onCallFailed() {
-        mNextCallMillis =
-                now()
-                        + Math.min(
-                                MAX_RETRY_DELAY_MILLIS,
-                                MIN_RETRY_DELAY_MILLIS << Math.min(mConsecutiveFailures, 5));
-        mConsecutiveFailures++;
+        mPacing.recordFailure(now());
         mListener.onStateChanged(this);
     }
 
@@ -238,13 +213,13 @@
             return;
         }
         if (mReportRead && report.acceptedOrders() < mAcceptedOrders || report.busy()) {
-            mNextCallMillis = nowMillis + REREAD_DELAY_MILLIS;
+            mPacing.delayUntil(nowMillis + REREAD_DELAY_MILLIS);
             mReportRequired = true;
             return;
         }
         mReportRequired = false;
         mReportRead = true;
-        mConsecutiveConflicts = 0;
+        mPacing.recordNoConflict();
         Optional<PlannedOrder> unconfirmed = mOrderQueue.unconfirmed();
         boolean moreAccepted = report.acceptedOrders() > mAcceptedOrders;
         mAcceptedOrders = report.acceptedOrders();
@@ -306,12 +281,12 @@
     private void onReply(PlannedOrder planned, OrderReply reply, long nowMillis) {
         if (reply instanceof OrderReply.Accepted) {
             mOrderQueue.queued().poll();
-            mConsecutiveFailures = 0;
+            mPacing.recordReply();
             mAcceptedOrders++;
             onOrderBegun(planned, nowMillis);
         } else if (reply instanceof OrderReply.AlreadyInEffect) {
             mOrderQueue.queued().poll();
-            mConsecutiveFailures = 0;
+            mPacing.recordReply();
             onOrderFinished(planned, nowMillis);
             // An adapter unload without effect also counts as accepted; others require a report.
             mReportRequired = planned.adapter().isEmpty() || planned.isLoad();
@@ -331,7 +306,7 @@
         } else {
             mOrderQueue.queued().clear();
             mReportRequired = true;
-            mNextCallMillis = nowMillis + REREAD_DELAY_MILLIS;
+            mPacing.delayUntil(nowMillis + REREAD_DELAY_MILLIS);
         }
         mListener.onStateChanged(this);
         advance(nowMillis);
@@ -339,20 +314,16 @@
 
     /**
      * Schedules a retry of an order that conflicted with another one, usually with an unload that
-     * is still waiting for its active calls. Usually no report is read, because reports lag. But
-     * only a report can show that the engine has accepted a different number of orders, so one is
-     * read after every {@link #CONFLICTS_PER_REPORT} conflicts.
+     * is still waiting for its active calls.
      */
     private void onConflict(long nowMillis) {
-        mConsecutiveConflicts++;
-        mReportRequired = mConsecutiveConflicts % CONFLICTS_PER_REPORT == 0;
-        long delayMillis = Math.max(MIN_CONFLICT_DELAY_MILLIS, (mBusyUntilMillis - nowMillis) / 3);
-        mNextCallMillis = nowMillis + Math.min(MAX_CONFLICT_DELAY_MILLIS, delayMillis);
-        mBusyUntilMillis = Math.max(mBusyUntilMillis, mNextCallMillis);
+        long retryMillis = mPacing.recordConflict(nowMillis, mBusyUntilMillis);
+        mReportRequired = mPacing.isReportDueAfterConflict();
+        mBusyUntilMillis = Math.max(mBusyUntilMillis, retryMillis);
     }
 
     private void onOrderBegun(PlannedOrder planned, long nowMillis) {
-        mConsecutiveConflicts = 0;
+        mPacing.recordNoConflict();
         if (planned.adapter().isEmpty()) {
             mOrderQueue.setRunning(Optional.of(planned));
             mBegunMillis = nowMillis;
