Keep the place of an adapter until its unload has finished

Cause: the reply 202 to the unload of an adapter means that calls use it and that it keeps its place until they end. EngineContents took it for gone, and the load for its place followed at once. That adapters in use were unloaded at all has a cause of its own: a new controller knows no calls yet, and only evictions of models waited for the reports. Ruled out as the cause: two controllers that order at the same time; all orders in the record bear the newer fencing number.

Change: such an adapter takes its place until a report shows that it is gone. It is not announced, the load is planned anew, reports are read while the place is waited for, and no more than two such unloads wait on one engine. Evictions of adapters wait at the start of a term too.

--- a/org.cornelway/src/org/cornelway/models/AdapterScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/AdapterScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -28,12 +29,24 @@
      */
     private static final long MIN_RESIDENT_MILLIS = 250;
 
+    /**
+     * Limit on adapters of one engine whose unload waits for calls that were not known when it was
+     * ordered. Their places become free without a further eviction.
+     */
+    private static final int MAX_UNLOADING_ADAPTERS = 2;
+
     private final DemandTable mDemand;
+    private Deadline mEvictionsSuspendedUntil = new Deadline(0);
 
     AdapterScheduler(DemandTable demand) {
         mDemand = demand;
     }
 
+    /** Until a deadline, plans no load that evicts an adapter. */
+    void suspendEvictionUntil(Deadline deadline) {
+        mEvictionsSuspendedUntil = deadline;
+    }
+
     /** An adapter without active calls, and the time of its last use. */
     private record IdleAdapter(String model, String adapter, long lastUsedMillis) {}
 
@@ -80,6 +93,7 @@
                 holders.stream()
                         .filter(EngineDriver::acceptsAdapterOrders)
                         .filter(e -> loadingCount(e, nowMillis) < MAX_LOADING_ADAPTERS)
+                        .filter(e -> !e.models().get(target.model()).isUnloading(target.adapter()))
                         .sorted(Comparator.comparingInt(AdapterScheduler::adapterCount))
                         .toList();
         for (EngineDriver engine : candidates) {
@@ -99,6 +113,7 @@
                                 WeightSource.STORE));
                 return;
             }
+            engine.checkUnloads(nowMillis);
         }
     }
 
@@ -108,6 +123,10 @@
      */
     private boolean planEviction(EngineDriver engine, SchedulingRound round) {
         long nowMillis = round.nowMillis();
+        if (!mEvictionsSuspendedUntil.isPast(nowMillis)
+                || unloadingCount(engine) >= MAX_UNLOADING_ADAPTERS) {
+            return false;
+        }
         List<IdleAdapter> idle = new ArrayList<>();
         engine.models()
                 .forEach(
@@ -150,6 +169,10 @@
         return engine.models().values().stream().mapToInt(a -> a.loadingCount(nowMillis)).sum();
     }
 
+    private static int unloadingCount(EngineDriver engine) {
+        return engine.models().values().stream().mapToInt(HeldAdapters::unloadingCount).sum();
+    }
+
     private static int adapterCount(EngineDriver engine) {
         return engine.models().values().stream().mapToInt(HeldAdapters::count).sum();
     }
--- a/org.cornelway/src/org/cornelway/models/EngineContents.java
+++ b/org.cornelway/src/org/cornelway/models/EngineContents.java
@@ -10,7 +10,8 @@
  * The models and adapters that one engine holds, and the weights that its host has cached.
  *
  * <p>Combines the latest report with the orders since then. A model counts as held once its load
- * has finished, and as not held once its unload has begun. Confined to the control thread.
+ * has finished, and as not held once its unload has begun. An adapter takes its place until a reply
+ * or a report shows that its unload has finished. Confined to the control thread.
  */
 final class EngineContents {
     private final Map<String, HeldAdapters> mModels = new HashMap<>();
@@ -59,10 +60,15 @@
             getOrCreateModel(order.model())
                     .put(order.adapter().get(), nowMillis + order.expectedMillis());
         } else {
-            getOrCreateModel(order.model()).remove(order.adapter().get());
+            getOrCreateModel(order.model()).beginUnload(order.adapter().get());
         }
     }
 
+    /** Whether the engine is unloading an adapter. */
+    boolean isUnloadingAdapter() {
+        return mModels.values().stream().anyMatch(adapters -> adapters.unloadingCount() > 0);
+    }
+
     /** Records an order that the engine has carried out. */
     void recordFinished(PlannedOrder order, long nowMillis) {
         if (order.adapter().isPresent()) {
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -8,6 +8,7 @@
 import org.cornelway.platform.EngineReport;
 import org.cornelway.platform.OrderReply;
 import org.cornelway.platform.ServerOrder;
+import org.cornelway.time.Deadline;
 
 /**
  * Sends planned orders to one incarnation of an engine, one after the other, and tracks what the
@@ -31,6 +32,9 @@
     /** Delay before a reread if the report lags (by some hundred ms) or the engine is busy. */
     private static final long REREAD_DELAY_MILLIS = 70;
 
+    /** Interval at which a report is read to see whether unloads of adapters have finished. */
+    private static final long UNLOAD_CHECK_INTERVAL_MILLIS = 300;
+
     /** Expected time until a required report has been read. */
     private static final long REPORT_READ_MILLIS = 120;
 
@@ -43,6 +47,8 @@
     private boolean mReportRead;
     private boolean mCallInFlight;
     private boolean mReportRequired = true;
+    private boolean mUnloadCheckRequired;
+    private Deadline mNextUnloadCheck = new Deadline(0);
     private long mAcceptedOrders;
     private long mBegunMillis;
     private int mStoreLoadsAtBegin;
@@ -159,6 +165,17 @@
         mReportRequired = true;
     }
 
+    /**
+     * Requires a report if the engine unloads adapters whose places are waited for, since no reply
+     * tells when their calls have ended. The known state stays in use meanwhile.
+     */
+    void checkUnloads(long nowMillis) {
+        if (mContents.isUnloadingAdapter() && mNextUnloadCheck.isPast(nowMillis)) {
+            mNextUnloadCheck = Deadline.after(nowMillis, UNLOAD_CHECK_INTERVAL_MILLIS);
+            mUnloadCheckRequired = true;
+        }
+    }
+
     /**
      * Completes the running order if its assumed end has passed, then reads a report or sends the
      * next order if either is due.
@@ -177,7 +194,7 @@
         if (mCallInFlight || !mPacing.isCallDue(nowMillis)) {
             return;
         }
-        if (mReportRequired || mOrderQueue.unconfirmed().isPresent()) {
+        if (mReportRequired || mUnloadCheckRequired || mOrderQueue.unconfirmed().isPresent()) {
             readReport();
         } else if (!mOrderQueue.queued().isEmpty() && mOrderQueue.running().isEmpty()) {
             sendOrder(mOrderQueue.queued().peek());
@@ -214,10 +231,11 @@
         }
         if (mReportRead && report.acceptedOrders() < mAcceptedOrders || report.busy()) {
             mPacing.delayUntil(nowMillis + REREAD_DELAY_MILLIS);
-            mReportRequired = true;
+            mReportRequired |= !mUnloadCheckRequired;
             return;
         }
         mReportRequired = false;
+        mUnloadCheckRequired = false;
         mReportRead = true;
         mPacing.recordNoConflict();
         Optional<PlannedOrder> unconfirmed = mOrderQueue.unconfirmed();
@@ -333,6 +351,10 @@
                     nowMillis
                             + (planned.isLoad() ? planned.expectedMillis() : UNLOAD_MILLIS)
                             + END_SLACK_MILLIS;
+        } else if (!planned.isLoad()) {
+            // The adapter is in use after all; its place is not free for the load planned for it.
+            mOrderQueue.queued().clear();
+            mNextUnloadCheck = Deadline.after(nowMillis, UNLOAD_CHECK_INTERVAL_MILLIS);
         }
         mContents.recordBegun(planned, nowMillis);
     }
--- a/org.cornelway/src/org/cornelway/models/HeldAdapters.java
+++ b/org.cornelway/src/org/cornelway/models/HeldAdapters.java
@@ -5,10 +5,18 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The adapters of one model on one engine, loaded or loading. Confined to the control thread. */
+/**
+ * The adapters of one model on one engine: loaded, loading, or being unloaded.
+ *
+ * <p>Invariant: an adapter whose unload waits for its calls still takes its place, although new
+ * calls cannot use it. Confined to the control thread.
+ */
 public final class HeldAdapters {
     private final Map<String, AdapterTimes> mTimes = new HashMap<>();
 
+    /** Adapters whose unload the engine has accepted and not finished; each also has its times. */
+    private final Set<String> mUnloading = new HashSet<>();
+
     /** The time from which an adapter can be used, and the time of its last use. */
     private static final class AdapterTimes {
         private long mReadyMillis;
@@ -27,6 +35,22 @@
 
     void remove(String adapter) {
         mTimes.remove(adapter);
+        mUnloading.remove(adapter);
+    }
+
+    /** Records that the adapter is unloaded once its calls have ended. */
+    void beginUnload(String adapter) {
+        if (mTimes.containsKey(adapter)) {
+            mUnloading.add(adapter);
+        }
+    }
+
+    boolean isUnloading(String adapter) {
+        return mUnloading.contains(adapter);
+    }
+
+    int unloadingCount() {
+        return mUnloading.size();
     }
 
     /** Records a use of the adapter; does nothing if it is not held. */
@@ -37,15 +61,16 @@
         }
     }
 
+    /** Whether the adapter is loaded or loading, and not being unloaded. */
     boolean contains(String adapter) {
-        return mTimes.containsKey(adapter);
+        return mTimes.containsKey(adapter) && !mUnloading.contains(adapter);
     }
 
     boolean isReady(String adapter, long nowMillis) {
-        AdapterTimes times = mTimes.get(adapter);
-        return times != null && times.mReadyMillis <= nowMillis;
+        return contains(adapter) && mTimes.get(adapter).mReadyMillis <= nowMillis;
     }
 
+    /** Returns the number of places taken, also by adapters that are being unloaded. */
     int count() {
         return mTimes.size();
     }
@@ -55,17 +80,20 @@
         return (int) mTimes.values().stream().filter(t -> t.mReadyMillis > nowMillis).count();
     }
 
-    /** Returns the names of all adapters, loaded or loading. */
+    /** Returns the names of the adapters that are loaded or loading, and not being unloaded. */
     public Set<String> names() {
-        return new HashSet<>(mTimes.keySet());
+        Set<String> names = new HashSet<>(mTimes.keySet());
+        names.removeAll(mUnloading);
+        return names;
     }
 
     /**
      * Replaces the set of adapters, keeping the times of those that stay. New ones can be used from
-     * now on.
+     * now on. The unload of those that are gone is finished.
      */
     void replaceNames(Set<String> names, long nowMillis) {
         mTimes.keySet().retainAll(names);
+        mUnloading.retainAll(names);
         names.forEach(
                 name -> {
                     if (!mTimes.containsKey(name)) {
@@ -74,10 +102,10 @@
                 });
     }
 
-    /** Returns the time of each adapter's last use. */
+    /** Returns the time of last use of each adapter that is not being unloaded. */
     Map<String, Long> lastUsedMillis() {
         Map<String, Long> lastUsed = new HashMap<>();
-        mTimes.forEach((name, times) -> lastUsed.put(name, times.mLastUsedMillis));
+        names().forEach(name -> lastUsed.put(name, mTimes.get(name).mLastUsedMillis));
         return lastUsed;
     }
 }
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -39,7 +39,7 @@
     private static final long PROACTIVE_INTERVAL_MILLIS = 150;
 
     /**
-     * Time at the start of a term during which no model is evicted, because the entries have not
+     * Time at the start of a term during which nothing is evicted, because the entries have not
      * reported their demand yet.
      */
     private static final long WARM_UP_MILLIS = 600;
@@ -122,7 +122,7 @@
      * orders since that state was read.
      */
     public void beginTerm(DirectorySnapshot directory) {
-        mLoads.suspendEvictionUntil(Deadline.after(now(), WARM_UP_MILLIS));
+        mScheduler.suspendEvictionUntil(Deadline.after(now(), WARM_UP_MILLIS));
         mDrivers.clear();
         applyDirectory(directory);
     }
--- a/org.cornelway/src/org/cornelway/models/ModelScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ModelScheduler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cornelway.route.ModelDefinition;
+import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -27,6 +28,12 @@
         mAdapterScheduler = new AdapterScheduler(loads.demand());
     }
 
+    /** Until a deadline, plans no load that evicts a model or an adapter. */
+    void suspendEvictionUntil(Deadline deadline) {
+        mLoads.suspendEvictionUntil(deadline);
+        mAdapterScheduler.suspendEvictionUntil(deadline);
+    }
+
     /**
      * Returns the outcome of a request, or empty while the request is pending. Plans a load if no
      * engine holds the target.
