Leave a silent server only for a send that is granted

Cause: Attempt.tick cancelled the silent attempt and only then looked for the budget and a server; if either was missing, the connection was closed. Ruled out: a server's leaving, which ends no running answer. That the users' own record has this cause is suspected: its times fit.

Change: CallHandler.moveFromSilent cancels the attempt only once the repetition, another server that is not suspect and the budget are granted, and uses them in the same step. A begun stream whose server broke off waits for the budget. The choice of servers and the deadline moved to ServerSelector and CallDeadline, as CallHandler was full.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -46,6 +46,8 @@
     private final Map<Integer, Process> mEntries = new HashMap<>();
     private final List<Ports> mPorts = new ArrayList<>();
     private int mConfigurationCount;
+    private double mRetryRatio = 0.2;
+    private int mRetrySlack = 58;
 
     /** Ports of one entry. */
     private record Ports(int front, int ready, int control) {}
@@ -68,6 +70,12 @@
         }
     }
 
+    /** Leaves entries that are started from now on without a budget for sending calls again. */
+    public void withoutRetryBudget() {
+        mRetryRatio = 0;
+        mRetrySlack = 0;
+    }
+
     /** The stand-in for the platform's key-value service. */
     public PlatformStoreStandin store() {
         return mStore;
@@ -240,8 +248,8 @@
                 .put("GraceS", 8)
                 .put("DrainMs", 2_000)
                 .put("RetryWindowS", 10)
-                .put("RetryBudgetRatio", 0.2)
-                .put("RetrySlack", 58);
+                .put("RetryBudgetRatio", mRetryRatio)
+                .put("RetrySlack", mRetrySlack);
         return root;
     }
 
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -50,6 +50,7 @@
 
     private volatile int mStreamEventCount = 5;
     private volatile long mEventIntervalMillis = 5;
+    private volatile long mPausedUntilMillis;
     private volatile long mLoadMillis = 30;
     private volatile long mAcceptedOrders;
     private volatile long mHighestFencingNumber;
@@ -158,6 +159,11 @@
         mEventIntervalMillis = eventIntervalMillis;
     }
 
+    /** Sends no events for a while; then all streams go on. */
+    public void pauseStreams(long millis) {
+        mPausedUntilMillis = System.currentTimeMillis() + millis;
+    }
+
     /** The calls received so far, in order of arrival. */
     public List<ReceivedCall> receivedCalls() {
         return new ArrayList<>(mReceivedCalls);
@@ -321,7 +327,13 @@
         if (!model.isEmpty()) {
             int lastEventId =
                     Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
-            new EventStreamWriter(mVertx, socket, mId, mFault, mStreamEventCount)
+            new EventStreamWriter(
+                            mVertx,
+                            socket,
+                            mId,
+                            mFault,
+                            mStreamEventCount,
+                            () -> mPausedUntilMillis - System.currentTimeMillis())
                     .start(
                             requestIdHeader + SERVER_STAMP_HEADER,
                             lastEventId + 1,
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
+import java.util.function.LongSupplier;
 import org.cornelway.standin.platform.BackendServerStandin.Fault;
 
 /**
@@ -25,11 +26,22 @@
     private final String mServerId;
     private final Fault mFault;
     private final int mEventCount;
+    private final LongSupplier mPauseMillis;
     private long mIntervalMillis;
     private Runnable mOnAbandoned;
     private boolean mClosed;
 
-    EventStreamWriter(Vertx vertx, NetSocket socket, String serverId, Fault fault, int eventCount) {
+    /**
+     * @param pauseMillis how long no events are sent from now on; none if not positive
+     */
+    EventStreamWriter(
+            Vertx vertx,
+            NetSocket socket,
+            String serverId,
+            Fault fault,
+            int eventCount,
+            LongSupplier pauseMillis) {
+        mPauseMillis = pauseMillis;
         mVertx = vertx;
         mSocket = socket;
         mServerId = serverId;
@@ -61,6 +73,11 @@
             mOnAbandoned.run();
             return;
         }
+        long pauseMillis = mPauseMillis.getAsLong();
+        if (pauseMillis > 0) {
+            mVertx.setTimer(pauseMillis, timer -> writeEvent(id));
+            return;
+        }
         boolean isMiddle = id == mEventCount / 2 + 1;
         int shownId = isMiddle && mFault == Fault.WRONG_EVENT_ID ? id + ID_ERROR : id;
         String text = "id: " + shownId + "\ndata: " + mServerId + "\n\n";
--- a/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
@@ -31,6 +31,9 @@
         return 1;
     }
 
+    /** Called before the entries are started; a subclass may change the fleet. */
+    void prepareFleet(DirectFleet fleet) {}
+
     @BeforeMethod
     public final void startFleet() {
         mFleet = new DirectFleet(RepositoryFiles.root(), entryCount());
@@ -39,6 +42,7 @@
         mFleet.addServer(DirectFleet.ENGINE_SERVICE, "e1", "m1", "m2");
         mFleet.addServer(DirectFleet.ENGINE_SERVICE, "e2", "m1");
         mFleet.configure();
+        prepareFleet(mFleet);
         for (int i = 0; i < entryCount(); i++) {
             mFleet.startEntry(i);
         }
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -343,12 +343,12 @@
     /**
      * Checks whether the server has gone silent; called periodically.
      *
-     * <p>If it has, a call that may be repeated is sent to another server, but only if one can take
-     * it at once. Otherwise the attempt continues: silence alone never ends a response. If the
-     * server has failed recently, it counts as silent after half the usual time.
+     * <p>If it has, the call is sent to another server, but only if one can take it at once.
+     * Otherwise the attempt continues: silence alone never ends a response. If the server has
+     * failed recently, it counts as silent after half the usual time.
      */
     void tick() {
-        if (mEnded || mConnection.isEmpty() || !mCallHandler.canRepeat()) {
+        if (mEnded || mConnection.isEmpty()) {
             return;
         }
         long silentMillis = mProgress.silentMillis();
@@ -356,13 +356,9 @@
         long limitMillis =
                 AnswerProgress.stallLimitMillis(mCallHandler.route(), begun)
                         / (mContext.loads().hasRecentFailure(mServer.incarnation()) ? 2 : 1);
-        if (silentMillis > limitMillis && mCallHandler.hasAlternative(mServer.incarnation())) {
+        if (silentMillis > limitMillis
+                && mCallHandler.moveFromSilent(this, "silent for " + silentMillis + " ms")) {
             mContext.loads().recordFailure(mServer.incarnation());
-            mConnection.ifPresent(UpstreamConnection::cancel);
-            if (markEnded()) {
-                mCallHandler.onMayHaveRun(
-                        this, "silent for " + silentMillis + " ms", Optional.empty());
-            }
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -6,7 +6,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.directory.ServerIncarnation;
-import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.result.ResultCode;
 import org.cornelway.route.CallKind;
@@ -34,6 +33,9 @@
     /** Delay before dispatching again if the directory lacks the server the controller named. */
     private static final long DIRECTORY_DELAY_MILLIS = 60;
 
+    /** Delay before a stream that has begun is sent again after the retry budget was exhausted. */
+    private static final long RESEND_DELAY_MILLIS = 100;
+
     /** Default delay after which a caller may retry a refused call. */
     private static final long RETRY_AFTER_MILLIS = 300;
 
@@ -43,14 +45,14 @@
     private final CallLog mLog;
     private final SendHistory mHistory = new SendHistory();
     private final CallResponder mResponder;
+    private final ServerSelector mSelector;
     private Optional<Route> mRoute = Optional.empty();
     private String mService = "";
-    private Deadline mDeadline;
+    private final CallDeadline mDeadline;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<StreamRelay> mRelay = Optional.empty();
     private final ModelWait mModelWait;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
-    private long mConfigurationVersion;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
         mContext = context;
@@ -59,7 +61,8 @@
         mLog = new CallLog(context, request);
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
         mModelWait = new ModelWait(context, request);
-        mDeadline = request.callerDeadline();
+        mSelector = new ServerSelector(context, request, mHistory);
+        mDeadline = new CallDeadline(request);
     }
 
     /**
@@ -84,7 +87,6 @@
                     ResultCode.NOT_CONFIGURED, "no configuration is known yet", RETRY_AFTER_MILLIS);
             return;
         }
-        mConfigurationVersion = view.configurationVersion();
         RouteTable routes = view.routes().get();
         mRoute = routes.find(mRequest.head().host(), mRequest.message().uri());
         if (mRoute.isEmpty()) {
@@ -103,16 +105,10 @@
             mRelay = Optional.of(new StreamRelay(mResponse, mRequest.head().lastEventId()));
         }
         mContext.usage().recordCall(mRequest.head().target(), route.targetLatencyMillis());
-        applyTimeout(route);
+        mDeadline.apply(route, view.configurationVersion());
         dispatch();
     }
 
-    private void applyTimeout(Route route) {
-        Deadline routeDeadline = Deadline.after(mRequest.arrivedMillis(), route.timeoutMillis());
-        Deadline callerDeadline = mRequest.callerDeadline();
-        mDeadline = routeDeadline.compareTo(callerDeadline) < 0 ? routeDeadline : callerDeadline;
-    }
-
     private long now() {
         return mContext.clock().nowMillis();
     }
@@ -122,7 +118,7 @@
     }
 
     Deadline deadline() {
-        return mDeadline;
+        return mDeadline.get();
     }
 
     CallLog log() {
@@ -137,19 +133,18 @@
         if (mResponder.isDone() || mAttempt.isPresent()) {
             return;
         }
-        if (mDeadline.remainingMillis(now()) < MIN_REMAINING_MILLIS) {
+        if (deadline().remainingMillis(now()) < MIN_REMAINING_MILLIS) {
             fail(ResultCode.DEADLINE_PASSED, "no time left to send the call");
             return;
         }
-        Optional<Deadline> blockedUntil =
-                mContext.evidence().blockedUntil(mRequest.head().sharedParts(), now());
+        Optional<Deadline> blockedUntil = mSelector.promptBlockedUntil(now());
         if (blockedUntil.isPresent()) {
             mRetryAfterMillis = blockedUntil.get().remainingMillis(now());
             fail(ResultCode.PROMPT_BLOCKED, "a part of the prompt has crashed servers");
             return;
         }
         Optional<ModelTarget> target = mRequest.head().target();
-        List<Candidate> candidates = eligible().stream().map(mContext.loads()::candidate).toList();
+        List<Candidate> candidates = mSelector.candidates(mService);
         boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
         if (target.isPresent()
                 && (candidates.isEmpty() || allSuspect && !mModelWait.wasRequested())) {
@@ -164,9 +159,7 @@
             fail(ResultCode.QUEUE_FULL, "an engine would need " + wait.getAsLong() + " ms");
             return;
         }
-        Optional<Candidate> chosen =
-                mContext.chooser()
-                        .choose(candidates, mRequest.head().sharedPrefixHash(), mHistory.tried());
+        Optional<Candidate> chosen = mSelector.choose(candidates);
         if (chosen.isPresent()) {
             send(chosen.get());
         } else {
@@ -178,24 +171,38 @@
     private OptionalLong excessiveWait(List<Candidate> candidates) {
         return isStreamBegun() || mHistory.possibleRunCount() > 0
                 ? OptionalLong.empty()
-                : mModelWait.excessiveWaitMillis(candidates, route(), mDeadline);
+                : mModelWait.excessiveWaitMillis(candidates, route(), deadline());
     }
 
     private void send(Candidate chosen) {
-        int entryCount = mContext.view().get().entryCount();
-        if (mHistory.hasArrived() && !mContext.retryBudget().tryAcquire(mService, entryCount)) {
+        if (!mHistory.hasArrived() || tryAcquireResend()) {
+            start(chosen);
+        } else if (isStreamBegun()) {
+            // The caller has a part of the stream and waits for the rest.
+            scheduleDispatch(RESEND_DELAY_MILLIS);
+        } else {
             fail(ResultCode.QUEUE_FULL, "no retry budget after: " + mHistory.lastReason());
-            return;
         }
+    }
+
+    private boolean tryAcquireResend() {
+        return mContext.retryBudget().tryAcquire(mService, mContext.view().get().entryCount());
+    }
+
+    private void scheduleDispatch(long delayMillis) {
+        mContext.loop().schedule(this::dispatch, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void start(Candidate chosen) {
         mHistory.recordSend(chosen.server().id());
         Attempt attempt = new Attempt(mContext, this, mRequest, chosen.server());
         mAttempt = Optional.of(attempt);
-        mLog.logSend(mHistory.sends(), chosen, mDeadline.remainingMillis(now()));
+        mLog.logSend(mHistory.sends(), chosen, deadline().remainingMillis(now()));
         attempt.start();
     }
 
     private void requestModel() {
-        mModelWait.request(mService, route(), mDeadline, isStreamBegun(), this::onModelTooLate);
+        mModelWait.request(mService, route(), deadline(), isStreamBegun(), this::onModelTooLate);
     }
 
     /** Whether the caller has received a part of a stream. */
@@ -212,32 +219,23 @@
 
     /** Dispatches the call if it waits for a model that a server holds now. */
     void onHoldingsChanged() {
-        if (mModelWait.isWaiting() && mAttempt.isEmpty() && !eligible().isEmpty()) {
+        if (mModelWait.isWaiting() && mAttempt.isEmpty() && mSelector.hasCandidates(mService)) {
             mModelWait.end();
             dispatch();
         }
     }
 
-    /** The usable servers of the service; for a model, those of them that hold it. */
-    private List<ServerRecord> eligible() {
-        List<ServerRecord> usable = mContext.view().get().directory().usable(mService);
-        return mRequest.head()
-                .target()
-                .map(target -> mContext.holdings().holders(usable, target))
-                .orElse(usable);
-    }
-
     /** Called when the controller has named a server that holds a model. */
     void onModelGranted(ModelTarget target) {
         if (!mModelWait.isWaiting() || !mRequest.head().target().equals(Optional.of(target))) {
             return;
         }
         mModelWait.end();
-        if (eligible().isEmpty()) {
-            // This process's directory does not list the server yet, or no longer lists it.
-            mContext.loop().schedule(this::dispatch, DIRECTORY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
+        if (mSelector.hasCandidates(mService)) {
             dispatch();
+        } else {
+            // This process's directory does not list the server yet, or no longer lists it.
+            scheduleDispatch(DIRECTORY_DELAY_MILLIS);
         }
     }
 
@@ -259,7 +257,7 @@
         if (mHistory.sends() >= MAX_SENDS) {
             fail(ResultCode.QUEUE_FULL, "not run after " + mHistory.sends() + " sends: " + reason);
         } else if (busy) {
-            mContext.loop().schedule(this::dispatch, BUSY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            scheduleDispatch(BUSY_DELAY_MILLIS);
         } else {
             dispatch();
         }
@@ -277,11 +275,8 @@
 
     /** Called when an attempt failed and the call may have run. */
     void onMayHaveRun(Attempt attempt, String reason, Optional<FullResponse> errorResponse) {
-        mAttempt = Optional.empty();
-        mHistory.recordEnd(reason);
-        mHistory.recordPossibleRun();
         mResponder.setErrorResponse(errorResponse);
-        mLog.logSendFailed(attempt.server().id(), "may_have_run", reason);
+        recordPossibleRun(attempt, reason);
         if (canRepeat(mHistory.possibleRunCount())) {
             mRelay.ifPresent(StreamRelay::prepareNextAttempt);
             dispatch();
@@ -290,23 +285,41 @@
         }
     }
 
-    /** Whether the call may be sent again if the current attempt ends with an unknown outcome. */
-    boolean canRepeat() {
-        return canRepeat(mHistory.possibleRunCount() + 1);
+    private void recordPossibleRun(Attempt attempt, String reason) {
+        mAttempt = Optional.empty();
+        mHistory.recordEnd(reason);
+        mHistory.recordPossibleRun();
+        mLog.logSendFailed(attempt.server().id(), "may_have_run", reason);
     }
 
-    /** Whether a server other than the given one can take the call at once. */
-    boolean hasAlternative(ServerIncarnation excluded) {
-        return eligible().stream()
-                .map(ServerRecord::incarnation)
-                .anyMatch(each -> !each.equals(excluded) && !mContext.loads().isSuspect(each));
+    /**
+     * Cancels an attempt whose server is silent and sends the call to another server, if all that
+     * the next send needs is granted now: the call may be repeated, a server can take it, and the
+     * retry budget is not exhausted. Otherwise the attempt continues.
+     *
+     * @return whether the call was sent to another server
+     */
+    boolean moveFromSilent(Attempt attempt, String reason) {
+        if (!canRepeat(mHistory.possibleRunCount() + 1)
+                || mSelector.promptBlockedUntil(now()).isPresent()) {
+            return false;
+        }
+        Optional<Candidate> next = mSelector.alternative(mService, attempt.server().incarnation());
+        if (next.isEmpty() || !tryAcquireResend()) {
+            return false;
+        }
+        attempt.cancel();
+        recordPossibleRun(attempt, reason);
+        mRelay.ifPresent(StreamRelay::prepareNextAttempt);
+        start(next.get());
+        return true;
     }
 
     private boolean canRepeat(int possibleRuns) {
         return route().isIdempotent()
                 && possibleRuns < route().maxAttempts()
                 && mHistory.sends() < MAX_SENDS
-                && mDeadline.remainingMillis(now()) >= MIN_REMAINING_MILLIS
+                && deadline().remainingMillis(now()) >= MIN_REMAINING_MILLIS
                 && (!isStreamBegun() || mRelay.get().canResume());
     }
 
@@ -333,7 +346,7 @@
         if (isStreamBegun()) {
             mResponder.abort(reason);
         } else {
-            mResponder.fail(code, reason, mRetryAfterMillis, mDeadline);
+            mResponder.fail(code, reason, mRetryAfterMillis, deadline());
         }
     }
 
@@ -360,8 +373,8 @@
         if (mResponder.isDone()) {
             return;
         }
-        applyConfiguration();
-        if (mDeadline.isPast(now())) {
+        mRoute.ifPresent(route -> mDeadline.refresh(route, mContext.view().get()));
+        if (deadline().isPast(now())) {
             end(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mHistory.lastReason());
         } else if (mAttempt.isPresent()) {
             mAttempt.get().tick();
@@ -370,16 +383,6 @@
         }
     }
 
-    /** Applies a changed timeout of the route, which also applies to calls in progress. */
-    private void applyConfiguration() {
-        TrafficView view = mContext.view().get();
-        if (view.configurationVersion() == mConfigurationVersion || mRoute.isEmpty()) {
-            return;
-        }
-        mConfigurationVersion = view.configurationVersion();
-        view.route(mRoute.get().name()).ifPresent(this::applyTimeout);
-    }
-
     /** Pauses or resumes reading from the server, depending on whether the caller keeps up. */
     void setReadingPaused(boolean paused) {
         mAttempt.ifPresent(attempt -> attempt.setReadingPaused(paused));
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
@@ -0,0 +1,63 @@
+package org.cornelway.traffic;
+
+import java.util.List;
+import java.util.Optional;
+import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.Candidate;
+import org.cornelway.time.Deadline;
+
+/**
+ * Selects the server that one call is sent to, among those that can take it. Confined to the
+ * traffic thread; lives as long as its call.
+ */
+final class ServerSelector {
+    private final TrafficContext mContext;
+    private final CallerRequest mRequest;
+    private final SendHistory mHistory;
+
+    ServerSelector(TrafficContext context, CallerRequest request, SendHistory history) {
+        mContext = context;
+        mRequest = request;
+        mHistory = history;
+    }
+
+    /** Returns until when no server takes the call, as a part of its prompt crashed servers. */
+    Optional<Deadline> promptBlockedUntil(long nowMillis) {
+        return mContext.evidence().blockedUntil(mRequest.head().sharedParts(), nowMillis);
+    }
+
+    /** Returns the usable servers of a service; for a model, those of them that hold it. */
+    private List<ServerRecord> servers(String service) {
+        List<ServerRecord> usable = mContext.view().get().directory().usable(service);
+        return mRequest.head()
+                .target()
+                .map(target -> mContext.holdings().holders(usable, target))
+                .orElse(usable);
+    }
+
+    /** Whether a server can take the call. */
+    boolean hasCandidates(String service) {
+        return !servers(service).isEmpty();
+    }
+
+    /** Returns the servers that can take the call, with their loads. */
+    List<Candidate> candidates(String service) {
+        return servers(service).stream().map(mContext.loads()::candidate).toList();
+    }
+
+    /** Returns the best of the candidates; empty if there are none. */
+    Optional<Candidate> choose(List<Candidate> candidates) {
+        return mContext.chooser()
+                .choose(candidates, mRequest.head().sharedPrefixHash(), mHistory.tried());
+    }
+
+    /** Returns the best server other than the given one that can take the call at once. */
+    Optional<Candidate> alternative(String service, ServerIncarnation excluded) {
+        return choose(
+                candidates(service).stream()
+                        .filter(each -> !each.server().incarnation().equals(excluded))
+                        .filter(each -> !each.suspect())
+                        .toList());
+    }
+}
