Let the backend server stand-in echo ids in refusals, as servers do

New faults: a refusal that does not say of which call, a 503 without proof, an error for calls that resume a stream.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -27,6 +27,9 @@
     private static final long LISTEN_TIMEOUT_SECONDS = 10;
     private static final String SERVER_STAMP_HEADER = "X-Server-Stamp: stand-in\r\n";
 
+    private static final String NOT_RUN_HEADER = "X-Not-Run: 1\r\n";
+    private static final String UNAVAILABLE = "503 Service Unavailable";
+
     private static final int ENDLESS_PART_BYTES = 1_000;
 
     private final Vertx mVertx;
@@ -55,48 +58,6 @@
     private volatile long mAcceptedOrders;
     private volatile long mHighestFencingNumber;
 
-    /** A fault that a test injects into the server. */
-    public enum Fault {
-        /** The server works normally. */
-        NONE,
-        /** The server executes a call but sends no response. */
-        NO_RESPONSE,
-        /** The server executes a call and closes the connection without a response. */
-        CLOSE_CONNECTION,
-        /** The server closes the connection in the middle of a response. */
-        TRUNCATED_RESPONSE,
-        /** Responses have neither a length nor chunks, and end with the connection. */
-        UNFRAMED,
-        /** As {@link #UNFRAMED}, but a stream ends in the middle of an event. */
-        UNFRAMED_PARTIAL_EVENT,
-        /** The server sends a response to another request before the correct response. */
-        MISMATCHED_RESPONSE,
-        /** The server responds with status 500. */
-        INTERNAL_ERROR,
-        /**
-         * The server stops in the middle of a stream, but goes on sending a byte now and then that
-         * completes no event.
-         */
-        TRICKLE,
-        /** The server sends bytes that are no response until the connection is closed. */
-        ENDLESS_BYTES,
-        /** The server sends a response head that does not end until the connection is closed. */
-        ENDLESS_HEAD,
-        /** The server rejects calls with status 503 and declares that it did not execute them. */
-        OVERLOADED,
-        /** The id of the event in the middle of a stream is wrong. */
-        WRONG_EVENT_ID,
-        /**
-         * A stream goes on with an event that does not end, in small chunks and without a pause.
-         */
-        ENDLESS_EVENT;
-
-        /** Whether responses have neither a length nor chunks. */
-        boolean isUnframed() {
-            return this == UNFRAMED || this == UNFRAMED_PARTIAL_EVENT;
-        }
-    }
-
     /**
      * A call that the server received. Immutable by convention.
      *
@@ -217,7 +178,8 @@
         String path = request.line().split(" ")[1];
         String target = request.headers().getOrDefault("x-target-instance", mId);
         if (!target.equals(mId)) {
-            write(socket, "421 Misdirected Request", "X-Instance-Id: " + mId + "\r\n", "");
+            String id = request.headers().get("x-request-id");
+            misdirect(socket, id == null ? "" : "X-Request-Id: " + id + "\r\n");
         } else if (path.equals("/report")) {
             write(
                     socket,
@@ -270,7 +232,7 @@
                 new ReceivedCall(request.line(), request.headers(), request.body(), executed));
         String requestIdHeader = "X-Request-Id: " + request.headers().get("x-request-id") + "\r\n";
         if (!loaded) {
-            write(socket, "421 Misdirected Request", "X-Instance-Id: " + mId + "\r\n", "");
+            misdirect(socket, requestIdHeader);
             return;
         }
         String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
@@ -278,29 +240,35 @@
             crash();
             return;
         }
+        if (mFault == Fault.REPEATED_REFUSAL) {
+            write(socket, UNAVAILABLE, NOT_RUN_HEADER, "");
+        } else if (mFault == Fault.MISMATCHED_RESPONSE) {
+            write(socket, "200 OK", "X-Request-Id: other\r\n" + SERVER_STAMP_HEADER, "not yours");
+        }
+        boolean resumes = request.headers().containsKey("last-event-id");
+        String ownHeaders = requestIdHeader + SERVER_STAMP_HEADER;
         switch (mFault) {
             case NO_RESPONSE -> {}
             case CLOSE_CONNECTION -> socket.close();
-            case OVERLOADED -> write(socket, "503 Service Unavailable", "X-Not-Run: 1\r\n", "");
             case ENDLESS_BYTES, ENDLESS_HEAD -> sendEndlessly(socket);
-            case INTERNAL_ERROR ->
-                    write(
-                            socket,
-                            "500 Internal Server Error",
-                            requestIdHeader + SERVER_STAMP_HEADER,
-                            "failed");
-            case MISMATCHED_RESPONSE -> {
-                write(
-                        socket,
-                        "200 OK",
-                        "X-Request-Id: other\r\n" + SERVER_STAMP_HEADER,
-                        "not yours");
-                respond(socket, request, model, requestIdHeader);
+            case OVERLOADED -> write(socket, UNAVAILABLE, requestIdHeader + NOT_RUN_HEADER, "");
+            case UNAVAILABLE -> write(socket, UNAVAILABLE, ownHeaders, "failed");
+            case INTERNAL_ERROR -> write(socket, "500 Internal Error", ownHeaders, "failed");
+            default -> {
+                if (mFault == Fault.RESUME_REJECTED && resumes) {
+                    write(socket, "404 Not Found", ownHeaders, "no such stream");
+                } else {
+                    respond(socket, request, model, requestIdHeader);
+                }
             }
-            default -> respond(socket, request, model, requestIdHeader);
         }
     }
 
+    private void misdirect(NetSocket socket, String requestIdHeader) {
+        String headers = requestIdHeader + "X-Instance-Id: " + mId + "\r\n";
+        write(socket, "421 Misdirected Request", headers, "");
+    }
+
     /** Closes all connections, as a crash does, and starts a new incarnation. */
     private void crash() {
         mStartedMillis = Math.max(mStartedMillis + 1, System.currentTimeMillis());
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
 import java.util.function.LongSupplier;
-import org.cornelway.standin.platform.BackendServerStandin.Fault;
 
 /**
  * Writes one response of a stand-in that is a stream of events, with the fault that is injected
--- a/org.cornelway.test/tst/org/cornelway/direct/CallerDisconnectProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/CallerDisconnectProcessTest.java
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.bench.direct.DirectFleet;
-import org.cornelway.standin.platform.BackendServerStandin.Fault;
+import org.cornelway.standin.platform.Fault;
 import org.testng.annotations.Test;
 
 /**
--- a/org.cornelway.test/tst/org/cornelway/direct/DirectEntryProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectEntryProcessTest.java
@@ -9,7 +9,7 @@
 import org.cornelway.bench.LoopbackHttpClient.Response;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.bench.direct.DirectFleet;
-import org.cornelway.standin.platform.BackendServerStandin.Fault;
+import org.cornelway.standin.platform.Fault;
 import org.testng.annotations.Test;
 
 /** Tests one entry as a real process, with every route kind and with faulty backend servers. */
--- a/org.cornelway.test/tst/org/cornelway/direct/LeavingCallersProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/LeavingCallersProcessTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.bench.direct.DirectFleet;
-import org.cornelway.standin.platform.BackendServerStandin.Fault;
+import org.cornelway.standin.platform.Fault;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/SpoiledResponseProcessTest.java
@@ -9,7 +9,7 @@
 import org.cornelway.bench.LoopbackHttpClient.Response;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.bench.direct.DirectFleet;
-import org.cornelway.standin.platform.BackendServerStandin.Fault;
+import org.cornelway.standin.platform.Fault;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
