Take a refusal as proof only with the id of its call

What callers saw (with a stand-in that repeats a refusal without an id on a kept connection): 503 "not run" for an unsafe call that had run, in fact five times, once for each send (REFUSED, TWICE).

Cause: a response with another call's id was discarded, but one with neither id nor mark was taken for the current call's, and its X-Not-Run for proof. Servers echo the id in every response.

Change: ResponseHead.provesNotRun asks for the id; a refusal without it is a broken answer of a call that may have run.

Before: refusalWithoutIdDoesNotProveThatCallHasNotRun got 503 after 5 sends. After: 502 after one run.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -62,7 +62,7 @@
 
     /** Whether the call was handed to a connection and no response proves that it did not run. */
     boolean mayHaveRun() {
-        return mConnection.isPresent() && !mHead.map(ResponseHead::notRun).orElse(false);
+        return mConnection.isPresent() && !mHead.map(ResponseHead::provesNotRun).orElse(false);
     }
 
     /** Acquires a connection to the server; the call is sent once there is one. */
@@ -262,8 +262,12 @@
             return;
         }
         ResponseHead head = mHead.orElseThrow();
-        if (head.notRun()) {
+        if (head.provesNotRun()) {
             handleRefusal(head);
+        } else if (head.notRun()) {
+            mContext.loads().recordResponse(mServer.incarnation(), false);
+            String reason = "refused with " + head.status() + " without the id of the call";
+            mCallHandler.onMayHaveRun(this, reason, Optional.empty());
         } else if (mStreaming) {
             handleStreamEnd();
         } else {
--- a/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
@@ -30,6 +30,14 @@
         boolean contentEncoded,
         Optional<Long> keepAliveMillis,
         boolean closing) {
+    /**
+     * Whether the response proves that its request did not run and never will. A response without
+     * the id of its request may be a late copy that belongs to an earlier one.
+     */
+    public boolean provesNotRun() {
+        return notRun && requestId.isPresent();
+    }
+
     /** Whether the status is 2xx. */
     public boolean isSuccess() {
         return status / 100 == 2;
