Pass on no status that promises what was not proven

What callers saw (with a stand-in that answers 503 without X-Not-Run): the server's 503 for an unsafe call that had run. Callers take 408, 421, 429 and 503 for the promise that a call has not run (REFUSED).

Cause: Attempt passed on any complete answer of a server; only those with X-Not-Run counted as refusals.

Change: such a status without proof is the end of a send that may have run: 502, or another server if the call may be repeated.

Before: statusWithoutProofIsNotPassedOnAsRefusal got 503.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -115,7 +114,7 @@
         }
         mConnection = Optional.of(connection);
         mProgress.record();
-        mSentMillis = mContext.clock().nowMillis();
+        mSentMillis = nowMillis();
         connection.send(buildUpstreamRequest(), this);
     }
 
@@ -123,15 +122,12 @@
         if (!mContext.view().get().directory().isUsable(mServer.incarnation())) {
             return Optional.of("the server left before the send");
         }
-        return mCallHandler.deadline().isPast(mContext.clock().nowMillis())
+        return mCallHandler.deadline().isPast(nowMillis())
                 ? Optional.of("the deadline passed before the send")
                 : Optional.empty();
     }
 
     private UpstreamRequest buildUpstreamRequest() {
-        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        long remainingMillis =
-                mCallHandler.deadline().remainingMillis(mContext.clock().nowMillis());
         Optional<String> lastEventId =
                 mCallHandler
                         .relay()
@@ -139,24 +135,11 @@
                         .flatMap(StreamRelay::lastEventId);
         Optional<Integer> priority =
                 mRequest.head().target().map(target -> EnginePriority.of(mCallHandler.route()));
-        mContext.codec()
-                .writeForwardedHeaders(
-                        mRequest.message(),
-                        new ForwardedHeaders(mServer.id(), remainingMillis, priority, lastEventId),
-                        headers);
-        boolean hasBody =
-                mRequest.body().isReadable()
-                        || mRequest.message().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        || mRequest.message().headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        if (hasBody) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, mRequest.body().readableBytes());
-        }
-        return new UpstreamRequest(
-                mRequest.message().method(),
-                mRequest.message().uri(),
-                headers,
-                mRequest.body(),
-                Optional.of(mRequest.head().requestId()));
+        long remainingMillis = mCallHandler.deadline().remainingMillis(nowMillis());
+        return UpstreamRequest.forward(
+                mRequest,
+                new ForwardedHeaders(mServer.id(), remainingMillis, priority, lastEventId),
+                mContext.codec());
     }
 
     @Override
@@ -205,8 +188,11 @@
     }
 
     private void recordAnswered() {
-        mContext.evidence()
-                .recordAnswered(mRequest.head().sharedParts(), mContext.clock().nowMillis());
+        mContext.evidence().recordAnswered(mRequest.head().sharedParts(), nowMillis());
+    }
+
+    private long nowMillis() {
+        return mContext.clock().nowMillis();
     }
 
     /** Records that the server ended the answer before it was complete, as in a crash. */
@@ -218,7 +204,7 @@
                                     mRequest.head().sharedParts(),
                                     mServer.incarnation(),
                                     mSentMillis,
-                                    mContext.clock().nowMillis());
+                                    nowMillis());
             mCallHandler.log().logSuspected(mServer.id(), suspects);
         }
     }
@@ -264,10 +250,8 @@
         ResponseHead head = mHead.orElseThrow();
         if (head.provesNotRun()) {
             handleRefusal(head);
-        } else if (head.notRun()) {
-            mContext.loads().recordResponse(mServer.incarnation(), false);
-            String reason = "refused with " + head.status() + " without the id of the call";
-            mCallHandler.onMayHaveRun(this, reason, Optional.empty());
+        } else if (head.notRun() || head.promisesNotRun()) {
+            handleUnprovenRefusal(head);
         } else if (mStreaming) {
             handleStreamEnd();
         } else {
@@ -275,6 +259,13 @@
         }
     }
 
+    /** The caller is not told that the call has not run, since it may have. */
+    private void handleUnprovenRefusal(ResponseHead head) {
+        mContext.loads().recordResponse(mServer.incarnation(), false);
+        String reason = "refused with " + head.status() + " without proof";
+        mCallHandler.onMayHaveRun(this, reason, Optional.empty());
+    }
+
     private void handleRefusal(ResponseHead head) {
         boolean answeredByOtherServer =
                 head.misdirected()
--- a/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.cornelway.traffic;
 
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The parsed head of a backend server's response. Immutable.
@@ -30,6 +31,8 @@
         boolean contentEncoded,
         Optional<Long> keepAliveMillis,
         boolean closing) {
+    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
+
     /**
      * Whether the response proves that its request did not run and never will. A response without
      * the id of its request may be a late copy that belongs to an earlier one.
@@ -38,6 +41,11 @@
         return notRun && requestId.isPresent();
     }
 
+    /** Whether the status promises the caller that its call has not run, if it is passed on. */
+    public boolean promisesNotRun() {
+        return PROMISES_NOT_RUN.contains(status);
+    }
+
     /** Whether the status is 2xx. */
     public boolean isSuccess() {
         return status / 100 == 2;
