Cut a stream whose next server answers with an error

Cause: a 4xx was forwarded as the whole answer of a call whose stream had begun. Only the encoder kept its head out of the stream: the write failed, nobody looked at that, and the call counted as answered.

Change: such an answer ends the attempt like a broken one, and another server is tried or the connection closed. A head or answer that cannot be written closes the connection.

Before: errorOfTheNextServerIsNotPartOfTheStream timed out reading. After: it passes.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -313,7 +313,11 @@
         boolean isServerError = head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         mContext.loads().recordResponse(mServer.incarnation(), !isServerError);
         FullResponse fullResponse = new FullResponse(mStatus, mHeaders, mBody);
-        if (isServerError) {
+        if (mCallHandler.isStreamBegun()) {
+            // The caller has the head and events of another answer.
+            String reason = "answered with " + head.status() + " within a stream";
+            mCallHandler.onMayHaveRun(this, reason, Optional.empty());
+        } else if (isServerError) {
             mCallHandler.onMayHaveRun(
                     this, "failed with " + head.status(), Optional.of(fullResponse));
         } else {
@@ -347,9 +351,8 @@
             return;
         }
         long silentMillis = mProgress.silentMillis();
-        boolean begun = mCallHandler.relay().map(StreamRelay::isHeadSent).orElse(false);
         long limitMillis =
-                AnswerProgress.stallLimitMillis(mCallHandler.route(), begun)
+                AnswerProgress.stallLimitMillis(mCallHandler.route(), mCallHandler.isStreamBegun())
                         / (mContext.loads().hasRecentFailure(mServer.incarnation()) ? 2 : 1);
         if (silentMillis > limitMillis
                 && mCallHandler.moveFromSilent(this, "silent for " + silentMillis + " ms")) {
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -206,7 +206,7 @@
     }
 
     /** Whether the caller has received a part of a stream. */
-    private boolean isStreamBegun() {
+    boolean isStreamBegun() {
         return mRelay.map(StreamRelay::isHeadSent).orElse(false);
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
@@ -259,8 +260,13 @@
         }
         setConnectionHeader(headers);
         mChannel.writeAndFlush(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE));
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                status,
+                                body,
+                                headers,
+                                EmptyHttpHeaders.INSTANCE))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         onResponseSent();
     }
 
@@ -269,7 +275,8 @@
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setConnectionHeader(headers);
-        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
