Let an exception of one call end that call only

Deadlines and the delay of the thread are checked only there.

ConnectionSweep ends the call whose check failed. A request that cannot be written is a send that did not happen.

Before: without the guards both new tests fail (2 of 2). After: they pass, PoisonPartProcessTest too.

--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -26,6 +26,7 @@
 import org.cornelway.relay.RelayMessages;
 import org.cornelway.rpc.DescribeReply;
 import org.cornelway.supervisor.Component;
+import org.cornelway.supervisor.GuardedTask;
 import org.cornelway.supervisor.Supervisor;
 import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
@@ -319,7 +320,15 @@
                                         mControl,
                                         DirectEntryRole.this::publish,
                                         mLog);
-                        mCache.changes().observeOn(mControl).subscribe(publisher::apply);
+                        mCache.changes()
+                                .observeOn(mControl)
+                                .subscribe(
+                                        change ->
+                                                new GuardedTask(
+                                                                "change of " + change.key(),
+                                                                mMetrics,
+                                                                () -> publisher.apply(change))
+                                                        .run());
                         mSupervisor.schedulePeriodically(
                                 "step", STEP_PERIOD_MILLIS, mControl, DirectEntryRole.this::step);
                         mSupervisor.schedulePeriodically(
--- a/org.cornelway/src/org/cornelway/supervisor/Supervisor.java
+++ b/org.cornelway/src/org/cornelway/supervisor/Supervisor.java
@@ -59,21 +59,12 @@
             String task, long periodMillis, Scheduler scheduler, Runnable body) {
         mTasks.add(
                 scheduler.schedulePeriodicallyDirect(
-                        () -> runAndLogFailure(task, body),
+                        new GuardedTask(task + " of " + mName, mMetrics, body),
                         periodMillis,
                         periodMillis,
                         TimeUnit.MILLISECONDS));
     }
 
-    private void runAndLogFailure(String task, Runnable body) {
-        try {
-            body.run();
-        } catch (RuntimeException e) {
-            mMetrics.counter("supervisor.failures").inc();
-            LOG.error("task {} of {} failed", task, mName, e);
-        }
-    }
-
     @Override
     public String name() {
         return mName;
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.List;
 import java.util.Optional;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.route.CallKind;
@@ -37,6 +36,7 @@
     private boolean mEnded;
 
     private final AnswerProgress mProgress;
+    private final PromptEvidence mEvidence;
 
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
     private long mSentMillis;
@@ -53,6 +53,7 @@
         mRequest = request;
         mServer = server;
         mProgress = new AnswerProgress(context.clock());
+        mEvidence = new PromptEvidence(context, request, server);
     }
 
     ServerRecord server() {
@@ -106,16 +107,28 @@
     private void send(UpstreamConnection connection) {
         Optional<String> reason = reasonNotToSend();
         if (mEnded || reason.isPresent()) {
-            mContext.pool().release(connection);
-            if (markEnded()) {
-                mCallHandler.onNotSent(this, reason.get());
-            }
+            endUnsent(connection, reason.orElse(""));
+            return;
+        }
+        UpstreamRequest request;
+        try {
+            request = buildUpstreamRequest();
+        } catch (IllegalArgumentException e) {
+            mContext.loads().recordFailure(mServer.incarnation());
+            endUnsent(connection, "the request cannot be written: " + e.getMessage());
             return;
         }
         mConnection = Optional.of(connection);
         mProgress.record();
         mSentMillis = nowMillis();
-        connection.send(buildUpstreamRequest(), this);
+        connection.send(request, this);
+    }
+
+    private void endUnsent(UpstreamConnection connection, String reason) {
+        mContext.pool().release(connection);
+        if (markEnded()) {
+            mCallHandler.onNotSent(this, reason);
+        }
     }
 
     private Optional<String> reasonNotToSend() {
@@ -183,14 +196,10 @@
     private void recordEvents(int count) {
         recordProgress();
         if (mProgress.recordEvents(count)) {
-            recordAnswered();
+            mEvidence.recordAnswered();
         }
     }
 
-    private void recordAnswered() {
-        mContext.evidence().recordAnswered(mRequest.head().sharedParts(), nowMillis());
-    }
-
     private long nowMillis() {
         return mContext.clock().nowMillis();
     }
@@ -198,14 +207,7 @@
     /** Records that the server ended the answer before it was complete, as in a crash. */
     private void recordBreak() {
         if (!mProgress.isPastBeginning()) {
-            List<String> suspects =
-                    mContext.evidence()
-                            .recordCrash(
-                                    mRequest.head().sharedParts(),
-                                    mServer.incarnation(),
-                                    mSentMillis,
-                                    nowMillis());
-            mCallHandler.log().logSuspected(mServer.id(), suspects);
+            mEvidence.recordBreak(mSentMillis, mCallHandler.log());
         }
     }
 
@@ -301,7 +303,7 @@
             mContext.loads().recordResponse(mServer.incarnation(), true);
             mProgress.streamingMillis().ifPresent(mContext.loads()::recordStream);
             if (mProgress.streamingMillis().isPresent()) {
-                recordAnswered();
+                mEvidence.recordAnswered();
             }
             mRunningCall.ifPresent(mContext.usage()::callCompleted);
             relay.ensureHeadSent(mStatus, mHeaders);
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -41,7 +41,8 @@
  * its response is sent are queued; reading pauses while the queue is full. Confined to the traffic
  * thread; lives from the accept to the close.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements CallerResponse, ConnectionSweep.Connection {
     /** Messages that may be queued behind the current request before reading is paused. */
     private static final int MAX_QUEUED_MESSAGES = 64;
 
@@ -105,7 +106,8 @@
         mChannel = context.channel();
     }
 
-    boolean isBusy() {
+    @Override
+    public boolean isBusy() {
         return mCallHandler.isPresent() || mIncomingRequest.isPresent();
     }
 
@@ -134,7 +136,8 @@
     }
 
     /** Checks deadlines; called periodically by the {@link FrontServer}. */
-    void tick() {
+    @Override
+    public void tick() {
         mCallHandler.ifPresent(CallHandler::tick);
         if (mCallHandler.isEmpty() && mProgressDeadline.isPast(mContext.clock().nowMillis())) {
             if (mIncomingRequest.isPresent()) {
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.supervisor.Component;
+import org.cornelway.supervisor.GuardedTask;
 import org.cornelway.supervisor.Polling;
 import org.cornelway.time.Deadline;
 
@@ -58,6 +59,7 @@
     private final HttpEndpoint mEndpoint;
     private final TrafficContext mContext;
     private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final ConnectionSweep mConnectionSweep;
     private volatile boolean mDraining;
     private boolean mAcceptingStopped;
     private volatile int mOpenCalls;
@@ -66,6 +68,7 @@
     FrontServer(HttpEndpoint endpoint, TrafficContext context) {
         mEndpoint = endpoint;
         mContext = context;
+        mConnectionSweep = new ConnectionSweep(context.metrics());
     }
 
     @Override
@@ -107,7 +110,7 @@
     private void scheduleSweeps() {
         mContext.loop()
                 .scheduleAtFixedRate(
-                        this::sweep,
+                        new GuardedTask("sweep of connections", mContext.metrics(), this::sweep),
                         SWEEP_INTERVAL_MILLIS,
                         SWEEP_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS);
@@ -119,15 +122,10 @@
      */
     private void sweep() {
         mContext.metrics().histogram("traffic.delay_millis").update(mContext.loopDelay().tick());
-        int openCalls = 0;
-        for (CallerConnection connection : Set.copyOf(mConnections)) {
-            connection.tick();
-            openCalls += connection.isBusy() ? 1 : 0;
-            if (mAcceptingStopped) {
-                connection.closeIfIdle();
-            }
+        mOpenCalls = mConnectionSweep.tickAll(mConnections);
+        if (mAcceptingStopped) {
+            Set.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
         }
-        mOpenCalls = openCalls;
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -22,6 +22,7 @@
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.supervisor.GuardedTask;
 import org.cornelway.time.Clock;
 import org.cornelway.time.SuspendAwareClock;
 
@@ -105,7 +106,10 @@
         metrics.registerGauge("connections.opened", mPool::openedCount);
         metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
         mLoop.scheduleAtFixedRate(
-                this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                new GuardedTask("sweep of servers", metrics, this::sweep),
+                SWEEP_INTERVAL_MILLIS,
+                SWEEP_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private static MultiThreadIoEventLoopGroup newSingleThreadGroup(String name) {
