Heed what servers say in their answers about new calls

Each head that arrives counts, also one that belongs to another request or to none. If all servers of a call want none for a while, the caller is told at once when to come back, spread over 300 ms. Other values are ignored, times are bounded by a minute.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -54,6 +54,10 @@
     private volatile int mStreamEventCount = 5;
     private volatile long mEventIntervalMillis = 5;
     private volatile long mPausedUntilMillis;
+
+    /** Header lines that each response to a call has in addition; empty for none. */
+    private volatile String mExtraHeaders = "";
+
     private volatile long mLoadMillis = 30;
     private volatile long mAcceptedOrders;
     private volatile long mHighestFencingNumber;
@@ -120,6 +124,17 @@
         mEventIntervalMillis = eventIntervalMillis;
     }
 
+    /** Adds header lines, each with its line break, to each response to a call from now on. */
+    public void addToResponses(String headerLines) {
+        mExtraHeaders = headerLines;
+    }
+
+    /** Starts a new incarnation without the connections and extra headers of the old one. */
+    public void restart() {
+        mExtraHeaders = "";
+        crash();
+    }
+
     /** Sends no events for a while; then all streams go on. */
     public void pauseStreams(long millis) {
         mPausedUntilMillis = System.currentTimeMillis() + millis;
@@ -230,7 +245,8 @@
         boolean executed = loaded && mFault != Fault.OVERLOADED;
         mReceivedCalls.add(
                 new ReceivedCall(request.line(), request.headers(), request.body(), executed));
-        String requestIdHeader = "X-Request-Id: " + request.headers().get("x-request-id") + "\r\n";
+        String requestIdHeader =
+                "X-Request-Id: " + request.headers().get("x-request-id") + "\r\n" + mExtraHeaders;
         if (!loaded) {
             misdirect(socket, requestIdHeader);
             return;
--- a/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.RoutingConfiguration;
@@ -126,6 +127,44 @@
         assertThat(mCodec.readResponseHead(ok).notRun()).isFalse();
     }
 
+    @Test
+    public void readsLeavingOnlyFromItsOneValue() {
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        assertThat(mCodec.readResponseHead(response).leaving()).isFalse();
+        for (String value : List.of("0", "true", "11", "")) {
+            response.headers().set("Server-Leaving", value);
+            assertThat(mCodec.readResponseHead(response).leaving()).as(value).isFalse();
+        }
+        response.headers().set("Server-Leaving", "1");
+        assertThat(mCodec.readResponseHead(response).leaving()).isTrue();
+    }
+
+    @DataProvider
+    public Object[][] retryAfter() {
+        return new Object[][] {
+            {"2", Optional.of(2_000L)},
+            {"0.25", Optional.of(250L)},
+            {"999999999", Optional.of(60_000L)},
+            {"-1", Optional.empty()},
+            {"soon", Optional.empty()},
+            {"NaN", Optional.empty()},
+            {"1e3", Optional.empty()},
+            {"Wed, 21 Oct 2026 07:28:00 GMT", Optional.empty()},
+        };
+    }
+
+    @Test(dataProvider = "retryAfter")
+    public void readsRetryAfterOfUnavailableServer(String value, Optional<Long> millis) {
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        response.headers().set("Retry-After", value);
+        assertThat(mCodec.readResponseHead(response).retryAfterMillis()).isEqualTo(millis);
+        response.setStatus(HttpResponseStatus.OK);
+        assertThat(mCodec.readResponseHead(response).retryAfterMillis()).isEmpty();
+    }
+
     @DataProvider
     public Object[][] malformedServers() {
         String ok = "{'Service':'s','Address':'1.2.3.4:80','State':'ready','born':1,'Seq':2}";
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -17,16 +17,15 @@
  * or with an unknown outcome. Confined to the traffic thread.
  */
 final class Attempt implements ResponseListener, UpstreamPool.AcquireListener {
-    /**
-     * Longest response that is buffered. The caller gets the first byte of a buffered response only
-     * after the last byte has arrived.
-     */
+    /** Longest response that is buffered; its first byte is sent after its last has arrived. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
     private final TrafficContext mContext;
     private final CallHandler mCallHandler;
     private final CallerRequest mRequest;
     private final ServerRecord mServer;
+    private final AnswerProgress mProgress;
+    private final PromptEvidence mEvidence;
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private Optional<ResponseHead> mHead = Optional.empty();
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
@@ -35,9 +34,6 @@
     private boolean mStreaming;
     private boolean mEnded;
 
-    private final AnswerProgress mProgress;
-    private final PromptEvidence mEvidence;
-
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
     private long mSentMillis;
 
@@ -132,8 +128,9 @@
     }
 
     private Optional<String> reasonNotToSend() {
-        if (!mContext.view().get().directory().isUsable(mServer.incarnation())) {
-            return Optional.of("the server left before the send");
+        if (!mContext.view().get().directory().isUsable(mServer.incarnation())
+                || !mContext.notices().acceptsCalls(mServer.incarnation(), nowMillis())) {
+            return Optional.of("the server left or paused before the send");
         }
         return mCallHandler.deadline().isPast(nowMillis())
                 ? Optional.of("the deadline passed before the send")
@@ -164,6 +161,14 @@
         }
     }
 
+    /** Records what the server says about itself, unless another server has answered. */
+    @Override
+    public void onServerHead(ResponseHead head) {
+        if (head.serverId().orElse(mServer.id()).equals(mServer.id())) {
+            mCallHandler.log().recordNotices(mServer.incarnation(), head);
+        }
+    }
+
     @Override
     public void onHead(HttpResponse response) {
         ResponseHead head = mContext.codec().readResponseHead(response);
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -21,12 +21,6 @@
  * proven for each of its sends. Confined to the traffic thread.
  */
 final class CallHandler {
-    /** Maximum number of sends of one call, including those that were refused. */
-    private static final int MAX_SENDS = 5;
-
-    /** Remaining time below which another send cannot succeed. */
-    private static final long MIN_REMAINING_MILLIS = 25;
-
     /** Delay before a call that a busy engine has refused is sent again. */
     private static final long BUSY_DELAY_MILLIS = 30;
 
@@ -36,9 +30,6 @@
     /** Delay before a stream that has begun is sent again after the retry budget was exhausted. */
     private static final long RESEND_DELAY_MILLIS = 100;
 
-    /** Default delay after which a caller may retry a refused call. */
-    private static final long RETRY_AFTER_MILLIS = 300;
-
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
     private final CallerResponse mResponse;
@@ -46,13 +37,14 @@
     private final SendHistory mHistory = new SendHistory();
     private final CallResponder mResponder;
     private final ServerSelector mSelector;
+    private final CallAdmission mAdmission;
     private Optional<Route> mRoute = Optional.empty();
     private String mService = "";
     private final CallDeadline mDeadline;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<StreamRelay> mRelay = Optional.empty();
     private final ModelWait mModelWait;
-    private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
+    private long mRetryAfterMillis = CallAdmission.RETRY_AFTER_MILLIS;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
         mContext = context;
@@ -62,6 +54,7 @@
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
         mModelWait = new ModelWait(context, request);
         mSelector = new ServerSelector(context, request, mHistory);
+        mAdmission = new CallAdmission(context, request, mSelector);
         mDeadline = new CallDeadline(request);
     }
 
@@ -84,7 +77,9 @@
         TrafficView view = mContext.view().get();
         if (view.routes().isEmpty()) {
             mResponder.refuse(
-                    ResultCode.NOT_CONFIGURED, "no configuration is known yet", RETRY_AFTER_MILLIS);
+                    ResultCode.NOT_CONFIGURED,
+                    "no configuration is known yet",
+                    CallAdmission.RETRY_AFTER_MILLIS);
             return;
         }
         RouteTable routes = view.routes().get();
@@ -133,18 +128,14 @@
         if (mResponder.isDone() || mAttempt.isPresent()) {
             return;
         }
-        if (deadline().remainingMillis(now()) < MIN_REMAINING_MILLIS) {
-            fail(ResultCode.DEADLINE_PASSED, "no time left to send the call");
-            return;
-        }
-        Optional<Deadline> blockedUntil = mSelector.promptBlockedUntil(now());
-        if (blockedUntil.isPresent()) {
-            mRetryAfterMillis = blockedUntil.get().remainingMillis(now());
-            fail(ResultCode.PROMPT_BLOCKED, "a part of the prompt has crashed servers");
+        List<Candidate> candidates = mSelector.candidates(mService);
+        Optional<CallAdmission.Rejection> rejection =
+                mAdmission.check(mService, deadline(), candidates);
+        if (rejection.isPresent()) {
+            reject(rejection.get());
             return;
         }
         Optional<ModelTarget> target = mRequest.head().target();
-        List<Candidate> candidates = mSelector.candidates(mService);
         boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
         if (target.isPresent()
                 && (candidates.isEmpty() || allSuspect && !mModelWait.wasRequested())) {
@@ -155,7 +146,7 @@
         }
         OptionalLong wait = target.isPresent() ? excessiveWait(candidates) : OptionalLong.empty();
         if (wait.isPresent()) {
-            mRetryAfterMillis = Math.max(RETRY_AFTER_MILLIS, wait.getAsLong());
+            mRetryAfterMillis = Math.max(CallAdmission.RETRY_AFTER_MILLIS, wait.getAsLong());
             fail(ResultCode.QUEUE_FULL, "an engine would need " + wait.getAsLong() + " ms");
             return;
         }
@@ -167,6 +158,16 @@
         }
     }
 
+    /** Ends the call; one of which the caller has a part waits if its servers want no calls. */
+    private void reject(CallAdmission.Rejection rejection) {
+        if (isStreamBegun() && rejection.code() == ResultCode.QUEUE_FULL) {
+            scheduleDispatch(rejection.retryAfterMillis());
+        } else {
+            mRetryAfterMillis = rejection.retryAfterMillis();
+            fail(rejection.code(), rejection.reason());
+        }
+    }
+
     /** As in {@link ModelWait}; empty if the call may have run before. */
     private OptionalLong excessiveWait(List<Candidate> candidates) {
         return isStreamBegun() || mHistory.possibleRunCount() > 0
@@ -212,7 +213,7 @@
 
     private void onModelTooLate(long expectedMillis) {
         if (!mResponder.isDone() && mAttempt.isEmpty()) {
-            mRetryAfterMillis = Math.max(RETRY_AFTER_MILLIS, expectedMillis);
+            mRetryAfterMillis = Math.max(CallAdmission.RETRY_AFTER_MILLIS, expectedMillis);
             fail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
         }
     }
@@ -254,7 +255,7 @@
         mAttempt = Optional.empty();
         mHistory.recordEnd(reason);
         mLog.logSendFailed(attempt.server().id(), "not_run", reason);
-        if (mHistory.sends() >= MAX_SENDS) {
+        if (mHistory.isExhausted()) {
             fail(ResultCode.QUEUE_FULL, "not run after " + mHistory.sends() + " sends: " + reason);
         } else if (busy) {
             scheduleDispatch(BUSY_DELAY_MILLIS);
@@ -301,7 +302,7 @@
      */
     boolean moveFromSilent(Attempt attempt, String reason) {
         if (!canRepeat(mHistory.possibleRunCount() + 1)
-                || mSelector.promptBlockedUntil(now()).isPresent()) {
+                || mAdmission.promptBlockedUntil().isPresent()) {
             return false;
         }
         Optional<Candidate> next = mSelector.alternative(mService, attempt.server().incarnation());
@@ -318,8 +319,8 @@
     private boolean canRepeat(int possibleRuns) {
         return route().isIdempotent()
                 && possibleRuns < route().maxAttempts()
-                && mHistory.sends() < MAX_SENDS
-                && deadline().remainingMillis(now()) >= MIN_REMAINING_MILLIS
+                && !mHistory.isExhausted()
+                && deadline().remainingMillis(now()) >= CallAdmission.MIN_REMAINING_MILLIS
                 && (!isStreamBegun() || mRelay.get().canResume());
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
@@ -19,6 +19,9 @@
  *     produced
  * @param keepAliveMillis time for which the connection may stay idle; empty if it is not stated
  * @param closing whether the server closes the connection after this response
+ * @param leaving whether the server is leaving and takes no new calls
+ * @param retryAfterMillis time for which a server that refused a call wants no calls from this
+ *     process; empty if it is not stated
  */
 public record ResponseHead(
         int status,
@@ -30,7 +33,9 @@
         Optional<ReportedLoad> load,
         boolean contentEncoded,
         Optional<Long> keepAliveMillis,
-        boolean closing) {
+        boolean closing,
+        boolean leaving,
+        Optional<Long> retryAfterMillis) {
     private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/ResponseListener.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseListener.java
@@ -8,6 +8,12 @@
  * {@link #onEnd} or {@link #onFailed}, unless the request is cancelled.
  */
 interface ResponseListener {
+    /**
+     * A head has arrived from the server, also one that belongs to another request or to none.
+     * Unlike the other methods, it may be called after the last call.
+     */
+    default void onServerHead(ResponseHead head) {}
+
     /** The head has arrived. */
     void onHead(HttpResponse head);
 
--- a/org.cornelway/src/org/cornelway/traffic/SendHistory.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendHistory.java
@@ -6,6 +6,9 @@
 
 /** Records the sends of one call and their outcomes. Confined to the traffic thread. */
 final class SendHistory {
+    /** Maximum number of sends of one call, including those that were refused. */
+    private static final int MAX_SENDS = 5;
+
     private final Set<String> mTried = new HashSet<>();
     private final Set<ServerIncarnation> mRefusedBy = new HashSet<>();
     private String mLastReason = "none";
@@ -59,6 +62,11 @@
         return mSends;
     }
 
+    /** Whether the call was sent as often as a call may be, whatever the outcomes. */
+    boolean isExhausted() {
+        return mSends >= MAX_SENDS;
+    }
+
     /** Number of sends without proof that the call did not run. */
     int possibleRunCount() {
         return mPossibleRunCount;
--- a/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
@@ -1,10 +1,12 @@
 package org.cornelway.traffic;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.Candidate;
+import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.time.Deadline;
 
 /**
@@ -22,13 +24,8 @@
         mHistory = history;
     }
 
-    /** Returns until when no server takes the call, as a part of its prompt crashed servers. */
-    Optional<Deadline> promptBlockedUntil(long nowMillis) {
-        return mContext.evidence().blockedUntil(mRequest.head().sharedParts(), nowMillis);
-    }
-
     /** Returns the usable servers of a service; for a model, those of them that hold it. */
-    private List<ServerRecord> servers(String service) {
+    private List<ServerRecord> holders(String service) {
         List<ServerRecord> usable = mContext.view().get().directory().usable(service);
         return mRequest.head()
                 .target()
@@ -36,6 +33,25 @@
                 .orElse(usable);
     }
 
+    /** Returns those holders that take calls now. */
+    private List<ServerRecord> servers(String service) {
+        long now = mContext.clock().nowMillis();
+        return holders(service).stream()
+                .filter(server -> mContext.notices().acceptsCalls(server.incarnation(), now))
+                .toList();
+    }
+
+    /** Returns when the first server takes calls again, if servers want none for a while. */
+    Optional<Deadline> pausedUntil(String service) {
+        long now = mContext.clock().nowMillis();
+        ServerNotices notices = mContext.notices();
+        return holders(service).stream()
+                .map(ServerRecord::incarnation)
+                .filter(incarnation -> !notices.isLeaving(incarnation))
+                .flatMap(incarnation -> notices.pausedUntil(incarnation, now).stream())
+                .min(Comparator.naturalOrder());
+    }
+
     /** Whether a server can take the call. */
     boolean hasCandidates(String service) {
         return !servers(service).isEmpty();
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -8,6 +8,7 @@
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.ServerChooser;
 import org.cornelway.dispatch.ServerLoads;
+import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.time.Clock;
@@ -22,6 +23,7 @@
  * @param view the state last published by the control thread
  * @param chooser chooses the backend server of a call
  * @param loads load and failures of backend servers, as seen from calls of this process
+ * @param notices what backend servers have said about themselves in their answers
  * @param holdings models and adapters that each engine holds
  * @param retryBudget limits how often calls are resent
  * @param modelRequester requests models from the controller
@@ -39,6 +41,7 @@
         Supplier<TrafficView> view,
         ServerChooser chooser,
         ServerLoads loads,
+        ServerNotices notices,
         Holdings holdings,
         SlidingWindowRetryBudget retryBudget,
         ModelRequester modelRequester,
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -19,6 +19,7 @@
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.LeastLoadedChooser;
 import org.cornelway.dispatch.ServerLoads;
+import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
@@ -53,6 +54,7 @@
     private final ModelUsage mUsage;
     private final CrashEvidence mEvidence = new CrashEvidence();
     private final ServerLoads mLoads;
+    private final ServerNotices mNotices = new ServerNotices();
     private final TrafficContext mContext;
     private final FrontServer mFrontServer;
     private final PlatformHttpClient mPlatformClient;
@@ -89,6 +91,7 @@
                         () -> mView,
                         new LeastLoadedChooser(),
                         mLoads,
+                        mNotices,
                         mHoldings,
                         retryBudget,
                         modelRequester,
@@ -213,12 +216,15 @@
         Set<ServerIncarnation> incarnations = new HashSet<>();
         addresses.add(mStoreEndpoint.toString());
         for (ServerRecord server : directory.all().values()) {
-            addresses.add(server.address());
             incarnations.add(server.incarnation());
+            if (!mNotices.isLeaving(server.incarnation())) {
+                addresses.add(server.address());
+            }
         }
         mPool.sweep(addresses);
         mPlatformGroup.execute(() -> mPlatformPool.sweep(addresses));
         mLoads.retain(incarnations);
+        mNotices.retain(incarnations);
         mEvidence.expire(mContext.clock().nowMillis());
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -43,6 +43,10 @@
     private final Clock mClock;
     private Channel mChannel;
     private Optional<ResponseListener> mListener = Optional.empty();
+
+    /** Listener of the last request, also after its response has ended. */
+    private Optional<ResponseListener> mLastListener = Optional.empty();
+
     private Optional<String> mRequestId = Optional.empty();
     private boolean mRequestWritten;
     private boolean mHeadReceived;
@@ -82,6 +86,7 @@
     /** Sends a request; the connection must be reusable and idle. */
     void send(UpstreamRequest request, ResponseListener listener) {
         mListener = Optional.of(listener);
+        mLastListener = mListener;
         mRequestId = request.requestId();
         mRequestWritten = false;
         mHeadReceived = false;
@@ -126,6 +131,9 @@
         }
         if (mListener.isEmpty()) {
             // No request is outstanding, so these bytes belong to no request.
+            if (message instanceof HttpResponse response) {
+                notifyServerHead(mCodec.readResponseHead(response));
+            }
             close();
             return;
         }
@@ -144,13 +152,14 @@
             return;
         }
         ResponseHead head = mCodec.readResponseHead(response);
+        notifyServerHead(head);
         if (isMismatched(head)) {
             mMustClose = true;
             mDiscarding = true;
             return;
         }
         mHeadReceived = true;
-        mMustClose |= head.closing() || head.notRun();
+        mMustClose |= head.closing() || head.notRun() || head.leaving();
         long keepAliveMillis =
                 head.keepAliveMillis()
                         .map(millis -> (long) (millis * KEEP_ALIVE_FRACTION))
@@ -159,6 +168,10 @@
         mListener.get().onHead(response);
     }
 
+    private void notifyServerHead(ResponseHead head) {
+        mLastListener.ifPresent(listener -> listener.onServerHead(head));
+    }
+
     /**
      * Whether a response belongs to another request. A response with a backend server's signature
      * must state the id of its request; one without the signature may lack the id. A response with
