Keep the longest pause a server names, and its leaving through lapses

A later answer with a shorter Retry-After replaced a longer one that was still running, and a server whose announcement lapsed and returned under the same start was no longer known to be leaving.

--- a/org.cornelway/src/org/cornelway/dispatch/ServerNotices.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerNotices.java
@@ -1,8 +1,7 @@
 package org.cornelway.dispatch;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,10 +13,14 @@
  * leaving, or that they want no call for a while.
  *
  * <p>State is kept by incarnation, so a restarted server starts anew. A server that is leaving
- * never comes back in the same incarnation. Confined to the traffic thread.
+ * never comes back in the same incarnation, also not if its announcement lapses and returns.
+ * Confined to the traffic thread.
  */
 public final class ServerNotices {
-    private final Set<ServerIncarnation> mLeaving = new HashSet<>();
+    /** Number of leaving incarnations that are remembered; the oldest are forgotten first. */
+    private static final int MAX_LEAVING = 4_096;
+
+    private final Set<ServerIncarnation> mLeaving = new LinkedHashSet<>();
     private final Map<ServerIncarnation, Deadline> mPausedUntil = new HashMap<>();
 
     /**
@@ -26,12 +29,20 @@
      * @return false if that was known
      */
     public boolean recordLeaving(ServerIncarnation incarnation) {
-        return mLeaving.add(incarnation);
+        boolean isNew = mLeaving.add(incarnation);
+        if (mLeaving.size() > MAX_LEAVING) {
+            mLeaving.remove(mLeaving.iterator().next());
+        }
+        return isNew;
     }
 
-    /** Records until when a server wants no call; a later answer replaces an earlier one. */
+    /** Records until when a server wants no call; the latest time that it has named applies. */
     public void recordPause(ServerIncarnation incarnation, Deadline until) {
-        mPausedUntil.put(incarnation, until);
+        mPausedUntil.merge(incarnation, until, ServerNotices::later);
+    }
+
+    private static Deadline later(Deadline first, Deadline second) {
+        return first.compareTo(second) > 0 ? first : second;
     }
 
     /** Whether a server is leaving. */
@@ -50,9 +61,8 @@
         return !isLeaving(incarnation) && pausedUntil(incarnation, nowMillis).isEmpty();
     }
 
-    /** Discards what servers have said that are not in the collection. */
-    public void retain(Collection<ServerIncarnation> incarnations) {
-        mLeaving.retainAll(incarnations);
-        mPausedUntil.keySet().retainAll(incarnations);
+    /** Discards the times that have passed. */
+    public void expire(long nowMillis) {
+        mPausedUntil.values().removeIf(until -> until.isPast(nowMillis));
     }
 }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -328,9 +328,8 @@
             mOrderQueue.queued().poll();
             mPacing.recordReply();
             onOrderFinished(planned, nowMillis);
-            // The unload of an adapter counts as an order if the adapter was there, which it
-            // usually
-            // was; the others require a report.
+            // An adapter that was there, as usual, has been unloaded, which counts as an order. In
+            // all other cases only a report shows the number of orders.
             mReportRequired = planned.adapter().isEmpty() || planned.isLoad();
             if (!mReportRequired) {
                 countAcceptedOrder(nowMillis);
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -224,7 +224,7 @@
         mPool.sweep(addresses);
         mPlatformGroup.execute(() -> mPlatformPool.sweep(addresses));
         mLoads.retain(incarnations);
-        mNotices.retain(incarnations);
+        mNotices.expire(mContext.clock().nowMillis());
         mEvidence.expire(mContext.clock().nowMillis());
     }
 
