Copy the chunks of a caller's body to one buffer

Cause: each chunk was kept as a component of a composite buffer, whose objects take more than a hundred bytes each.

Before: bodyInChunksOfOneByteIsForwarded got no answer. After: 200, the whole body at the server, other calls answered.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -48,6 +48,7 @@
     private int mConfigurationCount;
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
+    private String mHeapFlag = "-Xmx96m";
 
     /** Ports of one entry. */
     private record Ports(int front, int ready, int control) {}
@@ -199,11 +200,16 @@
     }
 
     /**
-     * Starts an entry with a heap of at most 96 MB, without waiting until it is ready; see {@link
-     * #awaitReady}.
+     * Starts an entry with a heap of at most 96 MB, or as {@link #setHeap} says, without waiting
+     * until it is ready; see {@link #awaitReady}.
      */
     public void startEntry(int index) {
-        startEntry(index, List.of("-Xmx96m"));
+        startEntry(index, List.of(mHeapFlag));
+    }
+
+    /** Sets the JVM flag for the heap of entries that are started from now on. */
+    public void setHeap(String flag) {
+        mHeapFlag = flag;
     }
 
     /** Starts an entry with JVM flags, without waiting until it is ready. */
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.cornelway.traffic;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -62,7 +61,7 @@
     private final Deque<Object> mQueuedMessages = new ArrayDeque<>();
     private Channel mChannel;
     private Optional<HttpRequest> mIncomingRequest = Optional.empty();
-    private CompositeByteBuf mIncomingBody;
+    private ByteBuf mIncomingBody;
     private Optional<CallHandler> mCallHandler = Optional.empty();
 
     /**
@@ -181,7 +180,7 @@
             return;
         }
         mIncomingRequest = Optional.of(head);
-        mIncomingBody = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+        mIncomingBody = Unpooled.buffer();
         mProgressDeadline =
                 deadlineAfter(Math.max(limits.headerTimeoutMillis(), limits.idleTimeoutMillis()));
         if (HttpUtil.is100ContinueExpected(head)) {
@@ -211,7 +210,9 @@
             return;
         }
         mProgressDeadline = deadlineAfter(limits.idleTimeoutMillis());
-        mIncomingBody.addComponent(true, content.content());
+        // Copied, since a buffer for each of the smallest chunks takes many times their bytes.
+        mIncomingBody.writeBytes(content.content());
+        content.release();
         if (content instanceof LastHttpContent) {
             startCall();
         }
