--- a/org.cornelway.test/tst/org/cornelway/direct/ErrorInStreamProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/ErrorInStreamProcessTest.java
@@ -3,9 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import org.cornelway.bench.direct.DirectFleet;
 import org.cornelway.standin.platform.Fault;
 import org.testng.annotations.Test;
 
@@ -20,23 +17,11 @@
 
     /** Returns the bytes that the entry sends until the stream ends or the connection closes. */
     private String streamBytes() throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", fleet().frontPort(0))) {
-            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-            String request =
-                    "POST /resume/a HTTP/1.1\r\nHost: "
-                            + DirectFleet.HOST
-                            + "\r\nX-Request-Id: "
-                            + newRequestId()
-                            + "\r\nX-Deadline-Ms: 10000\r\nX-Model: m1\r\n"
-                            + "Content-Length: 1\r\n\r\np";
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            StringBuilder bytes = new StringBuilder();
-            int next = socket.getInputStream().read();
-            while (next >= 0) {
-                bytes.append((char) next);
-                next = bytes.indexOf(LAST_CHUNK) < 0 ? socket.getInputStream().read() : -1;
-            }
-            return bytes.toString();
+        try (RawCall call = new RawCall(fleet().frontPort(0), READ_TIMEOUT_MILLIS)) {
+            String headers = "X-Deadline-Ms: 10000\r\nX-Model: m1\r\nContent-Length: 1\r\n";
+            call.sendHead("/resume/a", newRequestId(), headers);
+            call.send("p");
+            return call.readUntil(LAST_CHUNK);
         }
     }
 
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
@@ -0,0 +1,59 @@
+package org.cornelway.direct;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.cornelway.bench.direct.DirectFleet;
+
+/**
+ * A call to an entry on a plain connection, of which the test writes and reads each byte. Used by
+ * one thread.
+ */
+final class RawCall implements AutoCloseable {
+    private final Socket mSocket;
+
+    RawCall(int port, int readTimeoutMillis) throws IOException {
+        mSocket = new Socket("127.0.0.1", port);
+        mSocket.setSoTimeout(readTimeoutMillis);
+    }
+
+    /**
+     * Sends the head of a POST request.
+     *
+     * @param headers header lines in addition, each with its line break
+     */
+    void sendHead(String path, String requestId, String headers) throws IOException {
+        send(
+                "POST "
+                        + path
+                        + " HTTP/1.1\r\nHost: "
+                        + DirectFleet.HOST
+                        + "\r\nX-Request-Id: "
+                        + requestId
+                        + "\r\n"
+                        + headers
+                        + "\r\n");
+    }
+
+    void send(String text) throws IOException {
+        OutputStream out = mSocket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads until the connection is closed or the bytes end with a text. */
+    String readUntil(String end) throws IOException {
+        StringBuilder bytes = new StringBuilder();
+        int next = mSocket.getInputStream().read();
+        while (next >= 0) {
+            bytes.append((char) next);
+            next = bytes.indexOf(end) < 0 ? mSocket.getInputStream().read() : -1;
+        }
+        return bytes.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+    }
+}
--- a/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
@@ -42,26 +42,11 @@
         mTime = new TestScheduler();
         mOutcomes = new ArrayList<>();
         mEngine = new AdapterEngine(mTime, PLACES, "a1", "a2");
-        ModelController.TermSource terms =
-                new ModelController.TermSource() {
-                    @Override
-                    public Optional<Long> fencingNumber() {
-                        return Optional.of(7L);
-                    }
-
-                    @Override
-                    public String holder() {
-                        return "self";
-                    }
-
-                    @Override
-                    public void onFenced() {}
-                };
         mController =
                 new ModelController(
                         mEngine,
                         mTime,
-                        terms,
+                        new FixedTerm(),
                         new CheapestLoadPlanner(),
                         new EventLog(this::now, new MetricRegistry()));
         mController.applyRoutes(routes());
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTest.java
@@ -71,24 +71,10 @@
         mFixedPlan = Optional.empty();
         mSeenViews.clear();
         mSeenViewCount = 0;
-        ModelController.TermSource terms =
-                new ModelController.TermSource() {
-                    @Override
-                    public Optional<Long> fencingNumber() {
-                        return Optional.of(7L);
-                    }
-
-                    @Override
-                    public String holder() {
-                        return "self";
-                    }
-
-                    @Override
-                    public void onFenced() {}
-                };
         EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), new MetricRegistry());
         mController =
-                new ModelController(new EngineRouter(), mTime, terms, this::recordAndPlan, log);
+                new ModelController(
+                        new EngineRouter(), mTime, new FixedTerm(), this::recordAndPlan, log);
     }
 
     /** Records the views that the planner is given, and returns the fixed plan if there is one. */
