Let an idle connection keep a small reader, not its last call

A connection kept the listener of its last request for the headers of late answers, and with it the call and up to 1 MiB of its answer.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -161,12 +161,9 @@
         }
     }
 
-    /** Records what the server says about itself, unless another server has answered. */
     @Override
-    public void onServerHead(ResponseHead head) {
-        if (head.serverId().orElse(mServer.id()).equals(mServer.id())) {
-            mCallHandler.log().recordNotices(mServer.incarnation(), head);
-        }
+    public Optional<NoticeReader> noticeReader() {
+        return Optional.of(new NoticeReader(mContext, mServer, mRequest.head().requestId()));
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -3,10 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.route.Route;
-import org.cornelway.time.Deadline;
 
 /**
  * Writes the log events of one call and counts calls by outcome. Confined to the traffic thread.
@@ -78,30 +76,6 @@
         }
     }
 
-    /** Records and logs that a server is leaving or wants no calls, if its answer says so. */
-    void recordNotices(ServerIncarnation server, ResponseHead head) {
-        if (head.leaving() && mContext.notices().recordLeaving(server)) {
-            mContext.log().write("server.leaving", "id", requestId(), "server", server.id());
-        }
-        head.retryAfterMillis().ifPresent(millis -> recordPause(server, millis));
-    }
-
-    private void recordPause(ServerIncarnation server, long millis) {
-        Deadline until = Deadline.after(mContext.clock().nowMillis(), millis);
-        mContext.notices().recordPause(server, until);
-        mContext.log()
-                .write(
-                        "server.paused",
-                        "id",
-                        requestId(),
-                        "server",
-                        server.id(),
-                        "ms",
-                        millis,
-                        "until",
-                        until.epochMillis());
-    }
-
     /** Logs the end of the call and counts it by outcome and status. */
     void recordEnd(Optional<Route> route, String outcome, int status, int sends, String reason) {
         long millis = mContext.clock().nowMillis() - mRequest.arrivedMillis();
--- a/org.cornelway/src/org/cornelway/traffic/ResponseListener.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 
 /**
  * Receives the response to one request. Called on the traffic thread. The last call is either
@@ -9,10 +10,12 @@
  */
 interface ResponseListener {
     /**
-     * A head has arrived from the server, also one that belongs to another request or to none.
-     * Unlike the other methods, it may be called after the last call.
+     * Returns the reader of all heads that arrive on the connection, also of those that belong to
+     * another request or to none; empty if nobody wants them.
      */
-    default void onServerHead(ResponseHead head) {}
+    default Optional<NoticeReader> noticeReader() {
+        return Optional.empty();
+    }
 
     /** The head has arrived. */
     void onHead(HttpResponse head);
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -44,8 +44,8 @@
     private Channel mChannel;
     private Optional<ResponseListener> mListener = Optional.empty();
 
-    /** Listener of the last request, also after its response has ended. */
-    private Optional<ResponseListener> mLastListener = Optional.empty();
+    /** Reader of the last request's listener, also after its response has ended. */
+    private Optional<NoticeReader> mNoticeReader = Optional.empty();
 
     private Optional<String> mRequestId = Optional.empty();
     private boolean mRequestWritten;
@@ -86,7 +86,7 @@
     /** Sends a request; the connection must be reusable and idle. */
     void send(UpstreamRequest request, ResponseListener listener) {
         mListener = Optional.of(listener);
-        mLastListener = mListener;
+        mNoticeReader = listener.noticeReader();
         mRequestId = request.requestId();
         mRequestWritten = false;
         mHeadReceived = false;
@@ -132,7 +132,8 @@
         if (mListener.isEmpty()) {
             // No request is outstanding, so these bytes belong to no request.
             if (message instanceof HttpResponse response) {
-                notifyServerHead(mCodec.readResponseHead(response));
+                ResponseHead head = mCodec.readResponseHead(response);
+                mNoticeReader.ifPresent(reader -> reader.read(head));
             }
             close();
             return;
@@ -152,7 +153,7 @@
             return;
         }
         ResponseHead head = mCodec.readResponseHead(response);
-        notifyServerHead(head);
+        mNoticeReader.ifPresent(reader -> reader.read(head));
         if (isMismatched(head)) {
             mMustClose = true;
             mDiscarding = true;
@@ -168,10 +169,6 @@
         mListener.get().onHead(response);
     }
 
-    private void notifyServerHead(ResponseHead head) {
-        mLastListener.ifPresent(listener -> listener.onServerHead(head));
-    }
-
     /**
      * Whether a response belongs to another request. A response with a backend server's signature
      * must state the id of its request; one without the signature may lack the id. A response with
