Log answers that no call expected, and the connection of each call

Change: connection.unexpected; call.done, call.failed and call.send_ended name the connection (its number and the number of the request on it), and the first two the server and status of the response head. No change of logic.

--- a/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -18,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.internal.platform.HttpReply;
 import org.cornelway.internal.platform.NotSentException;
@@ -54,7 +56,12 @@
         mEndpoint = new HttpEndpoint("127.0.0.1", mServer.getLocalPort());
         mClient =
                 new PlatformHttpClient(
-                        loop, new UpstreamPool(loop, new WireCallCodec(), Clock.system()));
+                        loop,
+                        new UpstreamPool(
+                                loop,
+                                new WireCallCodec(),
+                                Clock.system(),
+                                new EventLog(Clock.system(), new MetricRegistry())));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -118,6 +118,7 @@
         mProgress.record();
         mSentMillis = nowMillis();
         connection.send(request, this);
+        mCallHandler.log().recordConnection(connection);
     }
 
     private void endUnsent(UpstreamConnection connection, String reason) {
@@ -173,6 +174,7 @@
         mStatus = response.status();
         mHeaders = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         mContext.codec().writeResponseHeaders(response, mHeaders);
+        mCallHandler.log().recordHead(mServer.id(), head.status());
         recordProgress();
         head.load()
                 .ifPresent(
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -19,6 +19,12 @@
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
 
+    /** The connection that the call was last sent on and its number there; "-" before. */
+    private String mConnection = "-";
+
+    /** The server and the status of the last head of a response; "-" if there is none. */
+    private String mResponder = "-";
+
     CallLog(TrafficContext context, CallerRequest request) {
         mContext = context;
         mRequest = request;
@@ -53,6 +59,17 @@
                         mContext.view().get().configurationVersion());
     }
 
+    /** Records the connection that the call is sent on. */
+    void recordConnection(UpstreamConnection connection) {
+        mConnection = connection.label();
+        mResponder = "-";
+    }
+
+    /** Records that the head of the response has arrived. */
+    void recordHead(String server, int status) {
+        mResponder = server + ":" + status;
+    }
+
     /** Logs that a send failed; the call may be sent again. */
     void logSendFailed(String server, String outcome, String reason) {
         mContext.log()
@@ -64,6 +81,8 @@
                         server,
                         "outcome",
                         outcome,
+                        "connection",
+                        mConnection,
                         "reason",
                         reason);
     }
@@ -96,6 +115,10 @@
                         status,
                         "sends",
                         sends,
+                        "connection",
+                        mConnection,
+                        "response",
+                        mResponder,
                         "ms",
                         millis,
                         "reason",
--- a/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
+++ b/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
@@ -36,6 +36,11 @@
         mNextBodyless = bodyless;
     }
 
+    /** Whether bytes were received that are not decoded yet. */
+    boolean hasBufferedBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     /**
      * Decodes the next part of a response.
      *
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -79,7 +79,7 @@
             EventLog log,
             MetricRegistry metrics) {
         mLoop = (EventLoop) mGroup.next();
-        mPool = new UpstreamPool(mLoop, codec, clock);
+        mPool = new UpstreamPool(mLoop, codec, clock, log);
         mLoads = new ServerLoads(clock, zone);
         mStoreEndpoint = storeEndpoint;
         mUsage = new ModelUsage(clock);
@@ -104,7 +104,7 @@
                         metrics);
         mFrontServer = new FrontServer(frontEndpoint, mContext);
         EventLoop platformLoop = (EventLoop) mPlatformGroup.next();
-        mPlatformPool = new UpstreamPool(platformLoop, codec, clock);
+        mPlatformPool = new UpstreamPool(platformLoop, codec, clock, log);
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool);
         metrics.registerGauge("connections.opened", mPool::openedCount);
         metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
 
@@ -40,7 +41,11 @@
     /** Address as host:port, by which the pool finds the connection. */
     private final String mAddress;
 
+    /** Number of the connection, unique within its pool; for the log. */
+    private final long mNumber;
+
     private final Clock mClock;
+    private final EventLog mLog;
     private Channel mChannel;
     private Optional<ResponseListener> mListener = Optional.empty();
 
@@ -48,6 +53,7 @@
     private Optional<NoticeReader> mNoticeReader = Optional.empty();
 
     private Optional<String> mRequestId = Optional.empty();
+    private long mRequestCount;
     private boolean mRequestWritten;
     private boolean mHeadReceived;
 
@@ -60,17 +66,24 @@
     private boolean mMustClose;
     private Deadline mReusableUntil;
 
+    /** When the last request was sent or its response ended, in milliseconds since the epoch. */
+    private long mLastUseMillis;
+
     UpstreamConnection(
             CallCodec codec,
             StrictResponseDecoder decoder,
             UpstreamPool pool,
             String address,
-            Clock clock) {
+            long number,
+            Clock clock,
+            EventLog log) {
         mCodec = codec;
         mDecoder = decoder;
         mPool = pool;
         mAddress = address;
+        mNumber = number;
         mClock = clock;
+        mLog = log;
         mReusableUntil = Deadline.after(clock.nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
     }
 
@@ -78,6 +91,11 @@
         return mAddress;
     }
 
+    /** Name of the connection and number of its last request, for the log, such as 12.3. */
+    String label() {
+        return mNumber + "." + mRequestCount;
+    }
+
     /** Whether a request can be sent now without racing with the server's close. */
     boolean isReusable() {
         return !mMustClose && mChannel.isActive() && !mReusableUntil.isPast(mClock.nowMillis());
@@ -85,6 +103,11 @@
 
     /** Sends a request; the connection must be reusable and idle. */
     void send(UpstreamRequest request, ResponseListener listener) {
+        if (mDecoder.hasBufferedBytes()) {
+            logUnexpected("bytes of an incomplete response", Optional.empty());
+        }
+        mRequestCount++;
+        mLastUseMillis = mClock.nowMillis();
         mListener = Optional.of(listener);
         mNoticeReader = listener.noticeReader();
         mRequestId = request.requestId();
@@ -134,6 +157,7 @@
             if (message instanceof HttpResponse response) {
                 ResponseHead head = mCodec.readResponseHead(response);
                 mNoticeReader.ifPresent(reader -> reader.read(head));
+                logUnexpected("a response while no request was outstanding", Optional.of(head));
             }
             close();
             return;
@@ -155,6 +179,7 @@
         ResponseHead head = mCodec.readResponseHead(response);
         mNoticeReader.ifPresent(reader -> reader.read(head));
         if (isMismatched(head)) {
+            logUnexpected("a response to another request", Optional.of(head));
             mMustClose = true;
             mDiscarding = true;
             return;
@@ -192,6 +217,7 @@
         if (isLast && mListener.isPresent()) {
             ResponseListener listener = mListener.get();
             mListener = Optional.empty();
+            mLastUseMillis = mClock.nowMillis();
             // A server that responds before it has read the whole request still expects the rest.
             if (mMustClose || !mRequestWritten) {
                 close();
@@ -202,6 +228,28 @@
         }
     }
 
+    /** Logs bytes that do not belong to the response to the outstanding or last request. */
+    private void logUnexpected(String what, Optional<ResponseHead> head) {
+        mLog.write(
+                "connection.unexpected",
+                "id",
+                mRequestId.orElse("-"),
+                "address",
+                mAddress,
+                "connection",
+                label(),
+                "outstanding",
+                mListener.isPresent(),
+                "what",
+                what,
+                "response_id",
+                head.flatMap(ResponseHead::requestId).orElse("-"),
+                "status",
+                head.map(ResponseHead::status).orElse(0),
+                "since_use_ms",
+                mClock.nowMillis() - mLastUseMillis);
+    }
+
     /** Closes the connection, and reports the failure if a request is outstanding. */
     private void fail(String reason) {
         mMustClose = true;
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.time.Clock;
 
 /**
@@ -29,6 +30,7 @@
     private final Bootstrap mBootstrap;
     private final CallCodec mCodec;
     private final Clock mClock;
+    private final EventLog mLog;
     private final Map<String, AddressPool> mAddressPools = new HashMap<>();
     private long mOpenedCount;
 
@@ -49,9 +51,10 @@
         void onConnectFailed(String reason);
     }
 
-    UpstreamPool(EventLoopGroup loop, CallCodec codec, Clock clock) {
+    UpstreamPool(EventLoopGroup loop, CallCodec codec, Clock clock, EventLog log) {
         mCodec = codec;
         mClock = clock;
+        mLog = log;
         mBootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -90,7 +93,7 @@
         String address = host + ":" + port;
         StrictResponseDecoder decoder = new StrictResponseDecoder();
         UpstreamConnection connection =
-                new UpstreamConnection(mCodec, decoder, this, address, mClock);
+                new UpstreamConnection(mCodec, decoder, this, address, mOpenedCount, mClock, mLog);
         mBootstrap
                 .clone()
                 .handler(
