Reproduce a success where the server had answered with a failure

A stand-in on real sockets that answers a call twice and sends only the first bytes of the second answer; the next call on the kept connection is answered with 500.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.cornelway.config.Json;
 
 /**
@@ -51,6 +52,10 @@
     /** A call whose prompt contains this part crashes the server; empty for none. */
     private volatile String mPoisonPart = "";
 
+    /** How calls to a plain service are answered while no fault is injected. */
+    private volatile Function<ReceivedCall, PlannedAnswer> mAnswerPlan =
+            call -> PlannedAnswer.success();
+
     private volatile int mStreamEventCount = 5;
     private volatile long mEventIntervalMillis = 5;
     private volatile long mPausedUntilMillis;
@@ -113,6 +118,11 @@
         mFault = fault;
     }
 
+    /** Sets how calls to a plain service are answered while no fault is injected. */
+    public void planAnswers(Function<ReceivedCall, PlannedAnswer> plan) {
+        mAnswerPlan = plan;
+    }
+
     /** Makes the server crash as it begins to answer a call whose prompt contains a part. */
     public void crashOnPart(String part) {
         mPoisonPart = part;
@@ -243,8 +253,9 @@
         String model = request.headers().getOrDefault("x-model", "").split("/")[0];
         boolean loaded = model.isEmpty() || mModels.containsKey(model);
         boolean executed = loaded && mFault != Fault.OVERLOADED;
-        mReceivedCalls.add(
-                new ReceivedCall(request.line(), request.headers(), request.body(), executed));
+        ReceivedCall call =
+                new ReceivedCall(request.line(), request.headers(), request.body(), executed);
+        mReceivedCalls.add(call);
         String requestIdHeader =
                 "X-Request-Id: " + request.headers().get("x-request-id") + "\r\n" + mExtraHeaders;
         if (!loaded) {
@@ -274,7 +285,7 @@
                 if (mFault == Fault.RESUME_REJECTED && resumes) {
                     write(socket, "404 Not Found", ownHeaders, "no such stream");
                 } else {
-                    respond(socket, request, model, requestIdHeader);
+                    respond(socket, call, model, requestIdHeader);
                 }
             }
         }
@@ -307,10 +318,9 @@
 
     /** Responds to a call to a model with a stream of events, and to another one with its body. */
     private void respond(
-            NetSocket socket, RequestParser.Request request, String model, String requestIdHeader) {
+            NetSocket socket, ReceivedCall call, String model, String requestIdHeader) {
         if (!model.isEmpty()) {
-            int lastEventId =
-                    Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
+            int lastEventId = Integer.parseInt(call.headers().getOrDefault("last-event-id", "0"));
             new EventStreamWriter(
                             mVertx,
                             socket,
@@ -332,26 +342,15 @@
             socket.close();
         } else if (mFault.isUnframed()) {
             String head = "HTTP/1.1 200 OK\r\n" + requestIdHeader + SERVER_STAMP_HEADER + "\r\n";
-            socket.write(head + "done " + request.body());
+            socket.write(head + "done " + call.body());
             socket.close();
         } else {
-            write(
-                    socket,
-                    "200 OK",
-                    requestIdHeader + SERVER_STAMP_HEADER,
-                    "done " + request.body());
+            String headers = requestIdHeader + SERVER_STAMP_HEADER;
+            mAnswerPlan.apply(call).write(mVertx, socket, headers, "done " + call.body());
         }
     }
 
     private static void write(NetSocket socket, String status, String headers, String body) {
-        socket.write(
-                "HTTP/1.1 "
-                        + status
-                        + "\r\n"
-                        + headers
-                        + "Content-Length: "
-                        + body.length()
-                        + "\r\n\r\n"
-                        + body);
+        socket.write(PlannedAnswer.format(status, headers, body));
     }
 }
--- /dev/null
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
@@ -0,0 +1,62 @@
+package org.cornelway.standin.platform;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
+import java.util.Optional;
+
+/**
+ * How a {@link BackendServerStandin} answers one call to a plain service. Immutable.
+ *
+ * @param status status code and reason of the answer
+ * @param repetition a second answer that the server sends for the same call, as a faulty server may
+ */
+public record PlannedAnswer(String status, Optional<Repetition> repetition) {
+    private static final PlannedAnswer SUCCESS = new PlannedAnswer("200 OK", Optional.empty());
+
+    /**
+     * A second answer to a call. Immutable.
+     *
+     * @param delayMillis time from the answer to its repetition; 0 if both are written at once
+     * @param status status code and reason of the repetition
+     * @param length number of bytes of the repetition that are sent; the rest never comes
+     */
+    public record Repetition(long delayMillis, String status, int length) {}
+
+    /** The answer of a server that works normally. */
+    public static PlannedAnswer success() {
+        return SUCCESS;
+    }
+
+    /**
+     * Writes the answer, and its repetition when it is due.
+     *
+     * @param headers header lines in addition to those of the framing
+     */
+    void write(Vertx vertx, NetSocket socket, String headers, String body) {
+        String answer = format(status, headers, body);
+        if (repetition.isEmpty()) {
+            socket.write(answer);
+            return;
+        }
+        String whole = format(repetition.get().status(), headers, body);
+        String repeated = whole.substring(0, Math.min(whole.length(), repetition.get().length()));
+        if (repetition.get().delayMillis() == 0) {
+            socket.write(answer + repeated);
+        } else {
+            socket.write(answer);
+            vertx.setTimer(repetition.get().delayMillis(), timer -> socket.write(repeated));
+        }
+    }
+
+    /** Returns an HTTP response with a body of a stated length. */
+    static String format(String status, String headers, String body) {
+        return "HTTP/1.1 "
+                + status
+                + "\r\n"
+                + headers
+                + "Content-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+}
