Keep no connection on which bytes came that no response accounts for

Cause: what a server sends on an idle connection was noticed only as a whole message. The first bytes of a late copy of the answer before, such as 'HTTP/1.1 200 O', stayed in the decoder, the connection went to the next call, and the answer to that call completed the head: the status is the copy's, id, signature and body are the answer's. A success completed by a success looks right, so only failures showed. The connection was also put back into the pool before the rest of the same read was looked at.

Ruled out: the comparison of ids (the id is right), the flag for HEAD.

Change: the decoder knows whether a response is expected and marks bytes that come otherwise; such a connection is closed and never reused; a connection goes back to its pool after the read that ended its response. Bytes that come after the next call was sent cannot be told from its answer by time, so a head with a status line in its reason or in a value is malformed.

Before: RepeatedAnswerProcessTest 3 of 3 cases got 200 after 13 bytes of a copy. After: 3 of 3 pass for each length of 1 to 150 bytes, and UpstreamConnectionTest (the copy comes after the call was sent) for each length of a head.

--- a/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
+++ b/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
@@ -12,13 +12,22 @@
  * Decodes the responses of a backend server or of the platform and rejects those with ambiguous
  * framing. A response to HEAD has no body, whatever its headers state.
  *
+ * <p>Tells bytes that arrive while a response is expected from all others, even if they are only a
+ * part of a message.
+ *
  * <p>Confined to its connection.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_HEAD_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 16 << 10;
 
-    private boolean mNextBodyless;
+    /** Whether a request is outstanding, so that a response is expected. */
+    private boolean mExpecting;
+
+    private boolean mBodyless;
+
+    /** Whether bytes have arrived while no response was expected. */
+    private boolean mUnexpectedBytes;
 
     /** Bytes decoded since the last message; the superclass skips some bytes without a limit. */
     private int mBytesWithoutMessage;
@@ -31,14 +40,30 @@
                         .setAllowDuplicateContentLengths(false));
     }
 
-    /** Sets whether the next response has no body, because its request was HEAD. */
-    void setNextBodyless(boolean bodyless) {
-        mNextBodyless = bodyless;
+    /**
+     * Expects a response from now on.
+     *
+     * @param bodyless whether the response has no body, because its request is HEAD
+     */
+    void expectResponse(boolean bodyless) {
+        mExpecting = true;
+        mBodyless = bodyless;
     }
 
-    /** Whether bytes were received that are not decoded yet. */
-    boolean hasBufferedBytes() {
-        return actualReadableBytes() > 0;
+    /** Expects no response any more: it is complete, or nobody waits for it. */
+    void endResponse() {
+        mExpecting = false;
+    }
+
+    /** Whether the server has sent bytes, decoded or not, that belong to no expected response. */
+    boolean hasUnexpectedBytes() {
+        return mUnexpectedBytes || !mExpecting && actualReadableBytes() > 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        mUnexpectedBytes |= !mExpecting && message instanceof ByteBuf bytes && bytes.isReadable();
+        super.channelRead(context, message);
     }
 
     /**
@@ -62,7 +87,7 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return mNextBodyless || super.isContentAlwaysEmpty(message);
+        return mBodyless || super.isContentAlwaysEmpty(message);
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -18,8 +18,9 @@
  *
  * <p>Invariants: a response that belongs to another request is read to its end and discarded, and
  * the connection is not used for further requests; bytes that arrive while no request is
- * outstanding are discarded and the connection is closed. Confined to the traffic thread; lives
- * from the connect to the close.
+ * outstanding, even a part of a head, are discarded and the connection is closed. A connection is
+ * returned to the pool only after the read that brought the end of its response, so that bytes
+ * behind it are seen before. Confined to the traffic thread; lives from the connect to the close.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     /**
@@ -64,6 +65,10 @@
     private boolean mDiscarding;
 
     private boolean mMustClose;
+
+    /** Whether the response is complete, and the connection not back in the pool yet. */
+    private boolean mReleasePending;
+
     private Deadline mReusableUntil;
 
     /** When the last request was sent or its response ended, in milliseconds since the epoch. */
@@ -98,14 +103,14 @@
 
     /** Whether a request can be sent now without racing with the server's close. */
     boolean isReusable() {
-        return !mMustClose && mChannel.isActive() && !mReusableUntil.isPast(mClock.nowMillis());
+        return !mMustClose
+                && mChannel.isActive()
+                && !mDecoder.hasUnexpectedBytes()
+                && !mReusableUntil.isPast(mClock.nowMillis());
     }
 
     /** Sends a request; the connection must be reusable and idle. */
     void send(UpstreamRequest request, ResponseListener listener) {
-        if (mDecoder.hasBufferedBytes()) {
-            logUnexpected("bytes of an incomplete response", Optional.empty());
-        }
         mRequestCount++;
         mLastUseMillis = mClock.nowMillis();
         mListener = Optional.of(listener);
@@ -113,7 +118,7 @@
         mRequestId = request.requestId();
         mRequestWritten = false;
         mHeadReceived = false;
-        mDecoder.setNextBodyless(request.method().equals(HttpMethod.HEAD));
+        mDecoder.expectResponse(request.method().equals(HttpMethod.HEAD));
         mChannel.writeAndFlush(request.message())
                 .addListener(
                         future -> {
@@ -158,6 +163,7 @@
                 ResponseHead head = mCodec.readResponseHead(response);
                 mNoticeReader.ifPresent(reader -> reader.read(head));
                 logUnexpected("a response while no request was outstanding", Optional.of(head));
+                mMustClose = true;
             }
             close();
             return;
@@ -171,6 +177,10 @@
     }
 
     private void onHead(HttpResponse response) {
+        if (ResponseValidator.containsStatusLine(response)) {
+            fail("malformed answer: a status line within the head");
+            return;
+        }
         if (response.status().code() / 100 == 1) {
             // An interim response; its end is discarded, and the final response follows.
             mDiscarding = true;
@@ -218,12 +228,10 @@
             ResponseListener listener = mListener.get();
             mListener = Optional.empty();
             mLastUseMillis = mClock.nowMillis();
+            mDecoder.endResponse();
             // A server that responds before it has read the whole request still expects the rest.
-            if (mMustClose || !mRequestWritten) {
-                close();
-            } else {
-                mPool.release(this);
-            }
+            mMustClose |= !mRequestWritten;
+            mReleasePending = true;
             listener.onEnd();
         }
     }
@@ -250,6 +258,24 @@
                 mClock.nowMillis() - mLastUseMillis);
     }
 
+    /** Returns the connection to the pool if its response has ended and nothing came behind it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        boolean isReleased = mReleasePending;
+        mReleasePending = false;
+        if (mListener.isPresent()) {
+            return;
+        }
+        if (mDecoder.hasUnexpectedBytes() && !mMustClose) {
+            logUnexpected("bytes while no request was outstanding", Optional.empty());
+            close();
+        } else if (mMustClose) {
+            close();
+        } else if (isReleased) {
+            mPool.release(this);
+        }
+    }
+
     /** Closes the connection, and reports the failure if a request is outstanding. */
     private void fail(String reason) {
         mMustClose = true;
