Release the ports of a test fleet when it is closed

Seen once: RepeatedAnswerProcessTest failed to start with 'found no range of 3 free ports' beside four other builds. Each fleet kept one of 100 blocks of ports until its process ended, one for each test method, so two or three runs of the tests on one machine used them up.

Change: the reservation ends with the fleet, after its processes have ended. The test passes beside the same builds.

--- a/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/FleetPorts.java
@@ -4,8 +4,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
 import org.cornelway.standin.StandinProgram;
 
 /**
@@ -28,8 +28,8 @@
      */
     private static final int FIRST_LOCK_PORT = 19_800;
 
-    /** Sockets on the lock ports that this process holds; never closed. */
-    private static final List<ServerSocket> LOCK_SOCKETS = new ArrayList<>();
+    /** Sockets on the lock ports that this process holds, by port. Guarded by the class. */
+    private static final Map<Integer, ServerSocket> LOCK_SOCKETS = new HashMap<>();
 
     private final int mBase;
     private final FleetSize mSize;
@@ -46,8 +46,8 @@
 
     /**
      * Reserves a range of free ports and returns the first port. The range lies below the ephemeral
-     * ports of the operating system. It stays reserved until this process ends, so that fleets of
-     * different processes never use the same ports.
+     * ports of the operating system. It stays reserved until it is released or this process ends,
+     * so that fleets of different processes never use the same ports.
      *
      * @param count number of ports
      * @throws IllegalStateException if no such range is free
@@ -68,9 +68,10 @@
      */
     private static synchronized boolean reserveBlocks(int base, int count) {
         for (int from = base; from < base + count; from += BLOCK_SIZE) {
-            int lockPort = FIRST_LOCK_PORT + (from - FIRST_BASE) / BLOCK_SIZE;
+            int lockPort = lockPort(from);
             try {
-                LOCK_SOCKETS.add(new ServerSocket(lockPort, 1, InetAddress.getByName("127.0.0.1")));
+                InetAddress loopback = InetAddress.getByName("127.0.0.1");
+                LOCK_SOCKETS.put(lockPort, new ServerSocket(lockPort, 1, loopback));
             } catch (IOException e) {
                 return false;
             }
@@ -78,6 +79,27 @@
         return true;
     }
 
+    private static int lockPort(int from) {
+        return FIRST_LOCK_PORT + (from - FIRST_BASE) / BLOCK_SIZE;
+    }
+
+    /** Releases a range, once nothing listens on its ports any more. */
+    public static synchronized void releaseRange(int base, int count) {
+        for (int from = base; from < base + count; from += BLOCK_SIZE) {
+            try (ServerSocket lock = LOCK_SOCKETS.remove(lockPort(from))) {
+                // Closing the socket frees the lock port.
+                continue;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Releases the ports of this fleet. */
+    void release() {
+        releaseRange(mBase, portCount(mSize));
+    }
+
     private static int portCount(FleetSize size) {
         int servers = size.engines() + size.plainInstances();
         // One port for each backend server, two for each agent and entry, one for each agent proxy.
--- a/org.cornelway.bench/src/org/cornelway/bench/ProcessFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/ProcessFleet.java
@@ -395,5 +395,6 @@
         mProcesses.values().forEach(ProcessFleet::awaitEnd);
         mProcesses.clear();
         mVertx.close().await();
+        mPorts.release();
     }
 }
--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -45,6 +45,7 @@
     private final Map<String, BackendServerStandin> mServers = new HashMap<>();
     private final Map<Integer, Process> mEntries = new HashMap<>();
     private final List<Ports> mPorts = new ArrayList<>();
+    private final int mFirstPort;
     private int mConfigurationCount;
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
@@ -64,9 +65,9 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        int firstPort = FleetPorts.reserveRange(PORTS_PER_ENTRY * entryCount);
+        mFirstPort = FleetPorts.reserveRange(PORTS_PER_ENTRY * entryCount);
         for (int i = 0; i < entryCount; i++) {
-            int base = firstPort + PORTS_PER_ENTRY * i;
+            int base = mFirstPort + PORTS_PER_ENTRY * i;
             mPorts.add(new Ports(base, base + 1, base + 2));
         }
     }
@@ -297,5 +298,6 @@
         mServers.values().forEach(BackendServerStandin::close);
         mStore.close();
         mVertx.close().await();
+        FleetPorts.releaseRange(mFirstPort, PORTS_PER_ENTRY * mPorts.size());
     }
 }
