Send no call twice on one connection

What callers could see: a success for a call that may be repeated, although each server that it was sent to had answered with a failure.

Cause: answers are told apart by the id of their call, and a call that is sent again bears the same id. If it goes out on a connection that carried it before, a late second answer to the first send passes for the answer to the later one.

Ruled out as the cause of the users' cases: alarm-ack is sent once.

Change: a call remembers the connections that it was sent on, and the pool passes over them.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
@@ -7,11 +7,12 @@
 /**
  * How a {@link BackendServerStandin} answers one call to a plain service. Immutable.
  *
+ * @param delayMillis time from the call to its answer
  * @param status status code and reason of the answer
  * @param repetition a second answer that the server sends for the same call, as a faulty server may
  */
-public record PlannedAnswer(String status, Optional<Repetition> repetition) {
-    private static final PlannedAnswer SUCCESS = new PlannedAnswer("200 OK", Optional.empty());
+public record PlannedAnswer(long delayMillis, String status, Optional<Repetition> repetition) {
+    private static final PlannedAnswer SUCCESS = new PlannedAnswer(0, "200 OK", Optional.empty());
 
     /**
      * A second answer to a call. Immutable.
@@ -34,17 +35,32 @@
      */
     void write(Vertx vertx, NetSocket socket, String headers, String body) {
         String answer = format(status, headers, body);
-        if (repetition.isEmpty()) {
-            socket.write(answer);
-            return;
-        }
-        String whole = format(repetition.get().status(), headers, body);
-        String repeated = whole.substring(0, Math.min(whole.length(), repetition.get().length()));
-        if (repetition.get().delayMillis() == 0) {
-            socket.write(answer + repeated);
+        String glued =
+                repetition
+                        .filter(each -> each.delayMillis() == 0)
+                        .map(each -> repeated(each, headers, body))
+                        .orElse("");
+        later(vertx, delayMillis, () -> socket.write(answer + glued));
+        repetition
+                .filter(each -> each.delayMillis() > 0)
+                .ifPresent(
+                        each ->
+                                later(
+                                        vertx,
+                                        delayMillis + each.delayMillis(),
+                                        () -> socket.write(repeated(each, headers, body))));
+    }
+
+    private static String repeated(Repetition repetition, String headers, String body) {
+        String whole = format(repetition.status(), headers, body);
+        return whole.substring(0, Math.min(whole.length(), repetition.length()));
+    }
+
+    private static void later(Vertx vertx, long delayMillis, Runnable action) {
+        if (delayMillis == 0) {
+            action.run();
         } else {
-            socket.write(answer);
-            vertx.setTimer(repetition.get().delayMillis(), timer -> socket.write(repeated));
+            vertx.setTimer(delayMillis, timer -> action.run());
         }
     }
 
--- a/org.cornelway.test/tst/org/cornelway/direct/RepeatedAnswerProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RepeatedAnswerProcessTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelway.bench.LoopbackHttpClient.Response;
 import org.cornelway.bench.direct.DirectFleet;
 import org.cornelway.standin.platform.PlannedAnswer;
@@ -16,6 +18,13 @@
     private static final String FIRST_CALL = "first";
     private static final String SECOND_CALL = "second";
 
+    private static final int FAILURE_STATUS = 500;
+
+    /** Delay of a copy that comes while a later send of its call waits for an answer. */
+    private static final long COPY_DELAY_MILLIS = 200;
+
+    private static final long LAST_ANSWER_MILLIS = 500;
+
     /** Longer than the head of an answer of the stand-in. */
     private static final int MAX_HEAD_BYTES = 150;
 
@@ -28,6 +37,10 @@
     @Override
     void prepareFleet(DirectFleet fleet) {
         fleet.announce(DirectFleet.PLAIN_SERVICE, "p2", "draining", 2);
+        fleet.configure(
+                routes ->
+                        DirectFleet.addRoute(
+                                routes, "/thrice/", "safe", DirectFleet.PLAIN_SERVICE, 3));
     }
 
     @DataProvider
@@ -58,10 +71,31 @@
     private void repeatFirstAnswer(int length, long delayMillis) {
         PlannedAnswer repeated =
                 new PlannedAnswer(
+                        0,
                         SUCCESS,
                         Optional.of(new PlannedAnswer.Repetition(delayMillis, SUCCESS, length)));
-        PlannedAnswer failure = new PlannedAnswer(FAILURE, Optional.empty());
+        PlannedAnswer failure = new PlannedAnswer(0, FAILURE, Optional.empty());
         fleet().backendServer("p1")
                 .planAnswers(call -> call.body().equals(FIRST_CALL) ? repeated : failure);
     }
+
+    /** Guards against a copy of an answer that is taken for the answer to a repeated send. */
+    @Test
+    public void copyOfTheFirstAnswerIsNotTakenForTheAnswerToALaterSend() {
+        PlannedAnswer first =
+                new PlannedAnswer(
+                        0,
+                        FAILURE,
+                        Optional.of(
+                                new PlannedAnswer.Repetition(
+                                        COPY_DELAY_MILLIS, SUCCESS, Integer.MAX_VALUE)));
+        PlannedAnswer second = new PlannedAnswer(0, FAILURE, Optional.empty());
+        PlannedAnswer third = new PlannedAnswer(LAST_ANSWER_MILLIS, FAILURE, Optional.empty());
+        List<PlannedAnswer> answers = List.of(first, second, third);
+        AtomicInteger sends = new AtomicInteger();
+        fleet().backendServer("p1").planAnswers(call -> answers.get(sends.getAndIncrement()));
+        Response response = call("/thrice/a", FIRST_CALL);
+        assertThat(sends).hasValue(answers.size());
+        assertThat(response.status()).as(response.toString()).isEqualTo(FAILURE_STATUS);
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
+++ b/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
@@ -83,11 +83,16 @@
     }
 
     /**
-     * Returns the time without data after which the server counts as silent.
+     * Whether the server counts as silent. If it has failed recently, it does so after half the
+     * usual time.
      *
      * @param begun whether the caller has received a part of the stream
      */
-    static long stallLimitMillis(Route route, boolean begun) {
+    boolean isStalled(Route route, boolean begun, boolean hasRecentFailure) {
+        return silentMillis() > stallLimitMillis(route, begun) / (hasRecentFailure ? 2 : 1);
+    }
+
+    private static long stallLimitMillis(Route route, boolean begun) {
         if (route.kind() == CallKind.SAFE) {
             return SAFE_STALL_MILLIS;
         }
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -24,6 +24,7 @@
     private final CallHandler mCallHandler;
     private final CallerRequest mRequest;
     private final ServerRecord mServer;
+    private final SendHistory mHistory;
     private final AnswerProgress mProgress;
     private final PromptEvidence mEvidence;
     private Optional<UpstreamConnection> mConnection = Optional.empty();
@@ -43,11 +44,13 @@
             TrafficContext context,
             CallHandler callHandler,
             CallerRequest request,
-            ServerRecord server) {
+            ServerRecord server,
+            SendHistory history) {
         mContext = context;
         mCallHandler = callHandler;
         mRequest = request;
         mServer = server;
+        mHistory = history;
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
     }
@@ -77,6 +80,11 @@
         mContext.pool().acquire(mServer.host(), mServer.port(), this);
     }
 
+    @Override
+    public boolean accepts(UpstreamConnection connection) {
+        return !mHistory.wasSentOn(connection);
+    }
+
     /**
      * Sends the call. If the traffic thread is late, reads the caller's connection once more
      * before, since the caller may have left while the connection to the server was opened.
@@ -117,6 +125,7 @@
         mConnection = Optional.of(connection);
         mProgress.record();
         mSentMillis = nowMillis();
+        mHistory.recordConnection(connection);
         connection.send(request, this);
         mCallHandler.log().recordConnection(connection);
     }
@@ -139,11 +148,7 @@
     }
 
     private UpstreamRequest buildUpstreamRequest() {
-        Optional<String> lastEventId =
-                mCallHandler
-                        .relay()
-                        .filter(StreamRelay::isHeadSent)
-                        .flatMap(StreamRelay::lastEventId);
+        Optional<String> lastEventId = mCallHandler.relay().flatMap(StreamRelay::resumeAfter);
         Optional<Integer> priority =
                 mRequest.head().target().map(target -> EnginePriority.of(mCallHandler.route()));
         long remainingMillis = mCallHandler.deadline().remainingMillis(nowMillis());
@@ -349,19 +354,17 @@
      * Checks whether the server has gone silent; called periodically.
      *
      * <p>If it has, the call is sent to another server, but only if one can take it at once.
-     * Otherwise the attempt continues: silence alone never ends a response. If the server has
-     * failed recently, it counts as silent after half the usual time.
+     * Otherwise the attempt continues: silence alone never ends a response.
      */
     void tick() {
         if (mEnded || mConnection.isEmpty()) {
             return;
         }
-        long silentMillis = mProgress.silentMillis();
-        long limitMillis =
-                AnswerProgress.stallLimitMillis(mCallHandler.route(), mCallHandler.isStreamBegun())
-                        / (mContext.loads().hasRecentFailure(mServer.incarnation()) ? 2 : 1);
-        if (silentMillis > limitMillis
-                && mCallHandler.moveFromSilent(this, "silent for " + silentMillis + " ms")) {
+        boolean hasRecentFailure = mContext.loads().hasRecentFailure(mServer.incarnation());
+        boolean begun = mCallHandler.isStreamBegun();
+        if (mProgress.isStalled(mCallHandler.route(), begun, hasRecentFailure)
+                && mCallHandler.moveFromSilent(
+                        this, "silent for " + mProgress.silentMillis() + " ms")) {
             mContext.loads().recordFailure(mServer.incarnation());
         }
     }
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -196,7 +196,7 @@
 
     private void start(Candidate chosen) {
         mHistory.recordSend(chosen.server().id());
-        Attempt attempt = new Attempt(mContext, this, mRequest, chosen.server());
+        Attempt attempt = new Attempt(mContext, this, mRequest, chosen.server(), mHistory);
         mAttempt = Optional.of(attempt);
         mLog.logSend(mHistory.sends(), chosen, deadline().remainingMillis(now()));
         attempt.start();
--- a/org.cornelway/src/org/cornelway/traffic/SendHistory.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendHistory.java
@@ -10,6 +10,7 @@
     private static final int MAX_SENDS = 5;
 
     private final Set<String> mTried = new HashSet<>();
+    private final Set<UpstreamConnection> mConnections = new HashSet<>();
     private final Set<ServerIncarnation> mRefusedBy = new HashSet<>();
     private String mLastReason = "none";
     private int mSends;
@@ -22,6 +23,16 @@
         mTried.add(server);
     }
 
+    /** Records the connection that the call is sent on. */
+    void recordConnection(UpstreamConnection connection) {
+        mConnections.add(connection);
+    }
+
+    /** Whether the call was sent on a connection. */
+    boolean wasSentOn(UpstreamConnection connection) {
+        return mConnections.contains(connection);
+    }
+
     /** Records that a send reached its server. */
     void recordArrival() {
         mArrived = true;
--- a/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
@@ -83,6 +83,11 @@
         return mSequence.resumableAfter();
     }
 
+    /** Id of the event after which the next send resumes the stream; empty if none was sent. */
+    Optional<String> resumeAfter() {
+        return mHeadSent ? lastEventId() : Optional.empty();
+    }
+
     /** Whether an incomplete event was received. */
     boolean hasPartialEvent() {
         return mReader.hasPartialEvent();
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -44,6 +45,15 @@
 
     /** Receives the result of acquiring a connection. Called on the traffic thread. */
     interface AcquireListener {
+        /**
+         * Whether a kept connection may carry the request. A request that was sent on a connection
+         * before must not be sent on it again: a second response to the first send could not be
+         * told from the response to the second.
+         */
+        default boolean accepts(UpstreamConnection connection) {
+            return true;
+        }
+
         /** Passes on an open connection without an outstanding request. */
         void onAcquired(UpstreamConnection connection);
 
@@ -69,20 +79,23 @@
     }
 
     /**
-     * Passes a reusable idle connection to the listener before this method returns. If there is
-     * none, opens a connection and passes on the result later.
+     * Passes a reusable idle connection that the listener accepts to it before this method returns.
+     * If there is none, opens a connection and passes on the result later.
      */
     void acquire(String host, int port, AcquireListener listener) {
         String address = host + ":" + port;
         AddressPool pool = mAddressPools.computeIfAbsent(address, key -> new AddressPool());
-        for (UpstreamConnection idle = pool.mIdle.pollLast();
-                idle != null;
-                idle = pool.mIdle.pollLast()) {
-            if (idle.isReusable()) {
+        Iterator<UpstreamConnection> lastReleasedFirst = pool.mIdle.descendingIterator();
+        while (lastReleasedFirst.hasNext()) {
+            UpstreamConnection idle = lastReleasedFirst.next();
+            if (!idle.isReusable()) {
+                lastReleasedFirst.remove();
+                idle.close();
+            } else if (listener.accepts(idle)) {
+                lastReleasedFirst.remove();
                 listener.onAcquired(idle);
                 return;
             }
-            idle.close();
         }
         open(host, port, pool, listener);
     }
