Read a connection again before it goes back to the pool

What callers could see: a call that gets no answer until its deadline.

Cause: while the caller of a stream reads slowly, reading from its server is paused. If the end of the stream is in the same read as the part that caused the pause, the connection went back to the pool paused, and nobody resumed it: the next call on it was sent and its answer never read.

Change: reading is resumed when the connection is released.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
@@ -77,13 +77,7 @@
                 new Thread(
                         () -> {
                             try (Socket socket = server.accept()) {
-                                InputStream in = socket.getInputStream();
-                                OutputStream out = socket.getOutputStream();
-                                readHead(in);
-                                out.write(script.first().getBytes(StandardCharsets.US_ASCII));
-                                readHead(in);
-                                out.write(script.second().getBytes(StandardCharsets.US_ASCII));
-                                readHead(in);
+                                answer(socket, script);
                             } catch (IOException e) {
                                 // The client has closed the connection.
                                 return;
@@ -93,6 +87,16 @@
         thread.start();
     }
 
+    private static void answer(Socket socket, Script script) throws IOException {
+        InputStream in = socket.getInputStream();
+        OutputStream out = socket.getOutputStream();
+        readHead(in);
+        out.write(script.first().getBytes(StandardCharsets.US_ASCII));
+        readHead(in);
+        out.write(script.second().getBytes(StandardCharsets.US_ASCII));
+        readHead(in);
+    }
+
     private static void readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf(END_OF_HEAD) < 0) {
@@ -106,6 +110,13 @@
 
     /** Sends a request; the result is the status and the body, or why there is none. */
     private CompletableFuture<String> send(String id, HttpMethod method) {
+        return send(id, method, false);
+    }
+
+    /**
+     * @param pausing whether reading is paused when a part of the body has arrived
+     */
+    private CompletableFuture<String> send(String id, HttpMethod method, boolean pausing) {
         CompletableFuture<String> result = new CompletableFuture<>();
         UpstreamRequest request =
                 new UpstreamRequest(
@@ -119,23 +130,27 @@
                         mPool.acquire(
                                 "127.0.0.1",
                                 mServer.getLocalPort(),
-                                new Collector(request, result)));
+                                new Collector(request, pausing, result)));
         return result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
     /** Sends a request once there is a connection and collects the response. */
     private static final class Collector implements UpstreamPool.AcquireListener, ResponseListener {
         private final UpstreamRequest mRequest;
+        private final boolean mPausing;
         private final CompletableFuture<String> mResult;
         private final StringBuilder mText = new StringBuilder();
+        private UpstreamConnection mConnection;
 
-        Collector(UpstreamRequest request, CompletableFuture<String> result) {
+        Collector(UpstreamRequest request, boolean pausing, CompletableFuture<String> result) {
             mRequest = request;
+            mPausing = pausing;
             mResult = result;
         }
 
         @Override
         public void onAcquired(UpstreamConnection connection) {
+            mConnection = connection;
             connection.send(mRequest, this);
         }
 
@@ -152,6 +167,9 @@
         @Override
         public void onContent(ByteBuf content) {
             mText.append(content.toString(StandardCharsets.US_ASCII));
+            if (mPausing) {
+                mConnection.setReadingPaused(true);
+            }
         }
 
         @Override
@@ -176,4 +194,12 @@
                     .matches("(?s)500 failed|failed: .*");
         }
     }
+
+    /** Guards against a connection that is put back into the pool and never read again. */
+    @Test
+    public void connectionWhoseReadingWasPausedAtTheEndOfAResponseIsReadAgain() {
+        serve(new Script(FIRST_ANSWER, FAILURE));
+        assertThat(send("a", HttpMethod.POST, true).join()).isEqualTo("200 first");
+        assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -272,6 +272,7 @@
         } else if (mMustClose) {
             close();
         } else if (isReleased) {
+            setReadingPaused(false);
             mPool.release(this);
         }
     }
