Keep no connection after HEAD

What callers could see: a failure for a call whose server had answered, if the server repeated its answer to a HEAD request before.

Cause: whether a response has a body is known from the request that is outstanding. A second answer to HEAD, with the length of a body that does not come, had the next answer read as its body.

Change: a connection is closed after the response to HEAD.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
@@ -202,4 +202,16 @@
         assertThat(send("a", HttpMethod.POST, true).join()).isEqualTo("200 first");
         assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
     }
+
+    /**
+     * Guards against a copy of an answer without a body that takes the next answer for its body.
+     */
+    @Test
+    public void copyOfTheAnswerToHeadDoesNotTakeTheNextAnswerForItsBody() {
+        String head = FIRST_ANSWER.substring(0, FIRST_ANSWER.indexOf(END_OF_HEAD) + 4);
+        serve(new Script(head, head + FAILURE));
+        assertThat(send("a", HttpMethod.HEAD).join()).isEqualTo("200 ");
+        serve(new Script(FAILURE, ""));
+        assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -118,7 +118,10 @@
         mRequestId = request.requestId();
         mRequestWritten = false;
         mHeadReceived = false;
-        mDecoder.expectResponse(request.method().equals(HttpMethod.HEAD));
+        boolean bodyless = request.method().equals(HttpMethod.HEAD);
+        // A second response to HEAD would have the next response read as its body.
+        mMustClose |= bodyless;
+        mDecoder.expectResponse(bodyless);
         mChannel.writeAndFlush(request.message())
                 .addListener(
                         future -> {
