--- a/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
@@ -19,9 +19,10 @@
      *
      * @param delayMillis time from the answer to its repetition; 0 if both are written at once
      * @param status status code and reason of the repetition
-     * @param length number of bytes of the repetition that are sent; the rest never comes
+     * @param hasLength whether the head states the length of the body
+     * @param sentBytes number of bytes of the repetition that are sent; the rest never comes
      */
-    public record Repetition(long delayMillis, String status, int length) {}
+    public record Repetition(long delayMillis, String status, boolean hasLength, int sentBytes) {}
 
     /** The answer of a server that works normally. */
     public static PlannedAnswer success() {
@@ -52,8 +53,11 @@
     }
 
     private static String repeated(Repetition repetition, String headers, String body) {
-        String whole = format(repetition.status(), headers, body);
-        return whole.substring(0, Math.min(whole.length(), repetition.length()));
+        String whole =
+                repetition.hasLength()
+                        ? format(repetition.status(), headers, body)
+                        : "HTTP/1.1 " + repetition.status() + "\r\n" + headers + "\r\n" + body;
+        return whole.substring(0, Math.min(whole.length(), repetition.sentBytes()));
     }
 
     private static void later(Vertx vertx, long delayMillis, Runnable action) {
--- a/org.cornelway.test/tst/org/cornelway/direct/RepeatedAnswerProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RepeatedAnswerProcessTest.java
@@ -73,7 +73,8 @@
                 new PlannedAnswer(
                         0,
                         SUCCESS,
-                        Optional.of(new PlannedAnswer.Repetition(delayMillis, SUCCESS, length)));
+                        Optional.of(
+                                new PlannedAnswer.Repetition(delayMillis, SUCCESS, true, length)));
         PlannedAnswer failure = new PlannedAnswer(0, FAILURE, Optional.empty());
         fleet().backendServer("p1")
                 .planAnswers(call -> call.body().equals(FIRST_CALL) ? repeated : failure);
@@ -88,7 +89,7 @@
                         FAILURE,
                         Optional.of(
                                 new PlannedAnswer.Repetition(
-                                        COPY_DELAY_MILLIS, SUCCESS, Integer.MAX_VALUE)));
+                                        COPY_DELAY_MILLIS, SUCCESS, true, Integer.MAX_VALUE)));
         PlannedAnswer second = new PlannedAnswer(0, FAILURE, Optional.empty());
         PlannedAnswer third = new PlannedAnswer(LAST_ANSWER_MILLIS, FAILURE, Optional.empty());
         List<PlannedAnswer> answers = List.of(first, second, third);
