Count crashes of restarts that become known late

Cause: a crash counts once for each incarnation that an entry knew at the send. One of a restart that it did not know yet left no trace. Ruled out: second sends (one attempt on that route, each id received once), and with them moveFromSilent; evidence that is not exchanged. Change: BrokenCalls remembers calls that broke off; once an incarnation is known, those sent after its start count as its crash too. One call never counts twice. Breaks without a restart still count once, since a server in trouble may break off calls that are sound.

--- a/org.cornelway.test/tst/org/cornelway/dispatch/CrashEvidenceTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/CrashEvidenceTest.java
@@ -192,6 +192,66 @@
         }
     }
 
+    private static ServerIncarnation restarted(long startedMillis) {
+        return new ServerIncarnation("restarted", startedMillis);
+    }
+
+    /** Lets calls break off, each sent after a restart that is not known; returns the restarts. */
+    private List<ServerIncarnation> breakOffCallsToUnknownRestarts(int count) {
+        List<ServerIncarnation> starts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            mEvidence.recordCrash(POISON, restarted(1), mNow, mNow + 50);
+            starts.add(restarted(mNow + 60));
+            mNow += 150;
+        }
+        return starts;
+    }
+
+    @Test
+    public void crashesOfRestartsThatBecomeKnownLateAreCounted() {
+        List<ServerIncarnation> starts = breakOffCallsToUnknownRestarts(3);
+        assertThat(isBlocked(POISON)).isFalse();
+        starts.forEach(start -> mEvidence.recordStart(start, mNow));
+        assertThat(isBlocked(POISON)).isTrue();
+    }
+
+    @Test
+    public void crashSeenAfterTheRestartBecameKnownIsCounted() {
+        ServerIncarnation start = restarted(mNow);
+        mEvidence.recordStart(start, mNow + 150);
+        mEvidence.recordCrash(POISON, restarted(1), mNow + 100, mNow + 200);
+        assertThat(mEvidence.snapshot().crashes()).extracting(PartCrash::server).contains(start);
+    }
+
+    @Test
+    public void breaksOfOneIncarnationAndOfOneCallCountOnce() {
+        breakOffCallsToUnknownRestarts(5);
+        mEvidence.recordStart(restarted(mNow), mNow);
+        assertThat(isBlocked(POISON)).isFalse();
+        long sent = mNow + 100;
+        for (int i = 1; i <= 5; i++) {
+            mEvidence.recordStart(restarted(mNow + i), sent);
+        }
+        mEvidence.recordCrash(POISON, restarted(mNow), sent, sent + 50);
+        mNow += 200;
+        assertThat(isBlocked(POISON)).isFalse();
+    }
+
+    @Test
+    public void processesThatSeeDifferentCallsOfLateKnownRestartsBlockTheSameParts() {
+        List<ServerIncarnation> starts = breakOffCallsToUnknownRestarts(4);
+        starts.forEach(start -> mEvidence.recordStart(start, mNow));
+        List<PartCrash> crashes = new ArrayList<>(mEvidence.snapshot().crashes());
+        Random random = new Random(2);
+        for (int i = 0; i < 50; i++) {
+            Collections.shuffle(crashes, random);
+            CrashEvidence other = new CrashEvidence();
+            crashes.forEach(crash -> other.merge(List.of(crash), List.of(), mNow));
+            assertThat(other.blockedUntil(POISON, mNow))
+                    .isEqualTo(mEvidence.blockedUntil(POISON, mNow));
+        }
+    }
+
     @Test
     public void crashesSeenByDifferentProcessesAddUp() {
         CrashEvidence other = new CrashEvidence();
--- a/org.cornelway/src/org/cornelway/dispatch/CrashEvidence.java
+++ b/org.cornelway/src/org/cornelway/dispatch/CrashEvidence.java
@@ -26,6 +26,10 @@
  * crashes, the one that comes last in the prompt is blocked, since fewer calls share it; if that is
  * wrong, the next crash shows it.
  *
+ * <p>Breaks at one incarnation of a server count once, however many there are, since a server in
+ * trouble may break off calls without a crash. A restart that becomes known later than calls
+ * reached it is made up for by {@link BrokenCalls}.
+ *
  * <p>Invariants: the blocked parts depend only on what was recorded or merged, not on the order, so
  * that processes that exchange their evidence block the same parts; the numbers of parts are
  * bounded. Not thread-safe, except {@link #blockedCount}.
@@ -56,6 +60,9 @@
     /** The crashes of each suspected part, by server. */
     private final Map<String, Map<ServerIncarnation, PartCrash>> mCrashes = new HashMap<>();
 
+    /** Calls that broke off, by which crashes of incarnations that are not known yet are found. */
+    private final BrokenCalls mBrokenCalls = new BrokenCalls();
+
     /** Suspected parts that were cleared. */
     private final Set<String> mCleared = new HashSet<>();
 
@@ -89,14 +96,36 @@
      */
     public List<String> recordCrash(
             List<String> parts, ServerIncarnation server, long sentMillis, long nowMillis) {
+        BrokenCalls.BrokenCall call =
+                new BrokenCalls.BrokenCall(parts, server, sentMillis, nowMillis);
+        List<PartCrash> suspects = suspects(call, server);
+        merge(suspects, List.of(), nowMillis);
+        for (ServerIncarnation later : mBrokenCalls.addCall(call)) {
+            merge(suspects(call, later), List.of(), nowMillis);
+        }
+        return suspects.stream().map(PartCrash::part).toList();
+    }
+
+    /**
+     * Records that an incarnation of a server is known from now on. Calls that were sent after its
+     * start to an earlier incarnation, and that broke off, count as its crash too.
+     */
+    public void recordStart(ServerIncarnation started, long nowMillis) {
+        for (BrokenCalls.BrokenCall call : mBrokenCalls.addStart(started)) {
+            merge(suspects(call, started), List.of(), nowMillis);
+        }
+    }
+
+    private List<PartCrash> suspects(BrokenCalls.BrokenCall call, ServerIncarnation server) {
         List<PartCrash> suspects = new ArrayList<>();
-        for (int i = 0; i < parts.size(); i++) {
-            if (!isCleared(parts.get(i))) {
-                suspects.add(new PartCrash(parts.get(i), i, server, sentMillis, nowMillis));
+        for (int i = 0; i < call.parts().size(); i++) {
+            String part = call.parts().get(i);
+            if (!isCleared(part)) {
+                suspects.add(
+                        new PartCrash(part, i, server, call.sentMillis(), call.brokenMillis()));
             }
         }
-        merge(suspects, List.of(), nowMillis);
-        return suspects.stream().map(PartCrash::part).toList();
+        return suspects;
     }
 
     private boolean isCleared(String part) {
--- a/org.cornelway/src/org/cornelway/role/ClusterState.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterState.java
@@ -1,6 +1,7 @@
 package org.cornelway.role;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -47,6 +48,9 @@
     /** What the last line on each server says. */
     private final Map<String, LoggedServer> mLoggedServers = new HashMap<>();
 
+    /** Incarnations that became known since they were last taken, in that order. */
+    private final List<ServerIncarnation> mStartedServers = new ArrayList<>();
+
     private Optional<RouteTable> mRoutes = Optional.empty();
 
     /** Ids of the registered members, the first candidate for controller first. */
@@ -138,25 +142,29 @@
         }
         boolean changed = mDirectory.put(record.get(), document.revision());
         if (changed) {
-            logIfNew(record.get(), document.revision());
+            recordIfNew(record.get(), document.revision());
         }
         return changed;
     }
 
     /**
-     * Logs a server unless its last line says the same. What an engine holds changes too often for
-     * a line of each entry; the controller logs the orders.
+     * Logs a server unless its last line says the same, and remembers a new incarnation. What an
+     * engine holds changes too often for a line of each entry; the controller logs the orders.
      */
-    private void logIfNew(ServerRecord server, long revision) {
+    private void recordIfNew(ServerRecord server, long revision) {
         LoggedServer line =
                 new LoggedServer(
                         server.incarnation(),
                         server.service(),
                         server.address(),
                         server.draining());
-        if (line.equals(mLoggedServers.put(server.id(), line))) {
+        LoggedServer before = mLoggedServers.put(server.id(), line);
+        if (line.equals(before)) {
             return;
         }
+        if (before == null || !before.incarnation().equals(server.incarnation())) {
+            mStartedServers.add(server.incarnation());
+        }
         mLog.write(
                 "server.known",
                 "server",
@@ -173,6 +181,16 @@
                 revision);
     }
 
+    /**
+     * Returns the incarnations of servers that have become known since the last call, also those
+     * that later ones have replaced.
+     */
+    List<ServerIncarnation> takeStartedServers() {
+        List<ServerIncarnation> started = List.copyOf(mStartedServers);
+        mStartedServers.clear();
+        return started;
+    }
+
     private void updateMembers() {
         List<ClusterMember> registrations = registrations();
         mMembers.update(registrations.stream().map(ClusterMember::toMember).toList());
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -253,6 +253,7 @@
 
     private void publish() {
         mTraffic.publish(mClusterState.trafficView());
+        mClusterState.takeStartedServers().forEach(mTraffic::recordServerStart);
         mControlPlane.onClusterStateChanged();
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -196,6 +196,11 @@
                 () -> receiver.accept(new TrafficReport(mUsage.snapshot(), mEvidence.snapshot())));
     }
 
+    /** Records an incarnation of a server that has become known, for the evidence on crashes. */
+    public void recordServerStart(ServerIncarnation started) {
+        mLoop.execute(() -> mEvidence.recordStart(started, mContext.clock().nowMillis()));
+    }
+
     /** Adds the controller's evidence on parts of prompts that crash servers. */
     public void mergeEvidence(CrashEvidence.Snapshot evidence) {
         mLoop.execute(
