Give each request to a model engine its own connection

Where a model engine answers a request twice, the second time late, the next caller got the text of the caller before with status 200, or a failure, and an order that the engine had refused counted as done.

Cause: HttpModelEngine kept its connections. Vert.x's client takes the next response on a connection for the answer to the request sent last, and no engine is obliged to echo an id that could be compared.

Now each status, order and completion has a connection of its own, as calls to plain services have had. Price: one connection to the engine beside the agent for a completion or an order, two for a status each 10 s.

--- a/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
@@ -32,7 +32,8 @@
      * @param maxConnections largest number of open connections; further requests wait for one
      * @param connectTimeoutMillis longest time that a request waits for a connection
      * @param keepAlive whether connections are reused; if not, each request opens a new one, so
-     *     that a dead connection is detected before any byte of the request is sent
+     *     that a dead connection is detected before any byte of the request is sent, and no late
+     *     answer to an earlier request can be taken for the answer to this one
      */
     public HttpEndpointClient(
             Vertx vertx,
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
@@ -30,7 +30,8 @@
  * repository extension of the Open Inference Protocol; orders for adapters use vLLM's API for LoRA
  * adapters.
  *
- * <p>Thread-safe.
+ * <p>Invariant: each request has a connection of its own, since an engine may answer a request
+ * twice and need not state which request an answer belongs to. Thread-safe.
  */
 public final class HttpModelEngine implements ModelEngine {
     private static final String JSON = "application/json";
@@ -50,7 +51,7 @@
     public HttpModelEngine(Vertx vertx, HttpEndpoint endpoint, long orderTimeoutMillis) {
         mHttp =
                 new HttpEndpointClient(
-                        vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS, true);
+                        vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS, false);
         mOrderTimeoutMillis = orderTimeoutMillis;
     }
 
