Write no body in responses to HEAD

Cause: responses to callers were encoded without the method of their request. Forwarded responses were right only since a server's response to HEAD has no body.

Change: the encoder of a caller's connection is told, as the decoder of a server's connection is; headers stay as they were.

Ruled out: answers of servers cut in their head (CutAnswerProcessTest.answerCutAfterAnyByteIsNoSuccess passes before and after); pipelined calls, which are begun after the response before was written.

--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -55,6 +55,7 @@
     private static final long DEFAULT_TIMEOUT_MILLIS = 86_400_000;
 
     private final TrafficContext mContext;
+    private final CallerResponseEncoder mEncoder;
     private final BooleanSupplier mDraining;
     private final BooleanSupplier mAcceptingStopped;
     private final Consumer<CallerConnection> mOnClosed;
@@ -76,16 +77,19 @@
     private boolean mIsHeadRequest;
 
     /**
+     * @param encoder encoder of the responses on this connection
      * @param draining whether callers are asked to close the connection after each response
      * @param acceptingStopped whether new calls are refused because the process stops
      * @param onClosed called after the connection has closed
      */
     CallerConnection(
             TrafficContext context,
+            CallerResponseEncoder encoder,
             BooleanSupplier draining,
             BooleanSupplier acceptingStopped,
             Consumer<CallerConnection> onClosed) {
         mContext = context;
+        mEncoder = encoder;
         mDraining = draining;
         mAcceptingStopped = acceptingStopped;
         mOnClosed = onClosed;
@@ -174,6 +178,7 @@
         CallerLimits limits = mContext.view().get().limits();
         mCloseAfterResponse = !HttpUtil.isKeepAlive(head);
         mIsHeadRequest = head.method().equals(HttpMethod.HEAD);
+        mEncoder.setNextBodyless(mIsHeadRequest);
         Optional<HttpResponseStatus> errorStatus = RequestValidator.validate(head, limits);
         if (errorStatus.isPresent()) {
             reject(errorStatus.get());
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.HashSet;
@@ -201,18 +200,17 @@
         @Override
         protected void initChannel(Channel channel) {
             int maxHeaderBytes = mContext.view().get().limits().maxHeaderBytes();
+            CallerResponseEncoder encoder = new CallerResponseEncoder();
             CallerConnection connection =
                     new CallerConnection(
                             mContext,
+                            encoder,
                             () -> mDraining,
                             () -> mAcceptingStopped,
                             mConnections::remove);
             mConnections.add(connection);
             channel.pipeline()
-                    .addLast(
-                            new StrictRequestDecoder(maxHeaderBytes),
-                            new HttpResponseEncoder(),
-                            connection);
+                    .addLast(new StrictRequestDecoder(maxHeaderBytes), encoder, connection);
         }
     }
 }
