Take no empty body for a document of the key-value service

What could be seen (no report of ours): a service that closes right after the head of a 200 with neither length nor chunks gave a complete listing without keys at revision 0, which takes all servers out of the directory; a lease with the number 0, so that keys are written without one; a write at revision 0. With etcd's API a write that was done read as a conflict with a key that does not exist.

Cause: such a response is complete by its framing, and the JSON mapper reads an empty body as a value without fields.

Ruled out by cutting each answer after each byte: a body with a length or chunks, a reset, a part of a document, reports and replies to orders (CutEngineAnswerTest passes before and after), plain services and completions over Vert.x.

--- a/org.cornelway/src/org/cornelway/config/Json.java
+++ b/org.cornelway/src/org/cornelway/config/Json.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -31,6 +32,20 @@
         return LENIENT;
     }
 
+    /**
+     * Reads the JSON object or array in a response of another system.
+     *
+     * @throws IOException if there is no complete object or array, as in a response whose body was
+     *     cut; the mapper itself reads an empty body as a value without fields
+     */
+    public static JsonNode readDocument(byte[] bytes) throws IOException {
+        JsonNode node = LENIENT.readTree(bytes);
+        if (!node.isContainerNode()) {
+            throw new IOException("not a JSON object or array; length in bytes: " + bytes.length);
+        }
+        return node;
+    }
+
     /** Returns the JSON form of a value. */
     public static byte[] write(Object value) {
         try {
--- a/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -209,7 +209,7 @@
                             if (!reply.isSuccess()) {
                                 throw new IOException(path + " answered status " + reply.status());
                             }
-                            return Json.lenientMapper().readTree(reply.body());
+                            return Json.readDocument(reply.body());
                         });
     }
 
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpCheckpointStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpCheckpointStore.java
@@ -34,6 +34,6 @@
         if (!reply.isSuccess()) {
             throw new IOException("the checkpoint store answered status " + reply.status());
         }
-        return Optional.of(Json.lenientMapper().readTree(reply.body()).path("bytes").asLong());
+        return Optional.of(Json.readDocument(reply.body()).path("bytes").asLong());
     }
 }
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
@@ -137,7 +137,7 @@
                             if (!reply.isSuccess()) {
                                 throw new IOException(path + " answered status " + reply.status());
                             }
-                            return Json.lenientMapper().readTree(reply.body());
+                            return Json.readDocument(reply.body());
                         });
     }
 
@@ -181,7 +181,7 @@
             return new OrderOutcome.Done();
         }
         if (reply.status() == CONFLICT) {
-            JsonNode body = Json.lenientMapper().readTree(reply.body());
+            JsonNode body = Json.readDocument(reply.body());
             return new OrderOutcome.Fenced(body.path("highest").asLong());
         }
         return new OrderOutcome.Rejected("the engine answered status " + reply.status());
