Keep the context of the event log

What operators saw: an entry started as a plain process, with a heap of 64 to 96 MB, wrote no line of its log.

Cause (docs/incidents/silent-log.md): Log4j holds the context weakly until the first logger is made; a garbage collection in between dropped it.

Change: Logging keeps a reference.

Test: EventLogProcessTest timed out after 30 s on the code before and passes after.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/Logging.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/Logging.java
@@ -1,10 +1,14 @@
 package org.cornelway.pgm;
 
 import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.config.Configurator;
 
 /** Configures log format and level; must be called before the first logger is created. */
 final class Logging {
+    /** The context of the event log. Log4j itself holds a context weakly until a logger is made. */
+    private static LoggerContext sEventLogContext;
+
     private Logging() {}
 
     /**
@@ -15,7 +19,9 @@
      */
     static void configureEventLog(String level) {
         useSlf4jForVertx();
-        Configurator.initialize(new EventLogConfiguration(Level.toLevel(level, Level.INFO)));
+        sEventLogContext =
+                Configurator.initialize(
+                        new EventLogConfiguration(Level.toLevel(level, Level.INFO)));
     }
 
     /**
