Let an exception of one step end neither the relay nor the lease

What could be seen: a process that exchanges no documents any more, or whose lease is never renewed again, after one exception.

Cause: both run as periodic tasks of a scheduler, which ends a task that throws; the lease also kept its call in flight for good.

Change: the relay and the list of members run as GuardedTasks; an exception of the store's client is a failed call of the lease.

--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the relay of documents between processes. */
+package org.cornelway.relay;
--- a/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
+++ b/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
@@ -132,10 +132,15 @@
         logIfLate();
         mCallInFlight = true;
         SuspendAwareClock.Mark sent = mClock.mark();
-        if (mGrant.isPresent()) {
-            renewLease(mGrant.get().id(), sent);
-        } else {
-            requestLease(sent);
+        try {
+            if (mGrant.isPresent()) {
+                renewLease(mGrant.get().id(), sent);
+            } else {
+                requestLease(sent);
+            }
+        } catch (RuntimeException e) {
+            // An exception would end the periodic steps, and with them the lease.
+            onFailure(e);
         }
     }
 
--- a/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
+++ b/org.cornelway/src/org/cornelway/relay/DocumentRelay.java
@@ -22,6 +22,7 @@
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.Member;
 import org.cornelway.supervisor.Component;
+import org.cornelway.supervisor.GuardedTask;
 
 /**
  * Keeps the cached documents of this process up to date.
@@ -62,6 +63,7 @@
     private final Scheduler mControl;
     private final RelaySettings mSettings;
     private final Random mRandom;
+    private final MetricRegistry mMetrics;
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private Optional<Disposable> mWatch = Optional.empty();
     private long mNextWatchMillis;
@@ -94,6 +96,7 @@
         mControl = control;
         mSettings = settings;
         mRandom = random;
+        mMetrics = metrics;
     }
 
     @Override
@@ -114,7 +117,10 @@
                     long initialDelay = mRandom.nextInt((int) period);
                     mTasks.add(
                             mControl.schedulePeriodicallyDirect(
-                                    this::tick, initialDelay, period, TimeUnit.MILLISECONDS));
+                                    new GuardedTask("document relay", mMetrics, this::tick),
+                                    initialDelay,
+                                    period,
+                                    TimeUnit.MILLISECONDS));
                     mControl.scheduleDirect(this::readStore);
                 });
     }
--- a/org.cornelway/src/org/cornelway/relay/MemberPoller.java
+++ b/org.cornelway/src/org/cornelway/relay/MemberPoller.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelway.platform.InstanceList;
 import org.cornelway.supervisor.Component;
+import org.cornelway.supervisor.GuardedTask;
 
 /**
  * Polls the platform's instance list and updates the member table.
@@ -49,7 +50,10 @@
                 () ->
                         mTasks.add(
                                 mControl.schedulePeriodicallyDirect(
-                                        this::poll, 0, mPeriodMillis, TimeUnit.MILLISECONDS)));
+                                        new GuardedTask("member poller", mMetrics, this::poll),
+                                        0,
+                                        mPeriodMillis,
+                                        TimeUnit.MILLISECONDS)));
     }
 
     private void poll() {
