--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -262,8 +262,7 @@
             misdirect(socket, requestIdHeader);
             return;
         }
-        String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
-        if (!mPoisonPart.isEmpty() && prompt.contains(mPoisonPart)) {
+        if (hasPoisonPart(request)) {
             crash();
             return;
         }
@@ -291,6 +290,11 @@
         }
     }
 
+    private boolean hasPoisonPart(RequestParser.Request request) {
+        String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
+        return !mPoisonPart.isEmpty() && prompt.contains(mPoisonPart);
+    }
+
     private void misdirect(NetSocket socket, String requestIdHeader) {
         String headers = requestIdHeader + "X-Instance-Id: " + mId + "\r\n";
         write(socket, "421 Misdirected Request", headers, "");
--- a/org.cornelway.test/tst/org/cornelway/direct/RepeatedAnswerProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RepeatedAnswerProcessTest.java
@@ -82,7 +82,7 @@
 
     /** Guards against a copy of an answer that is taken for the answer to a repeated send. */
     @Test
-    public void copyOfTheFirstAnswerIsNotTakenForTheAnswerToALaterSend() {
+    public void copyOfTheFirstAnswerIsNotTakenForTheAnswerToLaterSend() {
         PlannedAnswer first =
                 new PlannedAnswer(
                         0,
--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
@@ -197,7 +197,7 @@
 
     /** Guards against a connection that is put back into the pool and never read again. */
     @Test
-    public void connectionWhoseReadingWasPausedAtTheEndOfAResponseIsReadAgain() {
+    public void connectionWhoseReadingWasPausedAtTheEndOfResponseIsReadAgain() {
         serve(new Script(FIRST_ANSWER, FAILURE));
         assertThat(send("a", HttpMethod.POST, true).join()).isEqualTo("200 first");
         assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
