Keep no connection on which whole lines of a copy came

What callers could see: a failure for a call whose server had answered, if the server sent the first lines of a copy right behind its answer before.

Cause: the decoder of the library consumes a head line by line and keeps the lines. A copy that is cut at the end of a line, in the same read as the end of the answer, left no undecoded byte, so the connection counted as clean and went to the next call. The answer to that call was read as the next line of the copy's head, and was malformed.

Ruled out: a success for a failure by this way; a status line is no name of a header.

Change: bytes that were decoded after the last message count as unexpected.

Test: UpstreamFramingTest.connectionOnWhichLinesOfACopyCameIsNotKept, 5 of 5 line ends failed before and pass after.

--- a/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
+++ b/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
@@ -55,9 +55,13 @@
         mExpecting = false;
     }
 
-    /** Whether the server has sent bytes, decoded or not, that belong to no expected response. */
+    /**
+     * Whether the server has sent bytes that belong to no expected response: bytes that are not
+     * decoded yet, or whole lines of a head that the superclass keeps.
+     */
     boolean hasUnexpectedBytes() {
-        return mUnexpectedBytes || !mExpecting && actualReadableBytes() > 0;
+        boolean hasPart = actualReadableBytes() > 0 || mBytesWithoutMessage > 0;
+        return mUnexpectedBytes || !mExpecting && hasPart;
     }
 
     @Override
