Fail a call whose server switches protocols

What callers could see: a call without an answer until its deadline, while the entry read and dropped whatever its server sent.

Cause: after status 101 the decoder of the library passes on all bytes as they are, as parts of no response; the connection took 101 for an interim response and waited for the final one.

Change: status 101, for which no request asks, is a malformed answer.

Test: UpstreamFramingTest.switchOfProtocolsEndsTheCall timed out after 20 s before and passes after.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamFramingTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamFramingTest.java
@@ -185,6 +185,10 @@
         }
     }
 
+    private static String lines(String... lines) {
+        return String.join("\r\n", lines) + "\r\n";
+    }
+
     @DataProvider
     public Object[][] lineEnds() {
         int endOfHead = FIRST_ANSWER.indexOf(END_OF_HEAD) + 2;
@@ -202,4 +206,12 @@
         serve(new Script(FAILURE, ""));
         assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
     }
+
+    /** Guards against a call that waits for an answer which is not read any more. */
+    @Test
+    public void switchOfProtocolsEndsTheCall() {
+        String head = lines("HTTP/1.1 101 Switching Protocols", "Upgrade: other", "");
+        serve(new Script(head + FIRST_ANSWER, ""));
+        assertThat(send("a", HttpMethod.POST).join()).startsWith("failed: malformed answer");
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.cornelway.eventlog.EventLog;
@@ -184,6 +185,11 @@
             fail("malformed answer: a status line within the head");
             return;
         }
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // No request asks for it, and the decoder would pass on no response after it.
+            fail("malformed answer: a switch of protocols");
+            return;
+        }
         if (response.status().code() / 100 == 1) {
             // An interim response; its end is discarded, and the final response follows.
             mDiscarding = true;
