Take no address of a proxy for a status line

What callers could see: a failure for a call whose server had answered, if its head has a value such as 'Via: HTTP/1.1 192.168.0.7'.

Cause: three digits behind the version counted as a status line, also where they begin a longer word.

Change: the status must end the value or be followed by a space, as it is in every status line; the library trims the end of a value.

Test: UpstreamFramingTest.addressOfAProxyIsNoStatusLine got 'malformed answer' before and passes after; UpstreamConnectionTest (each length of a head) and UpstreamFramingTest pass.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamFramingTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamFramingTest.java
@@ -214,4 +214,12 @@
         serve(new Script(head + FIRST_ANSWER, ""));
         assertThat(send("a", HttpMethod.POST).join()).startsWith("failed: malformed answer");
     }
+
+    /** Guards against a sound answer that is dropped since a proxy has named itself in its head. */
+    @Test
+    public void addressOfAProxyIsNoStatusLine() {
+        String head = lines("HTTP/1.1 200 OK", "Via: HTTP/1.1 192.168.0.7", "X-Request-Id: a");
+        serve(new Script(head + lines("Content-Length: 2", "") + "ok", ""));
+        assertThat(send("a", HttpMethod.POST).join()).isEqualTo("200 ok");
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/ResponseValidator.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseValidator.java
@@ -12,7 +12,9 @@
  */
 final class ResponseValidator {
     private static final String VERSION_PREFIX = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [0-9]{3}");
+
+    /** Version and status; the reason behind them may be missing. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [0-9]{3}( |$)");
 
     private ResponseValidator() {}
 
