Compare the ids of replies to reports and orders

Where a server answers twice, the second time late, the copied 202 of one order counted as the reply to the next, which the server had refused with 409 or 412, and an older report counted as the new one. Calls then go to a server that does not hold the model, or a model counts as gone, until a report is read.

Cause: reports and orders stated no id, so that their replies echoed none, and any reply without an id was taken.

No more connections are opened than before.

Ruled out: a copy of a report's reply as the reply to an order decides nothing, a report follows. Left: the platform's store, which echoes no id and is not said to answer twice.

--- a/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
@@ -2,13 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineReport;
 import org.cornelway.platform.OrderReply;
+import org.cornelway.platform.SendPermit;
 import org.cornelway.platform.ServerOrder;
 import org.testng.annotations.Test;
 
@@ -147,20 +150,45 @@
             SimulatedEngine engine =
                     new SimulatedEngine(mTime, seed, 0.35, CAPACITY_MODELS, "m1", "m2");
             EngineDriver driver = newDriver(engine, true);
-            Random random = new Random(seed);
-            for (int round = 0; round < 25; round++) {
-                runFor(driver, 100 + random.nextInt(300));
-                if (driver.acceptsModelOrders()) {
-                    orderRandomLoad(driver, random);
-                }
-            }
+            orderRandomLoads(driver, seed);
+            assertThat(engine.overcommits()).as("seed " + seed).isZero();
+            runFor(driver, 20_000);
+            assertThat(driver.acceptsModelOrders()).as("seed " + seed).isTrue();
+            assertThat(driver.models().keySet()).as("seed " + seed).isEqualTo(engine.models());
+        }
+    }
+
+    @Test
+    public void copiesOfEarlierRepliesNeverOvercommitMemory() {
+        for (long seed = 0; seed < 150; seed++) {
+            SimulatedEngine engine =
+                    new SimulatedEngine(mTime, seed, 0, CAPACITY_MODELS, "m1", "m2");
+            // Orders that follow an unload at once conflict with it.
+            engine.setDrainMillis(150);
+            RepeatedReplies replies = new RepeatedReplies(engine, seed);
+            EngineDriver driver = newDriver(replies, true);
+            orderRandomLoads(driver, seed);
             assertThat(engine.overcommits()).as("seed " + seed).isZero();
+            replies.stop();
+            // A wrong view may last until the next order; its conflict requires a report.
+            orderRandomLoads(driver, seed);
             runFor(driver, 20_000);
             assertThat(driver.acceptsModelOrders()).as("seed " + seed).isTrue();
             assertThat(driver.models().keySet()).as("seed " + seed).isEqualTo(engine.models());
         }
     }
 
+    /** Orders random loads for some seconds. */
+    private void orderRandomLoads(EngineDriver driver, long seed) {
+        Random random = new Random(seed);
+        for (int round = 0; round < 25; round++) {
+            runFor(driver, 100 + random.nextInt(300));
+            if (driver.acceptsModelOrders()) {
+                orderRandomLoad(driver, random);
+            }
+        }
+    }
+
     /**
      * Orders the load of a random model unless it is loaded, and the unload of another one first if
      * there is no room, as the planner does.
@@ -175,4 +203,50 @@
         }
         driver.enqueue(order(true, requested));
     }
+
+    /** Replaces some replies of an engine by the reply to the previous request of the same kind. */
+    private static final class RepeatedReplies implements EngineControl {
+        private static final double SHARE = 0.2;
+
+        private final EngineControl mEngine;
+        private final Random mRandom;
+        private boolean mStopped;
+        private Optional<EngineReport> mLastReport = Optional.empty();
+        private Optional<OrderReply> mLastReply = Optional.empty();
+
+        RepeatedReplies(EngineControl engine, long seed) {
+            mEngine = engine;
+            mRandom = new Random(seed);
+        }
+
+        void stop() {
+            mStopped = true;
+        }
+
+        private boolean repeats() {
+            return !mStopped && mRandom.nextDouble() < SHARE;
+        }
+
+        @Override
+        public Single<EngineReport> report(ServerRecord server) {
+            return mEngine.report(server)
+                    .map(
+                            report -> {
+                                Optional<EngineReport> last = mLastReport;
+                                mLastReport = Optional.of(report);
+                                return repeats() ? last.orElse(report) : report;
+                            });
+        }
+
+        @Override
+        public Single<OrderReply> order(ServerRecord server, ServerOrder order, SendPermit permit) {
+            return mEngine.order(server, order, permit)
+                    .map(
+                            reply -> {
+                                Optional<OrderReply> last = mLastReply;
+                                mLastReply = Optional.of(reply);
+                                return repeats() ? last.orElse(reply) : reply;
+                            });
+        }
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
@@ -52,9 +52,9 @@
         EventLoop loop = (EventLoop) mGroup.next();
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         mEndpoint = new HttpEndpoint("127.0.0.1", mServer.getLocalPort());
+        WireCallCodec codec = new WireCallCodec();
         mClient =
-                new PlatformHttpClient(
-                        loop, new UpstreamPool(loop, new WireCallCodec(), Clock.system()));
+                new PlatformHttpClient(loop, new UpstreamPool(loop, codec, Clock.system()), codec);
     }
 
     @AfterMethod(alwaysRun = true)
--- a/org.cornelway/src/org/cornelway/traffic/CallCodec.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallCodec.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import org.cornelway.result.Result;
 
 /**
@@ -19,6 +20,9 @@
      */
     void writeForwardedHeaders(HttpRequest from, ForwardedHeaders head, HttpHeaders to);
 
+    /** Reads the id that a request states or that its response echoes; empty if there is none. */
+    Optional<String> readRequestId(HttpHeaders headers);
+
     /** Reads the head of a backend server's response. */
     ResponseHead readResponseHead(HttpResponse response);
 
--- a/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
@@ -26,16 +26,22 @@
  * <p>Thread-safe; requests are processed on an event loop of their own, so that they do not wait
  * for calls. Each request ends within its timeout, and one that fails with {@link NotSentException}
  * was not sent.
+ *
+ * <p>A request may state an id in its headers. It then takes no response with another id, and a
+ * response without an id only if it has no signature. A late copy of a response without an id
+ * cannot be told from the next response.
  */
 public final class PlatformHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
     private final EventLoop mLoop;
     private final UpstreamPool mPool;
+    private final CallCodec mCodec;
 
-    PlatformHttpClient(EventLoop loop, UpstreamPool pool) {
+    PlatformHttpClient(EventLoop loop, UpstreamPool pool, CallCodec codec) {
         mLoop = loop;
         mPool = pool;
+        mCodec = codec;
     }
 
     /** Does the same as {@link #send}, for a request that needs no permit. */
@@ -84,7 +90,7 @@
                         target,
                         allHeaders,
                         Unpooled.wrappedBuffer(json),
-                        Optional.empty());
+                        mCodec.readRequestId(allHeaders));
         return Single.create(
                 emitter -> {
                     PendingRequest pending = new PendingRequest(emitter, timeoutMillis, permit);
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -105,7 +105,7 @@
         mFrontServer = new FrontServer(frontEndpoint, mContext);
         EventLoop platformLoop = (EventLoop) mPlatformGroup.next();
         mPlatformPool = new UpstreamPool(platformLoop, codec, clock);
-        mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool);
+        mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool, codec);
         metrics.registerGauge("connections.opened", mPool::openedCount);
         metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
         mLoop.scheduleAtFixedRate(
