--- a/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -14,6 +15,7 @@
 import org.cornelway.RepeatingServer;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.EngineReport;
 import org.cornelway.platform.OrderReply;
 import org.cornelway.platform.SendPermit;
@@ -45,7 +47,8 @@
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = (EventLoop) mGroup.next();
         WireCallCodec codec = new WireCallCodec();
-        UpstreamPool pool = new UpstreamPool(loop, codec, Clock.system());
+        EventLog log = new EventLog(Clock.system(), new MetricRegistry());
+        UpstreamPool pool = new UpstreamPool(loop, codec, Clock.system(), log);
         mEngines = new WireEngineControl(new PlatformHttpClient(loop, pool, codec), TIMEOUT_MILLIS);
         mServer = new RepeatingServer(this::answer);
         mReports.set(0);
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -79,7 +79,7 @@
             EventLog log,
             MetricRegistry metrics) {
         mLoop = (EventLoop) mGroup.next();
-        mPool = new UpstreamPool(mLoop, codec, clock);
+        mPool = new UpstreamPool(mLoop, codec, clock, log);
         mLoads = new ServerLoads(clock, zone);
         mStoreEndpoint = storeEndpoint;
         mUsage = new ModelUsage(clock);
@@ -104,7 +104,7 @@
                         metrics);
         mFrontServer = new FrontServer(frontEndpoint, mContext);
         EventLoop platformLoop = (EventLoop) mPlatformGroup.next();
-        mPlatformPool = new UpstreamPool(platformLoop, codec, clock);
+        mPlatformPool = new UpstreamPool(platformLoop, codec, clock, log);
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool, codec);
         metrics.registerGauge("connections.opened", mPool::openedCount);
         metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
@@ -196,6 +196,11 @@
                 () -> receiver.accept(new TrafficReport(mUsage.snapshot(), mEvidence.snapshot())));
     }
 
+    /** Records an incarnation of a server that has become known, for the evidence on crashes. */
+    public void recordServerStart(ServerIncarnation started) {
+        mLoop.execute(() -> mEvidence.recordStart(started, mContext.clock().nowMillis()));
+    }
+
     /** Adds the controller's evidence on parts of prompts that crash servers. */
     public void mergeEvidence(CrashEvidence.Snapshot evidence) {
         mLoop.execute(
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
 
@@ -17,8 +18,9 @@
  *
  * <p>Invariants: a response that belongs to another request is read to its end and discarded, and
  * the connection is not used for further requests; bytes that arrive while no request is
- * outstanding are discarded and the connection is closed. Confined to the traffic thread; lives
- * from the connect to the close.
+ * outstanding, even a part of a head, are discarded and the connection is closed. A connection is
+ * returned to the pool only after the read that brought the end of its response, so that bytes
+ * behind it are seen before. Confined to the traffic thread; lives from the connect to the close.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     /**
@@ -40,7 +42,11 @@
     /** Address as host:port, by which the pool finds the connection. */
     private final String mAddress;
 
+    /** Number of the connection, unique within its pool; for the log. */
+    private final long mNumber;
+
     private final Clock mClock;
+    private final EventLog mLog;
     private Channel mChannel;
     private Optional<ResponseListener> mListener = Optional.empty();
 
@@ -48,6 +54,7 @@
     private Optional<NoticeReader> mNoticeReader = Optional.empty();
 
     private Optional<String> mRequestId = Optional.empty();
+    private long mRequestCount;
     private boolean mRequestWritten;
     private boolean mHeadReceived;
 
@@ -58,19 +65,30 @@
     private boolean mDiscarding;
 
     private boolean mMustClose;
+
+    /** Whether the response is complete, and the connection not back in the pool yet. */
+    private boolean mReleasePending;
+
     private Deadline mReusableUntil;
 
+    /** When the last request was sent or its response ended, in milliseconds since the epoch. */
+    private long mLastUseMillis;
+
     UpstreamConnection(
             CallCodec codec,
             StrictResponseDecoder decoder,
             UpstreamPool pool,
             String address,
-            Clock clock) {
+            long number,
+            Clock clock,
+            EventLog log) {
         mCodec = codec;
         mDecoder = decoder;
         mPool = pool;
         mAddress = address;
+        mNumber = number;
         mClock = clock;
+        mLog = log;
         mReusableUntil = Deadline.after(clock.nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
     }
 
@@ -78,19 +96,32 @@
         return mAddress;
     }
 
+    /** Name of the connection and number of its last request, for the log, such as 12.3. */
+    String label() {
+        return mNumber + "." + mRequestCount;
+    }
+
     /** Whether a request can be sent now without racing with the server's close. */
     boolean isReusable() {
-        return !mMustClose && mChannel.isActive() && !mReusableUntil.isPast(mClock.nowMillis());
+        return !mMustClose
+                && mChannel.isActive()
+                && !mDecoder.hasUnexpectedBytes()
+                && !mReusableUntil.isPast(mClock.nowMillis());
     }
 
     /** Sends a request; the connection must be reusable and idle. */
     void send(UpstreamRequest request, ResponseListener listener) {
+        mRequestCount++;
+        mLastUseMillis = mClock.nowMillis();
         mListener = Optional.of(listener);
         mNoticeReader = listener.noticeReader();
         mRequestId = request.requestId();
         mRequestWritten = false;
         mHeadReceived = false;
-        mDecoder.setNextBodyless(request.method().equals(HttpMethod.HEAD));
+        boolean bodyless = request.method().equals(HttpMethod.HEAD);
+        // A second response to HEAD would have the next response read as its body.
+        mMustClose |= bodyless;
+        mDecoder.expectResponse(bodyless);
         mChannel.writeAndFlush(request.message())
                 .addListener(
                         future -> {
@@ -134,6 +165,8 @@
             if (message instanceof HttpResponse response) {
                 ResponseHead head = mCodec.readResponseHead(response);
                 mNoticeReader.ifPresent(reader -> reader.read(head));
+                logUnexpected("a response while no request was outstanding", Optional.of(head));
+                mMustClose = true;
             }
             close();
             return;
@@ -147,6 +180,10 @@
     }
 
     private void onHead(HttpResponse response) {
+        if (ResponseValidator.containsStatusLine(response)) {
+            fail("malformed answer: a status line within the head");
+            return;
+        }
         if (response.status().code() / 100 == 1) {
             // An interim response; its end is discarded, and the final response follows.
             mDiscarding = true;
@@ -155,6 +192,7 @@
         ResponseHead head = mCodec.readResponseHead(response);
         mNoticeReader.ifPresent(reader -> reader.read(head));
         if (isMismatched(head)) {
+            logUnexpected("a response to another request", Optional.of(head));
             mMustClose = true;
             mDiscarding = true;
             return;
@@ -192,16 +230,56 @@
         if (isLast && mListener.isPresent()) {
             ResponseListener listener = mListener.get();
             mListener = Optional.empty();
+            mLastUseMillis = mClock.nowMillis();
+            mDecoder.endResponse();
             // A server that responds before it has read the whole request still expects the rest.
-            if (mMustClose || !mRequestWritten) {
-                close();
-            } else {
-                mPool.release(this);
-            }
+            mMustClose |= !mRequestWritten;
+            mReleasePending = true;
             listener.onEnd();
         }
     }
 
+    /** Logs bytes that do not belong to the response to the outstanding or last request. */
+    private void logUnexpected(String what, Optional<ResponseHead> head) {
+        mLog.write(
+                "connection.unexpected",
+                "id",
+                mRequestId.orElse("-"),
+                "address",
+                mAddress,
+                "connection",
+                label(),
+                "outstanding",
+                mListener.isPresent(),
+                "what",
+                what,
+                "response_id",
+                head.flatMap(ResponseHead::requestId).orElse("-"),
+                "status",
+                head.map(ResponseHead::status).orElse(0),
+                "since_use_ms",
+                mClock.nowMillis() - mLastUseMillis);
+    }
+
+    /** Returns the connection to the pool if its response has ended and nothing came behind it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        boolean isReleased = mReleasePending;
+        mReleasePending = false;
+        if (mListener.isPresent()) {
+            return;
+        }
+        if (mDecoder.hasUnexpectedBytes() && !mMustClose) {
+            logUnexpected("bytes while no request was outstanding", Optional.empty());
+            close();
+        } else if (mMustClose) {
+            close();
+        } else if (isReleased) {
+            setReadingPaused(false);
+            mPool.release(this);
+        }
+    }
+
     /** Closes the connection, and reports the failure if a request is outstanding. */
     private void fail(String reason) {
         mMustClose = true;
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
@@ -11,9 +11,11 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.cornelway.eventlog.EventLog;
 import org.cornelway.time.Clock;
 
 /**
@@ -29,6 +31,7 @@
     private final Bootstrap mBootstrap;
     private final CallCodec mCodec;
     private final Clock mClock;
+    private final EventLog mLog;
     private final Map<String, AddressPool> mAddressPools = new HashMap<>();
     private long mOpenedCount;
 
@@ -42,6 +45,15 @@
 
     /** Receives the result of acquiring a connection. Called on the traffic thread. */
     interface AcquireListener {
+        /**
+         * Whether a kept connection may carry the request. A request that was sent on a connection
+         * before must not be sent on it again: a second response to the first send could not be
+         * told from the response to the second.
+         */
+        default boolean accepts(UpstreamConnection connection) {
+            return true;
+        }
+
         /** Passes on an open connection without an outstanding request. */
         void onAcquired(UpstreamConnection connection);
 
@@ -49,9 +61,10 @@
         void onConnectFailed(String reason);
     }
 
-    UpstreamPool(EventLoopGroup loop, CallCodec codec, Clock clock) {
+    UpstreamPool(EventLoopGroup loop, CallCodec codec, Clock clock, EventLog log) {
         mCodec = codec;
         mClock = clock;
+        mLog = log;
         mBootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -66,20 +79,23 @@
     }
 
     /**
-     * Passes a reusable idle connection to the listener before this method returns. If there is
-     * none, opens a connection and passes on the result later.
+     * Passes a reusable idle connection that the listener accepts to it before this method returns.
+     * If there is none, opens a connection and passes on the result later.
      */
     void acquire(String host, int port, AcquireListener listener) {
         String address = host + ":" + port;
         AddressPool pool = mAddressPools.computeIfAbsent(address, key -> new AddressPool());
-        for (UpstreamConnection idle = pool.mIdle.pollLast();
-                idle != null;
-                idle = pool.mIdle.pollLast()) {
-            if (idle.isReusable()) {
+        Iterator<UpstreamConnection> lastReleasedFirst = pool.mIdle.descendingIterator();
+        while (lastReleasedFirst.hasNext()) {
+            UpstreamConnection idle = lastReleasedFirst.next();
+            if (!idle.isReusable()) {
+                lastReleasedFirst.remove();
+                idle.close();
+            } else if (listener.accepts(idle)) {
+                lastReleasedFirst.remove();
                 listener.onAcquired(idle);
                 return;
             }
-            idle.close();
         }
         open(host, port, pool, listener);
     }
@@ -90,7 +106,7 @@
         String address = host + ":" + port;
         StrictResponseDecoder decoder = new StrictResponseDecoder();
         UpstreamConnection connection =
-                new UpstreamConnection(mCodec, decoder, this, address, mClock);
+                new UpstreamConnection(mCodec, decoder, this, address, mOpenedCount, mClock, mLog);
         mBootstrap
                 .clone()
                 .handler(
