--- a/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
@@ -54,14 +54,16 @@
         EventLoop loop = (EventLoop) mGroup.next();
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         mEndpoint = new HttpEndpoint("127.0.0.1", mServer.getLocalPort());
+        WireCallCodec codec = new WireCallCodec();
         mClient =
                 new PlatformHttpClient(
                         loop,
                         new UpstreamPool(
                                 loop,
-                                new WireCallCodec(),
+                                codec,
                                 Clock.system(),
-                                new EventLog(Clock.system(), new MetricRegistry())));
+                                new EventLog(Clock.system(), new MetricRegistry())),
+                        codec);
     }
 
     @AfterMethod(alwaysRun = true)
