Refuse a call that did not run once accepting has stopped

Here a call whose server refused it as not run later than 2.8 s after SIGTERM was sent again, and its caller got 502 at the end of the grace period, after which a call that is not idempotent cannot be repeated. Only the calls that waited at 2.8 s were refused.

Now a call that cannot have run is refused after that time instead of being dispatched, also one whose connection to the server is not open yet. The end of accepting is a stored deadline that each new call is compared with, so that a late traffic thread takes none after it.

Test: callThatDidNotRunIsNotSentAgainAfterAcceptingHasStopped, before: 502 and 3 sends, after: 503 and 1 send.

Ruled out on the code before, by tests that are kept: 24 callers on new and kept connections, also such that ignore "Connection: close", before and all through a stop, with response times of 0, 0.3, 1.5 and 4 s and with silent servers, at a load average of 25 to 39: each call that a server received got a whole response, and none of them 503. A request whose body ends after accepting has stopped gets 503 and is not sent.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -59,6 +59,10 @@
     private volatile String mExtraHeaders = "";
 
     private volatile long mLoadMillis = 30;
+
+    /** Time from the receipt of a call to its response or refusal. */
+    private volatile long mResponseDelayMillis;
+
     private volatile long mAcceptedOrders;
     private volatile long mHighestFencingNumber;
 
@@ -135,6 +139,11 @@
         crash();
     }
 
+    /** Delays the response to each call that is received from now on. */
+    public void delayResponses(long millis) {
+        mResponseDelayMillis = millis;
+    }
+
     /** Sends no events for a while; then all streams go on. */
     public void pauseStreams(long millis) {
         mPausedUntilMillis = System.currentTimeMillis() + millis;
@@ -256,6 +265,17 @@
             crash();
             return;
         }
+        long delayMillis = mResponseDelayMillis;
+        if (delayMillis > 0) {
+            mVertx.setTimer(delayMillis, timer -> respond(socket, request, model, requestIdHeader));
+        } else {
+            respond(socket, request, model, requestIdHeader);
+        }
+    }
+
+    /** Responds to a call as the injected fault says. */
+    private void respond(
+            NetSocket socket, RequestParser.Request request, String model, String requestIdHeader) {
         if (mFault == Fault.REPEATED_REFUSAL) {
             write(socket, UNAVAILABLE, NOT_RUN_HEADER, "");
         } else if (mFault == Fault.MISMATCHED_RESPONSE) {
@@ -274,7 +294,7 @@
                 if (mFault == Fault.RESUME_REJECTED && resumes) {
                     write(socket, "404 Not Found", ownHeaders, "no such stream");
                 } else {
-                    respond(socket, request, model, requestIdHeader);
+                    sendResult(socket, request, model, requestIdHeader);
                 }
             }
         }
@@ -306,7 +326,7 @@
     }
 
     /** Responds to a call to a model with a stream of events, and to another one with its body. */
-    private void respond(
+    private void sendResult(
             NetSocket socket, RequestParser.Request request, String model, String requestIdHeader) {
         if (!model.isEmpty()) {
             int lastEventId =
--- a/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
@@ -1,9 +1,13 @@
 package org.cornelway.direct;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cornelway.bench.direct.DirectFleet;
 
 /**
@@ -11,6 +15,11 @@
  * one thread.
  */
 final class RawCall implements AutoCloseable {
+    private static final String END_OF_HEAD = "\r\n\r\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final Pattern CONTENT_LENGTH =
+            Pattern.compile("(?i)\r\ncontent-length: (\\d+)\r\n");
+
     private final Socket mSocket;
 
     RawCall(int port, int readTimeoutMillis) throws IOException {
@@ -52,6 +61,31 @@
         return bytes.toString();
     }
 
+    /** Reads one response; empty if the connection ends before the response is complete. */
+    Optional<String> readResponse() {
+        try {
+            String head = readUntil(END_OF_HEAD);
+            Matcher length = CONTENT_LENGTH.matcher(head);
+            boolean hasLength = length.find();
+            String body =
+                    hasLength ? read(Integer.parseInt(length.group(1))) : readUntil(LAST_CHUNK);
+            boolean complete = hasLength || body.endsWith(LAST_CHUNK);
+            return head.endsWith(END_OF_HEAD) && complete
+                    ? Optional.of(head + body)
+                    : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private String read(int length) throws IOException {
+        byte[] bytes = mSocket.getInputStream().readNBytes(length);
+        if (bytes.length < length) {
+            throw new EOFException();
+        }
+        return new String(bytes, StandardCharsets.US_ASCII);
+    }
+
     @Override
     public void close() throws IOException {
         mSocket.close();
--- a/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
@@ -23,6 +23,7 @@
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
     private final ServerSelector mSelector;
+    private final SendHistory mHistory;
 
     /**
      * Why a call cannot be sent now. Immutable.
@@ -31,10 +32,15 @@
      */
     record Rejection(ResultCode code, String reason, long retryAfterMillis) {}
 
-    CallAdmission(TrafficContext context, CallerRequest request, ServerSelector selector) {
+    CallAdmission(
+            TrafficContext context,
+            CallerRequest request,
+            ServerSelector selector,
+            SendHistory history) {
         mContext = context;
         mRequest = request;
         mSelector = selector;
+        mHistory = history;
     }
 
     /** Returns why the call cannot be sent now; empty if it can. */
@@ -47,6 +53,11 @@
                             "no time left to send the call",
                             RETRY_AFTER_MILLIS));
         }
+        if (mContext.drain().isAcceptingOver() && mHistory.possibleRunCount() == 0) {
+            return Optional.of(
+                    new Rejection(
+                            ResultCode.AGENT_LEAVING, "the process stops", RETRY_AFTER_MILLIS));
+        }
         Optional<Deadline> blockedUntil = promptBlockedUntil();
         if (blockedUntil.isPresent()) {
             return Optional.of(
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -54,7 +54,7 @@
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
         mModelWait = new ModelWait(context, request);
         mSelector = new ServerSelector(context, request, mHistory);
-        mAdmission = new CallAdmission(context, request, mSelector);
+        mAdmission = new CallAdmission(context, request, mSelector, mHistory);
         mDeadline = new CallDeadline(request);
     }
 
@@ -353,7 +353,7 @@
 
     /** Refuses the call, so that its caller can retry, unless it is being sent or may have run. */
     void refuseIfWaiting() {
-        if (mAttempt.isEmpty() && mHistory.possibleRunCount() == 0) {
+        if (mAttempt.filter(Attempt::mayHaveRun).isEmpty() && mHistory.possibleRunCount() == 0) {
             abandon();
         }
     }
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -27,7 +27,6 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cornelway.result.Result;
 import org.cornelway.route.CallerLimits;
@@ -55,8 +54,6 @@
     private static final long DEFAULT_TIMEOUT_MILLIS = 86_400_000;
 
     private final TrafficContext mContext;
-    private final BooleanSupplier mDraining;
-    private final BooleanSupplier mAcceptingStopped;
     private final Consumer<CallerConnection> mOnClosed;
     private final Deque<Object> mQueuedMessages = new ArrayDeque<>();
     private Channel mChannel;
@@ -76,18 +73,10 @@
     private boolean mIsHeadRequest;
 
     /**
-     * @param draining whether callers are asked to close the connection after each response
-     * @param acceptingStopped whether new calls are refused because the process stops
      * @param onClosed called after the connection has closed
      */
-    CallerConnection(
-            TrafficContext context,
-            BooleanSupplier draining,
-            BooleanSupplier acceptingStopped,
-            Consumer<CallerConnection> onClosed) {
+    CallerConnection(TrafficContext context, Consumer<CallerConnection> onClosed) {
         mContext = context;
-        mDraining = draining;
-        mAcceptingStopped = acceptingStopped;
         mOnClosed = onClosed;
         mProgressDeadline = idleDeadline();
     }
@@ -240,7 +229,7 @@
                                 arrived, head.timeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS)));
         CallHandler callHandler = new CallHandler(mContext, request, this);
         mCallHandler = Optional.of(callHandler);
-        if (mAcceptingStopped.getAsBoolean()) {
+        if (mContext.drain().isAcceptingOver()) {
             callHandler.abandon();
         } else {
             callHandler.start();
@@ -284,7 +273,7 @@
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
-        mCloseAfterResponse |= mDraining.getAsBoolean();
+        mCloseAfterResponse |= mContext.drain().isDraining();
         if (mCloseAfterResponse) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -60,7 +60,6 @@
     private final TrafficContext mContext;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private final ConnectionSweep mConnectionSweep;
-    private volatile boolean mDraining;
     private boolean mAcceptingStopped;
     private volatile int mOpenCalls;
     private Optional<Channel> mChannel = Optional.empty();
@@ -146,7 +145,7 @@
 
     /** Whether draining has begun; it is never undone. */
     public boolean isDraining() {
-        return mDraining;
+        return mContext.drain().isDraining();
     }
 
     /** Returns the number of calls in progress, as of the last sweep. */
@@ -156,7 +155,9 @@
 
     @Override
     public Completable drain(Deadline deadline) {
-        return Completable.fromAction(() -> mDraining = true)
+        long now = mContext.clock().nowMillis();
+        Deadline acceptUntil = Deadline.after(now, DRAIN_ACCEPT_MILLIS);
+        return Completable.fromAction(() -> mContext.drain().begin(acceptUntil))
                 .andThen(Completable.timer(DRAIN_ACCEPT_MILLIS, TimeUnit.MILLISECONDS))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::stopAccepting)))
                 .andThen(Completable.timer(FIRST_DRAIN_CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS))
@@ -201,12 +202,7 @@
         @Override
         protected void initChannel(Channel channel) {
             int maxHeaderBytes = mContext.view().get().limits().maxHeaderBytes();
-            CallerConnection connection =
-                    new CallerConnection(
-                            mContext,
-                            () -> mDraining,
-                            () -> mAcceptingStopped,
-                            mConnections::remove);
+            CallerConnection connection = new CallerConnection(mContext, mConnections::remove);
             mConnections.add(connection);
             channel.pipeline()
                     .addLast(
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -31,6 +31,7 @@
  * @param evidence parts of prompts that crash servers
  * @param clock monotonic clock
  * @param loopDelay measures how late the traffic thread is
+ * @param drain how far the drain of this process has come
  * @param log log of structured events
  * @param metrics registry for counters
  */
@@ -49,6 +50,7 @@
         CrashEvidence evidence,
         Clock clock,
         LoopDelay loopDelay,
+        DrainState drain,
         EventLog log,
         MetricRegistry metrics) {
     private static final long NEXT_ITERATION_MILLIS = 1;
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -100,6 +100,7 @@
                         clock,
                         new LoopDelay(
                                 SuspendAwareClock.system(), FrontServer.SWEEP_INTERVAL_MILLIS),
+                        new DrainState(clock),
                         log,
                         metrics);
         mFrontServer = new FrontServer(frontEndpoint, mContext);
