Do not cut unsent responses when the process stops

A caller that read slowly lost responses in a planned stop: from 2.8 s after SIGTERM on, each connection without a call was closed every 50 ms, although its last response still waited in the process to be sent, and the process ended 120 ms after the last call.

Now a connection is closed only when its last response has been handed to the operating system, one that closes by itself after its linger time is left to do so, and the drain ends when no connection is left, at the latest at its deadline. The check 0.3 s after the end of accepting is not needed any more.

Test: responsesThatSlowCallerHasNotReadAreNotCutInStop (8 responses of 1 MB that are read 3.5 s after the signal). Before: the fifth was not complete; after: all are.

Ruled out: one response of 1 MB, which the buffers of the operating system hold on loopback, was not cut before either.

--- a/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
@@ -3,6 +3,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -27,6 +28,16 @@
         mSocket.setSoTimeout(readTimeoutMillis);
     }
 
+    /**
+     * @param receiveBufferBytes bytes that the caller's side takes in before the test reads them
+     */
+    RawCall(int port, int readTimeoutMillis, int receiveBufferBytes) throws IOException {
+        mSocket = new Socket();
+        mSocket.setReceiveBufferSize(receiveBufferBytes);
+        mSocket.connect(new InetSocketAddress("127.0.0.1", port));
+        mSocket.setSoTimeout(readTimeoutMillis);
+    }
+
     /**
      * Sends the head of a POST request.
      *
--- a/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
@@ -36,6 +36,13 @@
     /** Response time for which a call sent before the signal ends after accepting has stopped. */
     private static final long LATE_RESPONSE_MILLIS = 5_000;
 
+    private static final int LARGE_BODY_BYTES = 1_000_000;
+
+    /** Number of large responses that are more than the buffers of a connection hold. */
+    private static final int LARGE_CALLS = 8;
+
+    private static final int RECEIVE_BUFFER_BYTES = 65_536;
+
     @DataProvider
     public Object[][] responseDelays() {
         return new Object[][] {{0}, {300}, {1_500}, {4_000}};
@@ -67,6 +74,25 @@
         assertThat(receivedCount()).isEqualTo(1);
     }
 
+    @Test
+    public void responsesThatSlowCallerHasNotReadAreNotCutInStop()
+            throws IOException, InterruptedException {
+        try (RawCall caller =
+                new RawCall(fleet().frontPort(0), READ_TIMEOUT_MILLIS, RECEIVE_BUFFER_BYTES)) {
+            for (int i = 0; i < LARGE_CALLS; i++) {
+                String length = "Content-Length: " + LARGE_BODY_BYTES + "\r\n";
+                caller.sendHead("/unsafe/a", newRequestId(), length);
+                caller.send("x".repeat(LARGE_BODY_BYTES));
+            }
+            ProcessFleet.await("the calls", () -> receivedCount() == LARGE_CALLS);
+            fleet().signal(0, "TERM");
+            Thread.sleep(ACCEPTING_OVER_MILLIS);
+            for (int i = 0; i < LARGE_CALLS; i++) {
+                assertThat(caller.readResponse()).as("response " + i).isPresent();
+            }
+        }
+    }
+
     @Test
     public void requestWhoseBodyArrivesAfterAcceptingHasStoppedIsRefused()
             throws IOException, InterruptedException {
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -68,6 +69,9 @@
      */
     private Deadline mProgressDeadline;
 
+    /** The last write of the last response; empty before the first response. */
+    private Optional<ChannelFuture> mLastWrite = Optional.empty();
+
     private boolean mCloseAfterResponse;
     private boolean mInputIgnored;
     private boolean mIsHeadRequest;
@@ -117,8 +121,13 @@
         mCallHandler.ifPresent(CallHandler::abandon);
     }
 
+    /**
+     * Closes the connection unless a request is handled, the last response is being sent, or the
+     * connection closes by itself.
+     */
     void closeIfIdle() {
-        if (!isBusy()) {
+        boolean sent = mLastWrite.map(ChannelFuture::isDone).orElse(true);
+        if (!isBusy() && sent && !mInputIgnored) {
             mChannel.close();
         }
     }
@@ -252,15 +261,15 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         setConnectionHeader(headers);
-        mChannel.writeAndFlush(
-                        new DefaultFullHttpResponse(
-                                HttpVersion.HTTP_1_1,
-                                status,
-                                body,
-                                headers,
-                                EmptyHttpHeaders.INSTANCE))
-                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-        onResponseSent();
+        onResponseWritten(
+                mChannel.writeAndFlush(
+                                new DefaultFullHttpResponse(
+                                        HttpVersion.HTTP_1_1,
+                                        status,
+                                        body,
+                                        headers,
+                                        EmptyHttpHeaders.INSTANCE))
+                        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
     }
 
     @Override
@@ -286,8 +295,7 @@
 
     @Override
     public void end() {
-        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        onResponseSent();
+        onResponseWritten(mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
     @Override
@@ -296,14 +304,15 @@
         mChannel.close();
     }
 
-    private void onResponseSent() {
+    private void onResponseWritten(ChannelFuture lastWrite) {
+        mLastWrite = Optional.of(lastWrite);
         mCallHandler = Optional.empty();
         mIncomingRequest = Optional.empty();
         releaseBody();
         mProgressDeadline = idleDeadline();
         if (mCloseAfterResponse) {
             mInputIgnored = true;
-            mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> closeAfterLinger());
+            lastWrite.addListener(sent -> closeAfterLinger());
             return;
         }
         while (!mQueuedMessages.isEmpty() && mCallHandler.isEmpty() && !mInputIgnored) {
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -47,12 +47,6 @@
      */
     private static final long DRAIN_ACCEPT_MILLIS = 2_800;
 
-    /**
-     * Delay from the end of accepting to the first check whether all calls have ended. A call may
-     * still arrive in this time, on a connection that was idle.
-     */
-    private static final long FIRST_DRAIN_CHECK_DELAY_MILLIS = 300;
-
     /** Time for sending the last responses, after the calls have ended or were abandoned. */
     private static final long FLUSH_MILLIS = 120;
 
@@ -62,6 +56,10 @@
     private final ConnectionSweep mConnectionSweep;
     private boolean mAcceptingStopped;
     private volatile int mOpenCalls;
+
+    /** Whether accepting has stopped and all connections were closed at the last sweep. */
+    private volatile boolean mDrained;
+
     private Optional<Channel> mChannel = Optional.empty();
 
     FrontServer(HttpEndpoint endpoint, TrafficContext context) {
@@ -124,6 +122,7 @@
         mOpenCalls = mConnectionSweep.tickAll(mConnections);
         if (mAcceptingStopped) {
             Set.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
+            mDrained = mConnections.isEmpty();
         }
     }
 
@@ -160,7 +159,6 @@
         return Completable.fromAction(() -> mContext.drain().begin(acceptUntil))
                 .andThen(Completable.timer(DRAIN_ACCEPT_MILLIS, TimeUnit.MILLISECONDS))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::stopAccepting)))
-                .andThen(Completable.timer(FIRST_DRAIN_CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS))
                 .andThen(Polling.until(Schedulers.single(), () -> shouldEndDrain(deadline)))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::abandonCalls)))
                 .andThen(Completable.timer(FLUSH_MILLIS, TimeUnit.MILLISECONDS));
@@ -174,11 +172,9 @@
         Set.copyOf(mConnections).forEach(CallerConnection::abandon);
     }
 
-    /**
-     * Whether the deadline of the drain has passed or no call was in progress at the last sweep.
-     */
+    /** Whether the deadline of the drain has passed or no caller waits for a response. */
     private boolean shouldEndDrain(Deadline deadline) {
-        return deadline.isPast(mContext.clock().nowMillis()) || mOpenCalls == 0;
+        return deadline.isPast(mContext.clock().nowMillis()) || mDrained;
     }
 
     /**
