Accept calls for at most half of a drain

With a grace period of 3 s, a call without a response was cut by SIGKILL: calls were accepted for 2.8 s whatever the period was, and the drain ended at 3.1 s at the earliest.

Now they are accepted for 2.8 s or half of the drain, if that is less, so that the other half is left for the calls to end. With 8 s nothing changes, and longer periods need no longer time for the load balancer to notice.

Test: ShortGraceProcessTest, before: no answer, after: 502.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -48,6 +48,7 @@
     private int mConfigurationCount;
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
+    private double mGraceSeconds = 8;
     private String mHeapFlag = "-Xmx96m";
 
     /** Ports of one entry. */
@@ -77,6 +78,11 @@
         mRetrySlack = 0;
     }
 
+    /** Sets the time after SIGTERM at which entries that are started from now on must be gone. */
+    public void setGrace(double seconds) {
+        mGraceSeconds = seconds;
+    }
+
     /** The stand-in for the platform's key-value service. */
     public PlatformStoreStandin store() {
         return mStore;
@@ -251,7 +257,7 @@
                 .put("Control", address(ports.control()));
         root.putObject("Platform").put("Address", address(mStore.port()));
         root.putObject("Bounds")
-                .put("GraceS", 8)
+                .put("GraceS", mGraceSeconds)
                 .put("DrainMs", 2_000)
                 .put("RetryWindowS", 10)
                 .put("RetryBudgetRatio", mRetryRatio)
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -41,9 +41,9 @@
     static final long SWEEP_INTERVAL_MILLIS = 50;
 
     /**
-     * Time for which a draining process still accepts calls. The load balancer probes once a second
-     * and removes a process after two failed probes. A call accepted much later might not end
-     * before the process has to stop.
+     * Longest time for which a draining process still accepts calls; at most half of the drain, so
+     * that the other half is left for the calls to end. The load balancer probes once a second and
+     * removes a process after two failed probes.
      */
     private static final long DRAIN_ACCEPT_MILLIS = 2_800;
 
@@ -155,9 +155,10 @@
     @Override
     public Completable drain(Deadline deadline) {
         long now = mContext.clock().nowMillis();
-        Deadline acceptUntil = Deadline.after(now, DRAIN_ACCEPT_MILLIS);
+        long acceptMillis = Math.min(DRAIN_ACCEPT_MILLIS, deadline.remainingMillis(now) / 2);
+        Deadline acceptUntil = Deadline.after(now, acceptMillis);
         return Completable.fromAction(() -> mContext.drain().begin(acceptUntil))
-                .andThen(Completable.timer(DRAIN_ACCEPT_MILLIS, TimeUnit.MILLISECONDS))
+                .andThen(Completable.timer(acceptMillis, TimeUnit.MILLISECONDS))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::stopAccepting)))
                 .andThen(Polling.until(Schedulers.single(), () -> shouldEndDrain(deadline)))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::abandonCalls)))
