Answer queued requests of a draining process

Of two requests that a caller sent at once during a drain, the second was read but never answered: the response to the first asked to close the connection, and the queue behind it was discarded.

Now the connection is closed with the response to the last queued request.

Test: requestThatWaitsBehindAnotherIsAnsweredInStop, before: no second response, after: both.

--- a/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
@@ -93,6 +93,19 @@
         }
     }
 
+    @Test
+    public void requestThatWaitsBehindAnotherIsAnsweredInStop() throws IOException {
+        SERVERS.forEach(id -> fleet().backendServer(id).delayResponses(RUN_IN_MILLIS));
+        try (RawCall caller = newCall()) {
+            fleet().signal(0, "TERM");
+            ProcessFleet.await("drain", () -> !fleet().http().isOk(fleet().readyPort(0), "/ready"));
+            caller.sendHead("/unsafe/a", newRequestId(), "Content-Length: 0\r\n");
+            caller.sendHead("/unsafe/a", newRequestId(), "Content-Length: 0\r\n");
+            assertThat(caller.readResponse()).isPresent();
+            assertThat(caller.readResponse()).isPresent();
+        }
+    }
+
     @Test
     public void requestWhoseBodyArrivesAfterAcceptingHasStoppedIsRefused()
             throws IOException, InterruptedException {
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -282,7 +282,8 @@
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
-        mCloseAfterResponse |= mContext.drain().isDraining();
+        // A request that was received already is answered on this connection.
+        mCloseAfterResponse |= mContext.drain().isDraining() && mQueuedMessages.isEmpty();
         if (mCloseAfterResponse) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
