Let the drain wait until the traffic thread has ended the calls

At the end of a drain the open calls were handed to the traffic thread to be ended, and 120 ms later the process stopped even if that thread was late and had not run it. An incomplete request was cut without an answer.

Now the drain waits for the thread, and an incomplete request gets 503, since it was not sent.

Test: FrontServerDrainTest, before: the drain ended while the thread was blocked, and the incomplete request had no answer within 10 s; after: both pass.

--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -116,9 +116,12 @@
         mCallHandler.ifPresent(CallHandler::refuseIfWaiting);
     }
 
-    /** Ends the current call, if any, because the process stops. */
+    /** Ends the current call or incomplete request, if any, because the process stops. */
     void abandon() {
         mCallHandler.ifPresent(CallHandler::abandon);
+        if (mIncomingRequest.isPresent()) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.functions.Action;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.HashSet;
 import java.util.Optional;
@@ -161,10 +162,17 @@
                 .andThen(Completable.timer(acceptMillis, TimeUnit.MILLISECONDS))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::stopAccepting)))
                 .andThen(Polling.until(Schedulers.single(), () -> shouldEndDrain(deadline)))
-                .andThen(Completable.fromAction(() -> mContext.loop().execute(this::abandonCalls)))
+                .andThen(onTrafficThread(this::abandonCalls))
                 .andThen(Completable.timer(FLUSH_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Completes when the traffic thread has run an action. */
+    private Completable onTrafficThread(Action action) {
+        return Completable.fromAction(action)
+                .subscribeOn(Schedulers.from(mContext.loop()))
+                .onErrorComplete();
+    }
+
     /**
      * Ends the calls in progress. If the response says that a call did not run, its caller can
      * retry it at another process.
