--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -64,6 +64,10 @@
     private volatile String mExtraHeaders = "";
 
     private volatile long mLoadMillis = 30;
+
+    /** Time from the receipt of a call to its response or refusal. */
+    private volatile long mResponseDelayMillis;
+
     private volatile long mAcceptedOrders;
     private volatile long mHighestFencingNumber;
 
@@ -145,6 +149,11 @@
         crash();
     }
 
+    /** Delays the response to each call that is received from now on. */
+    public void delayResponses(long millis) {
+        mResponseDelayMillis = millis;
+    }
+
     /** Sends no events for a while; then all streams go on. */
     public void pauseStreams(long millis) {
         mPausedUntilMillis = System.currentTimeMillis() + millis;
@@ -266,12 +275,23 @@
             crash();
             return;
         }
+        long delayMillis = mResponseDelayMillis;
+        if (delayMillis > 0) {
+            mVertx.setTimer(delayMillis, timer -> respond(socket, call, model, requestIdHeader));
+        } else {
+            respond(socket, call, model, requestIdHeader);
+        }
+    }
+
+    /** Responds to a call as the injected fault says. */
+    private void respond(
+            NetSocket socket, ReceivedCall call, String model, String requestIdHeader) {
         if (mFault == Fault.REPEATED_REFUSAL) {
             write(socket, UNAVAILABLE, NOT_RUN_HEADER, "");
         } else if (mFault == Fault.MISMATCHED_RESPONSE) {
             write(socket, "200 OK", "X-Request-Id: other\r\n" + SERVER_STAMP_HEADER, "not yours");
         }
-        boolean resumes = request.headers().containsKey("last-event-id");
+        boolean resumes = call.headers().containsKey("last-event-id");
         String ownHeaders = requestIdHeader + SERVER_STAMP_HEADER;
         switch (mFault) {
             case NO_RESPONSE -> {}
@@ -284,7 +304,7 @@
                 if (mFault == Fault.RESUME_REJECTED && resumes) {
                     write(socket, "404 Not Found", ownHeaders, "no such stream");
                 } else {
-                    respond(socket, call, model, requestIdHeader);
+                    sendResult(socket, call, model, requestIdHeader);
                 }
             }
         }
@@ -321,7 +341,7 @@
     }
 
     /** Responds to a call to a model with a stream of events, and to another one with its body. */
-    private void respond(
+    private void sendResult(
             NetSocket socket, ReceivedCall call, String model, String requestIdHeader) {
         if (!model.isEmpty()) {
             int lastEventId = Integer.parseInt(call.headers().getOrDefault("last-event-id", "0"));
--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamFramingTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamFramingTest.java
@@ -200,7 +200,7 @@
 
     /** Guards against whole lines of a copy that stay in the decoder of a kept connection. */
     @Test(dataProvider = "lineEnds")
-    public void connectionOnWhichLinesOfACopyCameIsNotKept(int length) {
+    public void connectionOnWhichLinesOfCopyCameIsNotKept(int length) {
         serve(new Script(FIRST_ANSWER + FIRST_ANSWER.substring(0, length), FAILURE));
         assertThat(send("a", HttpMethod.POST).join()).isEqualTo("200 first");
         serve(new Script(FAILURE, ""));
@@ -217,7 +217,7 @@
 
     /** Guards against a sound answer that is dropped since a proxy has named itself in its head. */
     @Test
-    public void addressOfAProxyIsNoStatusLine() {
+    public void addressOfProxyIsNoStatusLine() {
         String head = lines("HTTP/1.1 200 OK", "Via: HTTP/1.1 192.168.0.7", "X-Request-Id: a");
         serve(new Script(head + lines("Content-Length: 2", "") + "ok", ""));
         assertThat(send("a", HttpMethod.POST).join()).isEqualTo("200 ok");
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -27,7 +28,6 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cornelway.result.Result;
 import org.cornelway.route.CallerLimits;
@@ -56,8 +56,6 @@
 
     private final TrafficContext mContext;
     private final CallerResponseEncoder mEncoder;
-    private final BooleanSupplier mDraining;
-    private final BooleanSupplier mAcceptingStopped;
     private final Consumer<CallerConnection> mOnClosed;
     private final Deque<Object> mQueuedMessages = new ArrayDeque<>();
     private Channel mChannel;
@@ -72,26 +70,23 @@
      */
     private Deadline mProgressDeadline;
 
+    /** The last write of the last response; empty before the first response. */
+    private Optional<ChannelFuture> mLastWrite = Optional.empty();
+
     private boolean mCloseAfterResponse;
     private boolean mInputIgnored;
     private boolean mIsHeadRequest;
 
     /**
      * @param encoder encoder of the responses on this connection
-     * @param draining whether callers are asked to close the connection after each response
-     * @param acceptingStopped whether new calls are refused because the process stops
      * @param onClosed called after the connection has closed
      */
     CallerConnection(
             TrafficContext context,
             CallerResponseEncoder encoder,
-            BooleanSupplier draining,
-            BooleanSupplier acceptingStopped,
             Consumer<CallerConnection> onClosed) {
         mContext = context;
         mEncoder = encoder;
-        mDraining = draining;
-        mAcceptingStopped = acceptingStopped;
         mOnClosed = onClosed;
         mProgressDeadline = idleDeadline();
     }
@@ -127,13 +122,21 @@
         mCallHandler.ifPresent(CallHandler::refuseIfWaiting);
     }
 
-    /** Ends the current call, if any, because the process stops. */
+    /** Ends the current call or incomplete request, if any, because the process stops. */
     void abandon() {
         mCallHandler.ifPresent(CallHandler::abandon);
+        if (mIncomingRequest.isPresent()) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
     }
 
+    /**
+     * Closes the connection unless a request is handled, the last response is being sent, or the
+     * connection closes by itself.
+     */
     void closeIfIdle() {
-        if (!isBusy()) {
+        boolean sent = mLastWrite.map(ChannelFuture::isDone).orElse(true);
+        if (!isBusy() && sent && !mInputIgnored) {
             mChannel.close();
         }
     }
@@ -245,7 +248,7 @@
                                 arrived, head.timeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS)));
         CallHandler callHandler = new CallHandler(mContext, request, this);
         mCallHandler = Optional.of(callHandler);
-        if (mAcceptingStopped.getAsBoolean()) {
+        if (mContext.drain().isAcceptingOver()) {
             callHandler.abandon();
         } else {
             callHandler.start();
@@ -268,15 +271,15 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         setConnectionHeader(headers);
-        mChannel.writeAndFlush(
-                        new DefaultFullHttpResponse(
-                                HttpVersion.HTTP_1_1,
-                                status,
-                                body,
-                                headers,
-                                EmptyHttpHeaders.INSTANCE))
-                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-        onResponseSent();
+        onResponseWritten(
+                mChannel.writeAndFlush(
+                                new DefaultFullHttpResponse(
+                                        HttpVersion.HTTP_1_1,
+                                        status,
+                                        body,
+                                        headers,
+                                        EmptyHttpHeaders.INSTANCE))
+                        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
     }
 
     @Override
@@ -289,7 +292,8 @@
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
-        mCloseAfterResponse |= mDraining.getAsBoolean();
+        // A request that was received already is answered on this connection.
+        mCloseAfterResponse |= mContext.drain().isDraining() && mQueuedMessages.isEmpty();
         if (mCloseAfterResponse) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -302,8 +306,7 @@
 
     @Override
     public void end() {
-        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        onResponseSent();
+        onResponseWritten(mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
     @Override
@@ -312,14 +315,15 @@
         mChannel.close();
     }
 
-    private void onResponseSent() {
+    private void onResponseWritten(ChannelFuture lastWrite) {
+        mLastWrite = Optional.of(lastWrite);
         mCallHandler = Optional.empty();
         mIncomingRequest = Optional.empty();
         releaseBody();
         mProgressDeadline = idleDeadline();
         if (mCloseAfterResponse) {
             mInputIgnored = true;
-            mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> closeAfterLinger());
+            lastWrite.addListener(sent -> closeAfterLinger());
             return;
         }
         while (!mQueuedMessages.isEmpty() && mCallHandler.isEmpty() && !mInputIgnored) {
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.functions.Action;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.HashSet;
 import java.util.Optional;
@@ -40,18 +41,12 @@
     static final long SWEEP_INTERVAL_MILLIS = 50;
 
     /**
-     * Time for which a draining process still accepts calls. The load balancer probes once a second
-     * and removes a process after two failed probes. A call accepted much later might not end
-     * before the process has to stop.
+     * Longest time for which a draining process still accepts calls; at most half of the drain, so
+     * that the other half is left for the calls to end. The load balancer probes once a second and
+     * removes a process after two failed probes.
      */
     private static final long DRAIN_ACCEPT_MILLIS = 2_800;
 
-    /**
-     * Delay from the end of accepting to the first check whether all calls have ended. A call may
-     * still arrive in this time, on a connection that was idle.
-     */
-    private static final long FIRST_DRAIN_CHECK_DELAY_MILLIS = 300;
-
     /** Time for sending the last responses, after the calls have ended or were abandoned. */
     private static final long FLUSH_MILLIS = 120;
 
@@ -59,9 +54,12 @@
     private final TrafficContext mContext;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private final ConnectionSweep mConnectionSweep;
-    private volatile boolean mDraining;
     private boolean mAcceptingStopped;
     private volatile int mOpenCalls;
+
+    /** Whether accepting has stopped and all connections were closed at the last sweep. */
+    private volatile boolean mDrained;
+
     private Optional<Channel> mChannel = Optional.empty();
 
     FrontServer(HttpEndpoint endpoint, TrafficContext context) {
@@ -124,6 +122,7 @@
         mOpenCalls = mConnectionSweep.tickAll(mConnections);
         if (mAcceptingStopped) {
             Set.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
+            mDrained = mConnections.isEmpty();
         }
     }
 
@@ -145,7 +144,7 @@
 
     /** Whether draining has begun; it is never undone. */
     public boolean isDraining() {
-        return mDraining;
+        return mContext.drain().isDraining();
     }
 
     /** Returns the number of calls in progress, as of the last sweep. */
@@ -155,15 +154,24 @@
 
     @Override
     public Completable drain(Deadline deadline) {
-        return Completable.fromAction(() -> mDraining = true)
-                .andThen(Completable.timer(DRAIN_ACCEPT_MILLIS, TimeUnit.MILLISECONDS))
+        long now = mContext.clock().nowMillis();
+        long acceptMillis = Math.min(DRAIN_ACCEPT_MILLIS, deadline.remainingMillis(now) / 2);
+        Deadline acceptUntil = Deadline.after(now, acceptMillis);
+        return Completable.fromAction(() -> mContext.drain().begin(acceptUntil))
+                .andThen(Completable.timer(acceptMillis, TimeUnit.MILLISECONDS))
                 .andThen(Completable.fromAction(() -> mContext.loop().execute(this::stopAccepting)))
-                .andThen(Completable.timer(FIRST_DRAIN_CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS))
                 .andThen(Polling.until(Schedulers.single(), () -> shouldEndDrain(deadline)))
-                .andThen(Completable.fromAction(() -> mContext.loop().execute(this::abandonCalls)))
+                .andThen(onTrafficThread(this::abandonCalls))
                 .andThen(Completable.timer(FLUSH_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Completes when the traffic thread has run an action. */
+    private Completable onTrafficThread(Action action) {
+        return Completable.fromAction(action)
+                .subscribeOn(Schedulers.from(mContext.loop()))
+                .onErrorComplete();
+    }
+
     /**
      * Ends the calls in progress. If the response says that a call did not run, its caller can
      * retry it at another process.
@@ -172,11 +180,9 @@
         Set.copyOf(mConnections).forEach(CallerConnection::abandon);
     }
 
-    /**
-     * Whether the deadline of the drain has passed or no call was in progress at the last sweep.
-     */
+    /** Whether the deadline of the drain has passed or no caller waits for a response. */
     private boolean shouldEndDrain(Deadline deadline) {
-        return deadline.isPast(mContext.clock().nowMillis()) || mOpenCalls == 0;
+        return deadline.isPast(mContext.clock().nowMillis()) || mDrained;
     }
 
     /**
@@ -202,12 +208,7 @@
             int maxHeaderBytes = mContext.view().get().limits().maxHeaderBytes();
             CallerResponseEncoder encoder = new CallerResponseEncoder();
             CallerConnection connection =
-                    new CallerConnection(
-                            mContext,
-                            encoder,
-                            () -> mDraining,
-                            () -> mAcceptingStopped,
-                            mConnections::remove);
+                    new CallerConnection(mContext, encoder, mConnections::remove);
             mConnections.add(connection);
             channel.pipeline()
                     .addLast(new StrictRequestDecoder(maxHeaderBytes), encoder, connection);
