Limit the memory of all incomplete answers together

Callers of an entry got no answers at all while a server sent heads that did not end, in the shortest header lines: each response had a limit, all of them together had none, and 120 calls at once filled the heap of 64 MB of production.

ResponseMemory now limits what all incomplete responses of an event loop hold (undecoded bytes, heads, headers, bodies, events, responses of the platform) to a quarter of the heap. Beyond it the largest response ends as one that may have run, gives up its memory at once and its connection is closed; the others go on.

A trial without dropping the head at once still failed: Netty keeps it until the close of the connection is processed. One endless event per call at full speed in chunks of 16 bytes, 120 at once, gave 504 to sound calls before and after; in samples the heap had room and the traffic thread waited, so it was left out as a load on the test's own stand-ins, which is not shown.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -48,7 +48,7 @@
     private int mConfigurationCount;
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
-    private String mHeapFlag = "-Xmx96m";
+    private List<String> mFlags = List.of("-Xmx96m");
 
     /** Ports of one entry. */
     private record Ports(int front, int ready, int control) {}
@@ -200,16 +200,16 @@
     }
 
     /**
-     * Starts an entry with a heap of at most 96 MB, or as {@link #setHeap} says, without waiting
+     * Starts an entry with a heap of at most 96 MB, or as {@link #setFlags} says, without waiting
      * until it is ready; see {@link #awaitReady}.
      */
     public void startEntry(int index) {
-        startEntry(index, List.of(mHeapFlag));
+        startEntry(index, mFlags);
     }
 
-    /** Sets the JVM flag for the heap of entries that are started from now on. */
-    public void setHeap(String flag) {
-        mHeapFlag = flag;
+    /** Sets the JVM flags of entries that are started from now on. */
+    public void setFlags(String... flags) {
+        mFlags = List.of(flags);
     }
 
     /** Starts an entry with JVM flags, without waiting until it is ready. */
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -31,6 +31,8 @@
     private static final String UNAVAILABLE = "503 Service Unavailable";
 
     private static final int ENDLESS_PART_BYTES = 1_000;
+    private static final int SHORT_HEADER_BYTES = 4;
+    private static final int ENDLESS_CHUNK_BYTES = 10_000;
 
     private final Vertx mVertx;
     private final String mId;
@@ -251,8 +253,7 @@
             misdirect(socket, requestIdHeader);
             return;
         }
-        String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
-        if (!mPoisonPart.isEmpty() && prompt.contains(mPoisonPart)) {
+        if (hasPoisonPart(request)) {
             crash();
             return;
         }
@@ -266,7 +267,8 @@
         switch (mFault) {
             case NO_RESPONSE -> {}
             case CLOSE_CONNECTION -> socket.close();
-            case ENDLESS_BYTES, ENDLESS_HEAD -> sendEndlessly(socket);
+            case ENDLESS_BYTES, ENDLESS_HEAD, ENDLESS_SHORT_HEADERS, ENDLESS_BODY ->
+                    sendEndlessly(socket, ownHeaders);
             case OVERLOADED -> write(socket, UNAVAILABLE, requestIdHeader + NOT_RUN_HEADER, "");
             case UNAVAILABLE -> write(socket, UNAVAILABLE, ownHeaders, "failed");
             case INTERNAL_ERROR -> write(socket, "500 Internal Error", ownHeaders, "failed");
@@ -280,6 +282,11 @@
         }
     }
 
+    private boolean hasPoisonPart(RequestParser.Request request) {
+        String prompt = request.headers().getOrDefault("x-prompt-prefix", "");
+        return !mPoisonPart.isEmpty() && prompt.contains(mPoisonPart);
+    }
+
     private void misdirect(NetSocket socket, String requestIdHeader) {
         String headers = requestIdHeader + "X-Instance-Id: " + mId + "\r\n";
         write(socket, "421 Misdirected Request", headers, "");
@@ -291,13 +298,28 @@
         List.copyOf(mOpenSockets).forEach(NetSocket::close);
     }
 
-    /** Sends bytes that never become a response, as the fault says. */
-    private void sendEndlessly(NetSocket socket) {
-        if (mFault == Fault.ENDLESS_HEAD) {
-            socket.write("HTTP/1.1 200 OK\r\n");
-            repeatedly(socket, "X-More: " + "a".repeat(ENDLESS_PART_BYTES) + "\r\n");
-        } else {
-            repeatedly(socket, "\u0001".repeat(ENDLESS_PART_BYTES));
+    /**
+     * Sends bytes that never become a complete response, as the fault says.
+     *
+     * @param headers header lines of a response whose body does not end
+     */
+    private void sendEndlessly(NetSocket socket, String headers) {
+        String statusLine = "HTTP/1.1 200 OK\r\n";
+        switch (mFault) {
+            case ENDLESS_HEAD -> {
+                socket.write(statusLine);
+                repeatedly(socket, "X-More: " + "a".repeat(ENDLESS_PART_BYTES) + "\r\n");
+            }
+            case ENDLESS_SHORT_HEADERS -> {
+                socket.write(statusLine);
+                repeatedly(socket, "a:\r\n".repeat(ENDLESS_PART_BYTES / SHORT_HEADER_BYTES));
+            }
+            case ENDLESS_BODY -> {
+                socket.write(statusLine + headers + "Transfer-Encoding: chunked\r\n\r\n");
+                String chunk = "a".repeat(ENDLESS_CHUNK_BYTES) + "\r\n";
+                repeatedly(socket, Integer.toHexString(ENDLESS_CHUNK_BYTES) + "\r\n" + chunk);
+            }
+            default -> repeatedly(socket, "\u0001".repeat(ENDLESS_PART_BYTES));
         }
     }
 
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/Fault.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/Fault.java
@@ -27,6 +27,10 @@
     ENDLESS_BYTES,
     /** The server sends a response head that does not end until the connection is closed. */
     ENDLESS_HEAD,
+    /** As {@link #ENDLESS_HEAD}, in the shortest header lines. */
+    ENDLESS_SHORT_HEADERS,
+    /** The server sends the head of a response and a body that does not end. */
+    ENDLESS_BODY,
     /** The server rejects calls with status 503 and declares that it did not execute them. */
     OVERLOADED,
     /** The id of the event in the middle of a stream is wrong. */
--- a/org.cornelway.test/tst/org/cornelway/direct/SmallChunksProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/SmallChunksProcessTest.java
@@ -15,7 +15,7 @@
     @Override
     void prepareFleet(DirectFleet fleet) {
         // Without the bytes of each chunk's own objects the body is a small part of the heap.
-        fleet.setHeap("-Xmx64m");
+        fleet.setFlags("-Xmx64m");
     }
 
     /** Guards against memory for each chunk of a body, which ended the process. */
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -1,7 +1,6 @@
 package org.cornelway.traffic;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,20 +16,17 @@
  * or with an unknown outcome. Confined to the traffic thread.
  */
 final class Attempt implements ResponseListener, UpstreamPool.AcquireListener {
-    /** Longest response that is buffered; its first byte is sent after its last has arrived. */
-    private static final int MAX_BUFFERED_BYTES = 1 << 20;
-
     private final TrafficContext mContext;
     private final CallHandler mCallHandler;
     private final CallerRequest mRequest;
     private final ServerRecord mServer;
     private final AnswerProgress mProgress;
     private final PromptEvidence mEvidence;
+    private final ResponseBuffer mBuffer;
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private Optional<ResponseHead> mHead = Optional.empty();
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
     private HttpHeaders mHeaders;
-    private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mStreaming;
     private boolean mEnded;
 
@@ -50,6 +46,8 @@
         mServer = server;
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
+        Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
+        mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
     }
 
     ServerRecord server() {
@@ -181,6 +179,10 @@
             failWithUnknownOutcome("success without the server's mark, or encoded");
             return;
         }
+        if (!mBuffer.recordHead(mHeaders)) {
+            failWithUnknownOutcome("no memory for the head of the answer");
+            return;
+        }
         mStreaming =
                 head.isSuccess()
                         && mCallHandler.route().kind() == CallKind.STREAM
@@ -215,6 +217,7 @@
 
     private void failWithUnknownOutcome(String reason) {
         mConnection.ifPresent(UpstreamConnection::cancel);
+        mCallHandler.relay().ifPresent(StreamRelay::discardPartialEvent);
         mContext.loads().recordResponse(mServer.incarnation(), false);
         if (markEnded()) {
             mCallHandler.onMayHaveRun(this, reason, Optional.empty());
@@ -226,24 +229,25 @@
         if (mEnded) {
             return;
         }
-        if (mStreaming) {
-            try {
-                int events = mCallHandler.relay().orElseThrow().feed(mStatus, mHeaders, content);
-                if (events > 0) {
-                    recordEvents(events);
-                }
-            } catch (BrokenAnswerException e) {
-                failWithUnknownOutcome(e.getMessage());
-            }
-        } else if (mBody.readableBytes() + content.readableBytes() > MAX_BUFFERED_BYTES) {
-            failWithUnknownOutcome("an answer of more than " + MAX_BUFFERED_BYTES + " bytes");
-        } else {
-            recordProgress();
-            if (!mBody.isReadable()) {
-                mBody = Unpooled.buffer(content.readableBytes());
+        try {
+            if (mStreaming) {
+                feedRelay(content);
+            } else {
+                mBuffer.append(content);
+                recordProgress();
             }
-            mBody.writeBytes(content, content.readerIndex(), content.readableBytes());
+        } catch (BrokenAnswerException e) {
+            failWithUnknownOutcome(e.getMessage());
+        }
+    }
+
+    private void feedRelay(ByteBuf content) throws BrokenAnswerException {
+        StreamRelay relay = mCallHandler.relay().orElseThrow();
+        int events = relay.feed(mStatus, mHeaders, content);
+        if (events > 0) {
+            recordEvents(events);
         }
+        mBuffer.recordEventBuffer(relay.bufferBytes());
     }
 
     @Override
@@ -316,7 +320,7 @@
     private void handleFullResponse(ResponseHead head) {
         boolean isServerError = head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         mContext.loads().recordResponse(mServer.incarnation(), !isServerError);
-        FullResponse fullResponse = new FullResponse(mStatus, mHeaders, mBody);
+        FullResponse fullResponse = new FullResponse(mStatus, mHeaders, mBuffer.body());
         if (mCallHandler.isStreamBegun()) {
             // The caller has the head and events of another answer.
             String reason = "answered with " + head.status() + " within a stream";
@@ -385,6 +389,7 @@
             return false;
         }
         mEnded = true;
+        mBuffer.release();
         mContext.loads().recordCallEnded(mServer.incarnation());
         if (mStreaming) {
             mContext.loads().changeStreamCount(mServer.incarnation(), -1);
--- a/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
+++ b/org.cornelway/src/org/cornelway/traffic/EventStreamReader.java
@@ -127,6 +127,11 @@
         return event;
     }
 
+    /** Returns the size of the buffer. */
+    int bufferBytes() {
+        return mBuffer.length;
+    }
+
     /** Whether the buffer holds an incomplete event. */
     boolean hasPartialEvent() {
         return mLength > mEventStart;
--- a/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
@@ -30,6 +30,9 @@
 public final class PlatformHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
+    /** A body is copied when its buffer grows, and once more when it is complete. */
+    private static final long MEMORY_PER_BODY_BYTE = 2;
+
     private final EventLoop mLoop;
     private final UpstreamPool mPool;
 
@@ -99,6 +102,8 @@
         private final long mTimeoutMillis;
         private final SendPermit mPermit;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private final ResponseMemory.Share mShare =
+                mPool.memory().newShare(() -> abort("no memory for more of the response"));
         private Optional<UpstreamConnection> mConnection = Optional.empty();
         private UpstreamRequest mRequest;
         private int mStatus;
@@ -145,9 +150,13 @@
 
         @Override
         public void onContent(ByteBuf content) {
-            if (mBody.size() + content.readableBytes() > MAX_RESPONSE_BYTES) {
-                mConnection.ifPresent(UpstreamConnection::cancel);
-                fail(new IOException("response exceeds " + MAX_RESPONSE_BYTES + " bytes"));
+            int size = mBody.size() + content.readableBytes();
+            if (size > MAX_RESPONSE_BYTES) {
+                abort("response exceeds " + MAX_RESPONSE_BYTES + " bytes");
+                return;
+            }
+            if (!mShare.resize(MEMORY_PER_BODY_BYTE * size)) {
+                abort("no memory for more of the response");
                 return;
             }
             byte[] bytes = new byte[content.readableBytes()];
@@ -155,10 +164,15 @@
             mBody.writeBytes(bytes);
         }
 
+        private void abort(String reason) {
+            mConnection.ifPresent(UpstreamConnection::cancel);
+            fail(new IOException(reason));
+        }
+
         @Override
         public void onEnd() {
             if (!mDone) {
-                mDone = true;
+                markDone();
                 mEmitter.onSuccess(new HttpReply(mStatus, mContentType, mBody.toByteArray(), ""));
             }
         }
@@ -182,14 +196,19 @@
         /** Ends the request if its caller has no more use for the response. */
         void cancel() {
             if (!mDone) {
-                mDone = true;
+                markDone();
                 mConnection.ifPresent(UpstreamConnection::cancel);
             }
         }
 
+        private void markDone() {
+            mDone = true;
+            mShare.release();
+        }
+
         private void fail(Exception cause) {
             if (!mDone) {
-                mDone = true;
+                markDone();
                 mEmitter.tryOnError(cause);
             }
         }
--- a/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
@@ -83,14 +83,24 @@
         return mSequence.resumableAfter();
     }
 
+    /** Returns the size of the buffer for incomplete events. */
+    int bufferBytes() {
+        return mReader.bufferBytes();
+    }
+
     /** Whether an incomplete event was received. */
     boolean hasPartialEvent() {
         return mReader.hasPartialEvent();
     }
 
+    /** Discards an incomplete event and its memory. */
+    void discardPartialEvent() {
+        mReader = new EventStreamReader();
+    }
+
     /** Discards an incomplete event and prepares for the answer of another server. */
     void prepareNextAttempt() {
-        mReader = new EventStreamReader();
+        discardPartialEvent();
         if (mHeadSent) {
             mSequence.beginResumption();
         }
--- a/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
+++ b/org.cornelway/src/org/cornelway/traffic/StrictResponseDecoder.java
@@ -1,11 +1,13 @@
 package org.cornelway.traffic;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -18,17 +20,59 @@
     private static final int MAX_HEAD_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 16 << 10;
 
+    /** Bytes of the objects of a head for each of its bytes, if its lines are the shortest. */
+    private static final int MEMORY_PER_HEAD_BYTE = 48;
+
+    /** The buffer of the undecoded bytes is copied when it grows. */
+    private static final int MEMORY_PER_BUFFER_BYTE = 2;
+
     private boolean mNextBodyless;
 
     /** Bytes decoded since the last message; the superclass skips some bytes without a limit. */
     private int mBytesWithoutMessage;
 
-    StrictResponseDecoder() {
+    /** Memory of the undecoded bytes and of the head or trailer that is being decoded. */
+    private final ResponseMemory.Share mShare;
+
+    private ChannelHandlerContext mContext;
+
+    StrictResponseDecoder(ResponseMemory memory) {
         super(
                 new HttpDecoderConfig()
                         .setMaxHeaderSize(MAX_HEAD_BYTES)
                         .setMaxChunkSize(MAX_CHUNK_BYTES)
                         .setAllowDuplicateContentLengths(false));
+        mShare = memory.newShare(this::onMemoryRevoked);
+    }
+
+    private void onMemoryRevoked() {
+        try {
+            mContext.fireExceptionCaught(dropHead());
+        } catch (Exception e) {
+            mContext.fireExceptionCaught(e);
+        }
+    }
+
+    /**
+     * Drops the incomplete head, which the superclass would keep until the close of the connection
+     * is processed; returns the reason for closing it.
+     */
+    private TooLongHttpHeaderException dropHead() throws Exception {
+        reset();
+        super.decode(mContext, Unpooled.EMPTY_BUFFER, new ArrayList<>());
+        return new TooLongHttpHeaderException("no memory for more of an incomplete head");
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) throws Exception {
+        mContext = context;
+        super.handlerAdded(context);
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
+        mShare.release();
+        super.handlerRemoved0(context);
     }
 
     /** Sets whether the next response has no body, because its request was HEAD. */
@@ -40,7 +84,7 @@
      * Decodes the next part of a response.
      *
      * @throws TooLongHttpHeaderException if a server sends more bytes that are no part of a
-     *     response than the longest head has
+     *     response than the longest head has, or if there is no memory for them
      */
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
@@ -53,6 +97,11 @@
             throw new TooLongHttpHeaderException(
                     "more than " + MAX_HEAD_BYTES + " bytes that are no response");
         }
+        long bytes = (long) mBytesWithoutMessage * MEMORY_PER_HEAD_BYTE;
+        if (!mShare.resize(out.isEmpty() ? bytes + MEMORY_PER_BUFFER_BYTE * in.capacity() : 0)) {
+            in.skipBytes(in.readableBytes());
+            throw dropHead();
+        }
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
@@ -29,6 +29,7 @@
     private final Bootstrap mBootstrap;
     private final CallCodec mCodec;
     private final Clock mClock;
+    private final ResponseMemory mMemory = ResponseMemory.ofHeap();
     private final Map<String, AddressPool> mAddressPools = new HashMap<>();
     private long mOpenedCount;
 
@@ -60,6 +61,11 @@
         SocketOptions.all().forEach(mBootstrap::option);
     }
 
+    /** The memory of all incomplete responses on connections of this pool. */
+    ResponseMemory memory() {
+        return mMemory;
+    }
+
     /** Number of connections opened so far, failed attempts included. */
     long openedCount() {
         return mOpenedCount;
@@ -88,7 +94,7 @@
         pool.mOpenCount++;
         mOpenedCount++;
         String address = host + ":" + port;
-        StrictResponseDecoder decoder = new StrictResponseDecoder();
+        StrictResponseDecoder decoder = new StrictResponseDecoder(mMemory);
         UpstreamConnection connection =
                 new UpstreamConnection(mCodec, decoder, this, address, mClock);
         mBootstrap
