End a reply without end to an agent at its limit

An agent kept all of a response that did not end until the time limit of the request: HttpEndpointClient checked its limit of 16 MiB once the response was complete, and the lines of completions and watches had none. A request is now reset as soon as its response exceeds the limit.

--- a/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -33,6 +33,9 @@
     private static final String JSON_CONTENT_TYPE = "application/json";
     private static final int MAX_CONNECTIONS = 8;
 
+    /** Longest line of a watch that is accepted; longer than all responses of other calls. */
+    private static final int MAX_LINE_BYTES = 16 << 20;
+
     private final HttpEndpointClient mHttp;
     private final long mTimeoutMillis;
 
@@ -167,7 +170,10 @@
     }
 
     private static void readEvents(HttpClientResponse response, FlowableEmitter<KeyValue> emitter) {
-        RecordParser lines = RecordParser.newDelimited("\n", line -> emitWrites(line, emitter));
+        RecordParser lines =
+                RecordParser.newDelimited("\n", line -> emitWrites(line, emitter))
+                        .maxRecordSize(MAX_LINE_BYTES);
+        lines.exceptionHandler(e -> emitter.tryOnError(new IOException(e)));
         response.handler(lines)
                 .exceptionHandler(emitter::tryOnError)
                 .endHandler(
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
@@ -1,6 +1,8 @@
 package org.cornelway.internal.platform;
 
 import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -10,6 +12,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.LongAdder;
@@ -124,23 +127,40 @@
                         request.send(Buffer.buffer(body))
                                 .compose(
                                         response ->
-                                                response.body()
+                                                collect(request, response)
                                                         .map(bytes -> countBytes(body, bytes))
                                                         .map(bytes -> toReply(response, bytes)))
                                 .onSuccess(emitter::onSuccess)
                                 .onFailure(emitter::tryOnError));
     }
 
+    /** Collects the body; if it is too long, resets the request and fails. */
+    private static Future<Buffer> collect(HttpClientRequest request, HttpClientResponse response) {
+        Promise<Buffer> body = Promise.promise();
+        Buffer collected = Buffer.buffer();
+        response.exceptionHandler(body::tryFail)
+                .endHandler(end -> body.tryComplete(collected))
+                .handler(
+                        part -> {
+                            if (collected.length() + part.length() <= MAX_RESPONSE_BYTES) {
+                                collected.appendBuffer(part);
+                            } else if (body.tryFail(tooLong())) {
+                                request.reset();
+                            }
+                        });
+        return body.future();
+    }
+
+    private static IOException tooLong() {
+        return new IOException("a response of more than " + MAX_RESPONSE_BYTES + " bytes");
+    }
+
     private Buffer countBytes(byte[] sent, Buffer received) {
         mBytes.add(2 * ESTIMATED_HEADER_BYTES + sent.length + received.length());
         return received;
     }
 
     private static HttpReply toReply(HttpClientResponse response, Buffer body) {
-        if (body.length() > MAX_RESPONSE_BYTES) {
-            throw new IllegalStateException(
-                    "response of " + body.length() + " bytes, at most " + MAX_RESPONSE_BYTES);
-        }
         String type = response.getHeader("Content-Type");
         String tag = response.getHeader("ETag");
         return new HttpReply(
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
@@ -39,6 +39,10 @@
     private static final int MAX_CONNECTIONS = 512;
     private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final long STATUS_TIMEOUT_MILLIS = 3_000;
+
+    /** Longest line of a stream that is accepted. */
+    private static final int MAX_LINE_BYTES = 1 << 20;
+
     private static final int CONFLICT = 409;
 
     private final HttpEndpointClient mHttp;
@@ -108,7 +112,9 @@
             return;
         }
         RecordParser lines =
-                RecordParser.newDelimited("\n", line -> emitEvent(line, emitter, ended));
+                RecordParser.newDelimited("\n", line -> emitEvent(line, emitter, ended))
+                        .maxRecordSize(MAX_LINE_BYTES);
+        lines.exceptionHandler(e -> emitter.tryOnError(new IOException(e)));
         response.handler(lines)
                 .exceptionHandler(emitter::tryOnError)
                 .endHandler(
