--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -32,6 +32,8 @@
     private static final String UNAVAILABLE = "503 Service Unavailable";
 
     private static final int ENDLESS_PART_BYTES = 1_000;
+    private static final int SHORT_HEADER_BYTES = 4;
+    private static final int ENDLESS_CHUNK_BYTES = 10_000;
 
     private final Vertx mVertx;
     private final String mId;
@@ -296,7 +298,8 @@
         switch (mFault) {
             case NO_RESPONSE -> {}
             case CLOSE_CONNECTION -> socket.close();
-            case ENDLESS_BYTES, ENDLESS_HEAD -> sendEndlessly(socket);
+            case ENDLESS_BYTES, ENDLESS_HEAD, ENDLESS_SHORT_HEADERS, ENDLESS_BODY ->
+                    sendEndlessly(socket, ownHeaders);
             case OVERLOADED -> write(socket, UNAVAILABLE, requestIdHeader + NOT_RUN_HEADER, "");
             case UNAVAILABLE -> write(socket, UNAVAILABLE, ownHeaders, "failed");
             case INTERNAL_ERROR -> write(socket, "500 Internal Error", ownHeaders, "failed");
@@ -326,13 +329,28 @@
         List.copyOf(mOpenSockets).forEach(NetSocket::close);
     }
 
-    /** Sends bytes that never become a response, as the fault says. */
-    private void sendEndlessly(NetSocket socket) {
-        if (mFault == Fault.ENDLESS_HEAD) {
-            socket.write("HTTP/1.1 200 OK\r\n");
-            repeatedly(socket, "X-More: " + "a".repeat(ENDLESS_PART_BYTES) + "\r\n");
-        } else {
-            repeatedly(socket, "\u0001".repeat(ENDLESS_PART_BYTES));
+    /**
+     * Sends bytes that never become a complete response, as the fault says.
+     *
+     * @param headers header lines of a response whose body does not end
+     */
+    private void sendEndlessly(NetSocket socket, String headers) {
+        String statusLine = "HTTP/1.1 200 OK\r\n";
+        switch (mFault) {
+            case ENDLESS_HEAD -> {
+                socket.write(statusLine);
+                repeatedly(socket, "X-More: " + "a".repeat(ENDLESS_PART_BYTES) + "\r\n");
+            }
+            case ENDLESS_SHORT_HEADERS -> {
+                socket.write(statusLine);
+                repeatedly(socket, "a:\r\n".repeat(ENDLESS_PART_BYTES / SHORT_HEADER_BYTES));
+            }
+            case ENDLESS_BODY -> {
+                socket.write(statusLine + headers + "Transfer-Encoding: chunked\r\n\r\n");
+                String chunk = "a".repeat(ENDLESS_CHUNK_BYTES) + "\r\n";
+                repeatedly(socket, Integer.toHexString(ENDLESS_CHUNK_BYTES) + "\r\n" + chunk);
+            }
+            default -> repeatedly(socket, "\u0001".repeat(ENDLESS_PART_BYTES));
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.ServerChooser;
@@ -55,6 +56,12 @@
         MetricRegistry metrics) {
     private static final long NEXT_ITERATION_MILLIS = 1;
 
+    /** Whether calls may be sent to a server now: it is listed and has not said otherwise. */
+    boolean takesCalls(ServerIncarnation server) {
+        return view.get().directory().isUsable(server)
+                && notices.acceptsCalls(server, clock.nowMillis());
+    }
+
     /**
      * Runs an action after the event loop has read all connections once more. A timer that is set
      * while a connection is read may run in the same iteration of the loop, but one that is set by
