--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamTestBase.java
@@ -0,0 +1,184 @@
+package org.cornelway.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.eventlog.EventLog;
+import org.cornelway.platform.wire.WireCallCodec;
+import org.cornelway.time.Clock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/**
+ * Base class of tests that send requests to a scripted server through a pool of real connections.
+ */
+public abstract class UpstreamTestBase {
+    private static final long TIMEOUT_SECONDS = 20;
+    static final String FIRST_ANSWER = answer("200 OK", "a", "first");
+    static final String FAILURE = answer("500 Internal Server Error", "b", "failed");
+    static final String END_OF_HEAD = "\r\n\r\n";
+
+    private MultiThreadIoEventLoopGroup mGroup;
+    private ServerSocket mServer;
+    private UpstreamPool mPool;
+
+    /** What a server writes for the first and for the second request of a connection. */
+    record Script(String first, String second) {}
+
+    @BeforeMethod
+    public final void setUp() throws IOException {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mPool =
+                new UpstreamPool(
+                        (EventLoop) mGroup.next(),
+                        new WireCallCodec(),
+                        Clock.system(),
+                        new EventLog(Clock.system(), new MetricRegistry()));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public final void tearDown() throws IOException {
+        mServer.close();
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static String answer(String status, String id, String body) {
+        return "HTTP/1.1 "
+                + status
+                + "\r\nDate: today\r\nX-Request-Id: "
+                + id
+                + "\r\nX-Server-Stamp: s\r\nContent-Length: "
+                + body.length()
+                + END_OF_HEAD
+                + body;
+    }
+
+    final void serve(Script script) {
+        ServerSocket server = mServer;
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try (Socket socket = server.accept()) {
+                                answer(socket, script);
+                            } catch (IOException e) {
+                                // The client has closed the connection.
+                                return;
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void answer(Socket socket, Script script) throws IOException {
+        InputStream in = socket.getInputStream();
+        OutputStream out = socket.getOutputStream();
+        readHead(in);
+        out.write(script.first().getBytes(StandardCharsets.US_ASCII));
+        readHead(in);
+        out.write(script.second().getBytes(StandardCharsets.US_ASCII));
+        readHead(in);
+    }
+
+    private static void readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf(END_OF_HEAD) < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return;
+            }
+            head.append((char) next);
+        }
+    }
+
+    /** Sends a request; the result is the status and the body, or why there is none. */
+    final CompletableFuture<String> send(String id, HttpMethod method) {
+        return send(id, method, false);
+    }
+
+    /**
+     * @param pausing whether reading is paused when a part of the body has arrived
+     */
+    final CompletableFuture<String> send(String id, HttpMethod method, boolean pausing) {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        UpstreamRequest request =
+                new UpstreamRequest(
+                        method,
+                        "/x",
+                        new DefaultHttpHeaders().add("Host", "test"),
+                        Unpooled.EMPTY_BUFFER,
+                        Optional.of(id));
+        mGroup.execute(
+                () ->
+                        mPool.acquire(
+                                "127.0.0.1",
+                                mServer.getLocalPort(),
+                                new Collector(request, pausing, result)));
+        return result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Sends a request once there is a connection and collects the response. */
+    private static final class Collector implements UpstreamPool.AcquireListener, ResponseListener {
+        private final UpstreamRequest mRequest;
+        private final boolean mPausing;
+        private final CompletableFuture<String> mResult;
+        private final StringBuilder mText = new StringBuilder();
+        private UpstreamConnection mConnection;
+
+        Collector(UpstreamRequest request, boolean pausing, CompletableFuture<String> result) {
+            mRequest = request;
+            mPausing = pausing;
+            mResult = result;
+        }
+
+        @Override
+        public void onAcquired(UpstreamConnection connection) {
+            mConnection = connection;
+            connection.send(mRequest, this);
+        }
+
+        @Override
+        public void onConnectFailed(String reason) {
+            mResult.complete("not connected: " + reason);
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            mText.append(head.status().code()).append(' ');
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            mText.append(content.toString(StandardCharsets.US_ASCII));
+            if (mPausing) {
+                mConnection.setReadingPaused(true);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            mResult.complete(mText.toString());
+        }
+
+        @Override
+        public void onFailed(boolean sent, String reason) {
+            mResult.complete("failed: " + reason);
+        }
+    }
+}
