Let the silence of a server end no answer while another one takes over

Class: a running answer given up on a guess for one only hoped for.

Change: the call is sent to another server beside the silent attempt; the first to go on keeps it, and a failure of one ends only that one. A stream that has begun may go back to a server that it ran at, since the limit of attempts is one of servers.

--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
@@ -0,0 +1,36 @@
+package org.cornelway.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.cornelway.route.CallKind;
+import org.testng.annotations.Test;
+
+/** Tests which of two attempts ends if neither server goes on. */
+public class HedgePolicyTest {
+    private static final long SHORT_PAUSE_MILLIS = 1_300;
+    private static final long LONG_PAUSE_MILLIS = 1_500;
+
+    /** Guards against a stream that is taken from an engine which only pauses. */
+    @Test
+    public void streamStaysAtServerThatIsSilentForAllCallsForMoment() {
+        assertThat(HedgePolicy.endsSilentAttempt(CallKind.STREAM, SHORT_PAUSE_MILLIS, false))
+                .isFalse();
+    }
+
+    @Test
+    public void streamLeavesServerThatWorksOnOtherCalls() {
+        assertThat(HedgePolicy.endsSilentAttempt(CallKind.STREAM, SHORT_PAUSE_MILLIS, true))
+                .isTrue();
+    }
+
+    @Test
+    public void streamLeavesServerThatIsSilentForLong() {
+        assertThat(HedgePolicy.endsSilentAttempt(CallKind.STREAM, LONG_PAUSE_MILLIS, false))
+                .isTrue();
+    }
+
+    @Test
+    public void otherCallLeavesSilentServer() {
+        assertThat(HedgePolicy.endsSilentAttempt(CallKind.SAFE, 1, false)).isTrue();
+    }
+}
--- a/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
@@ -15,11 +15,20 @@
 public class StreamRelayTest {
     private RecordedResponse mResponse;
     private StreamRelay mRelay;
+    private StreamRelay.Answer mAnswer;
+    private int mForwards;
 
     @BeforeMethod
     public void createRelay() {
         mResponse = new RecordedResponse();
         mRelay = new StreamRelay(mResponse, Optional.empty());
+        mForwards = 0;
+        startAnswer();
+    }
+
+    /** Starts the answer of another server. */
+    private void startAnswer() {
+        mAnswer = mRelay.newAnswer(() -> mForwards++);
     }
 
     private static String event(int id) {
@@ -35,7 +44,7 @@
     }
 
     private void feed(String text) throws BrokenAnswerException {
-        mRelay.feed(
+        mAnswer.feed(
                 HttpResponseStatus.OK,
                 new DefaultHttpHeaders(),
                 Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -73,15 +82,39 @@
     public void resumedAnswerSkipsEventsThatTheCallerHas() throws BrokenAnswerException {
         feed(events(1, 2, 3));
         assertThat(mRelay.lastEventId()).contains("3");
-        mRelay.prepareNextAttempt();
+        startAnswer();
         feed(": keep-alive\n\n" + events(2, 3, 4, 5));
         assertThat(mResponse.body()).isEqualTo(events(1, 2, 3) + ": keep-alive\n\n" + events(4, 5));
     }
 
+    /** Guards against an attempt that ends another one with events which the caller has already. */
+    @Test
+    public void skippedEventsAreNotReportedAsForwarded() throws BrokenAnswerException {
+        feed(events(1, 2, 3));
+        startAnswer();
+        feed(events(2, 3));
+        assertThat(mForwards).isEqualTo(3);
+        feed(events(4));
+        assertThat(mForwards).isEqualTo(4);
+    }
+
+    /** Guards against a hedge that makes the answer beside it unusable. */
+    @Test
+    public void earlierAnswerGoesOnBesideLaterOneThatHasForwardedNothing()
+            throws BrokenAnswerException {
+        feed(events(1, 2) + "id: 3\nda");
+        StreamRelay.Answer earlier = mAnswer;
+        startAnswer();
+        feed(events(1, 2) + "id: 3\n");
+        mAnswer = earlier;
+        feed("ta: piece\n\n" + events(4));
+        assertThat(mResponse.body()).isEqualTo(events(1, 2, 3, 4));
+    }
+
     @Test
     public void resumedAnswerThatLeavesOutAnEventIsRejected() throws BrokenAnswerException {
         feed(events(1, 2, 3));
-        mRelay.prepareNextAttempt();
+        startAnswer();
         assertThatThrownBy(() -> feed(events(5, 6))).isInstanceOf(BrokenAnswerException.class);
         assertThat(mResponse.body()).isEqualTo(events(1, 2, 3));
     }
@@ -89,8 +122,8 @@
     @Test
     public void partialEventOfAnEarlierServerIsDiscarded() throws BrokenAnswerException {
         feed(event(1) + "id: 2\nda");
-        assertThat(mRelay.hasPartialEvent()).isTrue();
-        mRelay.prepareNextAttempt();
+        assertThat(mAnswer.hasPartialEvent()).isTrue();
+        startAnswer();
         feed(events(2, 3));
         assertThat(mResponse.body()).isEqualTo(events(1, 2, 3));
     }
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
@@ -0,0 +1,28 @@
+package org.cornelway.dispatch;
+
+import org.cornelway.route.CallKind;
+
+/**
+ * Decides which of two attempts of a call ends if neither server has gone on in the time for which
+ * both may work on the call. Answers streams of servers that are silent for a moment, and of
+ * servers that hang, alone or with all their calls. Pure and thread-safe.
+ */
+public final class HedgePolicy {
+    /** Silence after which a server is not expected to go on. */
+    private static final long MAX_PAUSE_MILLIS = 1_500;
+
+    private HedgePolicy() {}
+
+    /**
+     * Whether the attempt at the silent server ends, and not the hedge. A server that works on
+     * other calls is not expected to go on with this one.
+     *
+     * @param kind kind of the call
+     * @param silentMillis time for which the silent server has sent nothing for the call
+     * @param serverActive whether that server works on other calls
+     */
+    public static boolean endsSilentAttempt(
+            CallKind kind, long silentMillis, boolean serverActive) {
+        return kind != CallKind.STREAM || serverActive || silentMillis >= MAX_PAUSE_MILLIS;
+    }
+}
--- a/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
@@ -66,6 +66,10 @@
         private long mReportedMillis = Long.MIN_VALUE / 2;
 
         private long mLastActivityMillis;
+
+        /** When a call last received something from the server. */
+        private long mLastReceivedMillis;
+
         private int mConsecutiveFailures;
         private double mErrorRate;
         private Deadline mSuspectUntil = new Deadline(0);
@@ -108,7 +112,14 @@
 
     /** Records that bytes arrived from a server. */
     public void recordActivity(ServerIncarnation incarnation) {
-        getOrCreateState(incarnation).mLastActivityMillis = mClock.nowMillis();
+        ServerState state = getOrCreateState(incarnation);
+        state.mLastActivityMillis = mClock.nowMillis();
+        state.mLastReceivedMillis = state.mLastActivityMillis;
+    }
+
+    /** Returns the time for which no call has received anything from a server. */
+    public long silentMillis(ServerIncarnation incarnation) {
+        return mClock.nowMillis() - getOrCreateState(incarnation).mLastReceivedMillis;
     }
 
     /** Records the load that a server reports. */
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -23,7 +23,12 @@
     private final SendHistory mHistory;
     private final AnswerProgress mProgress;
     private final PromptEvidence mEvidence;
+    private final ServerObserver mObserver;
     private final ResponseBuffer mBuffer;
+
+    /** The events of the answer; empty if the call is not for a stream. */
+    private final Optional<StreamRelay.Answer> mAnswer;
+
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private Optional<ResponseHead> mHead = Optional.empty();
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
@@ -34,8 +39,6 @@
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
     private long mSentMillis;
 
-    private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
-
     Attempt(
             TrafficContext context,
             CallHandler callHandler,
@@ -49,8 +52,10 @@
         mHistory = history;
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
+        mObserver = new ServerObserver(context, server, request.head().target());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
+        mAnswer = callHandler.relay().map(r -> r.newAnswer(() -> callHandler.onContinued(this)));
     }
 
     ServerRecord server() {
@@ -64,17 +69,7 @@
 
     /** Acquires a connection to the server; the call is sent once there is one. */
     void start() {
-        mContext.loads().recordCallStarted(mServer.incarnation());
-        mRunningCall =
-                mRequest.head()
-                        .target()
-                        .map(
-                                target ->
-                                        mContext.usage()
-                                                .callStarted(
-                                                        mServer.id(),
-                                                        target,
-                                                        mRequest.head().expectedTokens()));
+        mObserver.recordStart(mRequest.head().expectedTokens());
         mContext.pool().acquire(mServer.host(), mServer.port(), this);
     }
 
@@ -116,7 +111,7 @@
         try {
             request = buildUpstreamRequest();
         } catch (IllegalArgumentException e) {
-            mContext.loads().recordFailure(mServer.incarnation());
+            mObserver.recordFailure();
             endUnsent(connection, "the request cannot be written: " + e.getMessage());
             return;
         }
@@ -157,7 +152,7 @@
 
     @Override
     public void onConnectFailed(String reason) {
-        mContext.loads().recordFailure(mServer.incarnation());
+        mObserver.recordFailure();
         recordNotHeld();
         if (markEnded()) {
             mCallHandler.onNotSent(this, "not connected: " + reason);
@@ -178,9 +173,7 @@
         mContext.codec().writeResponseHeaders(response, mHeaders);
         mCallHandler.log().recordHead(mServer.id(), head.status());
         recordProgress();
-        head.load()
-                .ifPresent(
-                        load -> mContext.loads().recordReportedLoad(mServer.incarnation(), load));
+        head.load().ifPresent(mObserver::recordReportedLoad);
         if (head.isSuccess() && (!head.signed() || head.contentEncoded())) {
             failWithUnknownOutcome("success without the server's mark, or encoded");
             return;
@@ -194,13 +187,13 @@
                         && mCallHandler.route().kind() == CallKind.STREAM
                         && response.status().equals(HttpResponseStatus.OK);
         if (mStreaming) {
-            mContext.loads().changeStreamCount(mServer.incarnation(), 1);
+            mObserver.recordStreaming();
         }
     }
 
     private void recordProgress() {
         mProgress.record();
-        mContext.loads().recordActivity(mServer.incarnation());
+        mObserver.recordActivity();
     }
 
     private long nowMillis() {
@@ -216,8 +209,7 @@
 
     private void failWithUnknownOutcome(String reason) {
         mConnection.ifPresent(UpstreamConnection::cancel);
-        mCallHandler.relay().ifPresent(StreamRelay::discardPartialEvent);
-        mContext.loads().recordResponse(mServer.incarnation(), false);
+        mObserver.recordResponse(false);
         if (markEnded()) {
             mCallHandler.onMayHaveRun(this, reason, Optional.empty());
         }
@@ -241,15 +233,15 @@
     }
 
     private void feedRelay(ByteBuf content) throws BrokenAnswerException {
-        StreamRelay relay = mCallHandler.relay().orElseThrow();
-        int events = relay.feed(mStatus, mHeaders, content);
+        StreamRelay.Answer answer = mAnswer.orElseThrow();
+        int events = answer.feed(mStatus, mHeaders, content);
         if (events > 0) {
             recordProgress();
             if (mProgress.recordEvents(events)) {
                 mEvidence.recordAnswered();
             }
         }
-        mBuffer.recordEventBuffer(relay.bufferBytes());
+        mBuffer.recordEventBuffer(answer.bufferBytes());
     }
 
     @Override
@@ -271,7 +263,7 @@
 
     /** The caller is not told that the call has not run, since it may have. */
     private void handleUnprovenRefusal(ResponseHead head) {
-        mContext.loads().recordResponse(mServer.incarnation(), false);
+        mObserver.recordResponse(false);
         String reason = "refused with " + head.status() + " without proof";
         mCallHandler.onMayHaveRun(this, reason, Optional.empty());
     }
@@ -281,47 +273,37 @@
                 head.misdirected()
                         && head.serverId().map(id -> !id.equals(mServer.id())).orElse(false);
         if (answeredByOtherServer) {
-            mContext.loads().recordFailure(mServer.incarnation());
-        } else if (head.misdirected() || mCallHandler.recordRefusal(mServer.incarnation())) {
+            mObserver.recordFailure();
+        } else if (head.misdirected() || mHistory.recordRefusal(mServer.incarnation())) {
             // A server that refuses the same call twice may be unloading the model.
             recordNotHeld();
         }
         mCallHandler.onRefused(this, "refused with " + head.status(), !head.misdirected());
     }
 
-    /**
-     * Treats this server as not holding the model, if the call is for one, until the controller or
-     * the server itself reports the model again.
-     */
     private void recordNotHeld() {
-        Optional<ModelTarget> target = mRequest.head().target();
-        if (target.isPresent()) {
-            mContext.holdings().remove(mServer.incarnation(), target.get());
+        if (mObserver.recordNotHeld()) {
             mCallHandler.onNotHeld(mServer.incarnation());
         }
     }
 
     private void handleStreamEnd() {
-        StreamRelay relay = mCallHandler.relay().orElseThrow();
-        if (relay.hasPartialEvent()) {
-            mContext.loads().recordResponse(mServer.incarnation(), false);
+        if (mAnswer.orElseThrow().hasPartialEvent()) {
+            mObserver.recordResponse(false);
             recordBreak();
             mCallHandler.onMayHaveRun(this, "ended within an event", Optional.empty());
         } else {
-            mContext.loads().recordResponse(mServer.incarnation(), true);
-            mProgress.streamingMillis().ifPresent(mContext.loads()::recordStream);
+            mObserver.recordStream(mProgress.streamingMillis());
             if (mProgress.streamingMillis().isPresent()) {
                 mEvidence.recordAnswered();
             }
-            mRunningCall.ifPresent(mContext.usage()::callCompleted);
-            relay.ensureHeadSent(mStatus, mHeaders);
-            mCallHandler.onStreamEnd();
+            mCallHandler.onStreamEnd(this, mStatus, mHeaders);
         }
     }
 
     private void handleFullResponse(ResponseHead head) {
         boolean isServerError = head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        mContext.loads().recordResponse(mServer.incarnation(), !isServerError);
+        mObserver.recordResponse(!isServerError);
         FullResponse fullResponse = new FullResponse(mStatus, mHeaders, mBuffer.body());
         if (mCallHandler.isStreamBegun()) {
             // The caller has the head and events of another answer.
@@ -331,13 +313,13 @@
             mCallHandler.onMayHaveRun(
                     this, "failed with " + head.status(), Optional.of(fullResponse));
         } else {
-            mCallHandler.onFullResponse(fullResponse);
+            mCallHandler.onFullResponse(this, fullResponse);
         }
     }
 
     @Override
     public void onFailed(boolean sent, String reason) {
-        mContext.loads().recordFailure(mServer.incarnation());
+        mObserver.recordFailure();
         if (!markEnded()) {
             return;
         }
@@ -349,25 +331,32 @@
         }
     }
 
-    /**
-     * Checks whether the server has gone silent; called periodically.
-     *
-     * <p>If it has, the call is sent to another server, but only if one can take it at once.
-     * Otherwise the attempt continues: silence alone never ends a response.
-     */
+    /** Checks whether the server has gone silent; called periodically. */
     void tick() {
         if (mEnded || mConnection.isEmpty()) {
             return;
         }
-        boolean hasRecentFailure = mContext.loads().hasRecentFailure(mServer.incarnation());
         boolean begun = mCallHandler.isStreamBegun();
-        if (mProgress.isStalled(mCallHandler.route(), begun, hasRecentFailure)
-                && mCallHandler.moveFromSilent(
-                        this, "silent for " + mProgress.silentMillis() + " ms")) {
-            mContext.loads().recordFailure(mServer.incarnation());
+        if (mProgress.isStalled(mCallHandler.route(), begun, mObserver.hasRecentFailure())) {
+            mCallHandler.onSilent(this);
         }
     }
 
+    /** Time for which the server has sent nothing for this call. */
+    long silentMillis() {
+        return mProgress.silentMillis();
+    }
+
+    /** Makes the server suspect, since it was silent for so long that another one went on. */
+    void recordSilence() {
+        mObserver.recordFailure();
+    }
+
+    /** Whether the server works on other calls although it is silent for this one. */
+    boolean isServerActive() {
+        return mObserver.isActive(mProgress.silentMillis());
+    }
+
     void setReadingPaused(boolean paused) {
         mConnection.ifPresent(connection -> connection.setReadingPaused(paused));
     }
@@ -390,11 +379,7 @@
         }
         mEnded = true;
         mBuffer.release();
-        mContext.loads().recordCallEnded(mServer.incarnation());
-        if (mStreaming) {
-            mContext.loads().changeStreamCount(mServer.incarnation(), -1);
-        }
-        mRunningCall.ifPresent(mContext.usage()::callEnded);
+        mObserver.recordEnd();
         return true;
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.result.ResultCode;
+import org.cornelway.route.Route;
 import org.cornelway.time.Deadline;
 
 /**
@@ -71,6 +73,42 @@
                 : Optional.empty();
     }
 
+    /**
+     * Whether a call that may have run can be sent again. A stream that has begun may go back to a
+     * server; {@link ServerSelector} keeps it within its number of servers.
+     *
+     * @param relay relay of a stream; empty if the call is for none
+     * @param running number of attempts that run now and may have run the call
+     */
+    boolean canRepeat(Route route, Deadline deadline, Optional<StreamRelay> relay, int running) {
+        long now = mContext.clock().nowMillis();
+        if (!route.isIdempotent()
+                || mHistory.isExhausted()
+                || deadline.remainingMillis(now) < MIN_REMAINING_MILLIS) {
+            return false;
+        }
+        return relay.filter(StreamRelay::isHeadSent)
+                .map(StreamRelay::canResume)
+                .orElse(mHistory.possibleRunCount() + running < route.maxAttempts());
+    }
+
+    /** Takes a send from the retry budget; returns false if it is exhausted. */
+    boolean tryAcquireResend(String service) {
+        return mContext.retryBudget().tryAcquire(service, mContext.view().get().entryCount());
+    }
+
+    /**
+     * Returns another server that can take the call at once, and takes a send from the retry
+     * budget; empty if there is no such server or no budget.
+     *
+     * @param silent server at which the call runs and which is silent
+     */
+    Optional<Candidate> acquireAlternative(String service, ServerIncarnation silent) {
+        return promptBlockedUntil().isPresent()
+                ? Optional.empty()
+                : mSelector.alternative(service, silent).filter(next -> tryAcquireResend(service));
+    }
+
     /** Returns until when no server takes the call, as a part of its prompt crashed servers. */
     Optional<Deadline> promptBlockedUntil() {
         return mContext.evidence()
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -1,5 +1,6 @@
 package org.cornelway.traffic;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Optional;
@@ -20,7 +21,7 @@
  * only after proof that it did not run; a response states that the call did not run only if this is
  * proven for each of its sends. Confined to the traffic thread.
  */
-final class CallHandler {
+final class CallHandler implements Hedging.Sender {
     /** Delay before a call that a busy engine has refused is sent again. */
     private static final long BUSY_DELAY_MILLIS = 30;
 
@@ -41,9 +42,10 @@
     private Optional<Route> mRoute = Optional.empty();
     private String mService = "";
     private final CallDeadline mDeadline;
-    private Optional<Attempt> mAttempt = Optional.empty();
+    private final RunningAttempts mAttempts;
     private Optional<StreamRelay> mRelay = Optional.empty();
     private final ModelWait mModelWait;
+    private final Hedging mHedging;
     private long mRetryAfterMillis = CallAdmission.RETRY_AFTER_MILLIS;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
@@ -53,7 +55,9 @@
         mLog = new CallLog(context, request);
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
         mModelWait = new ModelWait(context, request);
-        mSelector = new ServerSelector(context, request, mHistory);
+        mAttempts = new RunningAttempts(mHistory, mLog);
+        mHedging = new Hedging(context, mAttempts, mHistory, mLog, this);
+        mSelector = new ServerSelector(context, request, mHistory, mAttempts);
         mAdmission = new CallAdmission(context, request, mSelector, mHistory);
         mDeadline = new CallDeadline(request);
     }
@@ -94,6 +98,7 @@
         }
         Route route = mRoute.get();
         mResponder.setRoute(route);
+        mHistory.limitServers(route.maxAttempts());
         mService = route.selectService(mRequest.head().requestId().hashCode());
         mContext.retryBudget().recordCall(mService);
         if (route.kind() == CallKind.STREAM) {
@@ -108,7 +113,8 @@
         return mContext.clock().nowMillis();
     }
 
-    Route route() {
+    @Override
+    public Route route() {
         return mRoute.orElseThrow();
     }
 
@@ -125,7 +131,7 @@
     }
 
     private void dispatch() {
-        if (mResponder.isDone() || mAttempt.isPresent()) {
+        if (mResponder.isDone() || !mAttempts.isEmpty()) {
             return;
         }
         List<Candidate> candidates = mSelector.candidates(mService);
@@ -137,7 +143,9 @@
         }
         Optional<ModelTarget> target = mRequest.head().target();
         boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
+        // A call that can only go back to a server has no use for another one.
         if (target.isPresent()
+                && !mHistory.hasUsedServers()
                 && (candidates.isEmpty() || allSuspect && !mModelWait.wasRequested())) {
             // If all holders are suspect, the controller is asked once for another server.
             candidates.stream().findFirst().ifPresent(c -> onNotHeld(c.server().incarnation()));
@@ -150,15 +158,14 @@
             fail(ResultCode.QUEUE_FULL, "an engine would need " + wait.getAsLong() + " ms");
             return;
         }
-        Optional<Candidate> chosen = mSelector.choose(candidates);
-        if (chosen.isPresent()) {
-            send(chosen.get());
-        } else {
-            fail(ResultCode.NO_REPLICA, "no backend server of " + mService);
-        }
+        mSelector
+                .choose(candidates)
+                .ifPresentOrElse(
+                        this::send,
+                        () -> fail(ResultCode.NO_REPLICA, "no backend server of " + mService));
     }
 
-    /** Ends the call; one of which the caller has a part waits if its servers want no calls. */
+    /** Ends the call; a stream that has begun waits if its servers want no calls. */
     private void reject(CallAdmission.Rejection rejection) {
         if (isStreamBegun() && rejection.code() == ResultCode.QUEUE_FULL) {
             scheduleDispatch(rejection.retryAfterMillis());
@@ -176,7 +183,7 @@
     }
 
     private void send(Candidate chosen) {
-        if (!mHistory.hasArrived() || tryAcquireResend()) {
+        if (!mHistory.hasArrived() || mAdmission.tryAcquireResend(mService)) {
             start(chosen);
         } else if (isStreamBegun()) {
             // The caller has a part of the stream and waits for the rest.
@@ -186,20 +193,18 @@
         }
     }
 
-    private boolean tryAcquireResend() {
-        return mContext.retryBudget().tryAcquire(mService, mContext.view().get().entryCount());
-    }
-
     private void scheduleDispatch(long delayMillis) {
         mContext.loop().schedule(this::dispatch, delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void start(Candidate chosen) {
+    @Override
+    public Attempt start(Candidate chosen) {
         mHistory.recordSend(chosen.server().id());
         Attempt attempt = new Attempt(mContext, this, mRequest, chosen.server(), mHistory);
-        mAttempt = Optional.of(attempt);
+        mAttempts.add(attempt);
         mLog.logSend(mHistory.sends(), chosen, deadline().remainingMillis(now()));
         attempt.start();
+        return attempt;
     }
 
     private void requestModel() {
@@ -212,7 +217,7 @@
     }
 
     private void onModelTooLate(long expectedMillis) {
-        if (!mResponder.isDone() && mAttempt.isEmpty()) {
+        if (!mResponder.isDone() && mAttempts.isEmpty()) {
             mRetryAfterMillis = Math.max(CallAdmission.RETRY_AFTER_MILLIS, expectedMillis);
             fail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
         }
@@ -220,7 +225,7 @@
 
     /** Dispatches the call if it waits for a model that a server holds now. */
     void onHoldingsChanged() {
-        if (mModelWait.isWaiting() && mAttempt.isEmpty() && mSelector.hasCandidates(mService)) {
+        if (mModelWait.isWaiting() && mAttempts.isEmpty() && mSelector.hasCandidates(mService)) {
             mModelWait.end();
             dispatch();
         }
@@ -252,10 +257,10 @@
     }
 
     private void onNotRun(Attempt attempt, String reason, boolean busy) {
-        mAttempt = Optional.empty();
-        mHistory.recordEnd(reason);
-        mLog.logSendFailed(attempt.server().id(), "not_run", reason);
-        if (mHistory.isExhausted()) {
+        mAttempts.endNotRun(attempt, reason);
+        if (!mAttempts.isEmpty()) {
+            mHedging.pause();
+        } else if (mHistory.isExhausted()) {
             fail(ResultCode.QUEUE_FULL, "not run after " + mHistory.sends() + " sends: " + reason);
         } else if (busy) {
             scheduleDispatch(BUSY_DELAY_MILLIS);
@@ -264,11 +269,6 @@
         }
     }
 
-    /** Records a refusal; returns whether the server refused this call before, as in an unload. */
-    boolean recordRefusal(ServerIncarnation incarnation) {
-        return mHistory.recordRefusal(incarnation);
-    }
-
     /** Records a server that does not serve the model although it was expected to hold it. */
     void onNotHeld(ServerIncarnation incarnation) {
         mModelWait.recordNotHeldBy(incarnation);
@@ -277,64 +277,65 @@
     /** Called when an attempt failed and the call may have run. */
     void onMayHaveRun(Attempt attempt, String reason, Optional<FullResponse> errorResponse) {
         mResponder.setErrorResponse(errorResponse);
-        recordPossibleRun(attempt, reason);
-        if (canRepeat(mHistory.possibleRunCount())) {
-            mRelay.ifPresent(StreamRelay::prepareNextAttempt);
+        mAttempts.endMayHaveRun(attempt, reason);
+        if (mAttempts.isEmpty()) {
+            repeatOrFail(reason);
+        } else {
+            mHedging.pause();
+        }
+    }
+
+    @Override
+    public void repeatOrFail(String reason) {
+        if (mAdmission.canRepeat(route(), deadline(), mRelay, 0)) {
             dispatch();
         } else {
             fail(ResultCode.OUTCOME_UNKNOWN, reason);
         }
     }
 
-    private void recordPossibleRun(Attempt attempt, String reason) {
-        mAttempt = Optional.empty();
-        mHistory.recordEnd(reason);
-        mHistory.recordPossibleRun();
-        mLog.logSendFailed(attempt.server().id(), "may_have_run", reason);
+    /** Called periodically while the server of an attempt is silent. */
+    void onSilent(Attempt attempt) {
+        mHedging.onSilent(attempt);
     }
 
-    /**
-     * Cancels an attempt whose server is silent and sends the call to another server, if all that
-     * the next send needs is granted now: the call may be repeated, a server can take it, and the
-     * retry budget is not exhausted. Otherwise the attempt continues.
-     *
-     * @return whether the call was sent to another server
-     */
-    boolean moveFromSilent(Attempt attempt, String reason) {
-        if (!canRepeat(mHistory.possibleRunCount() + 1)
-                || mAdmission.promptBlockedUntil().isPresent()) {
-            return false;
-        }
-        Optional<Candidate> next = mSelector.alternative(mService, attempt.server().incarnation());
-        if (next.isEmpty() || !tryAcquireResend()) {
-            return false;
-        }
-        attempt.cancel();
-        recordPossibleRun(attempt, reason);
-        mRelay.ifPresent(StreamRelay::prepareNextAttempt);
-        start(next.get());
-        return true;
+    @Override
+    public Optional<Candidate> acquireAlternative(Attempt silent) {
+        return mAdmission.canRepeat(route(), deadline(), mRelay, 1)
+                ? mAdmission.acquireAlternative(mService, silent.server().incarnation())
+                : Optional.empty();
     }
 
-    private boolean canRepeat(int possibleRuns) {
-        return route().isIdempotent()
-                && possibleRuns < route().maxAttempts()
-                && !mHistory.isExhausted()
-                && deadline().remainingMillis(now()) >= CallAdmission.MIN_REMAINING_MILLIS
-                && (!isStreamBegun() || mRelay.get().canResume());
+    /** Called before the caller gets an event of an attempt's answer. */
+    void onContinued(Attempt attempt) {
+        mAttempts.cancelOther(attempt);
     }
 
-    void onFullResponse(FullResponse response) {
-        mAttempt = Optional.empty();
+    @Override
+    public boolean hasErrorResponse() {
+        return mResponder.hasErrorResponse();
+    }
+
+    /** Called when a server has answered; an error does not end a call with another attempt. */
+    void onFullResponse(Attempt attempt, FullResponse response) {
+        if (mAttempts.isHedged() && response.isError()) {
+            onMayHaveRun(attempt, "failed with " + response.status(), Optional.of(response));
+            return;
+        }
+        onContinued(attempt);
+        mAttempts.remove(attempt);
         if (!mResponder.isDone()) {
             mResponder.forward(response);
         }
     }
 
-    void onStreamEnd() {
-        mAttempt = Optional.empty();
+    void onStreamEnd(Attempt attempt, HttpResponseStatus status, HttpHeaders headers) {
+        onContinued(attempt);
+        mAttempts.remove(attempt);
         if (!mResponder.isDone()) {
-            mResponder.endStream(mRelay.orElseThrow());
+            StreamRelay relay = mRelay.orElseThrow();
+            relay.ensureHeadSent(status, headers);
+            mResponder.endStream(relay);
         }
     }
 
@@ -343,7 +344,7 @@
         if (mResponder.isDone()) {
             return;
         }
-        mAttempt.ifPresent(Attempt::cancel);
+        mAttempts.cancelAll();
         if (isStreamBegun()) {
             mResponder.abort(reason);
         } else {
@@ -353,7 +354,7 @@
 
     /** Refuses the call, so that its caller can retry, unless it is being sent or may have run. */
     void refuseIfWaiting() {
-        if (mAttempt.filter(Attempt::mayHaveRun).isEmpty() && mHistory.possibleRunCount() == 0) {
+        if (!mAttempts.mayHaveRun() && mHistory.possibleRunCount() == 0) {
             abandon();
         }
     }
@@ -365,7 +366,7 @@
 
     /** Fails the call after recording whether the current attempt may have run it. */
     private void end(ResultCode code, String reason) {
-        mAttempt.filter(Attempt::mayHaveRun).ifPresent(attempt -> mHistory.recordPossibleRun());
+        mAttempts.recordPossibleRuns();
         fail(code, reason);
     }
 
@@ -377,8 +378,8 @@
         mRoute.ifPresent(route -> mDeadline.refresh(route, mContext.view().get()));
         if (deadline().isPast(now())) {
             end(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mHistory.lastReason());
-        } else if (mAttempt.isPresent()) {
-            mAttempt.get().tick();
+        } else if (!mAttempts.isEmpty()) {
+            mAttempts.forEach(Attempt::tick);
         } else if (!isStreamBegun() && mModelWait.mustRefuse(now())) {
             fail(ResultCode.DEADLINE_INFEASIBLE, "no server holds the model yet");
         }
@@ -386,15 +387,14 @@
 
     /** Pauses or resumes reading from the server, depending on whether the caller keeps up. */
     void setReadingPaused(boolean paused) {
-        mAttempt.ifPresent(attempt -> attempt.setReadingPaused(paused));
+        mAttempts.forEach(attempt -> attempt.setReadingPaused(paused));
     }
 
     /** Called when the caller has closed its connection; the call is cancelled. */
     void onCallerDisconnected() {
         if (!mResponder.isDone()) {
             mResponder.recordCallerLeft();
-            mAttempt.ifPresent(Attempt::cancel);
-            mAttempt = Optional.empty();
+            mAttempts.cancelAll();
         }
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -70,6 +70,19 @@
         mResponder = server + ":" + status;
     }
 
+    /** Logs that a server is silent, so that the call is sent to another one beside it. */
+    void logSilent(String server, long silentMillis) {
+        mContext.log()
+                .write(
+                        "call.silent",
+                        "id",
+                        requestId(),
+                        "server",
+                        server,
+                        "silent_ms",
+                        silentMillis);
+    }
+
     /** Logs that a send failed; the call may be sent again. */
     void logSendFailed(String server, String outcome, String reason) {
         mContext.log()
--- a/org.cornelway/src/org/cornelway/traffic/CallResponder.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -45,6 +45,11 @@
         mErrorResponse = errorResponse;
     }
 
+    /** Whether there is an error response of a server. */
+    boolean hasErrorResponse() {
+        return mErrorResponse.isPresent();
+    }
+
     /** Whether the call has ended. */
     boolean isDone() {
         return mDone;
--- a/org.cornelway/src/org/cornelway/traffic/EventSequence.java
+++ b/org.cornelway/src/org/cornelway/traffic/EventSequence.java
@@ -23,9 +23,6 @@
 
     private boolean mConsecutive = true;
 
-    /** Whether a server resumes the stream and has not sent the next event yet. */
-    private boolean mAwaitingNextEvent;
-
     /** What is done with an event. */
     enum Verdict {
         /** The caller gets the event. */
@@ -55,31 +52,45 @@
                 && text.chars().allMatch(c -> c >= '0' && c <= '9');
     }
 
-    /** Prepares for the answer of a server that resumes the stream after the last event. */
-    void beginResumption() {
-        mAwaitingNextEvent = true;
+    /**
+     * Returns the sequence of one answer.
+     *
+     * @param resumes whether the server resumes the stream after the last event
+     */
+    Answer newAnswer(boolean resumes) {
+        return new Answer(resumes);
     }
 
-    /** Judges the next event of the current answer and records it if it is forwarded. */
-    Verdict next(EventStreamReader.Event event) {
-        if (event.isComment()) {
-            return Verdict.FORWARD;
+    /** The events of one server's answer. Confined to the traffic thread. */
+    final class Answer {
+        /** Whether a server resumes the stream and has not sent the next event yet. */
+        private boolean mAwaitingNextEvent;
+
+        private Answer(boolean resumes) {
+            mAwaitingNextEvent = resumes;
         }
-        OptionalLong id = parseId(event.id());
-        if (!mAwaitingNextEvent) {
-            mConsecutive &= id.isPresent() && (mLastId.isEmpty() || isNext(id.getAsLong()));
+
+        /** Judges the next event of the answer and records it if it is forwarded. */
+        Verdict next(EventStreamReader.Event event) {
+            if (event.isComment()) {
+                return Verdict.FORWARD;
+            }
+            OptionalLong id = parseId(event.id());
+            if (!mAwaitingNextEvent) {
+                mConsecutive &= id.isPresent() && (mLastId.isEmpty() || isNext(id.getAsLong()));
+                mLastId = id;
+                return Verdict.FORWARD;
+            }
+            if (id.isEmpty() || id.getAsLong() > mLastId.getAsLong() + 1) {
+                return Verdict.MISPLACED;
+            }
+            if (!isNext(id.getAsLong())) {
+                return Verdict.SKIP;
+            }
+            mAwaitingNextEvent = false;
             mLastId = id;
             return Verdict.FORWARD;
         }
-        if (id.isEmpty() || id.getAsLong() > mLastId.getAsLong() + 1) {
-            return Verdict.MISPLACED;
-        }
-        if (!isNext(id.getAsLong())) {
-            return Verdict.SKIP;
-        }
-        mAwaitingNextEvent = false;
-        mLastId = id;
-        return Verdict.FORWARD;
     }
 
     private boolean isNext(long id) {
--- a/org.cornelway/src/org/cornelway/traffic/FullResponse.java
+++ b/org.cornelway/src/org/cornelway/traffic/FullResponse.java
@@ -11,4 +11,9 @@
  * @param headers end-to-end headers of the server's response
  * @param body complete body, on the heap
  */
-record FullResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {}
+record FullResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+    /** Whether the status says that the call failed. */
+    boolean isError() {
+        return status.code() >= HttpResponseStatus.BAD_REQUEST.code();
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/SendHistory.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendHistory.java
@@ -1,6 +1,7 @@
 package org.cornelway.traffic;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.cornelway.directory.ServerIncarnation;
 
@@ -12,10 +13,27 @@
     private final Set<String> mTried = new HashSet<>();
     private final Set<UpstreamConnection> mConnections = new HashSet<>();
     private final Set<ServerIncarnation> mRefusedBy = new HashSet<>();
+
+    /** Ids of the servers where the call may have run. */
+    private final Set<String> mPossibleRunServers = new HashSet<>();
+
+    /** The last of them. */
+    private Optional<String> mLastPossibleRunServer = Optional.empty();
+
     private String mLastReason = "none";
     private int mSends;
     private int mPossibleRunCount;
     private boolean mArrived;
+    private int mMaxServers = Integer.MAX_VALUE;
+
+    /**
+     * Limits the number of servers that the call may run at.
+     *
+     * @param maxServers the largest number; a server where the call may have run counts once
+     */
+    void limitServers(int maxServers) {
+        mMaxServers = Math.max(1, maxServers);
+    }
 
     /** Records a send to a server. */
     void recordSend(String server) {
@@ -38,10 +56,12 @@
         mArrived = true;
     }
 
-    /** Records that the call may have run at its server. */
-    void recordPossibleRun() {
+    /** Records that the call may have run at a server. */
+    void recordPossibleRun(String server) {
         mArrived = true;
         mPossibleRunCount++;
+        mPossibleRunServers.add(server);
+        mLastPossibleRunServer = Optional.of(server);
     }
 
     /** Records why a send ended. */
@@ -49,6 +69,27 @@
         mLastReason = reason;
     }
 
+    /** Whether the call was last sent in vain to this server, of those where it may have run. */
+    boolean wasLastAt(String server) {
+        return mLastPossibleRunServer.equals(Optional.of(server));
+    }
+
+    /** Whether the call may have run at as many servers as it may. */
+    boolean hasUsedServers() {
+        return mPossibleRunServers.size() >= mMaxServers;
+    }
+
+    /**
+     * Whether a run at this server, besides those at servers that run the call now, keeps the
+     * number of servers within the limit.
+     */
+    boolean mayRunAt(String server, Set<String> running) {
+        Set<String> servers = new HashSet<>(mPossibleRunServers);
+        servers.addAll(running);
+        servers.add(server);
+        return servers.size() <= mMaxServers;
+    }
+
     /**
      * Records a refusal.
      *
@@ -73,6 +114,11 @@
         return mSends;
     }
 
+    /** Whether a send is left for a failure besides the next one. */
+    boolean hasSpareSend() {
+        return mSends < MAX_SENDS - 1;
+    }
+
     /** Whether the call was sent as often as a call may be, whatever the outcomes. */
     boolean isExhausted() {
         return mSends >= MAX_SENDS;
--- a/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.Candidate;
@@ -17,16 +18,29 @@
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
     private final SendHistory mHistory;
+    private final RunningAttempts mAttempts;
 
-    ServerSelector(TrafficContext context, CallerRequest request, SendHistory history) {
+    ServerSelector(
+            TrafficContext context,
+            CallerRequest request,
+            SendHistory history,
+            RunningAttempts attempts) {
         mContext = context;
         mRequest = request;
         mHistory = history;
+        mAttempts = attempts;
     }
 
-    /** Returns the usable servers of a service; for a model, those of them that hold it. */
+    /**
+     * Returns the usable servers of a service at which the call may run; for a model, those of them
+     * that hold it.
+     */
     private List<ServerRecord> holders(String service) {
-        List<ServerRecord> usable = mContext.view().get().directory().usable(service);
+        Set<String> running = mAttempts.servers();
+        List<ServerRecord> usable =
+                mContext.view().get().directory().usable(service).stream()
+                        .filter(each -> mHistory.mayRunAt(each.id(), running))
+                        .toList();
         return mRequest.head()
                 .target()
                 .map(target -> mContext.holdings().holders(usable, target))
@@ -62,10 +76,22 @@
         return servers(service).stream().map(mContext.loads()::candidate).toList();
     }
 
-    /** Returns the best of the candidates; empty if there are none. */
+    /**
+     * Returns the best of the candidates; empty if there are none. A call that can only go back to
+     * a server goes to another one than that which it was at last.
+     */
     Optional<Candidate> choose(List<Candidate> candidates) {
+        List<Candidate> others =
+                mHistory.hasUsedServers()
+                        ? candidates.stream()
+                                .filter(each -> !mHistory.wasLastAt(each.server().id()))
+                                .toList()
+                        : List.of();
         return mContext.chooser()
-                .choose(candidates, mRequest.head().sharedPrefixHash(), mHistory.tried());
+                .choose(
+                        others.isEmpty() ? candidates : others,
+                        mRequest.head().sharedPrefixHash(),
+                        mHistory.tried());
     }
 
     /** Returns the best server other than the given one that can take the call at once. */
--- a/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
@@ -14,7 +14,6 @@
 final class StreamRelay {
     private final CallerResponse mResponse;
     private final EventSequence mSequence;
-    private EventStreamReader mReader = new EventStreamReader();
     private boolean mHeadSent;
 
     /**
@@ -27,36 +26,69 @@
     }
 
     /**
-     * Reads the next part of a server's response body and forwards each event that is now complete;
-     * skips events that the caller has from another server.
+     * Returns the answer of an attempt that is sent now; it resumes the stream if that has begun.
+     * Once one answer has forwarded an event, no event of another one may follow, except of one
+     * that was returned later.
      *
-     * @return the number of events forwarded
-     * @throws BrokenAnswerException if an event is too long or does not continue the stream
+     * @param onForward called before each event that is forwarded
      */
-    int feed(HttpResponseStatus status, HttpHeaders headers, ByteBuf part)
-            throws BrokenAnswerException {
-        mReader.feed(part);
-        int forwarded = 0;
-        Optional<EventStreamReader.Event> event = mReader.next();
-        while (event.isPresent()) {
-            forwarded += forwardIfNew(status, headers, event.get()) ? 1 : 0;
-            event = mReader.next();
-        }
-        return forwarded;
+    Answer newAnswer(Runnable onForward) {
+        return new Answer(onForward);
     }
 
-    private boolean forwardIfNew(
-            HttpResponseStatus status, HttpHeaders headers, EventStreamReader.Event event)
-            throws BrokenAnswerException {
-        switch (mSequence.next(event)) {
-            case SKIP:
-                return false;
-            case MISPLACED:
-                throw new BrokenAnswerException("event does not continue the resumed stream");
-            default:
-                ensureHeadSent(status, headers);
-                mResponse.sendPart(event.bytes());
-                return true;
+    /** One server's answer. Confined to the traffic thread. */
+    final class Answer {
+        private final EventStreamReader mReader = new EventStreamReader();
+        private final EventSequence.Answer mEvents = mSequence.newAnswer(mHeadSent);
+        private final Runnable mOnForward;
+
+        private Answer(Runnable onForward) {
+            mOnForward = onForward;
+        }
+
+        /**
+         * Reads the next part of the body and forwards each event that is now complete; skips
+         * events that the caller has from another server.
+         *
+         * @return the number of events forwarded
+         * @throws BrokenAnswerException if an event is too long or does not continue the stream
+         */
+        int feed(HttpResponseStatus status, HttpHeaders headers, ByteBuf part)
+                throws BrokenAnswerException {
+            mReader.feed(part);
+            int forwarded = 0;
+            Optional<EventStreamReader.Event> event = mReader.next();
+            while (event.isPresent()) {
+                forwarded += forwardIfNew(status, headers, event.get()) ? 1 : 0;
+                event = mReader.next();
+            }
+            return forwarded;
+        }
+
+        private boolean forwardIfNew(
+                HttpResponseStatus status, HttpHeaders headers, EventStreamReader.Event event)
+                throws BrokenAnswerException {
+            switch (mEvents.next(event)) {
+                case SKIP:
+                    return false;
+                case MISPLACED:
+                    throw new BrokenAnswerException("event does not continue the resumed stream");
+                default:
+                    mOnForward.run();
+                    ensureHeadSent(status, headers);
+                    mResponse.sendPart(event.bytes());
+                    return true;
+            }
+        }
+
+        /** Returns the size of the buffer for incomplete events. */
+        int bufferBytes() {
+            return mReader.bufferBytes();
+        }
+
+        /** Whether an incomplete event was received. */
+        boolean hasPartialEvent() {
+            return mReader.hasPartialEvent();
         }
     }
 
@@ -88,29 +120,6 @@
         return mHeadSent ? lastEventId() : Optional.empty();
     }
 
-    /** Returns the size of the buffer for incomplete events. */
-    int bufferBytes() {
-        return mReader.bufferBytes();
-    }
-
-    /** Whether an incomplete event was received. */
-    boolean hasPartialEvent() {
-        return mReader.hasPartialEvent();
-    }
-
-    /** Discards an incomplete event and its memory. */
-    void discardPartialEvent() {
-        mReader = new EventStreamReader();
-    }
-
-    /** Discards an incomplete event and prepares for the answer of another server. */
-    void prepareNextAttempt() {
-        discardPartialEvent();
-        if (mHeadSent) {
-            mSequence.beginResumption();
-        }
-    }
-
     /** Ends the response to the caller. */
     void end() {
         mResponse.end();
