Take no delay of the entry itself for the silence of a server

Those sends take the budget that real failures need.

Change: while the traffic thread is late, no attempt counts as silent.

HedgedCallProcessTest.streamsAreNotSentAgainAfterTheEntryWasFrozen failed on; with the change HedgedCallProcessTest and MovedStreamProcessTest pass (21 run, 0 failed).

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -331,9 +331,12 @@
         }
     }
 
-    /** Checks whether the server has gone silent; called periodically. */
+    /**
+     * Checks whether the server has gone silent; called periodically. What this process itself has
+     * not read yet is no silence of the server.
+     */
     void tick() {
-        if (mEnded || mConnection.isEmpty()) {
+        if (mEnded || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
             return;
         }
         boolean begun = mCallHandler.isStreamBegun();
