Send the next hedge soon after a refused one

A hedge that an engine refused with proof (full, or an order under way) kept the next one back for 250 ms, for which a refused call without a silent attempt waits 30 ms. Now 30 ms; a hedge that may have run still keeps the next one back for 250 ms.

--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -259,7 +259,7 @@
     private void onNotRun(Attempt attempt, String reason, boolean busy) {
         mAttempts.endNotRun(attempt, reason);
         if (!mAttempts.isEmpty()) {
-            mHedging.pause();
+            mHedging.onEnded(true);
         } else if (mHistory.isExhausted()) {
             fail(ResultCode.QUEUE_FULL, "not run after " + mHistory.sends() + " sends: " + reason);
         } else if (busy) {
@@ -281,7 +281,7 @@
         if (mAttempts.isEmpty()) {
             repeatOrFail(reason);
         } else {
-            mHedging.pause();
+            mHedging.onEnded(false);
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -22,6 +22,9 @@
      */
     private static final long MAX_HEDGE_MILLIS = 250;
 
+    /** Delay before the next hedge if a server has refused one. */
+    private static final long REFUSED_DELAY_MILLIS = 30;
+
     private static final String NEITHER_WENT_ON = "neither server went on";
 
     private final TrafficContext mContext;
@@ -108,11 +111,19 @@
             attempt.recordSilence();
         }
         mAttempts.cancel(attempt, NEITHER_WENT_ON);
-        pause();
+        pause(MAX_HEDGE_MILLIS);
+    }
+
+    /**
+     * Sends no hedge for a while, since one of two attempts has ended.
+     *
+     * @param refused whether its server refused the call, or could not be reached
+     */
+    void onEnded(boolean refused) {
+        pause(refused ? REFUSED_DELAY_MILLIS : MAX_HEDGE_MILLIS);
     }
 
-    /** Sends no hedge for a while, since one of two attempts has failed. */
-    void pause() {
-        mPausedUntil = Deadline.after(mContext.clock().nowMillis(), MAX_HEDGE_MILLIS);
+    private void pause(long millis) {
+        mPausedUntil = Deadline.after(mContext.clock().nowMillis(), millis);
     }
 }
