Show that safe calls still lose a late answer to a second server's failure

A safe call, its first server answers after 1.0 s, the second one answers 500 at once, 500, a close or garbage after 0.38 s. Hedging.onTimeout ends the first attempt after 250 ms, whether the hedge runs still or has failed. Seen on: 500, 500, 502, 502 in place of the 200 (4 of 4 cases).

--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -0,0 +1,191 @@
+package org.cornelway.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelway.directory.DirectorySnapshot;
+import org.cornelway.directory.ServerIncarnation;
+import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.SlidingWindowRetryBudget;
+import org.cornelway.eventlog.EventLog;
+import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.platform.wire.WireCallCodec;
+import org.cornelway.route.CallKind;
+import org.cornelway.route.CallerLimits;
+import org.cornelway.route.Route;
+import org.cornelway.route.RouteTable;
+import org.cornelway.route.RoutingConfiguration;
+import org.cornelway.route.ServiceDefinition;
+import org.cornelway.route.WeightedService;
+import org.cornelway.time.Clock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/**
+ * Base class of tests that call two servers through the traffic plane of an entry in the process of
+ * the test, over real connections. Calls go to the first server; the budget allows one call to be
+ * sent again.
+ */
+public abstract class HedgeTestBase {
+    static final String SAFE_PATH = "/safe/a";
+    static final String STREAM_PATH = "/resume/a";
+    static final String UNSAFE_PATH = "/unsafe/a";
+    private static final String HOST = "host.example";
+    private static final String SERVICE = "service";
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long GAP_MILLIS = 200;
+    private static final int READ_TIMEOUT_MILLIS = 8_000;
+    private static final int SMALL_BUFFER_BYTES = 16_384;
+
+    /** So many that the number of calls has no effect on the choice of a server. */
+    private static final int SLOTS = 100;
+
+    private TimedServer mFirst;
+    private TimedServer mSecond;
+    private TrafficPlane mTraffic;
+    private HttpEndpoint mFront;
+
+    @BeforeMethod
+    public final void start() throws IOException {
+        mFirst = new TimedServer();
+        mSecond = new TimedServer();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mFront = new HttpEndpoint("127.0.0.1", free.getLocalPort());
+        }
+        Clock clock = Clock.system();
+        MetricRegistry metrics = new MetricRegistry();
+        mTraffic =
+                new TrafficPlane(
+                        new WireCallCodec(),
+                        clock,
+                        "zone-1",
+                        mFront,
+                        new HttpEndpoint("127.0.0.1", 1),
+                        new SlidingWindowRetryBudget(clock, 60_000, 0, 2),
+                        (request, tooLate) -> {},
+                        new EventLog(clock, metrics),
+                        metrics);
+        mTraffic.frontServer().start().blockingAwait();
+        announce(mSecond.port());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public final void stop() throws IOException {
+        mTraffic.shutdown();
+        mFirst.close();
+        mSecond.close();
+    }
+
+    final TimedServer first() {
+        return mFirst;
+    }
+
+    final TimedServer second() {
+        return mSecond;
+    }
+
+    /** Announces the first server, and the second one at a port. */
+    final void announce(int secondPort) {
+        ServerRecord first = server("s1", mFirst.port(), "zone-1");
+        ServerRecord second = server("s2", secondPort, "zone-2");
+        RoutingConfiguration configuration =
+                new RoutingConfiguration(
+                        1,
+                        List.of(
+                                route("/safe/", CallKind.SAFE),
+                                route("/unsafe/", CallKind.UNSAFE),
+                                route("/resume/", CallKind.STREAM)),
+                        Map.of(SERVICE, new ServiceDefinition(SERVICE, 50, Optional.empty())),
+                        CallerLimits.defaults());
+        mTraffic.publish(
+                new TrafficView(
+                        Optional.of(new RouteTable(configuration)),
+                        new DirectorySnapshot(Map.of("s1", first, "s2", second)),
+                        1));
+    }
+
+    private static ServerRecord server(String id, int port, String zone) {
+        return new ServerRecord(
+                new ServerIncarnation(id, 1),
+                SERVICE,
+                "127.0.0.1",
+                port,
+                zone,
+                SLOTS,
+                false,
+                1,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
+    private static Route route(String prefix, CallKind kind) {
+        return new Route(
+                prefix,
+                HOST,
+                prefix,
+                kind,
+                TIMEOUT_MILLIS,
+                1_000,
+                0,
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                false,
+                kind == CallKind.STREAM,
+                GAP_MILLIS);
+    }
+
+    /** Returns the head of an answer. */
+    static String head(String status, String requestId, String framing) {
+        return "HTTP/1.1 "
+                + status
+                + "\r\nX-Request-Id: "
+                + requestId
+                + "\r\nX-Server-Stamp: s\r\n"
+                + framing
+                + "\r\n\r\n";
+    }
+
+    /** Returns an answer without a stream. */
+    static String answer(String status, String requestId, String body) {
+        return head(status, requestId, "Content-Length: " + body.length()) + body;
+    }
+
+    /** Sends a call on a new connection and returns it, before anything is read from it. */
+    final Socket send(String path, String requestId) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(mFront.host(), mFront.port()));
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        String head =
+                "POST "
+                        + path
+                        + " HTTP/1.1\r\nHost: "
+                        + HOST
+                        + "\r\nX-Request-Id: "
+                        + requestId
+                        + "\r\nConnection: close\r\n\r\n";
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    /** Returns all bytes that the entry sends, up to its close. */
+    static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    /** Sends a call and returns all bytes up to the close by the entry. */
+    final String call(String path) throws IOException {
+        try (Socket socket = send(path, "call-1")) {
+            return readAll(socket);
+        }
+    }
+}
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -0,0 +1,83 @@
+package org.cornelway.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelway.traffic.TimedServer.Part;
+import org.cornelway.traffic.TimedServer.Script;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that no answer of a silent server which goes on is given up for that of another one. */
+public class HedgedAnswerTest extends HedgeTestBase {
+    private static final String ID = "call-1";
+    private static final String CHUNKED = "Transfer-Encoding: chunked";
+    private static final Script SILENCE = new Script(List.of(), false);
+
+    /** From the hedge to the failure of its server; longer than both attempts may run. */
+    private static final long LATE_FAILURE_MILLIS = 380;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 100;
+
+    private static Script whole(long afterMillis, String status, String body) {
+        return new Script(List.of(new Part(afterMillis, answer(status, ID, body))), false);
+    }
+
+    private static String event(int id, String data) {
+        String text = "id: " + id + "\ndata: " + data + "\n\n";
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String events(int first, int last) {
+        StringBuilder events = new StringBuilder();
+        for (int id = first; id <= last; id++) {
+            events.append(event(id, "piece"));
+        }
+        return events.toString();
+    }
+
+    private static List<String> ids(String response) {
+        return response.lines().filter(line -> line.startsWith("id: ")).toList();
+    }
+
+    private static List<String> idsUpTo(int last) {
+        List<String> ids = new ArrayList<>();
+        for (int id = 1; id <= last; id++) {
+            ids.add("id: " + id);
+        }
+        return ids;
+    }
+
+    /** A stream of five events that is silent after the second one. */
+    private static Script pausedStream(long pauseMillis) {
+        return new Script(
+                List.of(
+                        new Part(0, head("200 OK", ID, CHUNKED) + events(1, 2)),
+                        new Part(pauseMillis, events(3, 5) + "0\r\n\r\n")),
+                false);
+    }
+
+    @DataProvider
+    public Object[][] failures() {
+        return new Object[][] {
+            {"error at once", whole(0, "500 Internal Error", "failed")},
+            {"error later", whole(LATE_FAILURE_MILLIS, "500 Internal Error", "failed")},
+            {"close later", new Script(List.of(new Part(LATE_FAILURE_MILLIS, "")), true)},
+            {
+                "garbage later",
+                new Script(List.of(new Part(LATE_FAILURE_MILLIS, "garbage\r\n\r\n")), true)
+            },
+        };
+    }
+
+    /** Guards against a late answer that is given up for a server that then fails. */
+    @Test(dataProvider = "failures")
+    public void failureOfSecondServerDoesNotEndLateAnswer(String name, Script failure)
+            throws IOException {
+        first().setScripts(head -> whole(1_000, "200 OK", "done"));
+        second().setScripts(head -> failure);
+        assertThat(call(SAFE_PATH)).startsWith("HTTP/1.1 200").endsWith("done");
+    }
+}
