Show that an answer is ended while its server sends it

The head of a safe answer comes 70 ms after the hedge and parts of the body follow each 120 ms; the second server sends nothing. Hedging.onTimeout ends the first attempt although it has gone on. Seen on: 504 at the deadline.

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -80,4 +80,23 @@
         second().setScripts(head -> failure);
         assertThat(call(SAFE_PATH)).startsWith("HTTP/1.1 200").endsWith("done");
     }
+
+    /** Guards against an answer that is ended while the server sends it. */
+    @Test
+    public void answerThatArrivesIsNotEndedForSilentServer() throws IOException {
+        first().setScripts(
+                        head ->
+                                new Script(
+                                        List.of(
+                                                new Part(
+                                                        520,
+                                                        head("200 OK", ID, "Content-Length: 6")),
+                                                new Part(120, "ab"),
+                                                new Part(120, "cd"),
+                                                new Part(120, "ef")),
+                                        false));
+        second().setScripts(head -> SILENCE);
+        assertThat(call(SAFE_PATH)).startsWith("HTTP/1.1 200").endsWith("abcdef");
+        assertThat(first().arrivals()).isEqualTo(1);
+    }
 }
