--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -99,4 +99,12 @@
         assertThat(call(SAFE_PATH)).startsWith("HTTP/1.1 200").endsWith("abcdef");
         assertThat(first().arrivals()).isEqualTo(1);
     }
+
+    /** Guards against the failure of a second server in place of what the first one has said. */
+    @Test
+    public void callerGetsClientErrorOfFirstServer() throws IOException {
+        first().setScripts(head -> whole(600, "404 Not Found", "no such thing"));
+        second().setScripts(head -> whole(900, "500 Internal Error", "failed"));
+        assertThat(call(SAFE_PATH)).startsWith("HTTP/1.1 404");
+    }
 }
