Show that an answer is given up for a server that is not connected

The second server answers no connects. The 250 ms of Hedging run from the start of the hedge, not from its send, so that the first attempt is ended for one that has not left the entry. Seen on: 502 for a safe call and for a stream that had no event yet.

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -3,6 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import org.cornelway.traffic.TimedServer.Part;
@@ -107,4 +112,50 @@
         second().setScripts(head -> whole(900, "500 Internal Error", "failed"));
         assertThat(call(SAFE_PATH)).startsWith("HTTP/1.1 404");
     }
+
+    @DataProvider
+    public Object[][] kinds() {
+        Script late =
+                new Script(
+                        List.of(
+                                new Part(
+                                        1_950,
+                                        head("200 OK", ID, CHUNKED) + events(1, 5) + "0\r\n\r\n")),
+                        false);
+        return new Object[][] {
+            {SAFE_PATH, whole(900, "200 OK", "done"), "done"}, {STREAM_PATH, late, "0\r\n\r\n"}
+        };
+    }
+
+    /** Guards against an answer that is given up for a server that cannot even be reached. */
+    @Test(dataProvider = "kinds")
+    public void answerIsNotEndedForServerThatIsNotConnected(String path, Script late, String end)
+            throws IOException {
+        first().setScripts(head -> late);
+        List<Socket> backlog = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            fillBacklog(full, backlog);
+            announce(full.getLocalPort());
+            assertThat(call(path)).startsWith("HTTP/1.1 200").endsWith(end);
+            assertThat(first().arrivals()).isEqualTo(1);
+        } finally {
+            for (Socket socket : backlog) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Connects until the server, which accepts nothing, answers no more connects. */
+    private static void fillBacklog(ServerSocket server, List<Socket> backlog) throws IOException {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
+        while (true) {
+            Socket socket = new Socket();
+            backlog.add(socket);
+            try {
+                socket.connect(address, CONNECT_TIMEOUT_MILLIS);
+            } catch (SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
 }
