Show that a keep-alive comment of a second server ends a stream

The second server sends a comment and closes the connection. The comment counts as going on: StreamRelay calls onForward for it, which cancels the first attempt.

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -158,4 +158,19 @@
             }
         }
     }
+
+    /** Guards against a stream that is given up for a server which has sent no event of it. */
+    @Test
+    public void commentOfSecondServerDoesNotEndStream() throws IOException {
+        String comment = "e\r\n: keep-alive\n\n\r\n";
+        first().setScripts(head -> pausedStream(1_400));
+        second().setScripts(
+                        head ->
+                                new Script(
+                                        List.of(
+                                                new Part(0, head("200 OK", ID, CHUNKED) + comment),
+                                                new Part(100, "")),
+                                        true));
+        assertThat(ids(call(STREAM_PATH))).isEqualTo(idsUpTo(5));
+    }
 }
