--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -173,4 +173,27 @@
                                         true));
         assertThat(ids(call(STREAM_PATH))).isEqualTo(idsUpTo(5));
     }
+
+    /** Guards against a refusal to one call that counts as work on the others. */
+    @Test
+    public void refusalToOtherCallDoesNotEndPausedStream() throws IOException {
+        String refusal = "503 Service Unavailable";
+        String notRun = "Content-Length: 0\r\nX-Not-Run: 1";
+        first().setScripts(
+                        head ->
+                                head.contains(UNSAFE_PATH)
+                                        ? new Script(
+                                                List.of(
+                                                        new Part(
+                                                                1_100,
+                                                                head(refusal, "call-2", notRun))),
+                                                false)
+                                        : pausedStream(1_750));
+        second().setScripts(head -> new Script(List.of(new Part(1_500, "")), true));
+        try (Socket stream = send(STREAM_PATH, ID);
+                Socket other = send(UNSAFE_PATH, "call-2")) {
+            assertThat(ids(readAll(stream))).isEqualTo(idsUpTo(5));
+            assertThat(first().arrivals()).isEqualTo(2);
+        }
+    }
 }
