Show that a slow caller is taken for a silent server

The caller reads nothing for 2 s, so that the entry stops reading from the server and then counts it as silent. Seen on: the stream is sent to the second server.

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -196,4 +196,23 @@
             assertThat(first().arrivals()).isEqualTo(2);
         }
     }
+
+    /** Guards against a caller that reads slowly and is taken for a silent server. */
+    @Test
+    public void streamIsNotSentAgainWhileItsCallerReadsNothing() throws Exception {
+        int count = 200;
+        String data = "a".repeat(50_000);
+        StringBuilder bytes = new StringBuilder(head("200 OK", ID, CHUNKED));
+        for (int id = 1; id <= count; id++) {
+            bytes.append(event(id, data));
+        }
+        bytes.append("0\r\n\r\n");
+        first().setScripts(head -> new Script(List.of(new Part(0, bytes.toString())), false));
+        second().setScripts(head -> SILENCE);
+        try (Socket stream = send(STREAM_PATH, ID)) {
+            Thread.sleep(2_000);
+            assertThat(second().arrivals()).isZero();
+            assertThat(ids(readAll(stream))).isEqualTo(idsUpTo(count));
+        }
+    }
 }
