Give up no late answer of a safe call for a server that has shown nothing

250 ms after the start of a hedge Hedging ended the first attempt of each safe call, and that of a stream by its policy: also while its server was sending the answer, before the hedge was connected, and after the hedge had failed.

Change: the time runs from the hedge's send. A safe call may run at two servers, so its first attempt ends after 1.5 s of silence, as that of a stream; until then the first answer wins. A server that has sent something since the hedge's send keeps its attempt. The price: a call whose first server hangs and whose second one failed gets that error after 1.5 s, not after 0.7 s.

--- a/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
@@ -33,4 +33,17 @@
     public void otherCallLeavesSilentServer() {
         assertThat(HedgePolicy.endsSilentAttempt(CallKind.SAFE, 1, false)).isTrue();
     }
+
+    @Test
+    public void twoServersWorkOnStreamForBoundedTimeWhateverTheSilence() {
+        assertThat(HedgePolicy.remainingMillis(CallKind.STREAM, LONG_PAUSE_MILLIS, 50))
+                .isEqualTo(HedgePolicy.MAX_HEDGE_MILLIS - 50);
+    }
+
+    /** Guards against a late answer that is given up for a server which has shown nothing. */
+    @Test
+    public void otherCallStaysAtBothServersUntilSilenceIsLong() {
+        assertThat(HedgePolicy.remainingMillis(CallKind.SAFE, SHORT_PAUSE_MILLIS, 400)).isPositive();
+        assertThat(HedgePolicy.remainingMillis(CallKind.SAFE, LONG_PAUSE_MILLIS, 400)).isZero();
+    }
 }
--- a/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
+++ b/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
@@ -11,8 +11,29 @@
     /** Silence after which a server is not expected to go on. */
     private static final long MAX_PAUSE_MILLIS = 1_500;
 
+    /**
+     * Longest time for which a hedge of a stream runs beside a silent attempt. The platform lets
+     * two servers work on one stream for 400 ms; the rest is left for the way and for a late
+     * traffic thread.
+     */
+    public static final long MAX_HEDGE_MILLIS = 250;
+
     private HedgePolicy() {}
 
+    /**
+     * Returns for how much longer both attempts may run. A call without a stream may run at two
+     * servers at once, so that its first answer is given up only if it is not expected any more.
+     *
+     * @param kind kind of the call
+     * @param silentMillis time for which the silent server has sent nothing for the call
+     * @param hedgeMillis time since the call was sent to the other server
+     */
+    public static long remainingMillis(CallKind kind, long silentMillis, long hedgeMillis) {
+        return kind == CallKind.STREAM
+                ? MAX_HEDGE_MILLIS - hedgeMillis
+                : MAX_PAUSE_MILLIS - silentMillis;
+    }
+
     /**
      * Whether the attempt at the silent server ends, and not the hedge. A server that works on
      * other calls is not expected to go on with this one.
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -345,6 +345,11 @@
         }
     }
 
+    /** Time since the call was handed to a connection; empty before. */
+    Optional<Long> sinceSendMillis() {
+        return mConnection.map(connection -> nowMillis() - mSentMillis);
+    }
+
     /** Time for which the server has sent nothing for this call. */
     long silentMillis() {
         return mProgress.silentMillis();
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -16,11 +16,8 @@
  * time only. Confined to the traffic thread; lives as long as its call.
  */
 final class Hedging {
-    /**
-     * Longest time for which a hedge runs beside a silent attempt. The platform lets two servers
-     * work on one call for 400 ms; the rest is left for the way and for a late traffic thread.
-     */
-    private static final long MAX_HEDGE_MILLIS = 250;
+    /** Time from the failure of one of two attempts to the next hedge. */
+    private static final long PAUSE_MILLIS = 250;
 
     private static final String NEITHER_WENT_ON = "neither server went on";
 
@@ -82,25 +79,57 @@
         }
         mLog.logSilent(silent.server().id(), silent.silentMillis());
         Attempt hedge = mSender.start(next.get());
-        mContext.loop()
-                .schedule(() -> onTimeout(silent, hedge), MAX_HEDGE_MILLIS, TimeUnit.MILLISECONDS);
+        checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
+    }
+
+    private void checkAfter(Attempt silent, Attempt hedge, long delayMillis) {
+        mContext.loop().schedule(() -> check(silent, hedge), delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends one of the two attempts if neither server has gone on. */
-    private void onTimeout(Attempt silent, Attempt hedge) {
-        if (!mAttempts.contains(silent)) {
+    /**
+     * Ends one of the two attempts if neither server has gone on in time; waits if the hedge is not
+     * sent yet, since its server may not be reached at all.
+     */
+    private void check(Attempt silent, Attempt hedge) {
+        boolean isHedged = mAttempts.contains(hedge);
+        if (!mAttempts.contains(silent) || !isHedged && !canEndWithError()) {
             return;
         }
-        boolean endsSilent =
-                HedgePolicy.endsSilentAttempt(
-                        mSender.route().kind(), silent.silentMillis(), silent.isServerActive());
-        if (mAttempts.contains(hedge)) {
-            endOne(endsSilent ? silent : hedge, endsSilent);
-        } else if (mSender.route().kind() != CallKind.STREAM && mSender.hasErrorResponse()) {
-            // With the error of the hedge, the caller can retry sooner.
+        Optional<Long> hedgeMillis = hedge.sinceSendMillis();
+        long remaining =
+                HedgePolicy.remainingMillis(
+                        mSender.route().kind(), silent.silentMillis(), hedgeMillis.orElse(0L));
+        if (remaining > 0) {
+            checkAfter(silent, hedge, remaining);
+        } else if (isHedged && hedgeMillis.isEmpty()) {
+            checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
+        } else {
+            endOneOf(silent, hedge);
+        }
+    }
+
+    /** Whether the caller can get the error of a hedge, with which it can retry sooner. */
+    private boolean canEndWithError() {
+        // A later hedge has a check of its own.
+        return !mAttempts.isHedged()
+                && mSender.route().kind() != CallKind.STREAM
+                && mSender.hasErrorResponse();
+    }
+
+    private void endOneOf(Attempt silent, Attempt hedge) {
+        if (!mAttempts.contains(hedge)) {
             endOne(silent, true);
             mSender.repeatOrFail(NEITHER_WENT_ON);
+            return;
         }
+        boolean hasGoneOn = silent.silentMillis() < HedgePolicy.MAX_HEDGE_MILLIS;
+        boolean endsSilent =
+                !hasGoneOn
+                        && HedgePolicy.endsSilentAttempt(
+                                mSender.route().kind(),
+                                silent.silentMillis(),
+                                silent.isServerActive());
+        endOne(endsSilent ? silent : hedge, endsSilent);
     }
 
     private void endOne(Attempt attempt, boolean isSilent) {
@@ -113,6 +142,6 @@
 
     /** Sends no hedge for a while, since one of two attempts has failed. */
     void pause() {
-        mPausedUntil = Deadline.after(mContext.clock().nowMillis(), MAX_HEDGE_MILLIS);
+        mPausedUntil = Deadline.after(mContext.clock().nowMillis(), PAUSE_MILLIS);
     }
 }
