Pass on a client error of the first server although a hedge runs

The 404 of the first server was kept back for the hedge, whose failure then took its place. Change: only an error of the hedge is kept back.

--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -316,9 +316,9 @@
         return mResponder.hasErrorResponse();
     }
 
-    /** Called when a server has answered; an error does not end a call with another attempt. */
+    /** Called when a server has answered; an error of a hedge does not end the call. */
     void onFullResponse(Attempt attempt, FullResponse response) {
-        if (mAttempts.isHedged() && response.isError()) {
+        if (mAttempts.isHedge(attempt) && response.isError()) {
             onMayHaveRun(attempt, "failed with " + response.status(), Optional.of(response));
             return;
         }
--- a/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
+++ b/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
@@ -44,6 +44,11 @@
         return mAttempts.size() > 1;
     }
 
+    /** Whether this attempt runs as a hedge beside another one. */
+    boolean isHedge(Attempt attempt) {
+        return isHedged() && mAttempts.get(0) != attempt;
+    }
+
     /** Whether the call may have run, or may be about to run, at the server of an attempt. */
     boolean mayHaveRun() {
         return mAttempts.stream().anyMatch(Attempt::mayHaveRun);
