Let no comment of a server end the other attempt of a stream

A comment counted as going on: it cancelled the other attempt, and before the first event it sent the head. Change: comments are discarded while two attempts run, since they show no progress and would bind the head to one server.

--- a/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
@@ -127,4 +127,15 @@
         feed(events(2, 3));
         assertThat(mResponse.body()).isEqualTo(events(1, 2, 3));
     }
+
+    /** Guards against a hedge that takes a stream over with a comment. */
+    @Test
+    public void commentIsDiscardedWhileAnotherAnswerMayGoOn() throws BrokenAnswerException {
+        mAnswer = mRelay.newAnswer(() -> false, () -> mForwards++);
+        feed(": keep-alive\n\n");
+        assertThat(mForwards).isZero();
+        assertThat(mRelay.isHeadSent()).isFalse();
+        feed(events(1));
+        assertThat(mResponse.body()).isEqualTo(events(1));
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -55,7 +55,7 @@
         mObserver = new ServerObserver(context, server, request.head().target());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
-        mAnswer = callHandler.relay().map(r -> r.newAnswer(() -> callHandler.onContinued(this)));
+        mAnswer = callHandler.relay().map(r -> callHandler.attempts().newAnswer(r, this));
     }
 
     ServerRecord server() {
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -306,9 +306,8 @@
                 : Optional.empty();
     }
 
-    /** Called before the caller gets an event of an attempt's answer. */
-    void onContinued(Attempt attempt) {
-        mAttempts.cancelOther(attempt);
+    RunningAttempts attempts() {
+        return mAttempts;
     }
 
     @Override
@@ -322,7 +321,7 @@
             onMayHaveRun(attempt, "failed with " + response.status(), Optional.of(response));
             return;
         }
-        onContinued(attempt);
+        mAttempts.cancelOther(attempt);
         mAttempts.remove(attempt);
         if (!mResponder.isDone()) {
             mResponder.forward(response);
@@ -330,7 +329,7 @@
     }
 
     void onStreamEnd(Attempt attempt, HttpResponseStatus status, HttpHeaders headers) {
-        onContinued(attempt);
+        mAttempts.cancelOther(attempt);
         mAttempts.remove(attempt);
         if (!mResponder.isDone()) {
             StreamRelay relay = mRelay.orElseThrow();
--- a/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
+++ b/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
@@ -29,6 +29,11 @@
         mAttempts.add(attempt);
     }
 
+    /** Returns the answer of an attempt that is sent now. */
+    StreamRelay.Answer newAnswer(StreamRelay relay, Attempt attempt) {
+        return relay.newAnswer(() -> !isHedged(), () -> cancelOther(attempt));
+    }
+
     /** Whether no attempt runs. */
     boolean isEmpty() {
         return mAttempts.isEmpty();
--- a/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Forwards the events of a stream to the caller, across all attempts of the call.
@@ -30,19 +31,28 @@
      * Once one answer has forwarded an event, no event of another one may follow, except of one
      * that was returned later.
      *
+     * @param isAlone whether no other answer may still go on; comments are discarded while one may,
+     *     since they do not tell which of the two goes on
      * @param onForward called before each event that is forwarded
      */
+    Answer newAnswer(BooleanSupplier isAlone, Runnable onForward) {
+        return new Answer(isAlone, onForward);
+    }
+
+    /** Returns the answer of an attempt as above, if no other one may go on. */
     Answer newAnswer(Runnable onForward) {
-        return new Answer(onForward);
+        return newAnswer(() -> true, onForward);
     }
 
     /** One server's answer. Confined to the traffic thread. */
     final class Answer {
         private final EventStreamReader mReader = new EventStreamReader();
         private final EventSequence.Answer mEvents = mSequence.newAnswer(mHeadSent);
+        private final BooleanSupplier mIsAlone;
         private final Runnable mOnForward;
 
-        private Answer(Runnable onForward) {
+        private Answer(BooleanSupplier isAlone, Runnable onForward) {
+            mIsAlone = isAlone;
             mOnForward = onForward;
         }
 
@@ -68,6 +78,9 @@
         private boolean forwardIfNew(
                 HttpResponseStatus status, HttpHeaders headers, EventStreamReader.Event event)
                 throws BrokenAnswerException {
+            if (event.isComment() && !mIsAlone.getAsBoolean()) {
+                return false;
+            }
             switch (mEvents.next(event)) {
                 case SKIP:
                     return false;
