Do not take a refusal to one call for work on the others

The head of any response made a server count as active, so that the streams of a paused server that refuses calls were taken for hung ones and ended after 250 ms. Change: only events and the bodies of successes count.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -172,7 +172,8 @@
         mHeaders = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         mContext.codec().writeResponseHeaders(response, mHeaders);
         mCallHandler.log().recordHead(mServer.id(), head.status());
-        recordProgress();
+        // A paused server refuses other calls, so that a head does not show that it works.
+        mProgress.record();
         head.load().ifPresent(mObserver::recordReportedLoad);
         if (head.isSuccess() && (!head.signed() || head.contentEncoded())) {
             failWithUnknownOutcome("success without the server's mark, or encoded");
@@ -191,11 +192,6 @@
         }
     }
 
-    private void recordProgress() {
-        mProgress.record();
-        mObserver.recordActivity();
-    }
-
     private long nowMillis() {
         return mContext.clock().nowMillis();
     }
@@ -225,7 +221,8 @@
                 feedRelay(content);
             } else {
                 mBuffer.append(content);
-                recordProgress();
+                mProgress.record();
+                mHead.filter(ResponseHead::isSuccess).ifPresent(h -> mObserver.recordActivity());
             }
         } catch (BrokenAnswerException e) {
             failWithUnknownOutcome(e.getMessage());
@@ -236,7 +233,7 @@
         StreamRelay.Answer answer = mAnswer.orElseThrow();
         int events = answer.feed(mStatus, mHeaders, content);
         if (events > 0) {
-            recordProgress();
+            mObserver.recordActivity();
             if (mProgress.recordEvents(events)) {
                 mEvidence.recordAnswered();
             }
