Take no slow caller for the silence of a server

While the caller does not keep up, the entry does not read from the server. It then counted that server as silent and sent the stream to another one, which was read without a pause. Change: an attempt that is not read is not silent.

--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -34,6 +34,7 @@
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
     private HttpHeaders mHeaders;
     private boolean mStreaming;
+    private boolean mIsReading = true;
     private boolean mEnded;
 
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
@@ -333,7 +334,7 @@
      * not read yet is no silence of the server.
      */
     void tick() {
-        if (mEnded || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
+        if (mEnded || !mIsReading || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
             return;
         }
         boolean begun = mCallHandler.isStreamBegun();
@@ -363,6 +364,8 @@
     }
 
     void setReadingPaused(boolean paused) {
+        mIsReading = !paused;
+        mProgress.record();
         mConnection.ifPresent(connection -> connection.setReadingPaused(paused));
     }
 
