--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -34,6 +34,7 @@
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
     private HttpHeaders mHeaders;
     private boolean mStreaming;
+    private boolean mIsReading = true;
     private boolean mEnded;
 
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
@@ -55,7 +56,7 @@
         mObserver = new ServerObserver(context, server, request.head().target());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
-        mAnswer = callHandler.relay().map(r -> r.newAnswer(() -> callHandler.onContinued(this)));
+        mAnswer = callHandler.relay().map(r -> callHandler.attempts().newAnswer(r, this));
     }
 
     ServerRecord server() {
@@ -172,7 +173,8 @@
         mHeaders = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         mContext.codec().writeResponseHeaders(response, mHeaders);
         mCallHandler.log().recordHead(mServer.id(), head.status());
-        recordProgress();
+        // A paused server refuses other calls, so that a head does not show that it works.
+        mProgress.record();
         head.load().ifPresent(mObserver::recordReportedLoad);
         if (head.isSuccess() && (!head.signed() || head.contentEncoded())) {
             failWithUnknownOutcome("success without the server's mark, or encoded");
@@ -191,11 +193,6 @@
         }
     }
 
-    private void recordProgress() {
-        mProgress.record();
-        mObserver.recordActivity();
-    }
-
     private long nowMillis() {
         return mContext.clock().nowMillis();
     }
@@ -225,7 +222,8 @@
                 feedRelay(content);
             } else {
                 mBuffer.append(content);
-                recordProgress();
+                mProgress.record();
+                mHead.filter(ResponseHead::isSuccess).ifPresent(h -> mObserver.recordActivity());
             }
         } catch (BrokenAnswerException e) {
             failWithUnknownOutcome(e.getMessage());
@@ -236,7 +234,7 @@
         StreamRelay.Answer answer = mAnswer.orElseThrow();
         int events = answer.feed(mStatus, mHeaders, content);
         if (events > 0) {
-            recordProgress();
+            mObserver.recordActivity();
             if (mProgress.recordEvents(events)) {
                 mEvidence.recordAnswered();
             }
@@ -336,7 +334,7 @@
      * not read yet is no silence of the server.
      */
     void tick() {
-        if (mEnded || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
+        if (mEnded || !mIsReading || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
             return;
         }
         boolean begun = mCallHandler.isStreamBegun();
@@ -345,6 +343,11 @@
         }
     }
 
+    /** Time since the call was handed to a connection; empty before. */
+    Optional<Long> sinceSendMillis() {
+        return mConnection.map(connection -> nowMillis() - mSentMillis);
+    }
+
     /** Time for which the server has sent nothing for this call. */
     long silentMillis() {
         return mProgress.silentMillis();
@@ -361,6 +364,8 @@
     }
 
     void setReadingPaused(boolean paused) {
+        mIsReading = !paused;
+        mProgress.record();
         mConnection.ifPresent(connection -> connection.setReadingPaused(paused));
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -306,9 +306,8 @@
                 : Optional.empty();
     }
 
-    /** Called before the caller gets an event of an attempt's answer. */
-    void onContinued(Attempt attempt) {
-        mAttempts.cancelOther(attempt);
+    RunningAttempts attempts() {
+        return mAttempts;
     }
 
     @Override
@@ -316,13 +315,13 @@
         return mResponder.hasErrorResponse();
     }
 
-    /** Called when a server has answered; an error does not end a call with another attempt. */
+    /** Called when a server has answered; an error of a hedge does not end the call. */
     void onFullResponse(Attempt attempt, FullResponse response) {
-        if (mAttempts.isHedged() && response.isError()) {
+        if (mAttempts.isHedge(attempt) && response.isError()) {
             onMayHaveRun(attempt, "failed with " + response.status(), Optional.of(response));
             return;
         }
-        onContinued(attempt);
+        mAttempts.cancelOther(attempt);
         mAttempts.remove(attempt);
         if (!mResponder.isDone()) {
             mResponder.forward(response);
@@ -330,7 +329,7 @@
     }
 
     void onStreamEnd(Attempt attempt, HttpResponseStatus status, HttpHeaders headers) {
-        onContinued(attempt);
+        mAttempts.cancelOther(attempt);
         mAttempts.remove(attempt);
         if (!mResponder.isDone()) {
             StreamRelay relay = mRelay.orElseThrow();
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -16,11 +16,8 @@
  * time only. Confined to the traffic thread; lives as long as its call.
  */
 final class Hedging {
-    /**
-     * Longest time for which a hedge runs beside a silent attempt. The platform lets two servers
-     * work on one call for 400 ms; the rest is left for the way and for a late traffic thread.
-     */
-    private static final long MAX_HEDGE_MILLIS = 250;
+    /** Time from the failure of one of two attempts to the next hedge. */
+    private static final long PAUSE_MILLIS = 250;
 
     /** Delay before the next hedge if a server has refused one. */
     private static final long REFUSED_DELAY_MILLIS = 30;
@@ -85,25 +82,57 @@
         }
         mLog.logSilent(silent.server().id(), silent.silentMillis());
         Attempt hedge = mSender.start(next.get());
-        mContext.loop()
-                .schedule(() -> onTimeout(silent, hedge), MAX_HEDGE_MILLIS, TimeUnit.MILLISECONDS);
+        checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
+    }
+
+    private void checkAfter(Attempt silent, Attempt hedge, long delayMillis) {
+        mContext.loop().schedule(() -> check(silent, hedge), delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends one of the two attempts if neither server has gone on. */
-    private void onTimeout(Attempt silent, Attempt hedge) {
-        if (!mAttempts.contains(silent)) {
+    /**
+     * Ends one of the two attempts if neither server has gone on in time; waits if the hedge is not
+     * sent yet, since its server may not be reached at all.
+     */
+    private void check(Attempt silent, Attempt hedge) {
+        boolean isHedged = mAttempts.contains(hedge);
+        if (!mAttempts.contains(silent) || !isHedged && !canEndWithError()) {
             return;
         }
-        boolean endsSilent =
-                HedgePolicy.endsSilentAttempt(
-                        mSender.route().kind(), silent.silentMillis(), silent.isServerActive());
-        if (mAttempts.contains(hedge)) {
-            endOne(endsSilent ? silent : hedge, endsSilent);
-        } else if (mSender.route().kind() != CallKind.STREAM && mSender.hasErrorResponse()) {
-            // With the error of the hedge, the caller can retry sooner.
+        Optional<Long> hedgeMillis = hedge.sinceSendMillis();
+        long remaining =
+                HedgePolicy.remainingMillis(
+                        mSender.route().kind(), silent.silentMillis(), hedgeMillis.orElse(0L));
+        if (remaining > 0) {
+            checkAfter(silent, hedge, remaining);
+        } else if (isHedged && hedgeMillis.isEmpty()) {
+            checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
+        } else {
+            endOneOf(silent, hedge);
+        }
+    }
+
+    /** Whether the caller can get the error of a hedge, with which it can retry sooner. */
+    private boolean canEndWithError() {
+        // A later hedge has a check of its own.
+        return !mAttempts.isHedged()
+                && mSender.route().kind() != CallKind.STREAM
+                && mSender.hasErrorResponse();
+    }
+
+    private void endOneOf(Attempt silent, Attempt hedge) {
+        if (!mAttempts.contains(hedge)) {
             endOne(silent, true);
             mSender.repeatOrFail(NEITHER_WENT_ON);
+            return;
         }
+        boolean hasGoneOn = silent.silentMillis() < HedgePolicy.MAX_HEDGE_MILLIS;
+        boolean endsSilent =
+                !hasGoneOn
+                        && HedgePolicy.endsSilentAttempt(
+                                mSender.route().kind(),
+                                silent.silentMillis(),
+                                silent.isServerActive());
+        endOne(endsSilent ? silent : hedge, endsSilent);
     }
 
     private void endOne(Attempt attempt, boolean isSilent) {
@@ -111,7 +140,7 @@
             attempt.recordSilence();
         }
         mAttempts.cancel(attempt, NEITHER_WENT_ON);
-        pause(MAX_HEDGE_MILLIS);
+        pause(PAUSE_MILLIS);
     }
 
     /**
@@ -120,7 +149,7 @@
      * @param refused whether its server refused the call, or could not be reached
      */
     void onEnded(boolean refused) {
-        pause(refused ? REFUSED_DELAY_MILLIS : MAX_HEDGE_MILLIS);
+        pause(refused ? REFUSED_DELAY_MILLIS : PAUSE_MILLIS);
     }
 
     private void pause(long millis) {
--- a/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
+++ b/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
@@ -29,6 +29,11 @@
         mAttempts.add(attempt);
     }
 
+    /** Returns the answer of an attempt that is sent now. */
+    StreamRelay.Answer newAnswer(StreamRelay relay, Attempt attempt) {
+        return relay.newAnswer(() -> !isHedged(), () -> cancelOther(attempt));
+    }
+
     /** Whether no attempt runs. */
     boolean isEmpty() {
         return mAttempts.isEmpty();
@@ -44,6 +49,11 @@
         return mAttempts.size() > 1;
     }
 
+    /** Whether this attempt runs as a hedge beside another one. */
+    boolean isHedge(Attempt attempt) {
+        return isHedged() && mAttempts.get(0) != attempt;
+    }
+
     /** Whether the call may have run, or may be about to run, at the server of an attempt. */
     boolean mayHaveRun() {
         return mAttempts.stream().anyMatch(Attempt::mayHaveRun);
