Take a pause of the entry's own reading for no silence of the server

Callers that read a stream slowly had it run at a second server: the entry stops reading from the server while its caller does not read, and measured that time as a silence of the server. After five times the objective it sent a hedge, which was not paused, went on at once and ended the sound attempt, whose server was then suspect; its events stayed in the entry's memory.

Ruled out: a hang of the engine (the stand-in writes without a pause).

Change: the silence is 0 while reading is paused and measured anew when it resumes; attempts that start meanwhile are paused too; if reading is paused when a hedge times out, the hedge ends. The stand-in can pad events, and the tests' caller reads through a buffer and looks for the end of a response only at the end of what it has read, since the stream has 18 MB.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -58,8 +58,7 @@
     private volatile Function<ReceivedCall, PlannedAnswer> mAnswerPlan =
             call -> PlannedAnswer.success();
 
-    private volatile int mStreamEventCount = 5;
-    private volatile long mEventIntervalMillis = 5;
+    private volatile StreamPlan mStreamPlan = new StreamPlan(5, 5, 0);
     private volatile long mPausedUntilMillis;
 
     /** Header lines that each response to a call has in addition; empty for none. */
@@ -136,8 +135,12 @@
 
     /** Sets the number of events in a stream and the time between two events. */
     public void configureStream(int eventCount, long eventIntervalMillis) {
-        mStreamEventCount = eventCount;
-        mEventIntervalMillis = eventIntervalMillis;
+        configureStream(new StreamPlan(eventCount, eventIntervalMillis, 0));
+    }
+
+    /** Sets the events of a stream. */
+    public void configureStream(StreamPlan plan) {
+        mStreamPlan = plan;
     }
 
     /** Adds header lines, each with its line break, to each response to a call from now on. */
@@ -368,12 +371,11 @@
                             socket,
                             mId,
                             mFault,
-                            mStreamEventCount,
+                            mStreamPlan,
                             () -> mPausedUntilMillis - System.currentTimeMillis())
                     .start(
                             requestIdHeader + SERVER_STAMP_HEADER,
                             lastEventId + 1,
-                            mEventIntervalMillis,
                             mAbandonedStreams::incrementAndGet);
         } else if (mFault == Fault.TRUNCATED_RESPONSE) {
             socket.write(
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
@@ -25,8 +25,9 @@
     private final String mServerId;
     private final Fault mFault;
     private final int mEventCount;
+    private final long mIntervalMillis;
+    private final String mPadding;
     private final LongSupplier mPauseMillis;
-    private long mIntervalMillis;
     private Runnable mOnAbandoned;
     private boolean mClosed;
 
@@ -38,14 +39,16 @@
             NetSocket socket,
             String serverId,
             Fault fault,
-            int eventCount,
+            StreamPlan plan,
             LongSupplier pauseMillis) {
         mPauseMillis = pauseMillis;
         mVertx = vertx;
         mSocket = socket;
         mServerId = serverId;
         mFault = fault;
-        mEventCount = eventCount;
+        mEventCount = plan.eventCount();
+        mIntervalMillis = plan.intervalMillis();
+        mPadding = "x".repeat(plan.paddingBytes());
     }
 
     /**
@@ -55,8 +58,7 @@
      * @param firstId id of the first event
      * @param onAbandoned called if the client closes the connection before the last event
      */
-    void start(String headers, int firstId, long intervalMillis, Runnable onAbandoned) {
-        mIntervalMillis = intervalMillis;
+    void start(String headers, int firstId, Runnable onAbandoned) {
         mOnAbandoned = onAbandoned;
         mSocket.closeHandler(closed -> mClosed = true);
         mSocket.write(
@@ -79,7 +81,7 @@
         }
         boolean isMiddle = id == mEventCount / 2 + 1;
         int shownId = isMiddle && mFault == Fault.WRONG_EVENT_ID ? id + ID_ERROR : id;
-        String text = "id: " + shownId + "\ndata: " + mServerId + "\n\n";
+        String text = "id: " + shownId + "\ndata: " + mServerId + mPadding + "\n\n";
         if (id > mEventCount / 2 && breaksOff(text)) {
             return;
         }
--- a/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RawCall.java
@@ -1,7 +1,9 @@
 package org.cornelway.direct;
 
+import java.io.BufferedInputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -22,10 +24,12 @@
             Pattern.compile("(?i)\r\ncontent-length: (\\d+)\r\n");
 
     private final Socket mSocket;
+    private final InputStream mIn;
 
     RawCall(int port, int readTimeoutMillis) throws IOException {
         mSocket = new Socket("127.0.0.1", port);
         mSocket.setSoTimeout(readTimeoutMillis);
+        mIn = new BufferedInputStream(mSocket.getInputStream());
     }
 
     /**
@@ -36,6 +40,7 @@
         mSocket.setReceiveBufferSize(receiveBufferBytes);
         mSocket.connect(new InetSocketAddress("127.0.0.1", port));
         mSocket.setSoTimeout(readTimeoutMillis);
+        mIn = new BufferedInputStream(mSocket.getInputStream());
     }
 
     /**
@@ -64,10 +69,11 @@
     /** Reads until the connection is closed or the bytes end with a text. */
     String readUntil(String end) throws IOException {
         StringBuilder bytes = new StringBuilder();
-        int next = mSocket.getInputStream().read();
+        int next = mIn.read();
         while (next >= 0) {
             bytes.append((char) next);
-            next = bytes.indexOf(end) < 0 ? mSocket.getInputStream().read() : -1;
+            boolean isEnd = bytes.indexOf(end, bytes.length() - end.length()) >= 0;
+            next = isEnd ? -1 : mIn.read();
         }
         return bytes.toString();
     }
@@ -90,7 +96,7 @@
     }
 
     private String read(int length) throws IOException {
-        byte[] bytes = mSocket.getInputStream().readNBytes(length);
+        byte[] bytes = mIn.readNBytes(length);
         if (bytes.length < length) {
             throw new EOFException();
         }
--- a/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
+++ b/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
@@ -44,6 +44,9 @@
     private Optional<Long> mFirstEventMillis = Optional.empty();
     private int mEvents;
 
+    /** Whether this process does not read from the server, since the caller does not keep up. */
+    private boolean mReadingPaused;
+
     AnswerProgress(Clock clock) {
         mClock = clock;
         mLastMillis = clock.nowMillis();
@@ -77,9 +80,22 @@
         return mFirstEventMillis.map(first -> mClock.nowMillis() - first);
     }
 
-    /** Time for which the server has sent nothing. */
+    /** Records that reading from the server pauses or resumes. */
+    void setReadingPaused(boolean paused) {
+        if (mReadingPaused && !paused) {
+            record();
+        }
+        mReadingPaused = paused;
+    }
+
+    /** Whether reading from the server is paused. */
+    boolean isReadingPaused() {
+        return mReadingPaused;
+    }
+
+    /** Time for which the server has sent nothing; 0 while reading from it is paused. */
     long silentMillis() {
-        return mClock.nowMillis() - mLastMillis;
+        return mReadingPaused ? 0 : mClock.nowMillis() - mLastMillis;
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -120,6 +120,9 @@
         mSentMillis = nowMillis();
         mHistory.recordConnection(connection);
         connection.send(request, this);
+        if (mProgress.isReadingPaused()) {
+            connection.setReadingPaused(true);
+        }
         mCallHandler.log().recordConnection(connection);
     }
 
@@ -357,7 +360,9 @@
         return mObserver.isActive(mProgress.silentMillis());
     }
 
+    /** Pauses or resumes reading; effective from the send on if the call is not sent yet. */
     void setReadingPaused(boolean paused) {
+        mProgress.setReadingPaused(paused);
         mConnection.ifPresent(connection -> connection.setReadingPaused(paused));
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -387,7 +387,7 @@
 
     /** Pauses or resumes reading from the server, depending on whether the caller keeps up. */
     void setReadingPaused(boolean paused) {
-        mAttempts.forEach(attempt -> attempt.setReadingPaused(paused));
+        mAttempts.setReadingPaused(paused);
     }
 
     /** Called when the caller has closed its connection; the call is cancelled. */
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -92,11 +92,16 @@
             return;
         }
         boolean endsSilent =
-                HedgePolicy.endsSilentAttempt(
-                        mSender.route().kind(), silent.silentMillis(), silent.isServerActive());
+                !mAttempts.isReadingPaused()
+                        && HedgePolicy.endsSilentAttempt(
+                                mSender.route().kind(),
+                                silent.silentMillis(),
+                                silent.isServerActive());
         if (mAttempts.contains(hedge)) {
             endOne(endsSilent ? silent : hedge, endsSilent);
-        } else if (mSender.route().kind() != CallKind.STREAM && mSender.hasErrorResponse()) {
+        } else if (endsSilent
+                && mSender.route().kind() != CallKind.STREAM
+                && mSender.hasErrorResponse()) {
             // With the error of the hedge, the caller can retry sooner.
             endOne(silent, true);
             mSender.repeatOrFail(NEITHER_WENT_ON);
--- a/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
+++ b/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
@@ -19,6 +19,9 @@
     private final CallLog mLog;
     private final List<Attempt> mAttempts = new ArrayList<>();
 
+    /** Whether the caller does not keep up with the answer. */
+    private boolean mReadingPaused;
+
     RunningAttempts(SendHistory history, CallLog log) {
         mHistory = history;
         mLog = log;
@@ -27,6 +30,20 @@
     /** Adds an attempt that starts now. */
     void add(Attempt attempt) {
         mAttempts.add(attempt);
+        if (mReadingPaused) {
+            attempt.setReadingPaused(true);
+        }
+    }
+
+    /** Pauses or resumes reading from the servers of all attempts, and of those added later. */
+    void setReadingPaused(boolean paused) {
+        mReadingPaused = paused;
+        forEach(attempt -> attempt.setReadingPaused(paused));
+    }
+
+    /** Whether reading from the servers is paused, so that their silence means nothing. */
+    boolean isReadingPaused() {
+        return mReadingPaused;
     }
 
     /** Whether no attempt runs. */
