--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -34,7 +34,6 @@
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
     private HttpHeaders mHeaders;
     private boolean mStreaming;
-    private boolean mIsReading = true;
     private boolean mEnded;
 
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
@@ -121,6 +120,9 @@
         mSentMillis = nowMillis();
         mHistory.recordConnection(connection);
         connection.send(request, this);
+        if (mProgress.isReadingPaused()) {
+            connection.setReadingPaused(true);
+        }
         mCallHandler.log().recordConnection(connection);
     }
 
@@ -334,7 +336,7 @@
      * not read yet is no silence of the server.
      */
     void tick() {
-        if (mEnded || !mIsReading || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
+        if (mEnded || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
             return;
         }
         boolean begun = mCallHandler.isStreamBegun();
@@ -363,9 +365,9 @@
         return mObserver.isActive(mProgress.silentMillis());
     }
 
+    /** Pauses or resumes reading; effective from the send on if the call is not sent yet. */
     void setReadingPaused(boolean paused) {
-        mIsReading = !paused;
-        mProgress.record();
+        mProgress.setReadingPaused(paused);
         mConnection.ifPresent(connection -> connection.setReadingPaused(paused));
     }
 
