Register the shutdown hook before the role is started

Callers of a process that was told to stop just after its start saw their connections cut ('Broken pipe'), although /ready had answered 200.

Cause: RoleRunner added its shutdown hook after the start of the role, and the readiness server answers during the start. A SIGTERM in between ended the process without a drain.

The hook now stands before the start, for all roles. A signal during the start makes the process not ready, lets the component that is being started end (up to 1 s), and drains and stops, in reverse order, what was started; a start that fails ends in the same way. For this, components can be told of a stop on any thread, and a supervisor drains and stops only components whose start was attempted.

Before, on: RoleRunnerProcessTest#signalDuringStart... failed, the process printed only 'started'. Its process sends SIGTERM to itself and goes on once the shutdown has begun, so it needs no luck of timing.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/RoleRunner.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/RoleRunner.java
@@ -1,5 +1,6 @@
 package org.cornelway.pgm;
 
+import io.reactivex.rxjava3.subjects.CompletableSubject;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -9,41 +10,80 @@
 
 /**
  * Starts the role of this process, an entry or an agent, and stops it gracefully on a termination
- * signal. The main thread starts the role; the shutdown hook's thread stops it.
+ * signal.
+ *
+ * <p>The main thread starts the role; the shutdown hook's thread stops it. The hook is registered
+ * before the role is started. A signal during the start ends the start after the component that is
+ * being started; then the components started so far are drained and stopped. The same holds if the
+ * start fails.
  */
 final class RoleRunner {
+    /** Result of {@link #start} if the role is not to be ended by its caller. */
+    private static final int KEEPS_RUNNING = -1;
+
+    /** Longest wait for the end of the component start that is in progress at the signal. */
+    private static final long START_END_TIMEOUT_MILLIS = 1_000;
+
     /** Longest wait for the role to stop after it was drained. */
     private static final long STOP_TIMEOUT_MILLIS = 10_000;
 
-    private RoleRunner() {}
+    private final Logger mLog = LogManager.getLogger(RoleRunner.class);
+    private final Component mRole;
+    private final long mDrainMillis;
+
+    /** Completes when the start has succeeded or failed. */
+    private final CompletableSubject mStartEnded = CompletableSubject.create();
+
+    private volatile boolean mStopping;
+
+    private RoleRunner(Component role, long drainMillis) {
+        mRole = role;
+        mDrainMillis = drainMillis;
+    }
 
     /**
-     * Starts a role and registers a shutdown hook that drains and stops it.
+     * Registers a shutdown hook that drains and stops a role, and starts the role.
      *
      * @param drainMillis maximum duration of the drain, in milliseconds
-     * @return -1 if the role was started and keeps running, or {@link Command#EXIT_FAILED} if it
-     *     failed to start
+     * @return -1 if the role was started and keeps running or a signal is ending the process, or
+     *     {@link Command#EXIT_FAILED} if the role failed to start
      */
     static int start(Component role, long drainMillis) {
-        Logger log = LogManager.getLogger(RoleRunner.class);
+        return new RoleRunner(role, drainMillis).start();
+    }
+
+    private int start() {
+        try {
+            Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        } catch (IllegalStateException e) {
+            mLog.info("{} is not started, since the process is ending", mRole.name());
+            return KEEPS_RUNNING;
+        }
         try {
-            role.start().blockingAwait();
+            mRole.start().blockingAwait();
+            mLog.info("{} started", mRole.name());
+            return KEEPS_RUNNING;
         } catch (RuntimeException e) {
-            log.error("{} failed to start", role.name(), e);
+            if (mStopping) {
+                mLog.info("{} was stopped during its start", mRole.name());
+                return KEEPS_RUNNING;
+            }
+            mLog.error("{} failed to start", mRole.name(), e);
             return Command.EXIT_FAILED;
+        } finally {
+            mStartEnded.onComplete();
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(role, drainMillis), "stop"));
-        log.info("{} started", role.name());
-        return -1;
     }
 
-    private static void stop(Component role, long drainMillis) {
-        Logger log = LogManager.getLogger(RoleRunner.class);
-        log.info("{} is draining for at most {} ms", role.name(), drainMillis);
-        Deadline deadline = Deadline.after(Clock.system().nowMillis(), drainMillis);
-        role.drain(deadline).onErrorComplete().blockingAwait();
-        role.stop().onErrorComplete().blockingAwait(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        log.info("{} stopped", role.name());
+    private void stop() {
+        mStopping = true;
+        Deadline deadline = Deadline.after(Clock.system().nowMillis(), mDrainMillis);
+        mRole.requestStop();
+        mStartEnded.blockingAwait(START_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        mLog.info("{} is draining for at most {} ms", mRole.name(), mDrainMillis);
+        mRole.drain(deadline).onErrorComplete().blockingAwait();
+        mRole.stop().onErrorComplete().blockingAwait(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        mLog.info("{} stopped", mRole.name());
         // Writes the buffered log lines. Log4j does not do so itself, since the configurations
         // disable its shutdown hook.
         LogManager.shutdown();
--- a/org.cornelway/src/org/cornelway/role/AgentRole.java
+++ b/org.cornelway/src/org/cornelway/role/AgentRole.java
@@ -156,7 +156,7 @@
                         () -> describer.describeAgent(mCore, mResidency, mLedger, controller));
         List<BindableService> services = List.of(mServer, peerServer);
         Router router = Router.router(mCommon.vertx());
-        OperationalRoutes.add(router, mCommon.metrics(), () -> !mCore.isLeaving());
+        OperationalRoutes.add(router, mCommon.metrics(), this::isReady);
         return mCommon.newSupervisor("agent")
                 .add(mCommon.relay())
                 .add(new DocumentApplier())
@@ -165,6 +165,10 @@
                 .add(new WebServer(mCommon.vertx(), common.host(), common.httpPort(), router));
     }
 
+    private boolean isReady() {
+        return !mCore.isLeaving() && !mSupervisor.isStopRequested();
+    }
+
     private AgentLoad currentLoad(Optional<AgentExchange> exchange) {
         WorkHandler handler = mCore.handler();
         return AgentLoad.newBuilder()
@@ -215,6 +219,11 @@
         return mSupervisor.start();
     }
 
+    @Override
+    public void requestStop() {
+        mSupervisor.requestStop();
+    }
+
     @Override
     public Completable drain(Deadline deadline) {
         return Completable.fromAction(mCore::beginDrain)
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -212,7 +212,7 @@
     }
 
     private boolean isReady() {
-        return !mTraffic.frontServer().isDraining()
+        return !mSupervisor.isStopRequested()
                 && mTraffic.view().routes().isPresent()
                 && !mTraffic.view().directory().all().isEmpty();
     }
@@ -277,6 +277,11 @@
         return mSupervisor.start();
     }
 
+    @Override
+    public void requestStop() {
+        mSupervisor.requestStop();
+    }
+
     @Override
     public Completable drain(Deadline deadline) {
         mLog.write("process.drain", "instance", mInitialSettings.instanceId());
@@ -284,7 +289,7 @@
         long drainMillis = (long) (mInitialSettings.bounds().graceMillis() * GRACE_SHARE);
         Deadline drainEnd = Deadline.after(mClock.nowMillis(), drainMillis);
         mControl.scheduleDirect(mControlPlane::resign);
-        return mTraffic.frontServer().drain(drainEnd);
+        return mSupervisor.drain(drainEnd);
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/role/EntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/EntryRole.java
@@ -135,7 +135,7 @@
     }
 
     private boolean isReady() {
-        return !mCore.isDraining() && mView.preset().isPresent();
+        return !mSupervisor.isStopRequested() && mView.preset().isPresent();
     }
 
     private void applyDocument(KeyValue document) {
@@ -162,6 +162,11 @@
         return mSupervisor.start();
     }
 
+    @Override
+    public void requestStop() {
+        mSupervisor.requestStop();
+    }
+
     @Override
     public Completable drain(Deadline deadline) {
         return Completable.fromAction(mCore::beginDrain)
--- a/org.cornelway/src/org/cornelway/supervisor/Supervisor.java
+++ b/org.cornelway/src/org/cornelway/supervisor/Supervisor.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,8 +21,9 @@
  *
  * <p>A supervisor is a component itself, so supervisors form a tree. Failures are logged and
  * counted. If a component fails to start in all attempts, the start of the supervisor fails; a
- * failed task, drain or stop does not affect other components. Not thread-safe; used by the thread
- * that starts and stops it.
+ * failed task, drain or stop does not affect other components. Only the components whose start was
+ * attempted are drained and stopped. Used by one thread at a time, except {@link #requestStop} and
+ * {@link #isStopRequested}, which are thread-safe.
  */
 public final class Supervisor implements Component {
     private static final Logger LOG = LogManager.getLogger(Supervisor.class);
@@ -38,6 +41,11 @@
     private final String mName;
     private final MetricRegistry mMetrics;
     private final List<Component> mComponents = new ArrayList<>();
+
+    /** Components whose start was attempted, in this order. */
+    private final List<Component> mAttempted = new CopyOnWriteArrayList<>();
+
+    private volatile boolean mStopRequested;
     private final CompositeDisposable mTasks = new CompositeDisposable();
 
     /**
@@ -76,22 +84,32 @@
     }
 
     private Completable start(Component component) {
+        return Completable.defer(() -> attemptStart(component))
+                .retryWhen(this::backoff)
+                .doOnComplete(() -> LOG.debug("{} started", component.name()));
+    }
+
+    private Completable attemptStart(Component component) {
+        if (mStopRequested) {
+            return Completable.error(new CancellationException("a stop was requested"));
+        }
+        if (!mAttempted.contains(component)) {
+            mAttempted.add(component);
+        }
         return Completable.defer(component::start)
                 .timeout(START_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .doOnError(e -> recordFailure(component, "start", e))
-                .retryWhen(Supervisor::backoff)
-                .doOnComplete(() -> LOG.debug("{} started", component.name()));
+                .doOnError(e -> recordFailure(component, "start", e));
     }
 
     /**
      * Emits an item when the next attempt is due, and an error after {@link #START_ATTEMPTS}
-     * failures.
+     * failures or if a stop was requested.
      */
-    private static Flowable<Long> backoff(Flowable<Throwable> failures) {
+    private Flowable<Long> backoff(Flowable<Throwable> failures) {
         return failures.zipWith(
                         Flowable.range(1, START_ATTEMPTS),
                         (failure, attempt) -> {
-                            if (attempt == START_ATTEMPTS) {
+                            if (attempt == START_ATTEMPTS || mStopRequested) {
                                 throw new IllegalStateException(failure);
                             }
                             return FIRST_BACKOFF_MILLIS << (attempt - 1);
@@ -99,6 +117,17 @@
                 .flatMap(millis -> Flowable.timer(millis, TimeUnit.MILLISECONDS));
     }
 
+    @Override
+    public void requestStop() {
+        mStopRequested = true;
+        mComponents.forEach(Component::requestStop);
+    }
+
+    /** Whether a stop was requested; it is never undone. */
+    public boolean isStopRequested() {
+        return mStopRequested;
+    }
+
     @Override
     public Completable drain(Deadline deadline) {
         return forEachInReverse("drain", component -> component.drain(deadline));
@@ -124,13 +153,13 @@
     }
 
     /**
-     * Applies an operation to one component after the other, the last one first. A failure is
-     * logged and counted, and the next component follows.
+     * Applies an operation to one component after the other, the one started last first. A failure
+     * is logged and counted, and the next component follows.
      *
      * @param name name of the operation in the log
      */
     private Completable forEachInReverse(String name, Operation operation) {
-        List<Component> reversed = new ArrayList<>(mComponents);
+        List<Component> reversed = new ArrayList<>(mAttempted);
         Collections.reverse(reversed);
         return Completable.concat(
                 reversed.stream()
