Let the keep-alive time run from the end of a response

Read in a review; no caller reported it.

Cause: the time for which the connection may be reused ran from the head of the response. It now runs from its end. If reading was paused in the meantime it still runs from the head, since the end may have waited to be read while the server's time ran already; a test keeps that.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
@@ -3,10 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.function.Consumer;
 import org.testng.annotations.Test;
 
 /** Tests which responses of a faulty server, on a real connection, are taken for a call's. */
 public class UpstreamConnectionTest extends UpstreamTestBase {
+    private static final Consumer<UpstreamConnection> PAUSE =
+            connection -> connection.setReadingPaused(true);
+
+    /** Longer than the time for which an idle connection is reused by default. */
+    private static final long LONG_RESPONSE_MILLIS = 60_000;
+
     /** Guards against a head of which the status is one answer's and the rest another's. */
     @Test
     public void failureBehindAnIncompleteCopyOfAnotherAnswerIsNotTakenForSuccess() {
@@ -23,7 +30,7 @@
     @Test
     public void connectionWhoseReadingWasPausedAtTheEndOfResponseIsReadAgain() {
         serve(new Script(FIRST_ANSWER, FAILURE));
-        assertThat(send("a", HttpMethod.POST, true).join()).isEqualTo("200 first");
+        assertThat(send("a", HttpMethod.POST, PAUSE).join()).isEqualTo("200 first");
         assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
     }
 
@@ -38,4 +45,33 @@
         serve(new Script(FAILURE, ""));
         assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
     }
+
+    /** Guards against a keep-alive time that runs while the server still sends its response. */
+    @Test
+    public void connectionIsReusedAfterResponseThatTookLongerThanTheKeepAliveTime() {
+        serve(new Script(FIRST_ANSWER, FAILURE));
+        serve(new Script(FAILURE, ""));
+        assertThat(sendLong("a", connection -> {})).isEqualTo("200 first");
+        assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
+        assertThat(onLoop(UpstreamPool::openedCount)).isEqualTo(1);
+    }
+
+    /**
+     * Guards against a request on a connection of which the keep-alive time began while its
+     * response waited to be read.
+     */
+    @Test
+    public void connectionIsNotReusedAfterLongResponseOfWhichReadingWasPaused() {
+        serve(new Script(FIRST_ANSWER, FAILURE));
+        serve(new Script(FAILURE, ""));
+        assertThat(sendLong("a", PAUSE)).isEqualTo("200 first");
+        assertThat(send("b", HttpMethod.POST).join()).isEqualTo("500 failed");
+        assertThat(onLoop(UpstreamPool::openedCount)).isEqualTo(2);
+    }
+
+    /** Sends a request of which the response ends long after its head. */
+    private String sendLong(String id, Consumer<UpstreamConnection> onContent) {
+        Consumer<UpstreamConnection> advance = connection -> advanceClock(LONG_RESPONSE_MILLIS);
+        return send(id, HttpMethod.POST, advance.andThen(onContent)).join();
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamTestBase.java
@@ -19,6 +19,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.wire.WireCallCodec;
 import org.cornelway.time.Clock;
@@ -38,6 +41,9 @@
     private ServerSocket mServer;
     private UpstreamPool mPool;
 
+    /** Milliseconds by which the clock of the pool is ahead of the system's. */
+    private final AtomicLong mClockAheadMillis = new AtomicLong();
+
     /** What a server writes for the first and for the second request of a connection. */
     record Script(String first, String second) {}
 
@@ -45,12 +51,14 @@
     public final void setUp() throws IOException {
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Clock system = Clock.system();
+        Clock clock = () -> system.nowMillis() + mClockAheadMillis.get();
         mPool =
                 new UpstreamPool(
                         (EventLoop) mGroup.next(),
                         new WireCallCodec(),
-                        Clock.system(),
-                        new EventLog(Clock.system(), new MetricRegistry()));
+                        clock,
+                        new EventLog(clock, new MetricRegistry()));
     }
 
     @AfterMethod(alwaysRun = true)
@@ -109,13 +117,14 @@
 
     /** Sends a request; the result is the status and the body, or why there is none. */
     final CompletableFuture<String> send(String id, HttpMethod method) {
-        return send(id, method, false);
+        return send(id, method, connection -> {});
     }
 
     /**
-     * @param pausing whether reading is paused when a part of the body has arrived
+     * @param onContent called on the event loop when a part of the body has arrived
      */
-    final CompletableFuture<String> send(String id, HttpMethod method, boolean pausing) {
+    final CompletableFuture<String> send(
+            String id, HttpMethod method, Consumer<UpstreamConnection> onContent) {
         CompletableFuture<String> result = new CompletableFuture<>();
         UpstreamRequest request =
                 new UpstreamRequest(
@@ -129,21 +138,59 @@
                         mPool.acquire(
                                 "127.0.0.1",
                                 mServer.getLocalPort(),
-                                new Collector(request, pausing, result)));
+                                new Collector(request, onContent, result)));
         return result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Advances the clock of the pool. */
+    final void advanceClock(long millis) {
+        mClockAheadMillis.addAndGet(millis);
+    }
+
+    /** Returns the result of a function of the pool, which is called on the event loop. */
+    final <T> T onLoop(Function<UpstreamPool, T> function) {
+        return CompletableFuture.supplyAsync(() -> function.apply(mPool), mGroup).join();
+    }
+
+    /** Opens a connection to the server. */
+    final UpstreamConnection open() {
+        CompletableFuture<UpstreamConnection> opened = new CompletableFuture<>();
+        onLoop(
+                pool -> {
+                    pool.acquire("127.0.0.1", mServer.getLocalPort(), new Opening(opened));
+                    return true;
+                });
+        return opened.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /** Passes on the connection that was opened. */
+    private record Opening(CompletableFuture<UpstreamConnection> opened)
+            implements UpstreamPool.AcquireListener {
+        @Override
+        public void onAcquired(UpstreamConnection connection) {
+            opened.complete(connection);
+        }
+
+        @Override
+        public void onConnectFailed(String reason) {
+            opened.completeExceptionally(new IOException(reason));
+        }
+    }
+
     /** Sends a request once there is a connection and collects the response. */
     private static final class Collector implements UpstreamPool.AcquireListener, ResponseListener {
         private final UpstreamRequest mRequest;
-        private final boolean mPausing;
+        private final Consumer<UpstreamConnection> mOnContent;
         private final CompletableFuture<String> mResult;
         private final StringBuilder mText = new StringBuilder();
         private UpstreamConnection mConnection;
 
-        Collector(UpstreamRequest request, boolean pausing, CompletableFuture<String> result) {
+        Collector(
+                UpstreamRequest request,
+                Consumer<UpstreamConnection> onContent,
+                CompletableFuture<String> result) {
             mRequest = request;
-            mPausing = pausing;
+            mOnContent = onContent;
             mResult = result;
         }
 
@@ -166,9 +213,7 @@
         @Override
         public void onContent(ByteBuf content) {
             mText.append(content.toString(StandardCharsets.US_ASCII));
-            if (mPausing) {
-                mConnection.setReadingPaused(true);
-            }
+            mOnContent.accept(mConnection);
         }
 
         @Override
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -70,6 +70,15 @@
     /** Whether the response is complete, and the connection not back in the pool yet. */
     private boolean mReleasePending;
 
+    /** Time after the end of the current response for which the connection may be reused. */
+    private long mKeepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
+
+    /**
+     * Whether reading was paused since the last request was sent. If so, the response may have been
+     * sent long before its end was read, and the keep-alive time runs from its head.
+     */
+    private boolean mReadingWasPaused;
+
     private Deadline mReusableUntil;
 
     /** When the last request was sent or its response ended, in milliseconds since the epoch. */
@@ -119,6 +128,7 @@
         mRequestId = request.requestId();
         mRequestWritten = false;
         mHeadReceived = false;
+        mReadingWasPaused = false;
         boolean bodyless = request.method().equals(HttpMethod.HEAD);
         // A second response to HEAD would have the next response read as its body.
         mMustClose |= bodyless;
@@ -141,6 +151,7 @@
 
     /** Pauses or resumes reading. While paused, flow control keeps the response at the server. */
     void setReadingPaused(boolean paused) {
+        mReadingWasPaused |= paused;
         mChannel.config().setAutoRead(!paused);
     }
 
@@ -205,11 +216,11 @@
         }
         mHeadReceived = true;
         mMustClose |= head.closing() || head.notRun() || head.leaving();
-        long keepAliveMillis =
+        mKeepAliveMillis =
                 head.keepAliveMillis()
                         .map(millis -> (long) (millis * KEEP_ALIVE_FRACTION))
                         .orElse(DEFAULT_KEEP_ALIVE_MILLIS);
-        mReusableUntil = Deadline.after(mClock.nowMillis(), keepAliveMillis);
+        mReusableUntil = Deadline.after(mClock.nowMillis(), mKeepAliveMillis);
         mListener.get().onHead(response);
     }
 
@@ -237,6 +248,9 @@
             ResponseListener listener = mListener.get();
             mListener = Optional.empty();
             mLastUseMillis = mClock.nowMillis();
+            if (!mReadingWasPaused) {
+                mReusableUntil = Deadline.after(mLastUseMillis, mKeepAliveMillis);
+            }
             mDecoder.endResponse();
             // A server that responds before it has read the whole request still expects the rest.
             mMustClose |= !mRequestWritten;
