Keep no connection that was closed before its release

An attempt that ended while its connection was closed put it back into the pool, where it stayed for good unless its address was used again: each left a little memory behind. Read in a review; no caller saw it.

A connection that cannot be reused is now closed when it is released. This holds for all who release: attempts, the platform client and the connection itself.

After: it passes.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamConnectionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.testng.annotations.Test;
 
@@ -74,4 +75,23 @@
         Consumer<UpstreamConnection> advance = connection -> advanceClock(LONG_RESPONSE_MILLIS);
         return send(id, HttpMethod.POST, advance.andThen(onContent)).join();
     }
+
+    /** Guards against closed connections that the pool keeps for good. */
+    @Test
+    public void closedConnectionThatIsReleasedIsNotKept() {
+        serve(new Script("", ""));
+        UpstreamConnection connection = open();
+        onLoop(
+                pool -> {
+                    connection.close();
+                    return true;
+                });
+        onLoop(
+                pool -> {
+                    pool.release(connection);
+                    pool.sweep(Set.of());
+                    return true;
+                });
+        assertThat(onLoop(UpstreamPool::idleCount)).isZero();
+    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamPool.java
@@ -84,6 +84,11 @@
         return mOpenedCount;
     }
 
+    /** Number of idle connections that are kept for further requests. */
+    int idleCount() {
+        return mAddressPools.values().stream().mapToInt(pool -> pool.mIdle.size()).sum();
+    }
+
     /**
      * Passes a reusable idle connection that the listener accepts to it before this method returns.
      * If there is none, opens a connection and passes on the result later.
@@ -136,8 +141,15 @@
                         });
     }
 
-    /** Returns a connection without an outstanding request to the pool. */
+    /**
+     * Returns a connection without an outstanding request to the pool. A connection that cannot be
+     * reused is closed instead; the pool would not learn of the end of one that is closed already.
+     */
     void release(UpstreamConnection connection) {
+        if (!connection.isReusable()) {
+            connection.close();
+            return;
+        }
         AddressPool pool =
                 mAddressPools.computeIfAbsent(connection.address(), key -> new AddressPool());
         pool.mIdle.addLast(connection);
