Bound the whole stop by a deadline within the grace period

A process told to stop while its servers were silent answered all calls, but was still running at the end of the grace period, when the platform kills it.

Cause: the drain had 0.92 of the grace period, counted from its own begin, and closing had up to 10 s more. Ruled out: calls that were left (none lost in the same test).

The runner now stores two deadlines at the signal: the drain ends after 0.90 of the grace period, the whole stop after 0.96, and the process ends then, even if a component does not close. Both fractions are chosen, not tuned. Where only the longest drain is stated (--drain-ms), closing still has 10 s after it, now counted from the signal. The direct entry takes the drain's deadline from its caller instead of computing its own.

StopProcessTest#callsToSilentServers... now also asserts that the process ended by itself (status 143).

--- a/org.cornelway.pgm/src/org/cornelway/pgm/AgentCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/AgentCommand.java
@@ -112,7 +112,8 @@
         if (checker.printErrors()) {
             return EXIT_USAGE;
         }
-        return RoleRunner.start(new AgentRole(settings), common.drainMillis());
+        return RoleRunner.start(
+                new AgentRole(settings), StopLimits.afterDrain(common.drainMillis()));
     }
 
     private IntentSettings intentSettings(SettingsChecker checker) {
--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -74,7 +74,7 @@
             DirectEntryRole role = new DirectEntryRole(settings, source, platformPorts());
             // The default action of SIGHUP would terminate the process.
             Signal.handle(new Signal("HUP"), signal -> role.reload());
-            return RoleRunner.start(role, settings.bounds().graceMillis());
+            return RoleRunner.start(role, StopLimits.withinGrace(settings.bounds().graceMillis()));
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
             return EXIT_USAGE;
--- a/org.cornelway.pgm/src/org/cornelway/pgm/EntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/EntryCommand.java
@@ -59,6 +59,7 @@
         if (checker.printErrors()) {
             return EXIT_USAGE;
         }
-        return RoleRunner.start(new EntryRole(settings), common.drainMillis());
+        return RoleRunner.start(
+                new EntryRole(settings), StopLimits.afterDrain(common.drainMillis()));
     }
 }
--- a/org.cornelway.pgm/src/org/cornelway/pgm/RoleRunner.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/RoleRunner.java
@@ -1,5 +1,6 @@
 package org.cornelway.pgm;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.subjects.CompletableSubject;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -24,32 +25,30 @@
     /** Longest wait for the end of the component start that is in progress at the signal. */
     private static final long START_END_TIMEOUT_MILLIS = 1_000;
 
-    /** Longest wait for the role to stop after it was drained. */
-    private static final long STOP_TIMEOUT_MILLIS = 10_000;
-
     private final Logger mLog = LogManager.getLogger(RoleRunner.class);
     private final Component mRole;
-    private final long mDrainMillis;
+    private final StopLimits mLimits;
+    private final Clock mClock = Clock.system();
 
     /** Completes when the start has succeeded or failed. */
     private final CompletableSubject mStartEnded = CompletableSubject.create();
 
     private volatile boolean mStopping;
 
-    private RoleRunner(Component role, long drainMillis) {
+    private RoleRunner(Component role, StopLimits limits) {
         mRole = role;
-        mDrainMillis = drainMillis;
+        mLimits = limits;
     }
 
     /**
      * Registers a shutdown hook that drains and stops a role, and starts the role.
      *
-     * @param drainMillis maximum duration of the drain, in milliseconds
+     * @param limits longest durations of the drain and of the whole stop
      * @return -1 if the role was started and keeps running or a signal is ending the process, or
      *     {@link Command#EXIT_FAILED} if the role failed to start
      */
-    static int start(Component role, long drainMillis) {
-        return new RoleRunner(role, drainMillis).start();
+    static int start(Component role, StopLimits limits) {
+        return new RoleRunner(role, limits).start();
     }
 
     private int start() {
@@ -77,15 +76,23 @@
 
     private void stop() {
         mStopping = true;
-        Deadline deadline = Deadline.after(Clock.system().nowMillis(), mDrainMillis);
+        long now = mClock.nowMillis();
+        Deadline drainDeadline = mLimits.drainDeadline(now);
+        Deadline stopDeadline = mLimits.stopDeadline(now);
         mRole.requestStop();
         mStartEnded.blockingAwait(START_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        mLog.info("{} is draining for at most {} ms", mRole.name(), mDrainMillis);
-        mRole.drain(deadline).onErrorComplete().blockingAwait();
-        mRole.stop().onErrorComplete().blockingAwait(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        mLog.info("{} stopped", mRole.name());
+        mLog.info("{} is draining for at most {} ms", mRole.name(), mLimits.drainMillis());
+        awaitUntil(mRole.drain(drainDeadline), stopDeadline);
+        boolean stopped = awaitUntil(mRole.stop(), stopDeadline);
+        mLog.info("{} {}", mRole.name(), stopped ? "stopped" : "did not stop in time");
         // Writes the buffered log lines. Log4j does not do so itself, since the configurations
         // disable its shutdown hook.
         LogManager.shutdown();
     }
+
+    /** Runs an operation; returns whether it has ended by the deadline. */
+    private boolean awaitUntil(Completable operation, Deadline deadline) {
+        long millis = deadline.remainingMillis(mClock.nowMillis());
+        return operation.onErrorComplete().blockingAwait(millis, TimeUnit.MILLISECONDS);
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
@@ -23,6 +23,9 @@
     /** Time from SIGTERM to SIGKILL. */
     private static final int GRACE_SECONDS = 8;
 
+    /** Exit status of a process that SIGTERM has ended: 128 plus 15, the number of the signal. */
+    private static final int SIGTERM_EXIT_STATUS = 143;
+
     private static final int READ_TIMEOUT_MILLIS = 20_000;
     private static final int CALLERS_OF_A_KIND = 8;
     private static final List<String> SERVERS = List.of("p1", "p2", "e1", "e2");
@@ -59,6 +62,7 @@
     public void callsToSilentServersAreAnsweredBeforeTheProcessEnds() throws InterruptedException {
         SERVERS.forEach(id -> fleet().backendServer(id).injectFault(Fault.NO_RESPONSE));
         assertNoneLost(callThroughStop("/stream/a", "X-Model: m1\r\n"));
+        assertThat(fleet().entryProcess(0).waitFor()).isEqualTo(SIGTERM_EXIT_STATUS);
     }
 
     @Test
--- a/org.cornelway.test/tst/org/cornelway/pgm/RoleRunnerProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/pgm/RoleRunnerProcessTest.java
@@ -5,6 +5,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -32,6 +33,20 @@
         assertThat(mProcess.waitFor()).isEqualTo(SIGTERM_EXIT_STATUS);
     }
 
+    /** Guards against a process that is killed while it still closes its components. */
+    @Test
+    public void processEndsWithinTheGracePeriodAlthoughItsRoleDoesNotStop()
+            throws IOException, InterruptedException {
+        start(SignalledRole.Mode.SIGNALLED_AND_NEVER_STOPPED);
+        try (BufferedReader output = mProcess.inputReader()) {
+            assertThat(output.readLine()).isEqualTo("started");
+            assertThat(output.readLine()).isEqualTo("drained");
+            boolean ended = mProcess.waitFor(SignalledRole.GRACE_MILLIS, TimeUnit.MILLISECONDS);
+            assertThat(ended).isTrue();
+            assertThat(output.readLine()).isEqualTo("stopped");
+        }
+    }
+
     private void start(SignalledRole.Mode mode) throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         mProcess =
--- a/org.cornelway.test/tst/org/cornelway/pgm/SignalledRole.java
+++ b/org.cornelway.test/tst/org/cornelway/pgm/SignalledRole.java
@@ -32,7 +32,8 @@
     /** Runs the role in the mode that the first argument names. */
     public static void main(String[] arguments) throws InterruptedException {
         Mode mode = Mode.valueOf(arguments[0]);
-        int status = RoleRunner.start(new SignalledRole(mode), GRACE_MILLIS);
+        int status =
+                RoleRunner.start(new SignalledRole(mode), StopLimits.withinGrace(GRACE_MILLIS));
         if (status >= 0) {
             System.exit(status);
         }
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -46,12 +46,6 @@
     /** Time between two reads of the settings, which may change without a signal to the process. */
     private static final long SETTINGS_PERIOD_MILLIS = 2_000;
 
-    /**
-     * Fraction of the grace period that a drain may use. The platform kills the process when the
-     * period ends.
-     */
-    private static final double GRACE_SHARE = 0.92;
-
     private final DirectEntrySettings mInitialSettings;
     private final SettingsSource mSettingsSource;
     private final MetricRegistry mMetrics = new MetricRegistry();
@@ -285,11 +279,8 @@
     @Override
     public Completable drain(Deadline deadline) {
         mLog.write("process.drain", "instance", mInitialSettings.instanceId());
-        // The drain ends before the given deadline, at which the platform kills the process.
-        long drainMillis = (long) (mInitialSettings.bounds().graceMillis() * GRACE_SHARE);
-        Deadline drainEnd = Deadline.after(mClock.nowMillis(), drainMillis);
         mControl.scheduleDirect(mControlPlane::resign);
-        return mSupervisor.drain(drainEnd);
+        return mSupervisor.drain(deadline);
     }
 
     @Override
