Open a connection for each request to the product's own services

What callers saw: nothing known. The clients of the key-value service (etcd), the instance list and the checkpoint store took a late copy of an earlier answer, or the first bytes of one, for the answer to the next request: a refused conditional write counted as done, a lease that had run out as renewed, a failure as a success.

Cause: the client kept connections. Its answers echo no id, so a copy that comes after the next request was sent cannot be told from its answer.

Ruled out: a check that nothing came on the idle connection. It sees no copy that arrives after the next request was sent, and the library noticed only whole messages. Connections kept for the instance list alone: a failure would still be taken for a success there.

Change: each request opens a connection of its own; the constructor's parameter that chose this for three of six clients is gone. The two tests that set it lose the argument; what they assert is unchanged.

--- a/org.cornelway.test/tst/org/cornelway/internal/platform/EndlessResponseTest.java
+++ b/org.cornelway.test/tst/org/cornelway/internal/platform/EndlessResponseTest.java
@@ -64,8 +64,7 @@
     /** Guards against a response that is kept without a limit until it is complete. */
     @Test
     public void endlessBodyEndsTheRequest() {
-        HttpEndpointClient client =
-                new HttpEndpointClient(mVertx, mEndpoint, 1, TIMEOUT_MILLIS, false);
+        HttpEndpointClient client = new HttpEndpointClient(mVertx, mEndpoint, 1, TIMEOUT_MILLIS);
         assertEnds(client.send("GET", "/", "", new byte[0], TIMEOUT_MILLIS));
     }
 
--- a/org.cornelway.test/tst/org/cornelway/internal/platform/HttpEndpointReuseTest.java
+++ b/org.cornelway.test/tst/org/cornelway/internal/platform/HttpEndpointReuseTest.java
@@ -57,8 +57,7 @@
     @Test
     public void failureAfterPartOfCopyIsNotTakenForSuccess() throws InterruptedException {
         HttpEndpoint endpoint = new HttpEndpoint("127.0.0.1", mServer.actualPort());
-        HttpEndpointClient client =
-                new HttpEndpointClient(mVertx, endpoint, 1, TIMEOUT_MILLIS, true);
+        HttpEndpointClient client = new HttpEndpointClient(mVertx, endpoint, 1, TIMEOUT_MILLIS);
         assertThat(status(client, "/a")).isEqualTo(200);
         TimeUnit.MILLISECONDS.sleep(ARRIVAL_MILLIS);
         assertThat(status(client, "/b")).isNotEqualTo(200);
--- a/org.cornelway/src/org/cornelway/admin/AdminClient.java
+++ b/org.cornelway/src/org/cornelway/admin/AdminClient.java
@@ -21,7 +21,7 @@
      * @param author name under which changes are recorded
      */
     public AdminClient(Vertx vertx, HttpEndpoint entry, String token, String author) {
-        mHttp = new HttpEndpointClient(vertx, entry, 2, CONNECT_TIMEOUT_MILLIS, false);
+        mHttp = new HttpEndpointClient(vertx, entry, 2, CONNECT_TIMEOUT_MILLIS);
         mToken = token;
         mAuthor = author;
     }
--- a/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/EtcdKeyValueStore.java
@@ -43,7 +43,7 @@
      * @param timeoutMillis time limit of each call for the connection, and again for the response
      */
     public EtcdKeyValueStore(Vertx vertx, HttpEndpoint endpoint, long timeoutMillis) {
-        mHttp = new HttpEndpointClient(vertx, endpoint, MAX_CONNECTIONS, timeoutMillis, true);
+        mHttp = new HttpEndpointClient(vertx, endpoint, MAX_CONNECTIONS, timeoutMillis);
         mTimeoutMillis = timeoutMillis;
     }
 
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpCheckpointStore.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpCheckpointStore.java
@@ -18,7 +18,7 @@
      * @param endpoint endpoint of the checkpoint store
      */
     public HttpCheckpointStore(Vertx vertx, HttpEndpoint endpoint) {
-        mHttp = new HttpEndpointClient(vertx, endpoint, 2, TIMEOUT_MILLIS, true);
+        mHttp = new HttpEndpointClient(vertx, endpoint, 2, TIMEOUT_MILLIS);
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
@@ -20,7 +20,10 @@
 /**
  * HTTP client for one endpoint that collects complete responses.
  *
- * <p>Thread-safe. Lives as long as its Vert.x instance.
+ * <p>Invariant: each request opens a connection of its own, so that a dead connection is detected
+ * before any byte of the request is sent, and no part of a late copy of an earlier response can be
+ * taken for the response to this request; a response need not state which request it belongs to.
+ * Thread-safe. Lives as long as its Vert.x instance.
  */
 public final class HttpEndpointClient {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
@@ -34,22 +37,15 @@
     /**
      * @param maxConnections largest number of open connections; further requests wait for one
      * @param connectTimeoutMillis longest time that a request waits for a connection
-     * @param keepAlive whether connections are reused; if not, each request opens a new one, so
-     *     that a dead connection is detected before any byte of the request is sent, and no late
-     *     answer to an earlier request can be taken for the answer to this one
      */
     public HttpEndpointClient(
-            Vertx vertx,
-            HttpEndpoint endpoint,
-            int maxConnections,
-            long connectTimeoutMillis,
-            boolean keepAlive) {
+            Vertx vertx, HttpEndpoint endpoint, int maxConnections, long connectTimeoutMillis) {
         mEndpoint = endpoint;
         mConnectTimeoutMillis = connectTimeoutMillis;
         mClient =
                 vertx.createHttpClient(
                         new HttpClientOptions()
-                                .setKeepAlive(keepAlive)
+                                .setKeepAlive(false)
                                 .setConnectTimeout((int) connectTimeoutMillis),
                         new PoolOptions().setHttp1MaxSize(maxConnections));
     }
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpInstanceList.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpInstanceList.java
@@ -35,7 +35,7 @@
      * @param endpoint endpoint at which the platform serves the list
      */
     public HttpInstanceList(Vertx vertx, HttpEndpoint endpoint) {
-        mHttp = new HttpEndpointClient(vertx, endpoint, 1, TIMEOUT_MILLIS, true);
+        mHttp = new HttpEndpointClient(vertx, endpoint, 1, TIMEOUT_MILLIS);
     }
 
     /** Returns the number of bytes exchanged with the platform. */
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpModelEngine.java
@@ -53,9 +53,7 @@
      * @param orderTimeoutMillis time after which an order counts as unconfirmed
      */
     public HttpModelEngine(Vertx vertx, HttpEndpoint endpoint, long orderTimeoutMillis) {
-        mHttp =
-                new HttpEndpointClient(
-                        vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS, false);
+        mHttp = new HttpEndpointClient(vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
         mOrderTimeoutMillis = orderTimeoutMillis;
     }
 
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpPlainService.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpPlainService.java
@@ -28,9 +28,7 @@
      *     the outcome of the call counts as unknown
      */
     public HttpPlainService(Vertx vertx, HttpEndpoint endpoint, long timeoutMillis) {
-        mHttp =
-                new HttpEndpointClient(
-                        vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS, false);
+        mHttp = new HttpEndpointClient(vertx, endpoint, MAX_CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
         mTimeoutMillis = timeoutMillis;
     }
 
