Send each order to an engine that echoes no id on a new connection

What callers saw: nothing known. An engine whose replies state no id and that answers twice, the second time late, had the copy taken for the reply to the next order: a refused order (409) counted as accepted, and after a report it counted as already in effect.

Cause: orders and reports share kept connections. Without an id a late copy cannot be told from the reply that is awaited.

Ruled out: a connection for each report too (more than half of the requests; a copied report alone decides nothing, and the number of accepted orders bounds it). To believe an order only once a report confirms it (reports lag by some hundred ms, and reading one costs more than a connection at the users' prices).

Change: PlatformHttpClient.sendCommand sends only on a connection on which each response so far stated an id, and closes the connection after a response without one. Orders use it; reports and the store's calls keep theirs. An engine that echoes ids keeps one connection, as before. PlatformHttpClientTest calls the renamed method; what it asserts is unchanged.

The new test of the number of connections failed before too, as it states the price.

--- a/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/PlatformHttpClientTest.java
@@ -92,7 +92,7 @@
     }
 
     private HttpReply send(SendPermit permit) {
-        return mClient.send(
+        return mClient.sendCommand(
                         mEndpoint, "POST", "/order", Map.of(), EMPTY_BODY, TIMEOUT_MILLIS, permit)
                 .blockingGet();
     }
--- a/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
@@ -148,6 +148,30 @@
         }
     }
 
+    @Test(dataProvider = "copies")
+    public void copyOfReportWithoutIdIsNotTakenForTheReplyToTheNextOrder(int atOnce, int inAll) {
+        mEchoesId = false;
+        mServer.setCopy(atOnce, inAll);
+        for (int i = 0; i < 3; i++) {
+            mEngines.report(server()).onErrorComplete().blockingGet();
+            assertThat(order(409)).isEqualTo(new OrderReply.Conflict());
+        }
+    }
+
+    /** Guards against new connections for reports, which are read more often than orders sent. */
+    @Test
+    public void engineThatEchoesNoIdGetsOneMoreConnectionForEachOrderOnly() {
+        mEchoesId = false;
+        mServer.setCopy(0, 0);
+        for (int i = 0; i < 5; i++) {
+            for (int j = 0; j < 3; j++) {
+                mEngines.report(server()).blockingGet();
+            }
+            assertThat(order(202)).isEqualTo(new OrderReply.Accepted());
+        }
+        assertThat(mServer.connections()).isEqualTo(6);
+    }
+
     @Test
     public void engineThatEchoesIdsKeepsItsConnection() {
         mEchoesId = true;
--- a/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.internal.platform.HttpReply;
 import org.cornelway.internal.platform.NotSentException;
@@ -29,7 +30,7 @@
  *
  * <p>A request may state an id in its headers. It then takes no response with another id, and a
  * response without an id only if it has no signature. A late copy of a response without an id
- * cannot be told from the next response.
+ * cannot be told from the next response; the response to a command is never such a copy.
  */
 public final class PlatformHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
@@ -47,17 +48,6 @@
         mCodec = codec;
     }
 
-    /** Does the same as {@link #send}, for a request that needs no permit. */
-    public Single<HttpReply> send(
-            HttpEndpoint endpoint,
-            String method,
-            String target,
-            Map<String, String> headers,
-            byte[] json,
-            long timeoutMillis) {
-        return send(endpoint, method, target, headers, json, timeoutMillis, SendPermit.ALWAYS);
-    }
-
     /**
      * Returns an operation that sends a request when it is subscribed to.
      *
@@ -67,12 +57,33 @@
      * @param headers headers other than Host, Content-Type and Content-Length
      * @param json the body; empty if the request has none
      * @param timeoutMillis time limit from the start of the request to the complete response
-     * @param permit checked when the request is written to the connection; if it is not valid then,
-     *     the request fails with {@link NotSentException}
      * @return emits the response, whatever its status, or fails if there is no complete response;
      *     disposing of it closes the connection of a request that was sent
      */
     public Single<HttpReply> send(
+            HttpEndpoint endpoint,
+            String method,
+            String target,
+            Map<String, String> headers,
+            byte[] json,
+            long timeoutMillis) {
+        UpstreamRequest request = newRequest(endpoint, method, target, headers, json);
+        return send(
+                endpoint,
+                request,
+                emitter -> new PendingRequest(emitter, timeoutMillis, SendPermit.ALWAYS, false));
+    }
+
+    /**
+     * Does the same as {@link #send} for a command, a request whose response tells whether
+     * something was changed. That response is not a late copy of an earlier one: the command is
+     * sent only on a connection on which each response so far has stated its id, and the connection
+     * is closed after a response without an id.
+     *
+     * @param permit checked when the command is written to the connection; if it is not valid then,
+     *     the command fails with {@link NotSentException}
+     */
+    public Single<HttpReply> sendCommand(
             HttpEndpoint endpoint,
             String method,
             String target,
@@ -80,6 +91,19 @@
             byte[] json,
             long timeoutMillis,
             SendPermit permit) {
+        UpstreamRequest request = newRequest(endpoint, method, target, headers, json);
+        return send(
+                endpoint,
+                request,
+                emitter -> new PendingRequest(emitter, timeoutMillis, permit, true));
+    }
+
+    private UpstreamRequest newRequest(
+            HttpEndpoint endpoint,
+            String method,
+            String target,
+            Map<String, String> headers,
+            byte[] json) {
         HttpHeaders allHeaders = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         allHeaders.set(HttpHeaderNames.HOST, endpoint.toString());
         headers.forEach(allHeaders::set);
@@ -87,16 +111,21 @@
             allHeaders.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             allHeaders.set(HttpHeaderNames.CONTENT_LENGTH, json.length);
         }
-        UpstreamRequest request =
-                new UpstreamRequest(
-                        HttpMethod.valueOf(method),
-                        target,
-                        allHeaders,
-                        Unpooled.wrappedBuffer(json),
-                        mCodec.readRequestId(allHeaders));
+        return new UpstreamRequest(
+                HttpMethod.valueOf(method),
+                target,
+                allHeaders,
+                Unpooled.wrappedBuffer(json),
+                mCodec.readRequestId(allHeaders));
+    }
+
+    private Single<HttpReply> send(
+            HttpEndpoint endpoint,
+            UpstreamRequest request,
+            Function<SingleEmitter<HttpReply>, PendingRequest> newPending) {
         return Single.create(
                 emitter -> {
-                    PendingRequest pending = new PendingRequest(emitter, timeoutMillis, permit);
+                    PendingRequest pending = newPending.apply(emitter);
                     emitter.setCancellable(() -> mLoop.execute(pending::cancel));
                     mLoop.execute(() -> pending.start(endpoint, request));
                 });
@@ -107,6 +136,7 @@
         private final SingleEmitter<HttpReply> mEmitter;
         private final long mTimeoutMillis;
         private final SendPermit mPermit;
+        private final boolean mIsCommand;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private final ResponseMemory.Share mShare =
                 mPool.memory().newShare(() -> abort("no memory for more of the response"));
@@ -116,10 +146,15 @@
         private String mContentType = "";
         private boolean mDone;
 
-        PendingRequest(SingleEmitter<HttpReply> emitter, long timeoutMillis, SendPermit permit) {
+        PendingRequest(
+                SingleEmitter<HttpReply> emitter,
+                long timeoutMillis,
+                SendPermit permit,
+                boolean isCommand) {
             mEmitter = emitter;
             mTimeoutMillis = timeoutMillis;
             mPermit = permit;
+            mIsCommand = isCommand;
         }
 
         void start(HttpEndpoint endpoint, UpstreamRequest request) {
@@ -128,6 +163,11 @@
             mPool.acquire(endpoint.host(), endpoint.port(), this);
         }
 
+        @Override
+        public boolean accepts(UpstreamConnection connection) {
+            return !mIsCommand || connection.identifiesResponses();
+        }
+
         @Override
         public void onAcquired(UpstreamConnection connection) {
             if (mDone) {
@@ -177,6 +217,11 @@
 
         @Override
         public void onEnd() {
+            if (mIsCommand) {
+                mConnection
+                        .filter(each -> !each.identifiesResponses())
+                        .ifPresent(UpstreamConnection::close);
+            }
             if (!mDone) {
                 markDone();
                 mEmitter.onSuccess(new HttpReply(mStatus, mContentType, mBody.toByteArray(), ""));
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -67,6 +67,9 @@
 
     private boolean mMustClose;
 
+    /** Whether a response stated no id; a late copy of it could not be told from another one. */
+    private boolean mResponseWithoutIdReceived;
+
     /** Whether the response is complete, and the connection not back in the pool yet. */
     private boolean mReleasePending;
 
@@ -110,6 +113,14 @@
                 && !mReusableUntil.isPast(mClock.nowMillis());
     }
 
+    /**
+     * Whether all responses so far have stated the ids of their requests, so that a late copy of
+     * one is not taken for the response to a later request that states an id.
+     */
+    boolean identifiesResponses() {
+        return !mResponseWithoutIdReceived;
+    }
+
     /** Sends a request; the connection must be reusable and idle. */
     void send(UpstreamRequest request, ResponseListener listener) {
         mRequestCount++;
@@ -204,6 +215,7 @@
             return;
         }
         mHeadReceived = true;
+        mResponseWithoutIdReceived |= head.requestId().isEmpty();
         mMustClose |= head.closing() || head.notRun() || head.leaving();
         long keepAliveMillis =
                 head.keepAliveMillis()
