Leave a silent agent only for a submission that is granted

Callers of an entry of the product's own path got BACKEND_FAILED for a request whose agent was silent for some seconds and would have gone on: after the second reconnect the entry withdrew the request, and only then looked for retry budget and for another agent.

Ruled out by a run: a silence of 1.3 s and 3 s of the agent, and of 1.3 s of the engines and stores, ends no answer, before and after (FrozenAgentProcessTest).

Change: AgentSelector asks for another agent and takes the retry before the silent one is given up; else the entry attaches to it again until the deadline. An agent that has lost the request is left as before.

--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package of the same name. */
+package org.cornelway.entry;
--- a/org.cornelway/src/org/cornelway/entry/EntryExchange.java
+++ b/org.cornelway/src/org/cornelway/entry/EntryExchange.java
@@ -3,9 +3,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -43,7 +41,7 @@
     private final Runnable mOnEnd;
     private final Scheduler.Worker mWorker;
     private final SerialDisposable mCall = new SerialDisposable();
-    private final Set<String> mExcludedAgents = new HashSet<>();
+    private final AgentSelector mSelector;
     private Optional<RequestAttempt> mAttempt = Optional.empty();
     private int mAttemptCount;
     private int mRefusalCount;
@@ -60,6 +58,7 @@
         mSink = sink;
         mContext = context;
         mOnEnd = onEnd;
+        mSelector = new AgentSelector(request, context);
         mWorker = context.scheduler().createWorker();
     }
 
@@ -87,15 +86,8 @@
         if (mEnded) {
             return;
         }
-        Optional<Member> agent =
-                mContext.chooser()
-                        .choose(
-                                mRequest.target(),
-                                mContext.view().get(),
-                                mContext.loads(),
-                                mExcludedAgents);
+        Optional<Member> agent = mSelector.choose();
         if (agent.isEmpty()) {
-            mExcludedAgents.clear();
             retryOrRefuse(ResultCode.NO_REPLICA, "no live backend server for the request");
             return;
         }
@@ -191,7 +183,7 @@
         boolean notRun = code.executionState() == ResultCode.ExecutionState.NOT_RUN;
         if (notRun) {
             mRefusalCount++;
-            mExcludedAgents.add(attempt.agent().id());
+            mSelector.exclude(attempt.agent());
         }
         if (notRun && RetryPolicy.shouldTryAnotherAgent(code, mRefusalCount)) {
             retryOrRefuse(code, body.getMessage());
@@ -200,7 +192,7 @@
         boolean repeatableFailure = code == ResultCode.BACKEND_FAILED && mRequest.repeatable();
         if (repeatableFailure && mayFailOver() && mContext.retryBudget().tryAcquire()) {
             mEarlierAttemptMayHaveRun = true;
-            mExcludedAgents.add(attempt.agent().id());
+            mSelector.exclude(attempt.agent());
             resetAnswer();
             scheduleSubmit();
             return;
@@ -241,7 +233,7 @@
         mContext.loads().recordUnreachable(attempt.agent().id());
         if (notSent && callNumber == 1) {
             endAttempt(attempt);
-            mExcludedAgents.add(attempt.agent().id());
+            mSelector.exclude(attempt.agent());
             retryOrRefuse(ResultCode.NO_REPLICA, reason);
             return;
         }
@@ -254,12 +246,19 @@
                 .ifPresent(attempt -> attach(attempt, "silence"));
     }
 
-    /** Attaches on a new connection; after the second reconnect, fails over instead if safe. */
+    /**
+     * Attaches on a new connection; after the second reconnect, fails over instead if this is safe
+     * and another agent can take the request. Otherwise the agent, which may still run it, is not
+     * given up.
+     */
     private void attach(RequestAttempt attempt, String reason) {
         mContext.metrics().counter("entry.attaches").inc();
         LOG.info("attempt {} attaches again or fails over: {}", attempt.id(), reason);
-        if (attempt.callCount() > RECORDED_CALLS_BEFORE_FAILOVER && mayFailOver()) {
-            failOver(attempt);
+        if (attempt.callCount() > RECORDED_CALLS_BEFORE_FAILOVER
+                && mayFailOver()
+                && mSelector.tryAcquireAlternative(attempt.agent())) {
+            giveUp(attempt);
+            scheduleSubmit();
             return;
         }
         long delayMillis = ATTACH_BACKOFF_MILLIS * attempt.callCount();
@@ -283,17 +282,13 @@
         return safe && (!mChunkDelivered || mSink.canReset());
     }
 
-    private void failOver(RequestAttempt attempt) {
+    /** Withdraws an attempt that may have run; the answer starts again from its beginning. */
+    private void giveUp(RequestAttempt attempt) {
         withdraw();
         endAttempt(attempt);
         mEarlierAttemptMayHaveRun = true;
-        mExcludedAgents.add(attempt.agent().id());
+        mSelector.exclude(attempt.agent());
         resetAnswer();
-        if (mRequest.deduplicated() || mContext.retryBudget().tryAcquire()) {
-            scheduleSubmit();
-        } else {
-            end(Outcome.failed(ResultCode.BACKEND_FAILED, "agent lost, retry budget spent"));
-        }
     }
 
     private void resetAnswer() {
@@ -306,7 +301,12 @@
     /** Called if the agent does not know the request: it never arrived, or the agent restarted. */
     private void onUnknownExchange(RequestAttempt attempt) {
         if (mayFailOver()) {
-            failOver(attempt);
+            giveUp(attempt);
+            if (mSelector.tryAcquireRetry()) {
+                scheduleSubmit();
+            } else {
+                end(Outcome.failed(ResultCode.BACKEND_FAILED, "agent lost, retry budget spent"));
+            }
         } else if (mChunkDelivered) {
             end(Outcome.failed(ResultCode.ANSWER_INCOMPLETE, "the agent was restarted"));
         } else {
