Let a stream that has begun wait for a server that takes it

Callers saw a stream cut a tenth of a second after its server had broken off, when the other servers refused it as busy (five sends, 30 ms apart), when the controller expected the model too late, or when no server was listed. The caller still waits, and what can be expected of the servers is a guess.

Change: a stream that has begun is dispatched again until its deadline or until its caller leaves; after a refusal 30 ms to 0.96 s later, doubled each time, so that it leaves the retry budget to others; its request for a model is renewed. The limit of five sends counts those that may have run. Other calls are refused as before. ScriptedServer can give several answers, EntryTestBase has a resumable route and a hook for requests for models.

Before: ResumedStreamProcessTest and WaitingStreamTest failed (cut). After: both passed, with Refusal-, WaitingCall-, ErrorInStream-, SlowCaller- and ServerNoticesProcessTest, CutEngineAnswerTest and CutStoreAnswerTest (57 run, 0 failed).

--- a/org.cornelway.test/tst/org/cornelway/ScriptedServer.java
+++ b/org.cornelway.test/tst/org/cornelway/ScriptedServer.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -16,8 +17,8 @@
  * A backend server that writes given bytes as its answer to each request, whole or cut, on any
  * number of connections, one after the other.
  *
- * <p>{@link #setAnswer} and {@link #firstRequestNumber} are thread-safe; connections are served by
- * one thread.
+ * <p>{@link #setAnswer}, {@link #setAnswers} and {@link #firstRequestNumber} are thread-safe;
+ * connections are served by one thread.
  */
 public final class ScriptedServer implements AutoCloseable {
     /** How the server closes a connection after the bytes of its answer. */
@@ -40,7 +41,9 @@
 
     private final ServerSocket mServer;
     private final AtomicInteger mFirstRequestNumber = new AtomicInteger();
-    private volatile Answer mAnswer = new Answer("", Close.FIN, 0);
+
+    /** The answers to the next requests; the last one also answers all later requests. */
+    private List<Answer> mAnswers = List.of(new Answer("", Close.FIN, 0));
 
     /** Starts the server on a free port of the loopback address. */
     public ScriptedServer() throws IOException {
@@ -57,10 +60,25 @@
 
     /** Sets the answer to the next requests. */
     public void setAnswer(Answer answer) {
-        mAnswer = answer;
+        setAnswers(answer);
+    }
+
+    /** Sets the answers to the next requests; the last one also answers all later requests. */
+    public synchronized void setAnswers(Answer... answers) {
+        mAnswers = List.of(answers);
         mFirstRequestNumber.set(0);
     }
 
+    private synchronized Answer nextAnswer() {
+        Answer next = mAnswers.get(0);
+        mAnswers = mAnswers.size() > 1 ? mAnswers.subList(1, mAnswers.size()) : mAnswers;
+        return next;
+    }
+
+    private synchronized Answer currentAnswer() {
+        return mAnswers.get(0);
+    }
+
     /**
      * Number, on its connection, of the first request after the answer was set; 1 for the first
      * request of a connection, 0 if none was read.
@@ -82,12 +100,12 @@
 
     private void serve(Socket socket) throws IOException {
         socket.setTcpNoDelay(true);
-        Answer answer = mAnswer;
+        Answer answer = currentAnswer();
         int requests = 0;
         while (readRequest(socket.getInputStream())) {
             requests++;
             mFirstRequestNumber.compareAndSet(0, requests);
-            answer = mAnswer;
+            answer = nextAnswer();
             OutputStream out = socket.getOutputStream();
             out.write(answer.bytes().getBytes(StandardCharsets.US_ASCII));
             out.flush();
--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import org.cornelway.ScriptedServer;
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
@@ -39,6 +40,7 @@
 public abstract class EntryTestBase {
     static final String UNSAFE_PATH = "/unsafe/a";
     static final String STREAM_PATH = "/stream/a";
+    static final String RESUMABLE_PATH = "/resume/a";
     static final String REQUEST_ID = "call-1";
     private static final String HOST = "host.example";
     private static final String SERVICE = "service";
@@ -65,7 +67,7 @@
                         mFront,
                         new HttpEndpoint("127.0.0.1", 1),
                         new SlidingWindowRetryBudget(clock, 1_000, 1, 10),
-                        (request, tooLate) -> {},
+                        this::requestModel,
                         new EventLog(clock, metrics),
                         metrics);
         mTraffic.frontServer().start().blockingAwait();
@@ -127,7 +129,8 @@
                         1,
                         List.of(
                                 route("/unsafe/", CallKind.UNSAFE),
-                                route("/stream/", CallKind.STREAM)),
+                                route("/stream/", CallKind.STREAM),
+                                resumableRoute()),
                         Map.of(SERVICE, new ServiceDefinition(SERVICE, 50, Optional.empty())),
                         CallerLimits.defaults());
         mTraffic.publish(
@@ -153,8 +156,41 @@
                 0);
     }
 
+    private static Route resumableRoute() {
+        return new Route(
+                "/resume/",
+                HOST,
+                "/resume/",
+                CallKind.STREAM,
+                TIMEOUT_MILLIS,
+                1_000,
+                0,
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                false,
+                true,
+                0);
+    }
+
+    /** Called on the traffic thread when a call needs a model that no server holds. */
+    void requestModel(ModelRequester.Request request, LongConsumer tooLate) {}
+
+    /** Records that the server holds a model. */
+    final void grantModel(String model) {
+        mTraffic.onModelGranted(serverRecord().incarnation(), new ModelTarget(model, ""));
+    }
+
     /** Sends a call on a new connection and returns all bytes up to the close by the entry. */
     final String callUntilClose(String method, String path) throws IOException {
+        return callUntilClose(method, path, "");
+    }
+
+    /**
+     * As {@link #callUntilClose(String, String)}.
+     *
+     * @param headers header lines in addition, each with its line break
+     */
+    final String callUntilClose(String method, String path, String headers) throws IOException {
         try (Socket socket = new Socket(mFront.host(), mFront.port())) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             String head =
@@ -165,7 +201,9 @@
                             + HOST
                             + "\r\nX-Request-Id: "
                             + REQUEST_ID
-                            + "\r\nConnection: close\r\n\r\n";
+                            + "\r\n"
+                            + headers
+                            + "Connection: close\r\n\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         }
--- a/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.result.ResultCode;
@@ -19,6 +20,12 @@
     /** Default delay after which a caller may retry a refused call. */
     static final long RETRY_AFTER_MILLIS = 300;
 
+    /** Delay before a call that a busy engine has refused is sent again. */
+    private static final long BUSY_DELAY_MILLIS = 30;
+
+    /** How often that delay doubles at most, for a stream that has begun. */
+    private static final int MAX_DELAY_DOUBLINGS = 5;
+
     /** Time over which the callers come back that were refused while servers wanted no calls. */
     private static final int SPREAD_MILLIS = 300;
 
@@ -82,8 +89,9 @@
      */
     boolean canRepeat(Route route, Deadline deadline, Optional<StreamRelay> relay, int running) {
         long now = mContext.clock().nowMillis();
+        boolean begun = relay.map(StreamRelay::isHeadSent).orElse(false);
         if (!route.isIdempotent()
-                || mHistory.isExhausted()
+                || (begun ? mHistory.isExhaustedByRuns() : mHistory.isExhausted())
                 || deadline.remainingMillis(now) < MIN_REMAINING_MILLIS) {
             return false;
         }
@@ -92,6 +100,24 @@
                 .orElse(mHistory.possibleRunCount() + running < route.maxAttempts());
     }
 
+    /**
+     * Returns the delay before the call is sent again after a send that did not run; empty if it is
+     * not sent again. A stream that has begun is sent until its deadline, since its caller has a
+     * part of it and waits for the rest; less and less often, so that it does not use up the budget
+     * of the other calls.
+     *
+     * @param begun whether the caller has received a part of the stream
+     * @param busy whether a server has refused the call because it is busy
+     */
+    OptionalLong delayAfterNotRun(boolean begun, boolean busy) {
+        if (mHistory.isExhausted() && !begun) {
+            return OptionalLong.empty();
+        }
+        int doublings = begun ? Math.min(mHistory.sends() - 1, MAX_DELAY_DOUBLINGS) : 0;
+        boolean delayed = busy || mHistory.isExhausted();
+        return OptionalLong.of(delayed ? BUSY_DELAY_MILLIS << doublings : 0);
+    }
+
     /** Takes a send from the retry budget; returns false if it is exhausted. */
     boolean tryAcquireResend(String service) {
         return mContext.retryBudget().tryAcquire(service, mContext.view().get().entryCount());
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -22,13 +22,10 @@
  * proven for each of its sends. Confined to the traffic thread.
  */
 final class CallHandler implements Hedging.Sender {
-    /** Delay before a call that a busy engine has refused is sent again. */
-    private static final long BUSY_DELAY_MILLIS = 30;
-
     /** Delay before dispatching again if the directory lacks the server the controller named. */
     private static final long DIRECTORY_DELAY_MILLIS = 60;
 
-    /** Delay before a stream that has begun is sent again after the retry budget was exhausted. */
+    /** Delay before a stream that has begun and that no server can take now is dispatched again. */
     private static final long RESEND_DELAY_MILLIS = 100;
 
     private final TrafficContext mContext;
@@ -54,7 +51,7 @@
         mResponse = response;
         mLog = new CallLog(context, request);
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
-        mModelWait = new ModelWait(context, request);
+        mModelWait = new ModelWait(context, request, mHistory);
         mAttempts = new RunningAttempts(mHistory, mLog);
         mHedging = new Hedging(context, mAttempts, mHistory, mLog, this);
         mSelector = new ServerSelector(context, request, mHistory, mAttempts);
@@ -141,10 +138,9 @@
             reject(rejection.get());
             return;
         }
-        Optional<ModelTarget> target = mRequest.head().target();
         boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
         // A call that can only go back to a server has no use for another one.
-        if (target.isPresent()
+        if (mRequest.head().target().isPresent()
                 && !mHistory.hasUsedServers()
                 && (candidates.isEmpty() || allSuspect && !mModelWait.wasRequested())) {
             // If all holders are suspect, the controller is asked once for another server.
@@ -152,49 +148,52 @@
             requestModel();
             return;
         }
-        OptionalLong wait = target.isPresent() ? excessiveWait(candidates) : OptionalLong.empty();
+        OptionalLong wait = mModelWait.excessiveWaitMillis(candidates, route(), deadline());
         if (wait.isPresent()) {
             mRetryAfterMillis = Math.max(CallAdmission.RETRY_AFTER_MILLIS, wait.getAsLong());
             fail(ResultCode.QUEUE_FULL, "an engine would need " + wait.getAsLong() + " ms");
             return;
         }
+        String noServer = "no backend server of " + mService;
         mSelector
                 .choose(candidates)
-                .ifPresentOrElse(
-                        this::send,
-                        () -> fail(ResultCode.NO_REPLICA, "no backend server of " + mService));
+                .ifPresentOrElse(this::send, () -> waitOrFail(ResultCode.NO_REPLICA, noServer));
     }
 
     /** Ends the call; a stream that has begun waits if its servers want no calls. */
     private void reject(CallAdmission.Rejection rejection) {
         if (isStreamBegun() && rejection.code() == ResultCode.QUEUE_FULL) {
-            scheduleDispatch(rejection.retryAfterMillis());
+            dispatchAfter(rejection.retryAfterMillis());
         } else {
             mRetryAfterMillis = rejection.retryAfterMillis();
             fail(rejection.code(), rejection.reason());
         }
     }
 
-    /** As in {@link ModelWait}; empty if the call may have run before. */
-    private OptionalLong excessiveWait(List<Candidate> candidates) {
-        return isStreamBegun() || mHistory.possibleRunCount() > 0
-                ? OptionalLong.empty()
-                : mModelWait.excessiveWaitMillis(candidates, route(), deadline());
-    }
-
     private void send(Candidate chosen) {
         if (!mHistory.hasArrived() || mAdmission.tryAcquireResend(mService)) {
             start(chosen);
-        } else if (isStreamBegun()) {
-            // The caller has a part of the stream and waits for the rest.
-            scheduleDispatch(RESEND_DELAY_MILLIS);
         } else {
-            fail(ResultCode.QUEUE_FULL, "no retry budget after: " + mHistory.lastReason());
+            waitOrFail(ResultCode.QUEUE_FULL, "no retry budget after: " + mHistory.lastReason());
         }
     }
 
-    private void scheduleDispatch(long delayMillis) {
-        mContext.loop().schedule(this::dispatch, delayMillis, TimeUnit.MILLISECONDS);
+    /** Ends the call, unless its caller has a part of a stream and waits for the rest. */
+    private void waitOrFail(ResultCode code, String reason) {
+        mModelWait.end();
+        if (isStreamBegun()) {
+            dispatchAfter(RESEND_DELAY_MILLIS);
+        } else {
+            fail(code, reason);
+        }
+    }
+
+    private void dispatchAfter(long delayMillis) {
+        if (delayMillis > 0) {
+            mContext.loop().schedule(this::dispatch, delayMillis, TimeUnit.MILLISECONDS);
+        } else {
+            dispatch();
+        }
     }
 
     @Override
@@ -219,7 +218,7 @@
     private void onModelTooLate(long expectedMillis) {
         if (!mResponder.isDone() && mAttempts.isEmpty()) {
             mRetryAfterMillis = Math.max(CallAdmission.RETRY_AFTER_MILLIS, expectedMillis);
-            fail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
+            waitOrFail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
         }
     }
 
@@ -241,7 +240,7 @@
             dispatch();
         } else {
             // This process's directory does not list the server yet, or no longer lists it.
-            scheduleDispatch(DIRECTORY_DELAY_MILLIS);
+            dispatchAfter(DIRECTORY_DELAY_MILLIS);
         }
     }
 
@@ -260,13 +259,12 @@
         mAttempts.endNotRun(attempt, reason);
         if (!mAttempts.isEmpty()) {
             mHedging.pause();
-        } else if (mHistory.isExhausted()) {
-            fail(ResultCode.QUEUE_FULL, "not run after " + mHistory.sends() + " sends: " + reason);
-        } else if (busy) {
-            scheduleDispatch(BUSY_DELAY_MILLIS);
-        } else {
-            dispatch();
+            return;
         }
+        String failure = "not run after " + mHistory.sends() + " sends: " + reason;
+        mAdmission
+                .delayAfterNotRun(isStreamBegun(), busy)
+                .ifPresentOrElse(this::dispatchAfter, () -> fail(ResultCode.QUEUE_FULL, failure));
     }
 
     /** Records a server that does not serve the model although it was expected to hold it. */
@@ -380,8 +378,8 @@
             end(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mHistory.lastReason());
         } else if (!mAttempts.isEmpty()) {
             mAttempts.forEach(Attempt::tick);
-        } else if (!isStreamBegun() && mModelWait.mustRefuse(now())) {
-            fail(ResultCode.DEADLINE_INFEASIBLE, "no server holds the model yet");
+        } else if (mModelWait.mustRefuse(now())) {
+            waitOrFail(ResultCode.DEADLINE_INFEASIBLE, "no server holds the model yet");
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/ModelWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelWait.java
@@ -25,13 +25,15 @@
 
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
+    private final SendHistory mHistory;
     private Optional<ServerIncarnation> mNotHeldBy = Optional.empty();
     private Optional<Deadline> mDeadline = Optional.empty();
     private boolean mRequested;
 
-    ModelWait(TrafficContext context, CallerRequest request) {
+    ModelWait(TrafficContext context, CallerRequest request, SendHistory history) {
         mContext = context;
         mRequest = request;
+        mHistory = history;
     }
 
     /** Whether the call waits for a model now. */
@@ -100,12 +102,15 @@
 
     /**
      * Returns the expected wait in the engines' queues if the caller would abandon the call before
-     * it begins, else empty.
+     * it begins, else empty. Empty also if the call is for no model or may have run before.
      *
      * @param candidates engines that hold the model
      */
     OptionalLong excessiveWaitMillis(
             List<Candidate> candidates, Route route, Deadline callDeadline) {
+        if (mRequest.head().target().isEmpty() || mHistory.possibleRunCount() > 0) {
+            return OptionalLong.empty();
+        }
         long now = mContext.clock().nowMillis();
         Deadline end = earlier(callDeadline, abandonment(route, false));
         return EngineQueuePolicy.excessiveWaitMillis(
--- a/org.cornelway/src/org/cornelway/traffic/SendHistory.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendHistory.java
@@ -124,6 +124,11 @@
         return mSends >= MAX_SENDS;
     }
 
+    /** Whether the call was sent as often as a call may be without proof that it did not run. */
+    boolean isExhaustedByRuns() {
+        return mPossibleRunCount >= MAX_SENDS;
+    }
+
     /** Number of sends without proof that the call did not run. */
     int possibleRunCount() {
         return mPossibleRunCount;
