--- a/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
@@ -43,7 +43,8 @@
     /** Guards against a late answer that is given up for a server which has shown nothing. */
     @Test
     public void otherCallStaysAtBothServersUntilSilenceIsLong() {
-        assertThat(HedgePolicy.remainingMillis(CallKind.SAFE, SHORT_PAUSE_MILLIS, 400)).isPositive();
+        assertThat(HedgePolicy.remainingMillis(CallKind.SAFE, SHORT_PAUSE_MILLIS, 400))
+                .isPositive();
         assertThat(HedgePolicy.remainingMillis(CallKind.SAFE, LONG_PAUSE_MILLIS, 400)).isZero();
     }
 }
