--- a/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlannedAnswer.java
@@ -69,7 +69,7 @@
     }
 
     /** Returns an HTTP response with a body of a stated length. */
-    static String format(String status, String headers, String body) {
+    public static String format(String status, String headers, String body) {
         return "HTTP/1.1 "
                 + status
                 + "\r\n"
--- a/org.cornelway.test/tst/org/cornelway/RepeatingServer.java
+++ b/org.cornelway.test/tst/org/cornelway/RepeatingServer.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cornelway.standin.platform.PlannedAnswer;
 
 /**
  * HTTP server on the loopback address that answers each request, and then writes a copy of that
@@ -71,14 +72,7 @@
 
     /** Returns a complete answer. */
     public static String answer(String status, String headers, String body) {
-        return "HTTP/1.1 "
-                + status
-                + "\r\n"
-                + headers
-                + "Content-Length: "
-                + body.length()
-                + END_OF_HEAD
-                + body;
+        return PlannedAnswer.format(status, headers, body);
     }
 
     @Override
--- a/org.cornelway.test/tst/org/cornelway/direct/HedgedCallProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/HedgedCallProcessTest.java
@@ -2,36 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelway.bench.LoopbackHttpClient.Response;
-import org.cornelway.bench.ProcessFleet;
-import org.cornelway.bench.direct.DirectFleet;
 import org.cornelway.standin.platform.PlannedAnswer;
 import org.testng.annotations.Test;
 
 /** Tests calls that are sent to a second server, or not, because the first one seems silent. */
-public class HedgedCallProcessTest extends DirectTestBase {
-    private static final int STREAMS = 4;
-    private static final int STREAM_EVENTS = 100;
-    private static final long EVENT_INTERVAL_MILLIS = 30;
-
+public class HedgedCallProcessTest extends RunningStreamTestBase {
     /** Longer than a safe call waits before it is sent to a second server as well. */
     private static final long LATE_RESPONSE_MILLIS = 600;
 
     /** Longer than a stream may be silent before it is sent to a second server as well. */
     private static final long FREEZE_MILLIS = 1_500;
 
-    @Override
-    void prepareFleet(DirectFleet fleet) {
-        for (String id : List.of("e1", "e2")) {
-            fleet.backendServer(id).configureStream(STREAM_EVENTS, EVENT_INTERVAL_MILLIS);
-        }
-    }
-
     /** Guards against the error of a second server in place of an answer that is only late. */
     @Test
     public void errorOfSecondServerDoesNotReplaceLateAnswerOfTheFirst() {
@@ -49,22 +35,11 @@
     /** Guards against streams that are sent again since the entry itself did not read them. */
     @Test
     public void streamsAreNotSentAgainAfterTheEntryWasFrozen() throws Exception {
-        List<CompletableFuture<Response>> streams = new ArrayList<>();
-        for (int i = 0; i < STREAMS; i++) {
-            streams.add(CompletableFuture.supplyAsync(() -> stream("/resume/a", "m1")));
-        }
-        ProcessFleet.await(
-                "streams at the engines",
-                () -> executedCalls("e1") + executedCalls("e2") == STREAMS);
-        Thread.sleep(10 * EVENT_INTERVAL_MILLIS);
+        List<CompletableFuture<Response>> streams = startStreams();
         fleet().signal(0, "STOP");
         Thread.sleep(FREEZE_MILLIS);
         fleet().signal(0, "CONT");
-        for (CompletableFuture<Response> stream : streams) {
-            assertThat(stream.join().body().lines().filter(line -> line.startsWith("id: ")))
-                    .hasSize(STREAM_EVENTS)
-                    .doesNotHaveDuplicates();
-        }
-        assertThat(executedCalls("e1") + executedCalls("e2")).isEqualTo(STREAMS);
+        assertWhole(streams);
+        assertThat(executedStreams()).isEqualTo(STREAMS);
     }
 }
