Test planned work beside streams that run at two engines

A change of the configuration, SIGHUP and SIGTERM, while a hedge runs that goes on or does not answer. The existing cases and their assertions are as before.

--- a/org.cornelway.test/tst/org/cornelway/direct/MovedStreamProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/MovedStreamProcessTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,6 +44,46 @@
     @Test(dataProvider = "faults")
     public void streamOfSilentSoundEngineIsWholeWhateverTheOtherEngineDoes(Fault fault)
             throws Exception {
+        assertWhole(streamFromSilentEngine(fault));
+    }
+
+    @DataProvider
+    public Object[][] plannedWork() {
+        Runnable configuration = () -> fleet().configure();
+        Runnable reload = () -> fleet().signal(0, "HUP");
+        Runnable stop = () -> fleet().signal(0, "TERM");
+        List<Object[]> all = new ArrayList<>();
+        for (Fault fault : List.of(Fault.NONE, Fault.NO_RESPONSE)) {
+            all.add(new Object[] {"change of the configuration", configuration, fault});
+            all.add(new Object[] {"SIGHUP", reload, fault});
+            all.add(new Object[] {"SIGTERM", stop, fault});
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against a stream that is lost because of planned work while it runs at two engines.
+     */
+    @Test(dataProvider = "plannedWork")
+    public void streamOfSilentSoundEngineIsWholeIfPlannedWorkIsDoneBesideIt(
+            String name, Runnable work, Fault fault) throws Exception {
+        List<CompletableFuture<Response>> streams = streamFromSilentEngine(fault);
+        ProcessFleet.await("a hedge", () -> entryLog().contains("event=call.silent"));
+        work.run();
+        assertWhole(streams);
+    }
+
+    private String entryLog() {
+        try {
+            return Files.readString(fleet().logFile(0));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Starts streams, silences the engine that has most of them and injects a fault elsewhere. */
+    private List<CompletableFuture<Response>> streamFromSilentEngine(Fault fault)
+            throws InterruptedException {
         List<CompletableFuture<Response>> streams = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
             streams.add(CompletableFuture.supplyAsync(() -> stream("/resume/a", "m1")));
@@ -53,9 +95,13 @@
         boolean isFirstPaused = executedCalls("e1") >= executedCalls("e2");
         fleet().backendServer(isFirstPaused ? "e2" : "e1").injectFault(fault);
         fleet().backendServer(isFirstPaused ? "e1" : "e2").pauseStreams(PAUSE_MILLIS);
+        return streams;
+    }
+
+    private void assertWhole(List<CompletableFuture<Response>> streams) {
         for (CompletableFuture<Response> stream : streams) {
             assertThat(stream.join().body().lines().filter(line -> line.startsWith("id: ")))
-                    .as(Files.readString(fleet().logFile(0)))
+                    .as(entryLog())
                     .hasSize(STREAM_EVENTS)
                     .doesNotHaveDuplicates();
         }
