Count no time before the first tick as delay of the traffic thread

A call of the first 0.25 s after the start of an entry lost up to 2.6 s of its deadline: LoopDelay measured from its construction, the ticks begin when the front server listens. Change: the measurement starts with the ticks.

LoopDelayTest.timeBeforeTheTicksAreScheduledIsNoDelay cannot be compiled on the code before, which had no such start; without the call of it, it fails by what overdueTickCountsBeforeItRuns shows.

--- a/org.cornelway.test/tst/org/cornelway/traffic/LoopDelayTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/LoopDelayTest.java
@@ -33,6 +33,17 @@
         }
     }
 
+    /** Guards against calls of which the start of the process takes a part of the deadline. */
+    @Test
+    public void timeBeforeTheTicksAreScheduledIsNoDelay() {
+        LoopDelay delay = newDelay();
+        advance(2_600);
+        delay.start();
+        advance(INTERVAL_MILLIS);
+        assertThat(delay.tick()).isZero();
+        assertThat(delay.millis()).isZero();
+    }
+
     @Test
     public void overdueTickCountsBeforeItRuns() {
         LoopDelay delay = newDelay();
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -105,6 +105,7 @@
     }
 
     private void scheduleSweeps() {
+        mContext.loopDelay().start();
         mContext.loop()
                 .scheduleAtFixedRate(
                         new GuardedTask("sweep of connections", mContext.metrics(), this::sweep),
--- a/org.cornelway/src/org/cornelway/traffic/LoopDelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/LoopDelay.java
@@ -39,6 +39,11 @@
         mHeldSince = mLastTick;
     }
 
+    /** Records that the ticks are scheduled now; the time before is no delay. */
+    void start() {
+        mLastTick = mClock.mark();
+    }
+
     /**
      * Records that a periodic task runs.
      *
