--- a/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/EventStreamWriter.java
@@ -125,7 +125,8 @@
             return;
         }
         mSocket.write(frame("0".repeat(ENDLESS_CHUNK_BYTES)).repeat(CHUNKS_PER_WRITE))
-                .onComplete(written -> writeEndlessEvent());
+                .onSuccess(written -> writeEndlessEvent())
+                .onFailure(e -> mOnAbandoned.run());
     }
 
     /** Returns a part of a stream as it is sent: as it is, or as a chunk. */
