--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -72,22 +72,6 @@
     private volatile long mAcceptedOrders;
     private volatile long mHighestFencingNumber;
 
-    /**
-     * A call that the server received. Immutable by convention.
-     *
-     * @param requestLine the HTTP request line
-     * @param headers header values by lower-case name
-     * @param body the request body
-     * @param executed whether the server executed the call
-     */
-    public record ReceivedCall(
-            String requestLine, Map<String, String> headers, String body, boolean executed) {
-        /** The value of a header, or the empty string if it is absent. */
-        public String header(String name) {
-            return headers.getOrDefault(name, "");
-        }
-    }
-
     /**
      * Starts listening on a free port of the loopback address; returns once it does.
      *
@@ -268,7 +252,12 @@
         boolean loaded = model.isEmpty() || mModels.containsKey(model);
         boolean executed = loaded && mFault != Fault.OVERLOADED;
         ReceivedCall call =
-                new ReceivedCall(request.line(), request.headers(), request.body(), executed);
+                new ReceivedCall(
+                        System.nanoTime(),
+                        request.line(),
+                        request.headers(),
+                        request.body(),
+                        executed);
         mReceivedCalls.add(call);
         String requestIdHeader =
                 "X-Request-Id: " + request.headers().get("x-request-id") + "\r\n" + mExtraHeaders;
--- a/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/StopProcessTest.java
@@ -11,8 +11,8 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.cornelway.bench.ProcessFleet;
-import org.cornelway.standin.platform.BackendServerStandin;
 import org.cornelway.standin.platform.Fault;
+import org.cornelway.standin.platform.ReceivedCall;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -173,7 +173,7 @@
         return idsOf(call -> true);
     }
 
-    private Set<String> idsOf(Predicate<BackendServerStandin.ReceivedCall> filter) {
+    private Set<String> idsOf(Predicate<ReceivedCall> filter) {
         return SERVERS.stream()
                 .flatMap(id -> fleet().backendServer(id).receivedCalls().stream())
                 .filter(filter)
@@ -187,7 +187,7 @@
      */
     private void assertNoneLost(List<StopCaller.Call> calls) {
         Set<String> received = receivedIds();
-        Set<String> executed = idsOf(BackendServerStandin.ReceivedCall::executed);
+        Set<String> executed = idsOf(ReceivedCall::executed);
         assertThat(executed).isNotEmpty();
         assertThat(calls)
                 .filteredOn(call -> received.contains(call.requestId()))
--- a/org.cornelway.test/tst/org/cornelway/direct/StutteringServersProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/StutteringServersProcessTest.java
@@ -12,9 +12,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.cornelway.bench.LoopbackHttpClient.Header;
 import org.cornelway.bench.LoopbackHttpClient.Response;
-import org.cornelway.standin.platform.BackendServerStandin.ReceivedCall;
 import org.cornelway.standin.platform.PlannedAnswer;
 import org.cornelway.standin.platform.PlannedAnswer.Repetition;
+import org.cornelway.standin.platform.ReceivedCall;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
