Log the limit that a backend server names in its answers

The header is decoded once; malformed and repeated values are told apart from an answer without one. Nothing acts on it yet.

--- a/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.RoutingConfiguration;
 import org.cornelway.traffic.ForwardedHeaders;
@@ -165,6 +166,39 @@
         assertThat(mCodec.readResponseHead(response).retryAfterMillis()).isEmpty();
     }
 
+    @DataProvider
+    public Object[][] limits() {
+        return new Object[][] {
+            {List.of(), new LimitNotice.None()},
+            {List.of("1.2"), new LimitNotice.Rate(1.2)},
+            {List.of("20"), new LimitNotice.Rate(20)},
+            {List.of("0"), new LimitNotice.Rate(0)},
+            {List.of("999999999"), new LimitNotice.Rate(999_999_999)},
+            {List.of("9".repeat(400)), new LimitNotice.Malformed()},
+            {List.of(""), new LimitNotice.Malformed()},
+            {List.of("-1"), new LimitNotice.Malformed()},
+            {List.of("NaN"), new LimitNotice.Malformed()},
+            {List.of("Infinity"), new LimitNotice.Malformed()},
+            {List.of("1e3"), new LimitNotice.Malformed()},
+            {List.of("1,2"), new LimitNotice.Malformed()},
+            {List.of("few"), new LimitNotice.Malformed()},
+            {List.of("1.2", "3"), new LimitNotice.Malformed()},
+        };
+    }
+
+    @Test(dataProvider = "limits")
+    public void readsLimitOfServerInEachResponse(List<String> values, LimitNotice limit) {
+        for (HttpResponseStatus status :
+                List.of(
+                        HttpResponseStatus.OK,
+                        HttpResponseStatus.MISDIRECTED_REQUEST,
+                        HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
+            response.headers().add("Server-Limit", values);
+            assertThat(mCodec.readResponseHead(response).limit()).isEqualTo(limit);
+        }
+    }
+
     @DataProvider
     public Object[][] malformedServers() {
         String ok = "{'Service':'s','Address':'1.2.3.4:80','State':'ready','born':1,'Seq':2}";
--- a/org.cornelway/src/org/cornelway/traffic/NoticeReader.java
+++ b/org.cornelway/src/org/cornelway/traffic/NoticeReader.java
@@ -1,6 +1,7 @@
 package org.cornelway.traffic;
 
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.time.Deadline;
 
 /**
@@ -31,6 +32,23 @@
             mContext.log().write("server.leaving", "id", mRequestId, "server", mServer.id());
         }
         head.retryAfterMillis().ifPresent(this::recordPause);
+        if (head.limit() instanceof LimitNotice.Rate rate) {
+            logLimit(rate.callsPerSecond());
+        } else if (head.limit() instanceof LimitNotice.Malformed) {
+            logLimit("malformed");
+        }
+    }
+
+    private void logLimit(Object callsPerSecond) {
+        mContext.log()
+                .write(
+                        "server.limit",
+                        "id",
+                        mRequestId,
+                        "server",
+                        mServer.id(),
+                        "per_second",
+                        callsPerSecond);
     }
 
     private void recordPause(long millis) {
--- a/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.cornelway.dispatch.LimitNotice;
 
 /**
  * The parsed head of a backend server's response. Immutable.
@@ -22,6 +23,7 @@
  * @param leaving whether the server is leaving and takes no new calls
  * @param retryAfterMillis time for which a server that refused a call wants no calls from this
  *     process; empty if it is not stated
+ * @param limit rate of calls that the server takes from all entries together
  */
 public record ResponseHead(
         int status,
@@ -35,7 +37,8 @@
         Optional<Long> keepAliveMillis,
         boolean closing,
         boolean leaving,
-        Optional<Long> retryAfterMillis) {
+        Optional<Long> retryAfterMillis,
+        LimitNotice limit) {
     private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
 
     /**
