--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -30,6 +30,8 @@
   private HoldingsReply() {
     servers_ = java.util.Collections.emptyList();
     busy_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
+    permits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -258,6 +260,128 @@
     return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.ServerLimit> limits_;
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.ServerLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.ServerLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
+  public static final int PERMITS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.ServerCalls> permits_;
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.ServerCalls> getPermitsList() {
+    return permits_;
+  }
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.ServerCallsOrBuilder> 
+      getPermitsOrBuilderList() {
+    return permits_;
+  }
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  @java.lang.Override
+  public int getPermitsCount() {
+    return permits_.size();
+  }
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerCalls getPermits(int index) {
+    return permits_.get(index);
+  }
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerCallsOrBuilder getPermitsOrBuilder(
+      int index) {
+    return permits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -296,6 +420,12 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(8, getEvidence());
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(9, limits_.get(i));
+    }
+    for (int i = 0; i < permits_.size(); i++) {
+      output.writeMessage(10, permits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -342,6 +472,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, getEvidence());
     }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = permits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(permits_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -385,6 +533,10 @@
       if (!getEvidence()
           .equals(other.getEvidence())) return false;
     }
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
+    if (!getPermitsList()
+        .equals(other.getPermitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -423,6 +575,14 @@
       hash = (37 * hash) + EVIDENCE_FIELD_NUMBER;
       hash = (53 * hash) + getEvidence().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
+    if (getPermitsCount() > 0) {
+      hash = (37 * hash) + PERMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getPermitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -556,6 +716,8 @@
         internalGetServersFieldBuilder();
         internalGetBusyFieldBuilder();
         internalGetEvidenceFieldBuilder();
+        internalGetLimitsFieldBuilder();
+        internalGetPermitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -586,6 +748,20 @@
         evidenceBuilder_.dispose();
         evidenceBuilder_ = null;
       }
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      if (permitsBuilder_ == null) {
+        permits_ = java.util.Collections.emptyList();
+      } else {
+        permits_ = null;
+        permitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -637,6 +813,24 @@
       } else {
         result.busy_ = busyBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
+      if (permitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          permits_ = java.util.Collections.unmodifiableList(permits_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.permits_ = permits_;
+      } else {
+        result.permits_ = permitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.HoldingsReply result) {
@@ -748,6 +942,58 @@
       if (other.hasEvidence()) {
         mergeEvidence(other.getEvidence());
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
+      if (permitsBuilder_ == null) {
+        if (!other.permits_.isEmpty()) {
+          if (permits_.isEmpty()) {
+            permits_ = other.permits_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensurePermitsIsMutable();
+            permits_.addAll(other.permits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.permits_.isEmpty()) {
+          if (permitsBuilder_.isEmpty()) {
+            permitsBuilder_.dispose();
+            permitsBuilder_ = null;
+            permits_ = other.permits_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            permitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPermitsFieldBuilder() : null;
+          } else {
+            permitsBuilder_.addAllMessages(other.permits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -830,6 +1076,32 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 74: {
+              org.cornelway.rpc.ServerLimit m =
+                  input.readMessage(
+                      org.cornelway.rpc.ServerLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
+            case 82: {
+              org.cornelway.rpc.ServerCalls m =
+                  input.readMessage(
+                      org.cornelway.rpc.ServerCalls.parser(),
+                      extensionRegistry);
+              if (permitsBuilder_ == null) {
+                ensurePermitsIsMutable();
+                permits_.add(m);
+              } else {
+                permitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1738,6 +2010,618 @@
       return evidenceBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.ServerLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        limits_ = new java.util.ArrayList<org.cornelway.rpc.ServerLimit>(limits_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerLimit, org.cornelway.rpc.ServerLimit.Builder, org.cornelway.rpc.ServerLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public org.cornelway.rpc.ServerLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder setLimits(
+        int index, org.cornelway.rpc.ServerLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder setLimits(
+        int index, org.cornelway.rpc.ServerLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder addLimits(org.cornelway.rpc.ServerLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder addLimits(
+        int index, org.cornelway.rpc.ServerLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder addLimits(
+        org.cornelway.rpc.ServerLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder addLimits(
+        int index, org.cornelway.rpc.ServerLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.cornelway.rpc.ServerLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public org.cornelway.rpc.ServerLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public org.cornelway.rpc.ServerLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.ServerLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public org.cornelway.rpc.ServerLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.cornelway.rpc.ServerLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public org.cornelway.rpc.ServerLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.ServerLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Limits of servers that any entry knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerLimit, org.cornelway.rpc.ServerLimit.Builder, org.cornelway.rpc.ServerLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.ServerLimit, org.cornelway.rpc.ServerLimit.Builder, org.cornelway.rpc.ServerLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
+    private java.util.List<org.cornelway.rpc.ServerCalls> permits_ =
+      java.util.Collections.emptyList();
+    private void ensurePermitsIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        permits_ = new java.util.ArrayList<org.cornelway.rpc.ServerCalls>(permits_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerCalls, org.cornelway.rpc.ServerCalls.Builder, org.cornelway.rpc.ServerCallsOrBuilder> permitsBuilder_;
+
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerCalls> getPermitsList() {
+      if (permitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(permits_);
+      } else {
+        return permitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public int getPermitsCount() {
+      if (permitsBuilder_ == null) {
+        return permits_.size();
+      } else {
+        return permitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public org.cornelway.rpc.ServerCalls getPermits(int index) {
+      if (permitsBuilder_ == null) {
+        return permits_.get(index);
+      } else {
+        return permitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder setPermits(
+        int index, org.cornelway.rpc.ServerCalls value) {
+      if (permitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePermitsIsMutable();
+        permits_.set(index, value);
+        onChanged();
+      } else {
+        permitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder setPermits(
+        int index, org.cornelway.rpc.ServerCalls.Builder builderForValue) {
+      if (permitsBuilder_ == null) {
+        ensurePermitsIsMutable();
+        permits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        permitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder addPermits(org.cornelway.rpc.ServerCalls value) {
+      if (permitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePermitsIsMutable();
+        permits_.add(value);
+        onChanged();
+      } else {
+        permitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder addPermits(
+        int index, org.cornelway.rpc.ServerCalls value) {
+      if (permitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePermitsIsMutable();
+        permits_.add(index, value);
+        onChanged();
+      } else {
+        permitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder addPermits(
+        org.cornelway.rpc.ServerCalls.Builder builderForValue) {
+      if (permitsBuilder_ == null) {
+        ensurePermitsIsMutable();
+        permits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        permitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder addPermits(
+        int index, org.cornelway.rpc.ServerCalls.Builder builderForValue) {
+      if (permitsBuilder_ == null) {
+        ensurePermitsIsMutable();
+        permits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        permitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder addAllPermits(
+        java.lang.Iterable<? extends org.cornelway.rpc.ServerCalls> values) {
+      if (permitsBuilder_ == null) {
+        ensurePermitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, permits_);
+        onChanged();
+      } else {
+        permitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder clearPermits() {
+      if (permitsBuilder_ == null) {
+        permits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        permitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public Builder removePermits(int index) {
+      if (permitsBuilder_ == null) {
+        ensurePermitsIsMutable();
+        permits_.remove(index);
+        onChanged();
+      } else {
+        permitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public org.cornelway.rpc.ServerCalls.Builder getPermitsBuilder(
+        int index) {
+      return internalGetPermitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public org.cornelway.rpc.ServerCallsOrBuilder getPermitsOrBuilder(
+        int index) {
+      if (permitsBuilder_ == null) {
+        return permits_.get(index);  } else {
+        return permitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.ServerCallsOrBuilder> 
+         getPermitsOrBuilderList() {
+      if (permitsBuilder_ != null) {
+        return permitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(permits_);
+      }
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public org.cornelway.rpc.ServerCalls.Builder addPermitsBuilder() {
+      return internalGetPermitsFieldBuilder().addBuilder(
+          org.cornelway.rpc.ServerCalls.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public org.cornelway.rpc.ServerCalls.Builder addPermitsBuilder(
+        int index) {
+      return internalGetPermitsFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.ServerCalls.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Calls that the sender may send to limited servers, within a second from its report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerCalls.Builder> 
+         getPermitsBuilderList() {
+      return internalGetPermitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerCalls, org.cornelway.rpc.ServerCalls.Builder, org.cornelway.rpc.ServerCallsOrBuilder> 
+        internalGetPermitsFieldBuilder() {
+      if (permitsBuilder_ == null) {
+        permitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.ServerCalls, org.cornelway.rpc.ServerCalls.Builder, org.cornelway.rpc.ServerCallsOrBuilder>(
+                permits_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        permits_ = null;
+      }
+      return permitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.HoldingsReply)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
@@ -146,4 +146,92 @@
    * <code>.cornelway.v1.CrashEvidence evidence = 8;</code>
    */
   org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder();
+
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  java.util.List<org.cornelway.rpc.ServerLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  org.cornelway.rpc.ServerLimit getLimits(int index);
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.ServerLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * Limits of servers that any entry knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 9;</code>
+   */
+  org.cornelway.rpc.ServerLimitOrBuilder getLimitsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  java.util.List<org.cornelway.rpc.ServerCalls> 
+      getPermitsList();
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  org.cornelway.rpc.ServerCalls getPermits(int index);
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  int getPermitsCount();
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.ServerCallsOrBuilder> 
+      getPermitsOrBuilderList();
+  /**
+   * <pre>
+   * Calls that the sender may send to limited servers, within a second from its report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls permits = 10;</code>
+   */
+  org.cornelway.rpc.ServerCallsOrBuilder getPermitsOrBuilder(
+      int index);
 }
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -31,6 +31,8 @@
     from_ = "";
     uses_ = java.util.Collections.emptyList();
     rates_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
+    wanted_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -256,6 +258,128 @@
     return evidence_ == null ? org.cornelway.rpc.CrashEvidence.getDefaultInstance() : evidence_;
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.ServerLimit> limits_;
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.ServerLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.ServerLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
+  public static final int WANTED_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.ServerCalls> wanted_;
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.ServerCalls> getWantedList() {
+    return wanted_;
+  }
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.ServerCallsOrBuilder> 
+      getWantedOrBuilderList() {
+    return wanted_;
+  }
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  @java.lang.Override
+  public int getWantedCount() {
+    return wanted_.size();
+  }
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerCalls getWanted(int index) {
+    return wanted_.get(index);
+  }
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.ServerCallsOrBuilder getWantedOrBuilder(
+      int index) {
+    return wanted_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -291,6 +415,12 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(7, getEvidence());
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(8, limits_.get(i));
+    }
+    for (int i = 0; i < wanted_.size(); i++) {
+      output.writeMessage(9, wanted_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -332,6 +462,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, getEvidence());
     }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = wanted_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(wanted_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -373,6 +521,10 @@
       if (!getEvidence()
           .equals(other.getEvidence())) return false;
     }
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
+    if (!getWantedList()
+        .equals(other.getWantedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -407,6 +559,14 @@
       hash = (37 * hash) + EVIDENCE_FIELD_NUMBER;
       hash = (53 * hash) + getEvidence().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
+    if (getWantedCount() > 0) {
+      hash = (37 * hash) + WANTED_FIELD_NUMBER;
+      hash = (53 * hash) + getWantedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -540,6 +700,8 @@
         internalGetUsesFieldBuilder();
         internalGetRatesFieldBuilder();
         internalGetEvidenceFieldBuilder();
+        internalGetLimitsFieldBuilder();
+        internalGetWantedFieldBuilder();
       }
     }
     @java.lang.Override
@@ -569,6 +731,20 @@
         evidenceBuilder_.dispose();
         evidenceBuilder_ = null;
       }
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      if (wantedBuilder_ == null) {
+        wanted_ = java.util.Collections.emptyList();
+      } else {
+        wanted_ = null;
+        wantedBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -620,6 +796,24 @@
       } else {
         result.rates_ = ratesBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
+      if (wantedBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          wanted_ = java.util.Collections.unmodifiableList(wanted_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.wanted_ = wanted_;
+      } else {
+        result.wanted_ = wantedBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.UseReport result) {
@@ -727,6 +921,58 @@
       if (other.hasEvidence()) {
         mergeEvidence(other.getEvidence());
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
+      if (wantedBuilder_ == null) {
+        if (!other.wanted_.isEmpty()) {
+          if (wanted_.isEmpty()) {
+            wanted_ = other.wanted_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureWantedIsMutable();
+            wanted_.addAll(other.wanted_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.wanted_.isEmpty()) {
+          if (wantedBuilder_.isEmpty()) {
+            wantedBuilder_.dispose();
+            wantedBuilder_ = null;
+            wanted_ = other.wanted_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            wantedBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetWantedFieldBuilder() : null;
+          } else {
+            wantedBuilder_.addAllMessages(other.wanted_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -804,6 +1050,32 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              org.cornelway.rpc.ServerLimit m =
+                  input.readMessage(
+                      org.cornelway.rpc.ServerLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 74: {
+              org.cornelway.rpc.ServerCalls m =
+                  input.readMessage(
+                      org.cornelway.rpc.ServerCalls.parser(),
+                      extensionRegistry);
+              if (wantedBuilder_ == null) {
+                ensureWantedIsMutable();
+                wanted_.add(m);
+              } else {
+                wantedBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1648,6 +1920,618 @@
       return evidenceBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.ServerLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        limits_ = new java.util.ArrayList<org.cornelway.rpc.ServerLimit>(limits_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerLimit, org.cornelway.rpc.ServerLimit.Builder, org.cornelway.rpc.ServerLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public org.cornelway.rpc.ServerLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder setLimits(
+        int index, org.cornelway.rpc.ServerLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder setLimits(
+        int index, org.cornelway.rpc.ServerLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder addLimits(org.cornelway.rpc.ServerLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        int index, org.cornelway.rpc.ServerLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        org.cornelway.rpc.ServerLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        int index, org.cornelway.rpc.ServerLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.cornelway.rpc.ServerLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public org.cornelway.rpc.ServerLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public org.cornelway.rpc.ServerLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.ServerLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public org.cornelway.rpc.ServerLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.cornelway.rpc.ServerLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public org.cornelway.rpc.ServerLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.ServerLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Limits of servers that the sender knows, and those that have ended.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerLimit, org.cornelway.rpc.ServerLimit.Builder, org.cornelway.rpc.ServerLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.ServerLimit, org.cornelway.rpc.ServerLimit.Builder, org.cornelway.rpc.ServerLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
+    private java.util.List<org.cornelway.rpc.ServerCalls> wanted_ =
+      java.util.Collections.emptyList();
+    private void ensureWantedIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        wanted_ = new java.util.ArrayList<org.cornelway.rpc.ServerCalls>(wanted_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerCalls, org.cornelway.rpc.ServerCalls.Builder, org.cornelway.rpc.ServerCallsOrBuilder> wantedBuilder_;
+
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerCalls> getWantedList() {
+      if (wantedBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(wanted_);
+      } else {
+        return wantedBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public int getWantedCount() {
+      if (wantedBuilder_ == null) {
+        return wanted_.size();
+      } else {
+        return wantedBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public org.cornelway.rpc.ServerCalls getWanted(int index) {
+      if (wantedBuilder_ == null) {
+        return wanted_.get(index);
+      } else {
+        return wantedBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder setWanted(
+        int index, org.cornelway.rpc.ServerCalls value) {
+      if (wantedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureWantedIsMutable();
+        wanted_.set(index, value);
+        onChanged();
+      } else {
+        wantedBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder setWanted(
+        int index, org.cornelway.rpc.ServerCalls.Builder builderForValue) {
+      if (wantedBuilder_ == null) {
+        ensureWantedIsMutable();
+        wanted_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        wantedBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder addWanted(org.cornelway.rpc.ServerCalls value) {
+      if (wantedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureWantedIsMutable();
+        wanted_.add(value);
+        onChanged();
+      } else {
+        wantedBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder addWanted(
+        int index, org.cornelway.rpc.ServerCalls value) {
+      if (wantedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureWantedIsMutable();
+        wanted_.add(index, value);
+        onChanged();
+      } else {
+        wantedBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder addWanted(
+        org.cornelway.rpc.ServerCalls.Builder builderForValue) {
+      if (wantedBuilder_ == null) {
+        ensureWantedIsMutable();
+        wanted_.add(builderForValue.build());
+        onChanged();
+      } else {
+        wantedBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder addWanted(
+        int index, org.cornelway.rpc.ServerCalls.Builder builderForValue) {
+      if (wantedBuilder_ == null) {
+        ensureWantedIsMutable();
+        wanted_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        wantedBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder addAllWanted(
+        java.lang.Iterable<? extends org.cornelway.rpc.ServerCalls> values) {
+      if (wantedBuilder_ == null) {
+        ensureWantedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, wanted_);
+        onChanged();
+      } else {
+        wantedBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder clearWanted() {
+      if (wantedBuilder_ == null) {
+        wanted_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        wantedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public Builder removeWanted(int index) {
+      if (wantedBuilder_ == null) {
+        ensureWantedIsMutable();
+        wanted_.remove(index);
+        onChanged();
+      } else {
+        wantedBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public org.cornelway.rpc.ServerCalls.Builder getWantedBuilder(
+        int index) {
+      return internalGetWantedFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public org.cornelway.rpc.ServerCallsOrBuilder getWantedOrBuilder(
+        int index) {
+      if (wantedBuilder_ == null) {
+        return wanted_.get(index);  } else {
+        return wantedBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.ServerCallsOrBuilder> 
+         getWantedOrBuilderList() {
+      if (wantedBuilder_ != null) {
+        return wantedBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(wanted_);
+      }
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public org.cornelway.rpc.ServerCalls.Builder addWantedBuilder() {
+      return internalGetWantedFieldBuilder().addBuilder(
+          org.cornelway.rpc.ServerCalls.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public org.cornelway.rpc.ServerCalls.Builder addWantedBuilder(
+        int index) {
+      return internalGetWantedFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.ServerCalls.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Calls that wanted limited servers since the last report.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+     */
+    public java.util.List<org.cornelway.rpc.ServerCalls.Builder> 
+         getWantedBuilderList() {
+      return internalGetWantedFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.ServerCalls, org.cornelway.rpc.ServerCalls.Builder, org.cornelway.rpc.ServerCallsOrBuilder> 
+        internalGetWantedFieldBuilder() {
+      if (wantedBuilder_ == null) {
+        wantedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.ServerCalls, org.cornelway.rpc.ServerCalls.Builder, org.cornelway.rpc.ServerCallsOrBuilder>(
+                wanted_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        wanted_ = null;
+      }
+      return wantedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.UseReport)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
@@ -126,4 +126,92 @@
    * <code>.cornelway.v1.CrashEvidence evidence = 7;</code>
    */
   org.cornelway.rpc.CrashEvidenceOrBuilder getEvidenceOrBuilder();
+
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  java.util.List<org.cornelway.rpc.ServerLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  org.cornelway.rpc.ServerLimit getLimits(int index);
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.ServerLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * Limits of servers that the sender knows, and those that have ended.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerLimit limits = 8;</code>
+   */
+  org.cornelway.rpc.ServerLimitOrBuilder getLimitsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  java.util.List<org.cornelway.rpc.ServerCalls> 
+      getWantedList();
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  org.cornelway.rpc.ServerCalls getWanted(int index);
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  int getWantedCount();
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.ServerCallsOrBuilder> 
+      getWantedOrBuilderList();
+  /**
+   * <pre>
+   * Calls that wanted limited servers since the last report.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.ServerCalls wanted = 9;</code>
+   */
+  org.cornelway.rpc.ServerCallsOrBuilder getWantedOrBuilder(
+      int index);
 }
--- a/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
@@ -48,6 +48,7 @@
                         mTime,
                         new FixedTerm(),
                         new CheapestLoadPlanner(),
+                        EngineLimits.NONE,
                         new EventLog(this::now, new MetricRegistry()));
         mController.applyRoutes(routes());
         ServerRecord record = SimulatedEngine.record();
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -34,6 +34,7 @@
     private final ModelController.TermSource mTerms;
     private final Function<String, Optional<ServerIncarnation>> mIncarnations;
     private final Scheduler mControl;
+    private final LimitDistributor mLimits;
     private final HoldingsHistory mHoldings = new HoldingsHistory();
 
     /** What all entries have reported; kept from term to term. */
@@ -41,15 +42,18 @@
 
     /**
      * @param incarnations looks up the current incarnation of a server by the server's id
+     * @param limits deals out the rates of limited servers
      */
     public ControllerRequestHandler(
             ModelController controller,
             ModelController.TermSource terms,
             Function<String, Optional<ServerIncarnation>> incarnations,
+            LimitDistributor limits,
             Scheduler control) {
         mController = controller;
         mTerms = terms;
         mIncarnations = incarnations;
+        mLimits = limits;
         mControl = control;
     }
 
@@ -119,9 +123,22 @@
                                                 .setServer(server)
                                                 .setActive(active)));
         addEvidence(report, reply);
+        addLimits(report, reply);
         return reply.build();
     }
 
+    /** Merges the limits of a report, and adds all limits and the sender's permits to the reply. */
+    private void addLimits(UseReport report, HoldingsReply.Builder reply) {
+        long now = mControl.now(TimeUnit.MILLISECONDS);
+        mLimits.merge(LimitMessages.fromMessages(report.getLimitsList(), now));
+        reply.addAllLimits(LimitMessages.toMessages(mLimits.limits(), now));
+        Map<ServerIncarnation, Integer> wanted = LimitMessages.toCalls(report.getWantedList());
+        mLimits.deal(report.getFrom(), wanted, 1, now)
+                .forEach(
+                        (server, calls) ->
+                                reply.addPermits(LimitMessages.toMessage(server, calls)));
+    }
+
     /** Merges the evidence of a report, and adds all evidence to the reply if there is news. */
     private void addEvidence(UseReport report, HoldingsReply.Builder reply) {
         long now = mControl.now(TimeUnit.MILLISECONDS);
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -3,17 +3,22 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.CrashEvidence;
+import org.cornelway.dispatch.LimitObservation;
+import org.cornelway.dispatch.ServerLimits;
 import org.cornelway.platform.Member;
 import org.cornelway.rpc.HeldModel;
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelUse;
 import org.cornelway.rpc.ServerHoldings;
 import org.cornelway.rpc.UseReport;
+import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ModelUsage;
 import org.cornelway.traffic.TrafficPlane;
 import org.cornelway.traffic.TrafficReport;
@@ -22,17 +27,21 @@
  * Reports this process's usage of models to the controller. The reply lists the models on the
  * engines that have changed since the last reply; the list is passed on to the traffic thread. Also
  * exchanges the evidence on parts of prompts that crash servers, so that all entries block the same
- * parts.
+ * parts, and the limits of servers, for which it gets permits.
  *
  * <p>Confined to the control thread.
  */
 public final class UsageReporter {
+    /** Time from a report for which the permits in its reply are valid. */
+    private static final long PERMIT_MILLIS = 1_000;
+
     private final String mSelf;
     private final Election mElection;
     private final ControllerRequestHandler mLocalHandler;
     private final ControllerClient mClient;
     private final Scheduler mControl;
     private final TrafficPlane mTraffic;
+    private final FallbackPermits mFallback;
 
     /**
      * Term of the controller that sent the last list. Each report contains the term and the version
@@ -54,6 +63,7 @@
     /**
      * @param self this process's instance id
      * @param localHandler handles the reports while this process is the controller
+     * @param fallback deals out permits while no controller does
      */
     public UsageReporter(
             String self,
@@ -61,13 +71,19 @@
             ControllerRequestHandler localHandler,
             ControllerClient client,
             Scheduler control,
-            TrafficPlane traffic) {
+            TrafficPlane traffic,
+            FallbackPermits fallback) {
         mSelf = self;
         mElection = election;
         mLocalHandler = localHandler;
         mClient = client;
         mControl = control;
         mTraffic = traffic;
+        mFallback = fallback;
+    }
+
+    private long now() {
+        return mControl.now(TimeUnit.MILLISECONDS);
     }
 
     /** Sends a report, unless the previous one is still in progress; called periodically. */
@@ -82,13 +98,15 @@
         CrashEvidence.Snapshot evidence = traffic.evidence();
         boolean isEvidenceNew = evidence.version() != mReportedEvidence;
         UseReport.Builder message = newReport(traffic.usage());
+        addLimits(traffic.limits(), message);
+        applyPermits(List.of(), mFallback.deal(traffic.limits(), now()), traffic.limits());
         if (isEvidenceNew) {
             message.setEvidence(EvidenceMessages.toMessage(evidence));
         }
         UseReport report = message.build();
         long reported = isEvidenceNew ? evidence.version() : -1;
         if (mElection.fencingNumber().isPresent()) {
-            onReply(mLocalHandler.handleUsageReport(report), reported);
+            onReply(mLocalHandler.handleUsageReport(report), reported, traffic.limits());
             return;
         }
         Optional<Member> controller =
@@ -102,7 +120,28 @@
         }
         mClient.reportUsage(controller.get(), report)
                 .observeOn(mControl)
-                .subscribe(reply -> onReply(reply, reported), e -> mReportInProgress = false);
+                .subscribe(
+                        reply -> onReply(reply, reported, traffic.limits()),
+                        e -> mReportInProgress = false);
+    }
+
+    private static void addLimits(ServerLimits.Report limits, UseReport.Builder message) {
+        message.addAllLimits(LimitMessages.toMessages(limits.limits(), limits.takenMillis()));
+        limits.wanted()
+                .forEach(
+                        (server, calls) ->
+                                message.addWanted(LimitMessages.toMessage(server, calls)));
+    }
+
+    /** Passes on limits and permits, unless there are none. */
+    private void applyPermits(
+            List<LimitObservation> limits,
+            Map<ServerIncarnation, Integer> permits,
+            ServerLimits.Report report) {
+        if (!limits.isEmpty() || !permits.isEmpty()) {
+            Deadline until = Deadline.after(report.takenMillis(), PERMIT_MILLIS);
+            mTraffic.updateLimits(limits, permits, until);
+        }
     }
 
     private UseReport.Builder newReport(ModelUsage.Snapshot usage) {
@@ -134,13 +173,20 @@
 
     /**
      * @param reportedEvidence version of the evidence in the report; -1 if it had none
+     * @param limits limits in the report
      */
-    private void onReply(HoldingsReply reply, long reportedEvidence) {
+    private void onReply(HoldingsReply reply, long reportedEvidence, ServerLimits.Report limits) {
         mReportInProgress = false;
         if (!reply.getController()) {
             return;
         }
+        mFallback.recordReply(now());
         applyEvidence(reply, reportedEvidence);
+        // Counted back from the report, so that a late reply makes no limit appear newer.
+        applyPermits(
+                LimitMessages.fromMessages(reply.getLimitsList(), limits.takenMillis()),
+                LimitMessages.toCalls(reply.getPermitsList()),
+                limits);
         mHoldingsTerm = reply.getTerm();
         mHoldingsVersion = reply.getVersion();
         Map<ServerIncarnation, Map<String, Set<String>>> holdings = new HashMap<>();
--- a/org.cornelway/src/org/cornelway/directory/DirectorySnapshot.java
+++ b/org.cornelway/src/org/cornelway/directory/DirectorySnapshot.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -44,6 +45,13 @@
         return current != null && current.incarnation().equals(incarnation) && !current.draining();
     }
 
+    /** Returns the incarnations of all servers, including those that are draining. */
+    public Set<ServerIncarnation> incarnations() {
+        return mById.values().stream()
+                .map(ServerRecord::incarnation)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Finds a server by id, also if it is draining; empty if it is not known. */
     public Optional<ServerRecord> find(String id) {
         return Optional.ofNullable(mById.get(id));
--- a/org.cornelway/src/org/cornelway/models/LoadScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/LoadScheduler.java
@@ -131,7 +131,7 @@
             ModelDefinition model, List<EngineDriver> engines, SchedulingRound round) {
         List<EngineDriver> holders = round.holders(model.name());
         List<EngineDriver> loaders = round.loaders(model.name());
-        return engines.stream()
+        return round.loadTargets(engines).stream()
                 .filter(EngineDriver::isStateKnown)
                 .filter(engine -> !holders.contains(engine) && !loaders.contains(engine));
     }
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -53,6 +53,7 @@
     private final LoadScheduler mLoads;
     private final ModelScheduler mScheduler;
     private final ProactiveScheduler mProactive;
+    private final EngineLimits mLimits;
     private final EventLog mLog;
     private final DemandTable mDemand = new DemandTable();
     private final StoreLoadLimit mStoreLoads = new StoreLoadLimit(MAX_STORE_LOADS);
@@ -84,16 +85,19 @@
 
     /**
      * @param planner chooses where models are loaded
+     * @param limits tells which engines take fewer calls than they have places for
      */
     public ModelController(
             EngineControl engines,
             Scheduler control,
             TermSource terms,
             LoadPlanner planner,
+            EngineLimits limits,
             EventLog log) {
         mEngines = engines;
         mControl = control;
         mTerms = terms;
+        mLimits = limits;
         mLog = log;
         mLoads = new LoadScheduler(planner, mDemand, mStoreLoads);
         mScheduler = new ModelScheduler(mLoads);
@@ -245,7 +249,7 @@
         if (!rounds.containsKey(service)) {
             Set<String> requested = mPending.models();
             engineDefinition(service)
-                    .map(d -> new SchedulingRound(drivers(service), d, requested, now))
+                    .map(d -> new SchedulingRound(drivers(service), d, requested, mLimits, now))
                     .ifPresent(round -> rounds.put(service, round));
         }
         return Optional.ofNullable(rounds.get(service));
--- a/org.cornelway/src/org/cornelway/models/ModelScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ModelScheduler.java
@@ -36,7 +36,7 @@
 
     /**
      * Returns the outcome of a request, or empty while the request is pending. Plans a load if no
-     * engine holds the target.
+     * engine holds the target, or if those that do are limited and take no more calls now.
      */
     Optional<ModelRequestOutcome> findOrLoad(ModelRequest request, SchedulingRound round) {
         ModelTarget target = request.target();
@@ -49,9 +49,21 @@
                         .filter(EngineDriver::isStateCurrent)
                         .filter(e -> !e.isUnloading(target.model()))
                         .toList();
-        if (holders.isEmpty()) {
-            return planLoad(request, model, round);
+        List<EngineDriver> unlimited = holders.stream().filter(e -> !round.isLimited(e)).toList();
+        if (unlimited.isEmpty()) {
+            // The entry that has the call gets a permit with the reply to its next report.
+            return holders.stream().anyMatch(round::hasPermit)
+                    ? Optional.empty()
+                    : planLoad(request, model, holders, round);
         }
+        return answerWithHolder(target, model, unlimited, round);
+    }
+
+    private Optional<ModelRequestOutcome> answerWithHolder(
+            ModelTarget target,
+            ModelDefinition model,
+            List<EngineDriver> holders,
+            SchedulingRound round) {
         long now = round.nowMillis();
         return target.hasAdapter()
                 ? mAdapterScheduler
@@ -76,10 +88,17 @@
 
     /**
      * Finds or plans a load. A plan that cannot begin now is considered only after the first report
-     * of each engine, since an engine that has not reported yet may hold the model.
+     * of each engine, since an engine that has not reported yet may hold the model. If there is no
+     * plan, the request is answered with a limited engine that holds the model, so that its callers
+     * are told when to come back.
+     *
+     * @param limited limited engines that hold the model
      */
     private Optional<ModelRequestOutcome> planLoad(
-            ModelRequest request, ModelDefinition model, SchedulingRound round) {
+            ModelRequest request,
+            ModelDefinition model,
+            List<EngineDriver> limited,
+            SchedulingRound round) {
         long now = round.nowMillis();
         Optional<EngineDriver> loading =
                 round.loaders(model.name()).stream()
@@ -97,6 +116,9 @@
             return tooLateOrPending(request, now + soonerPlan.get().totalMillis(), now);
         }
         Optional<LoadPlan> plan = planFor(request, model, round);
+        if (plan.isEmpty() && !limited.isEmpty()) {
+            return Optional.of(answerWith(leastBusy(limited, now), request.target(), now));
+        }
         if (plan.isEmpty()) {
             return mustWaitForStore(model, round)
                     ? tooLateOrPending(request, round.nextStoreLoadEndMillis(model), now)
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -25,6 +25,7 @@
     private final EngineDefinition mDefinition;
     private final long mNowMillis;
     private final Set<String> mRequested;
+    private final EngineLimits mLimits;
     private final Map<String, List<EngineDriver>> mHolders = new HashMap<>();
     private final Map<String, List<EngineDriver>> mLoaders = new HashMap<>();
     private final Map<String, Integer> mCachedCopies = new HashMap<>();
@@ -41,10 +42,12 @@
             List<EngineDriver> engines,
             EngineDefinition definition,
             Set<String> requested,
+            EngineLimits limits,
             long nowMillis) {
         mEngines = engines;
         mDefinition = definition;
         mRequested = requested;
+        mLimits = limits;
         mNowMillis = nowMillis;
         engines.forEach(this::index);
     }
@@ -103,12 +106,31 @@
         return mLoaders.getOrDefault(model, List.of());
     }
 
-    /** Returns the number of engines that hold a model or are loading it. */
+    /** Whether an engine takes fewer calls than it has places for. */
+    boolean isLimited(EngineDriver engine) {
+        return mLimits.isLimited(engine.server().incarnation());
+    }
+
+    /** Whether a limited engine takes another call now. */
+    boolean hasPermit(EngineDriver engine) {
+        return mLimits.hasPermit(engine.server().incarnation(), mNowMillis);
+    }
+
+    /** Returns the engines that models are loaded on: those without a limit, if there are any. */
+    List<EngineDriver> loadTargets(List<EngineDriver> engines) {
+        List<EngineDriver> unlimited = engines.stream().filter(each -> !isLimited(each)).toList();
+        return unlimited.isEmpty() ? engines : unlimited;
+    }
+
+    /**
+     * Returns the number of engines that hold a model or are loading it. An engine with a limit
+     * does not count, since it cannot take the calls of a replica.
+     */
     int replicas(String model) {
-        List<EngineDriver> holders = holders(model);
-        int loading =
-                (int) loaders(model).stream().filter(engine -> !holders.contains(engine)).count();
-        return holders.size() + loading;
+        Set<EngineDriver> replicas = new HashSet<>(holders(model));
+        replicas.addAll(loaders(model));
+        replicas.removeIf(this::isLimited);
+        return replicas.size();
     }
 
     /** Whether calls wait for a model. */
--- a/org.cornelway/src/org/cornelway/role/ClusterState.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterState.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.cornelway.cluster.ClusterKeys;
 import org.cornelway.cluster.ClusterMember;
+import org.cornelway.cluster.FallbackPermits;
 import org.cornelway.cluster.StoreFollower;
 import org.cornelway.config.Json;
 import org.cornelway.directory.ServerDirectory;
@@ -249,6 +250,11 @@
         return new TrafficView(mRoutes, mDirectory.snapshot(), Math.max(1, memberCount));
     }
 
+    /** Whether this process shares the rate of limited servers while there is no controller. */
+    boolean isPermitSharer() {
+        return mMembers.isSelfSelected("permits", FallbackPermits.SHARERS, Optional.empty());
+    }
+
     /**
      * Returns the position of this process among the candidates for controller, 0 first. Processes
      * on the instances with most processor time come first, and among these the process that
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -15,11 +15,14 @@
 import org.cornelway.cluster.ControllerRequestHandler;
 import org.cornelway.cluster.DemandStore;
 import org.cornelway.cluster.Election;
+import org.cornelway.cluster.FallbackPermits;
+import org.cornelway.cluster.LimitDistributor;
 import org.cornelway.cluster.ProcessLease;
 import org.cornelway.cluster.Registration;
 import org.cornelway.cluster.StoreFollower;
 import org.cornelway.cluster.StoreHealth;
 import org.cornelway.cluster.UsageReporter;
+import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
@@ -75,6 +78,7 @@
     private final ProcessLease mLease;
     private final Registration mRegistration;
     private final Election mElection;
+    private final LimitDistributor mLimits = new LimitDistributor();
     private final ModelController mController;
     private final DemandStore mDemandStore;
     private final ControllerRequestHandler mRequestHandler;
@@ -124,11 +128,12 @@
         mElection = new Election(deps.self(), keys, mLease, deps.cache(), control, log, this);
         EngineControl engines = deps.ports().engines().apply(deps.traffic().platformClient());
         mController =
-                new ModelController(engines, control, mElection, new CheapestLoadPlanner(), log);
+                new ModelController(
+                        engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
         mDemandStore = new DemandStore(keys, mController.demand(), control, log);
         mRequestHandler =
                 new ControllerRequestHandler(
-                        mController, mElection, this::findIncarnation, control);
+                        mController, mElection, this::findIncarnation, mLimits, control);
         mModelRequester = newModelRequester();
         mUsageReporter = newUsageReporter();
         mFollowers = newFollowers();
@@ -172,7 +177,11 @@
                 mRequestHandler,
                 mDeps.controllerClient(),
                 mDeps.control(),
-                mDeps.traffic());
+                mDeps.traffic(),
+                new FallbackPermits(
+                        mDeps.self().id(),
+                        mDeps.clusterState()::isPermitSharer,
+                        mDeps.control().now(TimeUnit.MILLISECONDS)));
     }
 
     private CoalescingModelRequester newModelRequester() {
@@ -251,7 +260,9 @@
     /** Passes a changed cluster state to the controller. */
     void onClusterStateChanged() {
         mDeps.clusterState().routes().ifPresent(mController::applyRoutes);
-        mController.applyDirectory(mDeps.traffic().view().directory());
+        DirectorySnapshot directory = mDeps.traffic().view().directory();
+        mLimits.retain(directory.incarnations(), mDeps.control().now(TimeUnit.MILLISECONDS));
+        mController.applyDirectory(directory);
         mController.scheduleRound();
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -24,6 +24,7 @@
     private final AnswerProgress mProgress;
     private final PromptEvidence mEvidence;
     private final ServerObserver mObserver;
+    private final SendGate mGate;
     private final ResponseBuffer mBuffer;
 
     /** The events of the answer; empty if the call is not for a stream. */
@@ -53,6 +54,7 @@
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
         mObserver = new ServerObserver(context, server, request.head().target());
+        mGate = new SendGate(context, server.incarnation());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
         mAnswer = callHandler.relay().map(r -> callHandler.attempts().newAnswer(r, this));
@@ -69,6 +71,7 @@
 
     /** Acquires a connection to the server; the call is sent once there is one. */
     void start() {
+        mGate.reserve();
         mObserver.recordStart(mRequest.head().expectedTokens());
         mContext.pool().acquire(mServer.host(), mServer.port(), this);
     }
@@ -102,9 +105,10 @@
     }
 
     private void send(UpstreamConnection connection) {
-        Optional<String> reason = reasonNotToSend();
-        if (mEnded || reason.isPresent()) {
-            endUnsent(connection, reason.orElse(""));
+        Optional<String> reason =
+                mEnded ? Optional.of("") : mGate.reasonNotToSend(mCallHandler.deadline());
+        if (reason.isPresent()) {
+            endUnsent(connection, reason.get());
             return;
         }
         UpstreamRequest request;
@@ -133,15 +137,6 @@
         }
     }
 
-    private Optional<String> reasonNotToSend() {
-        if (!mContext.takesCalls(mServer.incarnation())) {
-            return Optional.of("the server left or paused before the send");
-        }
-        return mCallHandler.deadline().isPast(nowMillis())
-                ? Optional.of("the deadline passed before the send")
-                : Optional.empty();
-    }
-
     private UpstreamRequest buildUpstreamRequest() {
         Optional<String> lastEventId = mCallHandler.relay().flatMap(StreamRelay::resumeAfter);
         Optional<Integer> priority =
@@ -389,6 +384,7 @@
         }
         mEnded = true;
         mBuffer.release();
+        mGate.release();
         mObserver.recordEnd();
         return true;
     }
--- a/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
@@ -1,6 +1,7 @@
 package org.cornelway.traffic;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cornelway.directory.ServerIncarnation;
@@ -52,8 +53,16 @@
         mHistory = history;
     }
 
-    /** Returns why the call cannot be sent now; empty if it can. */
-    Optional<Rejection> check(String service, Deadline deadline, List<Candidate> candidates) {
+    /**
+     * Returns why the call cannot be sent now; empty if it can.
+     *
+     * @param mayRequestModel whether the controller may still be asked for another server
+     */
+    Optional<Rejection> check(
+            String service,
+            Deadline deadline,
+            List<Candidate> candidates,
+            boolean mayRequestModel) {
         long now = mContext.clock().nowMillis();
         if (deadline.remainingMillis(now) < MIN_REMAINING_MILLIS) {
             return Optional.of(
@@ -75,9 +84,42 @@
                             "a part of the prompt has crashed servers",
                             blockedUntil.get().remainingMillis(now)));
         }
-        return candidates.isEmpty()
-                ? mSelector.pausedUntil(service).map(until -> paused(until.remainingMillis(now)))
-                : Optional.empty();
+        if (!candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        return mSelector
+                .pausedUntil(service)
+                .map(until -> paused(until.remainingMillis(now)))
+                .or(() -> mayRequestModel ? Optional.empty() : atLimit(service));
+    }
+
+    /** Rejects the call if servers would take it but for their limits. */
+    private Optional<Rejection> atLimit(String service) {
+        List<ServerIncarnation> servers = mSelector.atLimit(service);
+        if (servers.isEmpty()) {
+            return Optional.empty();
+        }
+        long now = mContext.clock().nowMillis();
+        double callsPerSecond = mContext.limits().totalCallsPerSecond(servers);
+        mContext.metrics().counter("limits.refused").inc();
+        long retryAfterMillis =
+                mContext.limitBackoff()
+                        .refuse(
+                                callsPerSecond,
+                                mContext.view().get().entryCount(),
+                                mRequest.head().requestId().hashCode(),
+                                now);
+        ServerIncarnation first = servers.get(0);
+        String reason =
+                String.format(
+                        Locale.ROOT,
+                        "%d servers at limits of %.2f calls/s in all; %s named %.2f %d ms ago",
+                        servers.size(),
+                        callsPerSecond,
+                        first.id(),
+                        mContext.limits().callsPerSecond(first).orElse(0),
+                        mContext.limits().ageMillis(first, now));
+        return Optional.of(new Rejection(ResultCode.QUEUE_FULL, reason, retryAfterMillis));
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -113,6 +113,11 @@
         mCallHandler.ifPresent(CallHandler::onHoldingsChanged);
     }
 
+    /** Returns the call in progress; empty if there is none. */
+    Optional<CallHandler> call() {
+        return mCallHandler;
+    }
+
     void onModelGranted(ModelTarget target) {
         mCallHandler.ifPresent(handler -> handler.onModelGranted(target));
     }
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -9,6 +9,7 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.functions.Action;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -50,6 +51,12 @@
     /** Time for sending the last responses, after the calls have ended or were abandoned. */
     private static final long FLUSH_MILLIS = 120;
 
+    /** Order in which waiting calls get permits. */
+    private static final Comparator<CallHandler> MOST_URGENT_FIRST =
+            Comparator.comparing((CallHandler call) -> !call.isStreamBegun())
+                    .thenComparingInt(call -> call.route().priority())
+                    .thenComparing(CallHandler::deadline);
+
     private final HttpEndpoint mEndpoint;
     private final TrafficContext mContext;
     private final Set<CallerConnection> mConnections = new HashSet<>();
@@ -135,6 +142,20 @@
         Set.copyOf(mConnections).forEach(CallerConnection::onHoldingsChanged);
     }
 
+    /**
+     * Notifies the waiting calls that there are permits for calls to limited servers: the streams
+     * that have begun first, then the others by priority and deadline. Called on the traffic
+     * thread.
+     */
+    void onPermits() {
+        mConnections.stream()
+                .flatMap(connection -> connection.call().stream())
+                .filter(CallHandler::isWaiting)
+                .sorted(MOST_URGENT_FIRST)
+                .toList()
+                .forEach(CallHandler::dispatchIfWaiting);
+    }
+
     /**
      * Notifies the calls that wait for a model that the controller has named a server that holds
      * it. Called on the traffic thread.
--- a/org.cornelway/src/org/cornelway/traffic/ModelWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelWait.java
@@ -7,6 +7,7 @@
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.dispatch.EngineQueuePolicy;
+import org.cornelway.result.ResultCode;
 import org.cornelway.route.Route;
 import org.cornelway.time.Deadline;
 
@@ -101,20 +102,29 @@
     }
 
     /**
-     * Returns the expected wait in the engines' queues if the caller would abandon the call before
-     * it begins, else empty. Empty also if the call is for no model or may have run before.
+     * Rejects the call if its caller would abandon it before it begins, because of the expected
+     * wait in the engines' queues. Empty also if the call is for no model or may have run before.
      *
      * @param candidates engines that hold the model
      */
-    OptionalLong excessiveWaitMillis(
+    Optional<CallAdmission.Rejection> checkQueues(
             List<Candidate> candidates, Route route, Deadline callDeadline) {
         if (mRequest.head().target().isEmpty() || mHistory.possibleRunCount() > 0) {
-            return OptionalLong.empty();
+            return Optional.empty();
         }
         long now = mContext.clock().nowMillis();
         Deadline end = earlier(callDeadline, abandonment(route, false));
-        return EngineQueuePolicy.excessiveWaitMillis(
-                candidates, mContext.loads().streamMillis(), end.remainingMillis(now));
+        OptionalLong wait =
+                EngineQueuePolicy.excessiveWaitMillis(
+                        candidates, mContext.loads().streamMillis(), end.remainingMillis(now));
+        return wait.isPresent() ? Optional.of(queueFull(wait.getAsLong())) : Optional.empty();
+    }
+
+    private static CallAdmission.Rejection queueFull(long waitMillis) {
+        return new CallAdmission.Rejection(
+                ResultCode.QUEUE_FULL,
+                "an engine would need " + waitMillis + " ms",
+                Math.max(CallAdmission.RETRY_AFTER_MILLIS, waitMillis));
     }
 
     /** Ends the wait; the call can be sent. */
--- a/org.cornelway/src/org/cornelway/traffic/NoticeReader.java
+++ b/org.cornelway/src/org/cornelway/traffic/NoticeReader.java
@@ -1,7 +1,9 @@
 package org.cornelway.traffic;
 
+import java.util.OptionalDouble;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.LimitNotice;
+import org.cornelway.dispatch.LimitObservation;
 import org.cornelway.time.Deadline;
 
 /**
@@ -14,16 +16,22 @@
     private final ServerRecord mServer;
     private final String mRequestId;
 
+    /** When the call was sent, in milliseconds since the epoch. */
+    private final long mSentMillis;
+
     /**
+     * Creates the reader of a call that is sent now.
+     *
      * @param requestId id of the call, for the log
      */
     NoticeReader(TrafficContext context, ServerRecord server, String requestId) {
         mContext = context;
         mServer = server;
         mRequestId = requestId;
+        mSentMillis = context.clock().nowMillis();
     }
 
-    /** Records that the server is leaving or wants no calls, unless another server has answered. */
+    /** Records what the server says of itself, unless another server has answered. */
     void read(ResponseHead head) {
         if (!head.serverId().orElse(mServer.id()).equals(mServer.id())) {
             return;
@@ -32,10 +40,29 @@
             mContext.log().write("server.leaving", "id", mRequestId, "server", mServer.id());
         }
         head.retryAfterMillis().ifPresent(this::recordPause);
-        if (head.limit() instanceof LimitNotice.Rate rate) {
-            logLimit(rate.callsPerSecond());
-        } else if (head.limit() instanceof LimitNotice.Malformed) {
+        if (head.requestId().orElse(mRequestId).equals(mRequestId)) {
+            recordLimit(head.limit());
+        }
+    }
+
+    /** Records the limit in an answer to this call; one to another call may be much older. */
+    private void recordLimit(LimitNotice notice) {
+        if (notice instanceof LimitNotice.Malformed) {
             logLimit("malformed");
+            return;
+        }
+        OptionalDouble callsPerSecond =
+                notice instanceof LimitNotice.Rate rate
+                        ? OptionalDouble.of(rate.callsPerSecond())
+                        : OptionalDouble.empty();
+        LimitObservation observation =
+                new LimitObservation(
+                        mServer.incarnation(),
+                        callsPerSecond,
+                        mSentMillis,
+                        mContext.clock().nowMillis());
+        if (mContext.limits().record(observation)) {
+            logLimit(callsPerSecond);
         }
     }
 
@@ -48,7 +75,9 @@
                         "server",
                         mServer.id(),
                         "per_second",
-                        callsPerSecond);
+                        callsPerSecond,
+                        "age_ms",
+                        0);
     }
 
     private void recordPause(long millis) {
--- a/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
@@ -47,7 +47,7 @@
                 .orElse(usable);
     }
 
-    /** Returns those holders that take calls now. */
+    /** Returns those holders that take calls now, whatever their limits. */
     private List<ServerRecord> servers(String service) {
         long now = mContext.clock().nowMillis();
         return holders(service).stream()
@@ -55,6 +55,42 @@
                 .toList();
     }
 
+    /** Returns those holders that take calls now and whose limits allow another call. */
+    private List<ServerRecord> allowed(String service) {
+        long now = mContext.clock().nowMillis();
+        return servers(service).stream()
+                .filter(server -> mContext.limits().allows(server.incarnation(), now))
+                .toList();
+    }
+
+    /** Returns the servers that would take the call but for their limits. */
+    List<ServerIncarnation> atLimit(String service) {
+        long now = mContext.clock().nowMillis();
+        return mContext.limits().isEmpty()
+                ? List.of()
+                : servers(service).stream()
+                        .map(ServerRecord::incarnation)
+                        .filter(each -> !mContext.limits().allows(each, now))
+                        .toList();
+    }
+
+    /**
+     * Asks for permits for calls like this one: from one of the servers at their limits if no other
+     * server can take the call, and else from those that have not been heard of for a while.
+     */
+    void requestPermits(String service, List<Candidate> candidates) {
+        List<ServerIncarnation> atLimit = atLimit(service);
+        if (candidates.isEmpty() && !atLimit.isEmpty()) {
+            int index = Math.floorMod(mRequest.head().requestId().hashCode(), atLimit.size());
+            mContext.limits().recordWanted(atLimit.get(index));
+            return;
+        }
+        long now = mContext.clock().nowMillis();
+        atLimit.stream()
+                .filter(each -> mContext.limits().isOutdated(each, now))
+                .forEach(mContext.limits()::recordWanted);
+    }
+
     /** Returns when the first server takes calls again, if servers want none for a while. */
     Optional<Deadline> pausedUntil(String service) {
         long now = mContext.clock().nowMillis();
@@ -68,12 +104,37 @@
 
     /** Whether a server can take the call. */
     boolean hasCandidates(String service) {
-        return !servers(service).isEmpty();
+        return !allowed(service).isEmpty();
     }
 
-    /** Returns the servers that can take the call, with their loads. */
+    /**
+     * Returns the servers that can take the call, with their loads. Limited servers are left out
+     * while another one has a place, unless they have not been heard of for a while.
+     */
     List<Candidate> candidates(String service) {
-        return servers(service).stream().map(mContext.loads()::candidate).toList();
+        List<Candidate> all = allowed(service).stream().map(mContext.loads()::candidate).toList();
+        if (all.stream().noneMatch(this::hasPlaceWithoutLimit)) {
+            return all;
+        }
+        long now = mContext.clock().nowMillis();
+        return all.stream()
+                .filter(
+                        each ->
+                                !isLimited(each)
+                                        || mContext.limits()
+                                                .isOutdated(each.server().incarnation(), now))
+                .toList();
+    }
+
+    private boolean isLimited(Candidate candidate) {
+        return mContext.limits().isLimited(candidate.server().incarnation());
+    }
+
+    private boolean hasPlaceWithoutLimit(Candidate candidate) {
+        int requests = Math.max(candidate.inFlight(), candidate.reportedRequests());
+        return !isLimited(candidate)
+                && !candidate.suspect()
+                && requests < candidate.server().slots();
     }
 
     /**
@@ -94,12 +155,15 @@
                         mHistory.tried());
     }
 
-    /** Returns the best server other than the given one that can take the call at once. */
+    /**
+     * Returns the best server other than the given one that can take the call at once; none with a
+     * limit, whose rate is left to calls that have no other server.
+     */
     Optional<Candidate> alternative(String service, ServerIncarnation excluded) {
         return choose(
                 candidates(service).stream()
                         .filter(each -> !each.server().incarnation().equals(excluded))
-                        .filter(each -> !each.suspect())
+                        .filter(each -> !each.suspect() && !isLimited(each))
                         .toList());
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -7,7 +7,9 @@
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.dispatch.Holdings;
+import org.cornelway.dispatch.LimitBackoff;
 import org.cornelway.dispatch.ServerChooser;
+import org.cornelway.dispatch.ServerLimits;
 import org.cornelway.dispatch.ServerLoads;
 import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
@@ -25,6 +27,8 @@
  * @param chooser chooses the backend server of a call
  * @param loads load and failures of backend servers, as seen from calls of this process
  * @param notices what backend servers have said about themselves in their answers
+ * @param limits rates that backend servers take, and the permits for calls to them
+ * @param limitBackoff chooses when callers come back that were refused for a limit
  * @param holdings models and adapters that each engine holds
  * @param retryBudget limits how often calls are resent
  * @param modelRequester requests models from the controller
@@ -44,6 +48,8 @@
         ServerChooser chooser,
         ServerLoads loads,
         ServerNotices notices,
+        ServerLimits limits,
+        LimitBackoff limitBackoff,
         Holdings holdings,
         SlidingWindowRetryBudget retryBudget,
         ModelRequester modelRequester,
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -8,6 +8,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,9 @@
 import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.LeastLoadedChooser;
+import org.cornelway.dispatch.LimitBackoff;
+import org.cornelway.dispatch.LimitObservation;
+import org.cornelway.dispatch.ServerLimits;
 import org.cornelway.dispatch.ServerLoads;
 import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
@@ -25,6 +29,7 @@
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.supervisor.GuardedTask;
 import org.cornelway.time.Clock;
+import org.cornelway.time.Deadline;
 import org.cornelway.time.SuspendAwareClock;
 
 /**
@@ -55,6 +60,7 @@
     private final CrashEvidence mEvidence = new CrashEvidence();
     private final ServerLoads mLoads;
     private final ServerNotices mNotices = new ServerNotices();
+    private final ServerLimits mLimits = new ServerLimits();
     private final TrafficContext mContext;
     private final FrontServer mFrontServer;
     private final PlatformHttpClient mPlatformClient;
@@ -92,6 +98,8 @@
                         new LeastLoadedChooser(),
                         mLoads,
                         mNotices,
+                        mLimits,
+                        new LimitBackoff(),
                         mHoldings,
                         retryBudget,
                         modelRequester,
@@ -194,7 +202,49 @@
     /** Passes a report on the calls to the receiver, which is called on the traffic thread. */
     public void report(Consumer<TrafficReport> receiver) {
         mLoop.execute(
-                () -> receiver.accept(new TrafficReport(mUsage.snapshot(), mEvidence.snapshot())));
+                () ->
+                        receiver.accept(
+                                new TrafficReport(
+                                        mUsage.snapshot(),
+                                        mEvidence.snapshot(),
+                                        mLimits.takeReport(mContext.clock().nowMillis()))));
+    }
+
+    /**
+     * Adds limits that other entries know, and permits for calls to limited servers, and notifies
+     * the calls that wait for a permit.
+     *
+     * @param permits number of permits by server
+     * @param until when the permits lapse
+     */
+    public void updateLimits(
+            List<LimitObservation> limits,
+            Map<ServerIncarnation, Integer> permits,
+            Deadline until) {
+        mLoop.execute(
+                () -> {
+                    limits.forEach(this::recordLimit);
+                    permits.forEach((server, count) -> mLimits.addPermits(server, count, until));
+                    if (!permits.isEmpty()) {
+                        mFrontServer.onPermits();
+                    }
+                });
+    }
+
+    private void recordLimit(LimitObservation limit) {
+        if (mLimits.record(limit)) {
+            mContext.log()
+                    .write(
+                            "server.limit",
+                            "id",
+                            "-",
+                            "server",
+                            limit.server().id(),
+                            "per_second",
+                            limit.callsPerSecond(),
+                            "age_ms",
+                            mContext.clock().nowMillis() - limit.receivedMillis());
+        }
     }
 
     /** Records an incarnation of a server that has become known, for the evidence on crashes. */
@@ -230,6 +280,7 @@
         mPool.sweep(addresses);
         mPlatformGroup.execute(() -> mPlatformPool.sweep(addresses));
         mLoads.retain(incarnations);
+        mLimits.retain(incarnations, mContext.clock().nowMillis());
         mNotices.expire(mContext.clock().nowMillis());
         mEvidence.expire(mContext.clock().nowMillis());
     }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficReport.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficReport.java
@@ -1,11 +1,14 @@
 package org.cornelway.traffic;
 
 import org.cornelway.dispatch.CrashEvidence;
+import org.cornelway.dispatch.ServerLimits;
 
 /**
  * What the traffic thread reports to the controller. Immutable.
  *
  * @param usage calls in progress and call rates
  * @param evidence parts of prompts that crash servers
+ * @param limits limits of servers, and the calls that wanted these servers
  */
-public record TrafficReport(ModelUsage.Snapshot usage, CrashEvidence.Snapshot evidence) {}
+public record TrafficReport(
+        ModelUsage.Snapshot usage, CrashEvidence.Snapshot evidence, ServerLimits.Report limits) {}
