--- a/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
+++ b/org.cornelway/src/org/cornelway/cluster/StoreFollower.java
@@ -144,6 +144,17 @@
     }
 
     private void offer(Change change) {
+        long cached = mCache.revision(change.key());
+        if (change.revision() < cached) {
+            mLog.write(
+                    "document.outdated",
+                    "key",
+                    change.key(),
+                    "revision",
+                    change.revision(),
+                    "cached",
+                    cached);
+        }
         mCache.offer(
                 new KeyValue(change.key(), change.value().orElse(TOMBSTONE), change.revision()));
     }
--- a/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
@@ -13,6 +13,9 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.LongAdder;
@@ -164,7 +167,15 @@
                 response.statusCode(),
                 type == null ? "" : type,
                 body.getBytes(),
-                tag == null ? "" : tag);
+                tag == null ? "" : tag,
+                headers(response));
+    }
+
+    private static Map<String, String> headers(HttpClientResponse response) {
+        Map<String, String> headers = new HashMap<>();
+        response.headers()
+                .forEach((name, value) -> headers.put(name.toLowerCase(Locale.ROOT), value));
+        return Map.copyOf(headers);
     }
 
     private Throwable notSent(Throwable cause) {
--- a/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
+++ b/org.cornelway/src/org/cornelway/traffic/PlatformHttpClient.java
@@ -12,6 +12,8 @@
 import io.reactivex.rxjava3.core.SingleEmitter;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -144,6 +146,7 @@
         private UpstreamRequest mRequest;
         private int mStatus;
         private String mContentType = "";
+        private final Map<String, String> mHeaders = new HashMap<>();
         private boolean mDone;
 
         PendingRequest(
@@ -192,6 +195,7 @@
         public void onHead(HttpResponse head) {
             mStatus = head.status().code();
             mContentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+            head.headers().forEach(each -> mHeaders.put(lowerCase(each.getKey()), each.getValue()));
         }
 
         @Override
@@ -210,6 +214,10 @@
             mBody.writeBytes(bytes);
         }
 
+        private static String lowerCase(String name) {
+            return name.toLowerCase(Locale.ROOT);
+        }
+
         private void abort(String reason) {
             mConnection.ifPresent(UpstreamConnection::cancel);
             fail(new IOException(reason));
@@ -224,7 +232,13 @@
             }
             if (!mDone) {
                 markDone();
-                mEmitter.onSuccess(new HttpReply(mStatus, mContentType, mBody.toByteArray(), ""));
+                mEmitter.onSuccess(
+                        new HttpReply(
+                                mStatus,
+                                mContentType,
+                                mBody.toByteArray(),
+                                "",
+                                Map.copyOf(mHeaders)));
             }
         }
 
