--- a/org.cornelway.standin/src/org/cornelway/standin/platform/PlatformStoreStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlatformStoreStandin.java
@@ -37,10 +37,13 @@
 
     private final Vertx mVertx;
     private final HttpServer mServer;
-    private final StoreState mState = new StoreState(Clock.system());
+    private StoreState mState = new StoreState(Clock.system());
     private final io.vertx.core.Context mContext;
     private volatile Fault mFault = Fault.NONE;
 
+    /** Rises by one each time the service comes back from a copy; in all answers. */
+    private volatile long mEra = 1;
+
     /** A fault that a test injects into the service. */
     public enum Fault {
         /** The service works normally. */
@@ -92,6 +95,25 @@
         return done.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
     }
 
+    /** Returns a copy of the state, for {@link #restore}. */
+    public StoreState copy() {
+        return withState(StoreState::copy);
+    }
+
+    /** Replaces the state by a copy of it: all that was written since the copy is lost. */
+    public void restore(StoreState copy) {
+        withState(
+                state -> {
+                    mState = copy;
+                    mEra++;
+                    return mEra;
+                });
+    }
+
+    private HttpServerResponse response(HttpServerRequest request) {
+        return request.response().putHeader("Store-Era", Long.toString(mEra));
+    }
+
     @Override
     public void close() {
         mServer.close().toCompletionStage().toCompletableFuture().join();
@@ -102,7 +124,7 @@
                 .onSuccess(
                         body -> {
                             if (mFault == Fault.UNAVAILABLE) {
-                                request.response().setStatusCode(UNAVAILABLE).end();
+                                response(request).setStatusCode(UNAVAILABLE).end();
                             } else if (mFault != Fault.NO_RESPONSE) {
                                 route(request, body);
                             }
@@ -137,10 +159,10 @@
                     mState.revokeLease(leaseId(path));
                     respondToWrite(request, OK, object());
                 }
-                default -> request.response().setStatusCode(NOT_FOUND).end();
+                default -> response(request).setStatusCode(NOT_FOUND).end();
             }
         } catch (IOException e) {
-            request.response().setStatusCode(400).end();
+            response(request).setStatusCode(400).end();
         }
     }
 
@@ -163,7 +185,7 @@
     private void getItem(HttpServerRequest request) {
         Optional<StoreState.Item> item = mState.get(request.getParam("Key"));
         if (item.isEmpty()) {
-            request.response().setStatusCode(NOT_FOUND).end();
+            response(request).setStatusCode(NOT_FOUND).end();
         } else {
             respond(request, OK, json(item.get()).put("CurrentRev", mState.revision()));
         }
@@ -254,8 +276,8 @@
         }
     }
 
-    private static void respond(HttpServerRequest request, int status, ObjectNode reply) {
-        HttpServerResponse response = request.response();
+    private void respond(HttpServerRequest request, int status, ObjectNode reply) {
+        HttpServerResponse response = response(request);
         if (!response.closed()) {
             response.setStatusCode(status)
                     .putHeader("Content-Type", "application/json")
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/StoreState.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/StoreState.java
@@ -48,6 +48,18 @@
         mClock = clock;
     }
 
+    /** Returns a copy of the whole state, which later changes of either do not affect. */
+    public StoreState copy() {
+        StoreState copy = new StoreState(mClock);
+        copy.mItems.putAll(mItems);
+        copy.mHistory.addAll(mHistory);
+        copy.mLeases.putAll(mLeases);
+        copy.mRevision = mRevision;
+        copy.mCompactedRevision = mCompactedRevision;
+        copy.mNextLeaseId = mNextLeaseId;
+        return copy;
+    }
+
     /** The revision of the last change. */
     public long revision() {
         return mRevision;
@@ -70,11 +82,11 @@
 
     /**
      * Returns the events under a prefix after a revision, oldest first; empty if part of that
-     * history has been discarded by {@link #compact}.
+     * history has been discarded by {@link #compact}, or if there is no such revision yet.
      */
     public Optional<List<Event>> events(String prefix, long afterRevision) {
         expireLeases();
-        if (afterRevision < mCompactedRevision) {
+        if (afterRevision < mCompactedRevision || afterRevision > mRevision) {
             return Optional.empty();
         }
         return Optional.of(
