Accept the connections of the upstream tests in the order of their scripts

Cause: each planned script had a thread of its own in accept(), and whichever was first took the connection. With the second script the answer states the id of the other request and is discarded, rightly. Shown by a run of the same test with the two scripts swapped: the same line, the same exception.

Change: a thread accepts and takes the next script in one step. The checks stay.

--- a/org.cornelway.test/tst/org/cornelway/traffic/UpstreamTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/UpstreamTestBase.java
@@ -17,7 +17,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -44,12 +46,16 @@
     /** Milliseconds by which the clock of the pool is ahead of the system's. */
     private final AtomicLong mClockAheadMillis = new AtomicLong();
 
+    /** The scripts of the connections that are not accepted yet, in order. */
+    private final BlockingQueue<Script> mScripts = new LinkedBlockingQueue<>();
+
     /** What a server writes for the first and for the second request of a connection. */
     record Script(String first, String second) {}
 
     @BeforeMethod
     public final void setUp() throws IOException {
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mScripts.clear();
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Clock system = Clock.system();
         Clock clock = () -> system.nowMillis() + mClockAheadMillis.get();
@@ -78,13 +84,36 @@
                 + body;
     }
 
+    /** Serves the next connection that no script is planned for yet. */
     final void serve(Script script) {
         ServerSocket server = mServer;
+        mScripts.add(script);
+        startThread(
+                () -> {
+                    // Accepting and taking the script in one step keeps them in order.
+                    Socket accepted;
+                    Script next;
+                    synchronized (server) {
+                        accepted = server.accept();
+                        next = mScripts.remove();
+                    }
+                    try (Socket socket = accepted) {
+                        answer(socket, next);
+                    }
+                });
+    }
+
+    /** An action that ends when the client closes the connection. */
+    private interface Serving {
+        void run() throws IOException;
+    }
+
+    private static void startThread(Serving serving) {
         Thread thread =
                 new Thread(
                         () -> {
-                            try (Socket socket = server.accept()) {
-                                answer(socket, script);
+                            try {
+                                serving.run();
                             } catch (IOException e) {
                                 // The client has closed the connection.
                                 return;
