Order documents, terms and conditions by the era of the store first

Cause: a number that orders writes was taken to rise for ever. After a restore the same numbers are given out again, and all that was written had a lower one than what was cached, and was dropped. Shown by document.outdated lines; ruled out: documents refused as older versions (no config.refused line), and watches that hang (the listing after 410 arrives at once).

Change: a revision consists of the service's era and the number of the write, composed and taken apart in the client of the service alone, so that caches, tombstones, peers' exchange, watches and fencing numbers all order by era first. A revision of an earlier era is no condition of a write and no start of a watch. A restore ends the term and the lease, whose id may be given out again; all but the last controller wait until a lease from before has ended. An older version of the configuration is followed, in the cache, by the one in force, so that new processes hear it from peers. A server that left is not used again when the copy lists it.

CutStoreAnswerTest passed bare numbers as revisions; it now names the same revisions through StoreRevision and compares the same whole pages.

--- a/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/ElectionTest.java
@@ -197,4 +197,40 @@
             mTime.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
+
+    /** Guards against two holders after a restore that one of them has not noticed yet. */
+    @Test
+    public void controllerThatHasNotNoticedTheRestoreIsAloneUntilItsLeaseEnds() {
+        KeyValueState store = new KeyValueState(mClock);
+        Random random = new Random(1);
+        Candidate unaware = new Candidate(store, 0, random);
+        unaware.mLosesReplies = false;
+        advance(100, unaware);
+        assertThat(unaware.maySendOrders()).isTrue();
+        unaware.mPartitionedUntilMillis = Long.MAX_VALUE;
+        // The copy has neither the controller key nor the lease.
+        Candidate other = new Candidate(new KeyValueState(mClock), 1, random);
+        other.mLosesReplies = false;
+        other.mElection.onStoreRestored();
+        for (int i = 0; i < 400; i++) {
+            advance(1, unaware, other);
+            assertThat(unaware.maySendOrders() && other.maySendOrders()).isFalse();
+        }
+        assertThat(other.maySendOrders()).isTrue();
+    }
+
+    /** Guards against a term that goes on because the id of its lease was given out again. */
+    @Test
+    public void termEndsWithTheRestoreAlsoIfTheLeaseIsThereAgain() {
+        KeyValueState store = new KeyValueState(mClock);
+        Candidate only = new Candidate(store, 0, new Random(1));
+        only.mLosesReplies = false;
+        advance(100, only);
+        long before = only.mElection.fencingNumber().orElseThrow();
+        only.mElection.onStoreRestored();
+        only.mLease.onStoreRestored();
+        assertThat(only.mElection.fencingNumber()).isEmpty();
+        advance(200, only);
+        assertThat(only.mElection.fencingNumber().orElseThrow()).isGreaterThan(before);
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/directory/ServerDirectoryTest.java
+++ b/org.cornelway.test/tst/org/cornelway/directory/ServerDirectoryTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.cornelway.platform.StoreRevision;
 import org.testng.annotations.Test;
 
 /** Tests restarts and draining of servers, and outages of the key-value service. */
@@ -103,4 +104,33 @@
             }
         }
     }
+
+    /** Guards against calls to a server that left before the store came back from a copy. */
+    @Test
+    public void announcementOfRemovedServerInRestoredStoreIsIgnored() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("left", 1, 5, false), StoreRevision.of(1, 10));
+        directory.remove("left", StoreRevision.of(1, 20), 100_000);
+        assertThat(directory.put(record("left", 1, 5, false), StoreRevision.of(2, 10))).isFalse();
+        assertThat(directory.put(record("left", 1, 4, false), StoreRevision.of(2, 11))).isFalse();
+        assertThat(directory.snapshot().all()).isEmpty();
+        assertThat(directory.put(record("left", 1, 6, false), StoreRevision.of(2, 12))).isTrue();
+        assertThat(isUsable(directory, "left")).isTrue();
+    }
+
+    @Test
+    public void removedServerThatStartsAgainAfterRestoreIsUsed() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("again", 1, 5, false), StoreRevision.of(1, 10));
+        directory.remove("again", StoreRevision.of(1, 20), 100_000);
+        assertThat(directory.put(record("again", 2, 1, false), StoreRevision.of(2, 12))).isTrue();
+    }
+
+    @Test
+    public void removedServerIsUsedAgainWithoutRestore() {
+        ServerDirectory directory = new ServerDirectory();
+        directory.put(record("back", 1, 5, false), StoreRevision.of(1, 10));
+        directory.remove("back", StoreRevision.of(1, 20), 100_000);
+        assertThat(directory.put(record("back", 1, 5, false), StoreRevision.of(1, 30))).isTrue();
+    }
 }
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what is common to all key-value services. */
+package org.cornelway.platform;
--- a/org.cornelway.test/tst/org/cornelway/traffic/CutStoreAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/CutStoreAnswerTest.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.cornelway.ScriptedServer;
 import org.cornelway.ScriptedServer.Close;
+import org.cornelway.platform.StoreRevision;
 import org.cornelway.platform.SwapResult;
 import org.cornelway.platform.wire.WireStore;
 import org.testng.annotations.DataProvider;
@@ -19,6 +20,8 @@
  * not taken for a whole one, such as a listing without items.
  */
 public class CutStoreAnswerTest extends EntryTestBase {
+    private static final long REVISION = StoreRevision.of(0, 1);
+
     private static final String ITEM =
             "{\"Key\":\"servers/a\",\"Value\":\"YQ==\",\"Revision\":7,\"Created\":3,\"Lease\":0}";
     private static final String LISTING =
@@ -58,14 +61,14 @@
                         close,
                         "200",
                         "{\"Revision\":8}",
-                        store -> store.compareAndSwap("a", 1, value, 0));
+                        store -> store.compareAndSwap("a", REVISION, value, 0));
                 add(
                         requests,
                         framing,
                         close,
                         "412",
                         CONFLICT,
-                        store -> store.compareAndSwap("a", 1, value, 0));
+                        store -> store.compareAndSwap("a", REVISION, value, 0));
             }
         }
         return requests.toArray(Object[][]::new);
@@ -109,9 +112,13 @@
             for (int cut = 0; cut < bytes.length(); cut++) {
                 server().setAnswer(
                                 new ScriptedServer.Answer(bytes.substring(0, cut), Close.FIN, 0));
-                assertThat(outcome(store.changes("a", 1, 0)))
+                assertThat(outcome(store.changes("a", REVISION, 0)))
                         .as("cut after byte " + cut + " of " + bytes)
-                        .isIn("failed", "ChangePage[changes=[], revision=1, complete=false]");
+                        .isIn(
+                                "failed",
+                                "ChangePage[changes=[], revision="
+                                        + REVISION
+                                        + ", complete=false]");
             }
         }
     }
--- a/org.cornelway/src/org/cornelway/cluster/DemandStore.java
+++ b/org.cornelway/src/org/cornelway/cluster/DemandStore.java
@@ -94,6 +94,9 @@
             mRevision = swapped.revision();
         } else if (result instanceof SwapResult.Conflict conflict) {
             mRevision = conflict.current().map(KeyValue::revision).orElse(KeyValueStore.ABSENT);
+        } else if (result instanceof SwapResult.NotApplied) {
+            // The revision may be of an earlier era; a conflict tells the present one.
+            mRevision = KeyValueStore.ABSENT;
         }
     }
 }
--- a/org.cornelway/src/org/cornelway/cluster/Election.java
+++ b/org.cornelway/src/org/cornelway/cluster/Election.java
@@ -11,14 +11,16 @@
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
 import org.cornelway.relay.DocumentCache;
+import org.cornelway.time.Deadline;
 
 /**
  * Elects the controller: at most one process is the controller at any time.
  *
  * <p>Invariants: the fencing number of a term is the revision of the write that began the term, so
- * a later term has a higher number. A process stops sending orders before the key-value service
- * ends its lease. Confined to the control thread, except {@link #fencingNumber} and {@link
- * #holder}, which are thread-safe.
+ * a later term has a higher number, also after the key-value service was restored from a copy. A
+ * process stops sending orders before the service ends its lease. After a restore, no process but
+ * the last controller claims the key before each lease from before it has ended. Confined to the
+ * control thread, except {@link #fencingNumber} and {@link #holder}, which are thread-safe.
  */
 public final class Election implements ModelController.TermSource {
     /**
@@ -43,6 +45,9 @@
 
     private long mNextClaimMillis;
 
+    /** Until when a controller from before a restore may hold its lease. */
+    private Deadline mEarlierTermUntil = new Deadline(0);
+
     /** When this process first saw that the key may be claimed; -1 while it may not be. */
     private long mClaimableSinceMillis = -1;
 
@@ -146,12 +151,27 @@
             mClaimableSinceMillis = now;
         }
         boolean due =
-                now >= mClaimableSinceMillis + rank * RANK_DELAY_MILLIS && now >= mNextClaimMillis;
+                now >= mClaimableSinceMillis + rank * RANK_DELAY_MILLIS
+                        && now >= mNextClaimMillis
+                        && mEarlierTermUntil.isPast(now);
         if (isCandidate && due && !mClaiming && !mResigned && mLease.isHeld()) {
             claim(controllerDocument.map(KeyValue::revision).orElse(KeyValueStore.ABSENT));
         }
     }
 
+    /**
+     * Ends the term after the service was restored from a copy, since another process may find no
+     * controller there. The process whose term it was claims the key again at once.
+     */
+    public void onStoreRestored() {
+        boolean wasController = fencingNumber().isPresent();
+        endTerm("the key-value service was restored from a copy");
+        if (!wasController) {
+            mEarlierTermUntil =
+                    Deadline.after(mControl.now(TimeUnit.MILLISECONDS), ProcessLease.TTL_MILLIS);
+        }
+    }
+
     /** Whether the controller key was written or deleted after this process's term began. */
     private boolean isSuperseded() {
         return mCache.revision(ClusterKeys.CONTROLLER) > mTerm.get().fencingNumber();
@@ -175,7 +195,9 @@
 
     private void onClaimResult(byte[] value, Optional<Long> lease, SwapResult result) {
         mClaiming = false;
-        if (mResigned && result instanceof SwapResult.Swapped swapped) {
+        boolean mayBegin =
+                !mResigned && mEarlierTermUntil.isPast(mControl.now(TimeUnit.MILLISECONDS));
+        if (!mayBegin && result instanceof SwapResult.Swapped swapped) {
             deleteClaim(swapped.revision());
             return;
         }
--- a/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
+++ b/org.cornelway/src/org/cornelway/cluster/ProcessLease.java
@@ -24,7 +24,7 @@
     /** Time without a renewal after which the lease expires. */
     private static final long TTL_SECONDS = 2;
 
-    private static final long TTL_MILLIS = TTL_SECONDS * 1_000;
+    static final long TTL_MILLIS = TTL_SECONDS * 1_000;
 
     /**
      * Time between two renewals; short enough to repeat a lost renewal before the lease expires.
@@ -61,6 +61,9 @@
     private boolean mCallInFlight;
     private boolean mStopped;
 
+    /** Number of restores of the service that are known. */
+    private int mRestores;
+
     /**
      * A lease as last granted or renewed; it expires no earlier than its TTL after the call was
      * sent. Immutable.
@@ -168,9 +171,25 @@
     }
 
     private void renewLease(long id, SuspendAwareClock.Mark sent) {
+        int restores = mRestores;
         mStore.keepAlive(id)
                 .observeOn(mScheduler)
-                .subscribe(alive -> onRenewalReply(id, sent, alive), this::onFailure);
+                .subscribe(
+                        alive -> onRenewalReply(id, sent, alive && restores == mRestores),
+                        this::onFailure);
+    }
+
+    /**
+     * Requests a new lease after the service was restored from a copy. The lease is lost or not
+     * known to be the one that was granted, since the service may give its id out again.
+     */
+    public void onStoreRestored() {
+        mScheduler.scheduleDirect(
+                () -> {
+                    mRestores++;
+                    mGrant = Optional.empty();
+                    mNextCallMillis = 0;
+                });
     }
 
     private void onRenewalReply(long id, SuspendAwareClock.Mark sent, boolean alive) {
--- a/org.cornelway/src/org/cornelway/directory/ServerDirectory.java
+++ b/org.cornelway/src/org/cornelway/directory/ServerDirectory.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.cornelway.platform.StoreRevision;
 import org.cornelway.time.Deadline;
 
 /**
@@ -13,6 +15,9 @@
  * replaces one of a later incarnation, or one of the same incarnation with a higher heartbeat
  * sequence; within one incarnation, a server that has started to drain stays draining.
  *
+ * <p>After a restore of the key-value service, the announcement of a server that has left may be
+ * there again. It is ignored unless it is newer than the last one before.
+ *
  * <p>If an announcement is deleted during an outage of the key-value service or within {@link
  * #REREGISTRATION_GRACE_MILLIS} after its end, the server is kept until that period is over,
  * because a live server has registered again by then. If an announcement is deleted at any other
@@ -27,7 +32,20 @@
      */
     public static final long REREGISTRATION_GRACE_MILLIS = 2_300;
 
+    /** Limit on the number of removed servers that are remembered; the oldest go first. */
+    private static final int MAX_REMOVED = 4_096;
+
     private final Map<String, Entry> mEntries = new HashMap<>();
+
+    /** The last announcement of each server that was removed. */
+    private final Map<String, Entry> mRemoved =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
+                    return size() > MAX_REMOVED;
+                }
+            };
+
     private boolean mStoreUnavailable;
     private Deadline mGraceUntil = new Deadline(0);
 
@@ -58,6 +76,10 @@
     public boolean put(ServerRecord record, long revision) {
         Entry current = mEntries.get(record.id());
         if (current == null) {
+            if (wasRemovedBeforeRestore(record, revision)) {
+                return false;
+            }
+            mRemoved.remove(record.id());
             mEntries.put(record.id(), new Entry(record, revision, false));
             return true;
         }
@@ -68,6 +90,17 @@
         return !record.equals(current.record()) || current.deleted();
     }
 
+    /** Whether a restored service lists an announcement again that was deleted before. */
+    private boolean wasRemovedBeforeRestore(ServerRecord record, long revision) {
+        Entry removed = mRemoved.get(record.id());
+        return removed != null
+                && StoreRevision.era(revision) > StoreRevision.era(removed.revision())
+                && (isOlder(record, removed.record())
+                        || record.incarnation().equals(removed.record().incarnation())
+                                && record.heartbeatSequence()
+                                        == removed.record().heartbeatSequence());
+    }
+
     private static boolean isOlder(ServerRecord record, ServerRecord current) {
         if (record.incarnation().startedMillis() != current.incarnation().startedMillis()) {
             return record.incarnation().startedMillis() < current.incarnation().startedMillis();
@@ -92,6 +125,7 @@
             return false;
         }
         mEntries.remove(id);
+        mRemoved.put(id, new Entry(current.record(), revision, true));
         return true;
     }
 
@@ -122,6 +156,12 @@
         if (mStoreUnavailable || !mGraceUntil.isPast(nowMillis)) {
             return false;
         }
+        mEntries.forEach(
+                (id, entry) -> {
+                    if (entry.deleted()) {
+                        mRemoved.put(id, entry);
+                    }
+                });
         return mEntries.values().removeIf(Entry::deleted);
     }
 
--- a/org.cornelway/src/org/cornelway/platform/ChangeFeed.java
+++ b/org.cornelway/src/org/cornelway/platform/ChangeFeed.java
@@ -1,5 +1,6 @@
 package org.cornelway.platform;
 
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 
 /**
@@ -20,4 +21,12 @@
      * @param waitMillis longest time to wait for a change
      */
     Single<ChangePage> changes(String prefix, long afterRevision, long waitMillis);
+
+    /**
+     * Emits the new era each time an answer shows that the service was restored from a copy, before
+     * that answer is emitted; see {@link StoreRevision}.
+     */
+    default Flowable<Long> restores() {
+        return Flowable.never();
+    }
 }
--- a/org.cornelway/src/org/cornelway/platform/KeyValue.java
+++ b/org.cornelway/src/org/cornelway/platform/KeyValue.java
@@ -5,6 +5,7 @@
  *
  * @param key the key
  * @param value the value
- * @param revision revision of the key-value service at which the value was written; positive
+ * @param revision revision of the key-value service at which the value was written, positive; of a
+ *     service that can be restored, see {@link StoreRevision}
  */
 public record KeyValue(String key, byte[] value, long revision) {}
--- a/org.cornelway/src/org/cornelway/role/ClusterState.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterState.java
@@ -19,6 +19,7 @@
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.StoreRevision;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.relay.MemberTable;
 import org.cornelway.result.Result;
@@ -54,6 +55,9 @@
 
     private Optional<RouteTable> mRoutes = Optional.empty();
 
+    /** The document of the configuration in force. */
+    private Optional<KeyValue> mConfiguration = Optional.empty();
+
     /** Ids of the registered members, the first candidate for controller first. */
     private List<String> mCandidates = List.of();
 
@@ -108,8 +112,10 @@
                     currentVersion,
                     "reason",
                     decoded.failure().map(f -> f.message()).orElse("older"));
+            next.ifPresent(older -> keepNewerThan(document));
             return false;
         }
+        mConfiguration = Optional.of(document);
         mRoutes = Optional.of(new RouteTable(next.get()));
         mLog.write(
                 "config.applied",
@@ -124,6 +130,21 @@
         return true;
     }
 
+    /**
+     * Puts the configuration in force behind an older version that a restored service holds, so
+     * that a process that starts meanwhile gets it from its peers.
+     */
+    private void keepNewerThan(KeyValue older) {
+        mConfiguration
+                .map(KeyValue::value)
+                .map(value -> new KeyValue(older.key(), value, following(older)))
+                .ifPresent(mCache::offer);
+    }
+
+    private static long following(KeyValue document) {
+        return StoreRevision.following(document.revision());
+    }
+
     private boolean applyServer(String id, KeyValue document) {
         long now = mClock.nowMillis();
         if (StoreFollower.isTombstone(document)) {
@@ -221,6 +242,15 @@
         mDirectory.onStoreUnavailable();
     }
 
+    /**
+     * Called when the key-value service was restored from a copy. Servers that are missing there
+     * are kept until they have had time to register again, as after an outage.
+     */
+    void onStoreRestored() {
+        mDirectory.onStoreUnavailable();
+        mDirectory.onStoreAvailable(mClock.nowMillis());
+    }
+
     /** Called when the key-value service is available to this process again. */
     void onStoreAvailable() {
         mDirectory.onStoreAvailable(mClock.nowMillis());
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -137,6 +137,7 @@
         mModelRequester = newModelRequester();
         mUsageReporter = newUsageReporter();
         mFollowers = newFollowers();
+        deps.store().feed().restores().observeOn(control).subscribe(this::onStoreRestored);
     }
 
     private List<StoreFollower> newFollowers() {
@@ -238,6 +239,15 @@
         mFollowers.forEach(StoreFollower::onServiceRecovered);
     }
 
+    /** The term ends before the lease is given up, so that the last controller knows it was one. */
+    private void onStoreRestored(long era) {
+        mDeps.log().write("store.restored", "era", era, "controller", isController());
+        mElection.onStoreRestored();
+        mLease.onStoreRestored();
+        mDeps.clusterState().onStoreRestored();
+        mFollowers.forEach(StoreFollower::onServiceRecovered);
+    }
+
     boolean isStoreUnavailable() {
         return mHealth.isUnavailable();
     }
