Let a stream that waits for a limited server ask for each permit

LimitedStreamTest failed before (no claim in the second report of six) and passes now: such a stream tries again every 100 ms, without a send, until there is a permit.

--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -93,6 +93,11 @@
         return mServer;
     }
 
+    /** Returns the traffic of the entry. */
+    final TrafficPlane traffic() {
+        return mTraffic;
+    }
+
     /** Returns the client for requests of the entry to the platform. */
     final PlatformHttpClient platformClient() {
         return mTraffic.platformClient();
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -149,10 +149,10 @@
         return mRequest.head().target().isPresent() && !mHistory.hasUsedServers();
     }
 
-    /** Ends the call; a stream that has begun waits if its servers want no calls. */
+    /** Ends the call; a stream that has begun tries again, in time to ask for each permit. */
     private void reject(CallAdmission.Rejection rejection) {
         if (isStreamBegun() && rejection.code() == ResultCode.QUEUE_FULL) {
-            dispatchAfter(rejection.retryAfterMillis());
+            dispatchAfter(Math.min(rejection.retryAfterMillis(), RESEND_DELAY_MILLIS));
         } else {
             mRetryAfterMillis = rejection.retryAfterMillis();
             fail(rejection.code(), rejection.reason());
