--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -48,6 +48,8 @@
 
     private final ConcurrentLinkedQueue<ReceivedCall> mReceivedCalls =
             new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<ReceivedOrder> mReceivedOrders =
+            new ConcurrentLinkedQueue<>();
     private final AtomicInteger mAbandonedStreams = new AtomicInteger();
     private volatile Fault mFault = Fault.NONE;
 
@@ -153,6 +155,11 @@
         return new ArrayList<>(mReceivedCalls);
     }
 
+    /** The orders received so far, in order of arrival. */
+    public List<ReceivedOrder> receivedOrders() {
+        return new ArrayList<>(mReceivedOrders);
+    }
+
     /**
      * The number of streams whose connection the client closed before the last event. A stream is
      * counted when its next event is due.
@@ -223,6 +230,7 @@
      */
     private void handleOrder(NetSocket socket, JsonNode order) {
         long fencingNumber = order.path("Fence").asLong();
+        mReceivedOrders.add(new ReceivedOrder(order.path("Holder").asText(), fencingNumber));
         if (fencingNumber < mHighestFencingNumber) {
             write(socket, "412 Precondition Failed", "", "");
             return;
