--- a/org.cornelway.test/tst/org/cornelway/direct/RestoredStoreSoakTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RestoredStoreSoakTest.java
@@ -39,6 +39,9 @@
     /** Time from the acknowledgement of a configuration until it is in force. */
     private static final long APPLY_MILLIS = 2_000;
 
+    /** Announcements of each server that are lost, so that revisions go back far. */
+    private static final int LOST_ANNOUNCEMENTS = 60;
+
     private static final List<String> MODELS = List.of("m1", "m2", "m3");
     private static final Map<String, String> SERVERS =
             Map.of(
@@ -106,6 +109,15 @@
         }
     }
 
+    /** Writes much, and a configuration last, and leaves entries time to read it. */
+    private void writeWhatWillBeLost() throws InterruptedException {
+        for (int i = 0; i < LOST_ANNOUNCEMENTS; i++) {
+            announceServers();
+        }
+        addRoute();
+        TimeUnit.MILLISECONDS.sleep(APPLY_MILLIS);
+    }
+
     private void restore(Random random) throws InterruptedException {
         StoreState copy = new ArrayList<>(mCopies).get(random.nextInt(mCopies.size())).copy();
         fleet().store().injectFault(random.nextBoolean() ? Fault.UNAVAILABLE : Fault.NO_RESPONSE);
@@ -190,6 +202,7 @@
             if (random.nextBoolean()) {
                 disturb(random);
             }
+            writeWhatWillBeLost();
             restore(random);
             if (random.nextBoolean()) {
                 disturb(random);
