End only the call that an unexpected error concerns, with a response

What callers saw: after an exception in the handling of their call a connection closed in mid-answer or without any answer, or nothing until the deadline. The log blamed the caller (how=left), without a reason.

Cause: steps of a call run from timers, notifications of all calls and callbacks of a server's connection. An exception there reached the event loop, which drops it; one on the caller's own connection closed it, and the close was taken for the caller's. A part of a stream that could not be written was left out, and the stream went on.

Change: CallGuard runs each step of a call; an exception ends that call: 503 with the new code 212 if it did not run, 502 if it may have, and a cut if a part of a stream was sent. Errors of the caller's connection that are not the network's do the same, and how=left is kept for callers. A failed write closes the connection. The ways in which a call ends without a complete answer move to CallEnding.

--- a/org.cornelway/src/org/cornelway/result/ResultCode.java
+++ b/org.cornelway/src/org/cornelway/result/ResultCode.java
@@ -71,6 +71,8 @@
             503,
             ExecutionState.NOT_RUN,
             "A part of the prompt has crashed backend servers; calls with it are not sent now."),
+    FAILED_BEFORE_RUN(
+            212, 503, ExecutionState.NOT_RUN, "An internal fault ended the call before it ran."),
     OUTCOME_UNKNOWN(
             300,
             502,
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -26,6 +26,7 @@
     private final ServerObserver mObserver;
     private final SendGate mGate;
     private final ResponseBuffer mBuffer;
+    private final GuardedAttempt mGuarded;
 
     /** The events of the answer; empty if the call is not for a stream. */
     private final Optional<StreamRelay.Answer> mAnswer;
@@ -57,6 +58,7 @@
         mGate = new SendGate(context, server.incarnation());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
+        mGuarded = new GuardedAttempt(this, callHandler.guard());
         mAnswer = callHandler.relay().map(r -> callHandler.attempts().newAnswer(r, this));
     }
 
@@ -73,7 +75,7 @@
     void start() {
         mGate.reserve();
         mObserver.recordStart(mRequest.head().expectedTokens());
-        mContext.pool().acquire(mServer.host(), mServer.port(), this);
+        mContext.pool().acquire(mServer.host(), mServer.port(), mGuarded);
     }
 
     @Override
@@ -88,7 +90,7 @@
     @Override
     public void onAcquired(UpstreamConnection connection) {
         if (mContext.loopDelay().isLate()) {
-            mContext.afterNextRead(() -> sendIfOpen(connection));
+            mCallHandler.guard().afterNextRead(() -> sendIfOpen(connection));
         } else {
             send(connection);
         }
@@ -100,7 +102,7 @@
             send(connection);
         } else {
             connection.close();
-            mContext.pool().acquire(mServer.host(), mServer.port(), this);
+            mContext.pool().acquire(mServer.host(), mServer.port(), mGuarded);
         }
     }
 
@@ -123,7 +125,7 @@
         mProgress.record();
         mSentMillis = nowMillis();
         mHistory.recordConnection(connection);
-        connection.send(request, this);
+        connection.send(request, mGuarded);
         if (mProgress.isReadingPaused()) {
             connection.setReadingPaused(true);
         }
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.result.ResultCode;
@@ -32,6 +31,8 @@
     private final CallLog mLog;
     private final SendHistory mHistory = new SendHistory();
     private final CallResponder mResponder;
+    private final CallEnding mEnding;
+    private final CallGuard mGuard;
     private final ServerSelector mSelector;
     private final CallAdmission mAdmission;
     private Optional<Route> mRoute = Optional.empty();
@@ -41,7 +42,6 @@
     private Optional<StreamRelay> mRelay = Optional.empty();
     private final ModelWait mModelWait;
     private final Hedging mHedging;
-    private long mRetryAfterMillis = CallAdmission.RETRY_AFTER_MILLIS;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
         mContext = context;
@@ -51,10 +51,14 @@
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
         mModelWait = new ModelWait(context, request, mHistory);
         mAttempts = new RunningAttempts(mHistory, mLog);
-        mHedging = new Hedging(context, mAttempts, mHistory, mLog, this);
         mSelector = new ServerSelector(context, request, mHistory, mAttempts);
         mAdmission = new CallAdmission(context, request, mSelector, mHistory);
         mDeadline = new CallDeadline(request);
+        mEnding =
+                new CallEnding(
+                        response, mResponder, mAttempts, mHistory, mDeadline, this::isStreamBegun);
+        mGuard = new CallGuard(context, request.head().requestId(), mEnding::onUnexpectedError);
+        mHedging = new Hedging(context, mAttempts, mHistory, mLog, mGuard, this);
     }
 
     /**
@@ -63,7 +67,7 @@
      */
     void start() {
         if (mContext.loopDelay().isLate()) {
-            mContext.afterNextRead(this::begin);
+            mGuard.afterNextRead(this::begin);
         } else {
             begin();
         }
@@ -91,6 +95,16 @@
         dispatch();
     }
 
+    /** Runs the steps of this call. */
+    CallGuard guard() {
+        return mGuard;
+    }
+
+    /** Ends this call without a complete answer. */
+    CallEnding ending() {
+        return mEnding;
+    }
+
     private long now() {
         return mContext.clock().nowMillis();
     }
@@ -154,8 +168,8 @@
         if (isStreamBegun() && rejection.code() == ResultCode.QUEUE_FULL) {
             dispatchAfter(Math.min(rejection.retryAfterMillis(), RESEND_DELAY_MILLIS));
         } else {
-            mRetryAfterMillis = rejection.retryAfterMillis();
-            fail(rejection.code(), rejection.reason());
+            mEnding.setRetryAfterMillis(rejection.retryAfterMillis());
+            mEnding.fail(rejection.code(), rejection.reason());
         }
     }
 
@@ -173,13 +187,13 @@
         if (isStreamBegun()) {
             dispatchAfter(RESEND_DELAY_MILLIS);
         } else {
-            fail(code, reason);
+            mEnding.fail(code, reason);
         }
     }
 
     private void dispatchAfter(long delayMillis) {
         if (delayMillis > 0) {
-            mContext.loop().schedule(this::dispatch, delayMillis, TimeUnit.MILLISECONDS);
+            mGuard.schedule(this::dispatch, delayMillis);
         } else {
             dispatch();
         }
@@ -206,7 +220,7 @@
 
     private void onModelTooLate(long expectedMillis) {
         if (!mResponder.isDone() && mAttempts.isEmpty()) {
-            mRetryAfterMillis = Math.max(CallAdmission.RETRY_AFTER_MILLIS, expectedMillis);
+            mEnding.setRetryAfterMillis(Math.max(CallAdmission.RETRY_AFTER_MILLIS, expectedMillis));
             waitOrFail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
         }
     }
@@ -265,7 +279,8 @@
         String failure = "not run after " + mHistory.sends() + " sends: " + reason;
         mAdmission
                 .delayAfterNotRun(isStreamBegun(), busy)
-                .ifPresentOrElse(this::dispatchAfter, () -> fail(ResultCode.QUEUE_FULL, failure));
+                .ifPresentOrElse(
+                        this::dispatchAfter, () -> mEnding.fail(ResultCode.QUEUE_FULL, failure));
     }
 
     /** Records a server that does not serve the model although it was expected to hold it. */
@@ -289,7 +304,7 @@
         if (mAdmission.canRepeat(route(), deadline(), mRelay, 0)) {
             dispatch();
         } else {
-            fail(ResultCode.OUTCOME_UNKNOWN, reason);
+            mEnding.fail(ResultCode.OUTCOME_UNKNOWN, reason);
         }
     }
 
@@ -337,37 +352,6 @@
         }
     }
 
-    /** Aborts a response that has begun; else sends the server's error response or a local one. */
-    private void fail(ResultCode code, String reason) {
-        if (mResponder.isDone()) {
-            return;
-        }
-        mAttempts.cancelAll();
-        if (isStreamBegun()) {
-            mResponder.abort(reason);
-        } else {
-            mResponder.fail(code, reason, mRetryAfterMillis, deadline());
-        }
-    }
-
-    /** Refuses the call, so that its caller can retry, unless it is being sent or may have run. */
-    void refuseIfWaiting() {
-        if (!mAttempts.mayHaveRun() && mHistory.possibleRunCount() == 0) {
-            abandon();
-        }
-    }
-
-    /** Ends the call because the process stops; the response says whether it may have run. */
-    void abandon() {
-        end(ResultCode.AGENT_LEAVING, "the process stops");
-    }
-
-    /** Fails the call after recording whether the current attempt may have run it. */
-    private void end(ResultCode code, String reason) {
-        mAttempts.recordPossibleRuns();
-        fail(code, reason);
-    }
-
     /** Applies a changed timeout and checks the deadline and the attempt; called periodically. */
     void tick() {
         if (mResponder.isDone()) {
@@ -375,7 +359,9 @@
         }
         mRoute.ifPresent(route -> mDeadline.refresh(route, mContext.view().get()));
         if (deadline().isPast(now())) {
-            end(ResultCode.DEADLINE_PASSED, "the deadline passed; last: " + mHistory.lastReason());
+            mEnding.end(
+                    ResultCode.DEADLINE_PASSED,
+                    "the deadline passed; last: " + mHistory.lastReason());
         } else if (!mAttempts.isEmpty()) {
             mAttempts.forEach(Attempt::tick);
         } else if (mModelWait.mustRefuse(now())) {
@@ -387,12 +373,4 @@
     void setReadingPaused(boolean paused) {
         mAttempts.setReadingPaused(paused);
     }
-
-    /** Called when the caller has closed its connection; the call is cancelled. */
-    void onCallerDisconnected() {
-        if (!mResponder.isDone()) {
-            mResponder.recordCallerLeft();
-            mAttempts.cancelAll();
-        }
-    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallResponder.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -110,9 +110,14 @@
         }
     }
 
-    /** Ends the call without a response, since its caller has closed the connection. */
-    void recordCallerLeft() {
-        markDone("left", 0, "the caller closed the connection");
+    /**
+     * Ends the call without a complete response, since the caller's connection is closed.
+     *
+     * @param failure why this process has closed it; empty if the caller has
+     */
+    void recordClosed(Optional<String> failure) {
+        String outcome = failure.isPresent() ? "cut" : "left";
+        markDone(outcome, 0, failure.orElse("the caller closed the connection"));
     }
 
     private void markDone(String outcome, int status, String reason) {
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
@@ -57,6 +56,7 @@
     private final TrafficContext mContext;
     private final CallerResponseEncoder mEncoder;
     private final Consumer<CallerConnection> mOnClosed;
+    private final ConnectionErrors mErrors = new ConnectionErrors();
     private final Deque<Object> mQueuedMessages = new ArrayDeque<>();
     private Channel mChannel;
     private Optional<HttpRequest> mIncomingRequest = Optional.empty();
@@ -109,8 +109,13 @@
         return mCallHandler.isPresent() || mIncomingRequest.isPresent();
     }
 
+    /** Runs a step of the call in progress, if there is one. */
+    private void withCall(Consumer<CallHandler> step) {
+        mCallHandler.ifPresent(call -> call.guard().run(() -> step.accept(call)));
+    }
+
     void onHoldingsChanged() {
-        mCallHandler.ifPresent(CallHandler::onHoldingsChanged);
+        withCall(CallHandler::onHoldingsChanged);
     }
 
     /** Returns the call in progress; empty if there is none. */
@@ -119,17 +124,17 @@
     }
 
     void onModelGranted(ModelTarget target) {
-        mCallHandler.ifPresent(handler -> handler.onModelGranted(target));
+        withCall(handler -> handler.onModelGranted(target));
     }
 
     /** Refuses the current call, if any, unless it is being sent or may have run. */
     void refuseIfWaiting() {
-        mCallHandler.ifPresent(CallHandler::refuseIfWaiting);
+        withCall(call -> call.ending().refuseIfWaiting());
     }
 
     /** Ends the current call or incomplete request, if any, because the process stops. */
     void abandon() {
-        mCallHandler.ifPresent(CallHandler::abandon);
+        withCall(call -> call.ending().abandon());
         if (mIncomingRequest.isPresent()) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
@@ -149,7 +154,7 @@
     /** Checks deadlines; called periodically by the {@link FrontServer}. */
     @Override
     public void tick() {
-        mCallHandler.ifPresent(CallHandler::tick);
+        withCall(CallHandler::tick);
         if (mCallHandler.isEmpty() && mProgressDeadline.isPast(mContext.clock().nowMillis())) {
             if (mIncomingRequest.isPresent()) {
                 reject(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -251,12 +256,11 @@
                         arrived,
                         Deadline.after(
                                 arrived, head.timeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS)));
-        CallHandler callHandler = new CallHandler(mContext, request, this);
-        mCallHandler = Optional.of(callHandler);
+        mCallHandler = Optional.of(new CallHandler(mContext, request, this));
         if (mContext.drain().isAcceptingOver()) {
-            callHandler.abandon();
+            withCall(call -> call.ending().abandon());
         } else {
-            callHandler.start();
+            withCall(CallHandler::start);
         }
     }
 
@@ -284,7 +288,7 @@
                                         body,
                                         headers,
                                         EmptyHttpHeaders.INSTANCE))
-                        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
+                        .addListener(mErrors));
     }
 
     @Override
@@ -293,7 +297,7 @@
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setConnectionHeader(headers);
         mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
-                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+                .addListener(mErrors);
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
@@ -306,12 +310,13 @@
 
     @Override
     public void sendPart(ByteBuf part) {
-        mChannel.writeAndFlush(new DefaultHttpContent(part));
+        mChannel.writeAndFlush(new DefaultHttpContent(part)).addListener(mErrors);
     }
 
     @Override
     public void end() {
-        onResponseWritten(mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        onResponseWritten(
+                mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(mErrors));
     }
 
     @Override
@@ -359,14 +364,14 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        mCallHandler.ifPresent(handler -> handler.setReadingPaused(!mChannel.isWritable()));
+        withCall(handler -> handler.setReadingPaused(!mChannel.isWritable()));
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mInputIgnored = true;
         mOnClosed.accept(this);
-        mCallHandler.ifPresent(CallHandler::onCallerDisconnected);
+        mCallHandler.ifPresent(handler -> handler.ending().onConnectionClosed(mErrors.reason()));
         mCallHandler = Optional.empty();
         mQueuedMessages.forEach(ReferenceCountUtil::release);
         mQueuedMessages.clear();
@@ -376,6 +381,11 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         mContext.metrics().counter("callers.connection_errors").inc();
-        mChannel.close();
+        if (mErrors.record(cause) && mCallHandler.isPresent()) {
+            mCloseAfterResponse = true;
+            withCall(call -> call.ending().onUnexpectedError(mErrors.reason().orElseThrow()));
+        } else {
+            mChannel.close();
+        }
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -153,7 +153,7 @@
                 .filter(CallHandler::isWaiting)
                 .sorted(MOST_URGENT_FIRST)
                 .toList()
-                .forEach(CallHandler::dispatchIfWaiting);
+                .forEach(call -> call.guard().run(call::dispatchIfWaiting));
     }
 
     /**
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/traffic/GuardedAttempt.java
@@ -0,0 +1,69 @@
+package org.cornelway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+
+/**
+ * Passes the events of an attempt's connection to the attempt.
+ *
+ * <p>Invariant: an unexpected error ends the call, unless a head or a part of a body is passed on;
+ * then the connection reports it as a failure of the attempt. Confined to the traffic thread.
+ */
+final class GuardedAttempt implements ResponseListener, UpstreamPool.AcquireListener {
+    private final Attempt mAttempt;
+    private final CallGuard mGuard;
+
+    GuardedAttempt(Attempt attempt, CallGuard guard) {
+        mAttempt = attempt;
+        mGuard = guard;
+    }
+
+    @Override
+    public boolean accepts(UpstreamConnection connection) {
+        return mAttempt.accepts(connection);
+    }
+
+    @Override
+    public void onAcquired(UpstreamConnection connection) {
+        mGuard.run(
+                () -> {
+                    try {
+                        mAttempt.onAcquired(connection);
+                    } catch (RuntimeException e) {
+                        connection.close();
+                        throw e;
+                    }
+                });
+    }
+
+    @Override
+    public void onConnectFailed(String reason) {
+        mGuard.run(() -> mAttempt.onConnectFailed(reason));
+    }
+
+    @Override
+    public Optional<NoticeReader> noticeReader() {
+        return mAttempt.noticeReader();
+    }
+
+    @Override
+    public void onHead(HttpResponse head) {
+        mAttempt.onHead(head);
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+        mAttempt.onContent(content);
+    }
+
+    @Override
+    public void onEnd() {
+        mGuard.run(mAttempt::onEnd);
+    }
+
+    @Override
+    public void onFailed(boolean sent, String reason) {
+        mGuard.run(() -> mAttempt.onFailed(sent, reason));
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -1,7 +1,6 @@
 package org.cornelway.traffic;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.dispatch.HedgePolicy;
 import org.cornelway.route.CallKind;
@@ -28,6 +27,7 @@
     private final RunningAttempts mAttempts;
     private final SendHistory mHistory;
     private final CallLog mLog;
+    private final CallGuard mGuard;
     private final Sender mSender;
 
     /** Until when no hedge is sent. */
@@ -61,11 +61,13 @@
             RunningAttempts attempts,
             SendHistory history,
             CallLog log,
+            CallGuard guard,
             Sender sender) {
         mContext = context;
         mAttempts = attempts;
         mHistory = history;
         mLog = log;
+        mGuard = guard;
         mSender = sender;
     }
 
@@ -86,7 +88,7 @@
     }
 
     private void checkAfter(Attempt silent, Attempt hedge, long delayMillis) {
-        mContext.loop().schedule(() -> check(silent, hedge), delayMillis, TimeUnit.MILLISECONDS);
+        mGuard.schedule(() -> check(silent, hedge), delayMillis);
     }
 
     /**
