Explain calls that a fault of the process or a cut has ended

The cause of a call that was cut named its last server as one that may have run it, and a fault of the process was not told apart from that. New cases in CallExplanationTest; they were not run without the change.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/CallExplanation.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/CallExplanation.java
@@ -28,6 +28,10 @@
     private static final int MAX_CONTEXT_LINES = 40;
 
     private static final Pattern FIELD = Pattern.compile("(\\w+)=(\"[^\"]*\"|\\S+)");
+
+    /** In the reason of a call that a fault of the process has ended. */
+    private static final String UNEXPECTED_ERROR = "unexpected error";
+
     private static final Set<String> FINAL_EVENTS = Set.of("call.done", "call.failed");
 
     /**
@@ -152,9 +156,25 @@
                             + lastServer(callLines)
                             + " was running the call";
         }
+        if (reason.contains(UNEXPECTED_ERROR)) {
+            return "a fault of this process ended the call: " + reason;
+        }
         if (reason.contains("the model needs")) {
             return "model " + finalLine.get("model") + " could not be loaded in time: " + reason;
         }
+        if (finalLine.get("how").equals("cut")) {
+            return "the process ended the stream after "
+                    + sendCount
+                    + " sends; last server: "
+                    + lastServer(callLines)
+                    + "; "
+                    + reason;
+        }
+        return causeByCode(reason, sendCount, lastServer(callLines));
+    }
+
+    /** Returns the cause that the result code at the start of a reason stands for. */
+    private static String causeByCode(String reason, long sendCount, String lastServer) {
         return switch (reason.replaceAll(":.*", "")) {
             case "QUEUE_FULL" ->
                     "no server accepted the call in " + sendCount + " attempts: " + reason;
@@ -163,8 +183,8 @@
             case "UNKNOWN_SERVICE" -> "no route in the active configuration matched the call";
             case "AGENT_LEAVING" -> "the process was shutting down";
             case "DEADLINE_PASSED", "DEADLINE_PASSED_RUNNING" ->
-                    "the deadline passed; last server: " + lastServer(callLines) + "; " + reason;
-            default -> "server " + lastServer(callLines) + " may have run the call: " + reason;
+                    "the deadline passed; last server: " + lastServer + "; " + reason;
+            default -> "server " + lastServer + " may have run the call: " + reason;
         };
     }
 
--- a/org.cornelway.test/tst/org/cornelway/pgm/CallExplanationTest.java
+++ b/org.cornelway.test/tst/org/cornelway/pgm/CallExplanationTest.java
@@ -52,4 +52,20 @@
         assertThat(CallExplanation.of("x1", List.of(SENT, outcomeUnknown)).cause())
                 .contains("s1 may have run the call");
     }
+
+    /** Guards against a fault of the process that is explained as the caller's disconnect. */
+    @Test
+    public void faultOfProcessIsDistinguishedFromServerFailure() {
+        String fault =
+                "a ts=1500 event=call.failed id=x1 model=m1 how=cut status=0 sends=1 ms=510"
+                        + " reason=\"unexpected error: java.lang.IllegalStateException\"";
+        assertThat(CallExplanation.of("x1", List.of(SENT, fault)).cause())
+                .contains("a fault of this process")
+                .contains("IllegalStateException");
+        String cut =
+                "a ts=1500 event=call.failed id=x1 model=m1 how=cut status=0 sends=1 ms=510"
+                        + " reason=\"closed within the answer\"";
+        assertThat(CallExplanation.of("x1", List.of(SENT, cut)).cause())
+                .contains("ended the stream after 1 sends; last server: s1");
+    }
 }
