--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -210,7 +210,12 @@
     }
 
     private void requestModel() {
-        mModelWait.request(mService, route(), deadline(), isStreamBegun(), this::onModelTooLate);
+        mModelWait.request(
+                mService,
+                route(),
+                deadline(),
+                isStreamBegun(),
+                millis -> mGuard.run(() -> onModelTooLate(millis)));
     }
 
     /** Whether the caller has received a part of a stream. */
