Let an unexpected error end no other call, send or response

Cause: the guard could not tell a response that was handed over from one that was not; an attempt's error ended the call whether or not another attempt ran; errors of the handler of an error escaped; attempts were cancelled after the end was recorded.

Change: CallResponder tells whether the connection has the whole response; an attempt with another one beside it ends alone; a second error closes the connection; attempts are cancelled first, and the end of a caller's connection runs under the guard too.

Ruled out: a 503 FAILED_BEFORE_RUN for a call that may have run (read: every removal of an attempt records the run before anything that can fail, or the call counts as ended by then).

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -60,7 +60,7 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             mFront = new HttpEndpoint("127.0.0.1", free.getLocalPort());
         }
-        Clock clock = Clock.system();
+        Clock clock = newClock();
         MetricRegistry metrics = new MetricRegistry();
         mTraffic =
                 new TrafficPlane(
@@ -84,6 +84,11 @@
         mSecond.close();
     }
 
+    /** Returns the clock of the entry. */
+    Clock newClock() {
+        return Clock.system();
+    }
+
     final TimedServer first() {
         return mFirst;
     }
@@ -159,12 +164,18 @@
         return head(status, requestId, "Content-Length: " + body.length()) + body;
     }
 
-    /** Sends a call on a new connection and returns it, before anything is read from it. */
-    final Socket send(String path, String requestId) throws IOException {
+    /** Returns a new connection to the entry. */
+    final Socket connect() throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
         socket.connect(new InetSocketAddress(mFront.host(), mFront.port()));
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /** Sends a call on a new connection and returns it, before anything is read from it. */
+    final Socket send(String path, String requestId) throws IOException {
+        Socket socket = connect();
         String head =
                 "POST "
                         + path
--- a/org.cornelway.test/tst/org/cornelway/traffic/TimedServer.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/TimedServer.java
@@ -19,6 +19,7 @@
 final class TimedServer implements AutoCloseable {
     private final ServerSocket mServer;
     private final AtomicInteger mArrivals = new AtomicInteger();
+    private final AtomicInteger mEnds = new AtomicInteger();
     private volatile Function<String, Script> mScripts = head -> new Script(List.of(), false);
 
     /**
@@ -61,6 +62,11 @@
         return mArrivals.get();
     }
 
+    /** The number of connections that have ended. */
+    int ends() {
+        return mEnds.get();
+    }
+
     private void acceptUntilClosed() {
         while (!mServer.isClosed()) {
             try {
@@ -88,6 +94,8 @@
         } catch (IOException e) {
             // The entry has closed the connection.
             return;
+        } finally {
+            mEnds.incrementAndGet();
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -58,7 +58,7 @@
         mGate = new SendGate(context, server.incarnation());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
-        mGuarded = new GuardedAttempt(this, callHandler.guard());
+        mGuarded = new GuardedAttempt(this, callHandler);
         mAnswer = callHandler.relay().map(r -> callHandler.attempts().newAnswer(r, this));
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallEnding.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallEnding.java
@@ -76,11 +76,10 @@
 
     /** Ends the call because of an unexpected error. */
     void onUnexpectedError(String reason) {
-        if (mResponder.isDone()) {
-            // The error may have kept the response from being sent.
-            mResponse.abort();
-        } else {
+        if (!mResponder.isDone()) {
             end(ResultCode.FAILED_BEFORE_RUN, reason);
+        } else if (!mResponder.isHandedOver()) {
+            mResponse.abort();
         }
     }
 
@@ -91,8 +90,8 @@
      */
     void onConnectionClosed(Optional<String> failure) {
         if (!mResponder.isDone()) {
-            mResponder.recordClosed(failure);
             mAttempts.cancelAll();
+            mResponder.recordClosed(failure);
         }
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallGuard.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallGuard.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -19,14 +20,21 @@
     private final TrafficContext mContext;
     private final String mRequestId;
     private final Consumer<String> mOnError;
+    private final Runnable mOnRepeatedError;
 
     /**
      * @param onError ends the call for the given reason
+     * @param onRepeatedError ends the call if that fails too
      */
-    CallGuard(TrafficContext context, String requestId, Consumer<String> onError) {
+    CallGuard(
+            TrafficContext context,
+            String requestId,
+            Consumer<String> onError,
+            Runnable onRepeatedError) {
         mContext = context;
         mRequestId = requestId;
         mOnError = onError;
+        mOnRepeatedError = onRepeatedError;
     }
 
     /** Runs a step now. */
@@ -34,12 +42,45 @@
         try {
             step.run();
         } catch (RuntimeException e) {
-            mContext.metrics().counter("callers.faults").inc();
-            LOG.error("call {} is ended because of an unexpected error", mRequestId, e);
-            mOnError.accept("unexpected error: " + e);
+            record("call", e);
+            try {
+                mOnError.accept(reason(e));
+            } catch (RuntimeException repeated) {
+                record("call", repeated);
+                mOnRepeatedError.run();
+            }
         }
     }
 
+    /**
+     * Runs a step of one of the call's sends now.
+     *
+     * @param endsSend ends the send for the given reason if another one goes on with the call;
+     *     returns whether one does
+     */
+    void runSend(Runnable step, Predicate<String> endsSend) {
+        run(
+                () -> {
+                    try {
+                        step.run();
+                    } catch (RuntimeException e) {
+                        if (!endsSend.test(reason(e))) {
+                            throw e;
+                        }
+                        record("a send of call", e);
+                    }
+                });
+    }
+
+    private static String reason(RuntimeException e) {
+        return "unexpected error: " + e;
+    }
+
+    private void record(String what, RuntimeException e) {
+        mContext.metrics().counter("callers.faults").inc();
+        LOG.error("{} {} is ended because of an unexpected error", what, mRequestId, e);
+    }
+
     /** Runs a step after a delay. */
     void schedule(Runnable step, long delayMillis) {
         EventLoop loop = mContext.loop();
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -57,7 +57,12 @@
         mEnding =
                 new CallEnding(
                         response, mResponder, mAttempts, mHistory, mDeadline, this::isStreamBegun);
-        mGuard = new CallGuard(context, request.head().requestId(), mEnding::onUnexpectedError);
+        mGuard =
+                new CallGuard(
+                        context,
+                        request.head().requestId(),
+                        mEnding::onUnexpectedError,
+                        response::abort);
         mHedging = new Hedging(context, mAttempts, mHistory, mLog, mGuard, this);
     }
 
@@ -325,6 +330,20 @@
                 : Optional.empty();
     }
 
+    /**
+     * Ends an attempt after an unexpected error if another one goes on with the call.
+     *
+     * @return whether another one does
+     */
+    boolean endBesideOther(Attempt attempt, String reason) {
+        if (!mAttempts.isHedged() || !mAttempts.contains(attempt)) {
+            return false;
+        }
+        mAttempts.cancel(attempt, reason);
+        mHedging.onEnded(false);
+        return true;
+    }
+
     RunningAttempts attempts() {
         return mAttempts;
     }
--- a/org.cornelway/src/org/cornelway/traffic/CallResponder.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -21,6 +21,7 @@
     private Optional<Route> mRoute = Optional.empty();
     private Optional<FullResponse> mErrorResponse = Optional.empty();
     private boolean mDone;
+    private boolean mHandedOver;
 
     CallResponder(
             TrafficContext context,
@@ -55,22 +56,30 @@
         return mDone;
     }
 
+    /** Whether the connection has the whole response, and may carry another call. */
+    boolean isHandedOver() {
+        return mHandedOver;
+    }
+
     /** Ends the call with a server's response. */
     void forward(FullResponse response) {
         markDone("answered", response.status().code(), "");
         mResponse.sendFull(response.status(), response.headers(), response.body());
+        mHandedOver = true;
     }
 
     /** Ends the call with the end of a complete stream. */
     void endStream(StreamRelay relay) {
         markDone("streamed", HttpResponseStatus.OK.code(), "");
         relay.end();
+        mHandedOver = true;
     }
 
     /** Ends the call by closing the connection within its response. */
     void abort(String reason) {
         markDone("cut", 0, reason);
         mResponse.abort();
+        mHandedOver = true;
     }
 
     /** Ends the call with a response that states that it has not run and never will. */
@@ -84,6 +93,7 @@
         markDone("own", status.code(), code + ": " + reason);
         LocalResponse.send(
                 mContext.codec(), mRequest, mResponse, status, code, reason, retryAfterMillis);
+        mHandedOver = true;
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerConnection.java
@@ -371,7 +371,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         mInputIgnored = true;
         mOnClosed.accept(this);
-        mCallHandler.ifPresent(handler -> handler.ending().onConnectionClosed(mErrors.reason()));
+        withCall(call -> call.ending().onConnectionClosed(mErrors.reason()));
         mCallHandler = Optional.empty();
         mQueuedMessages.forEach(ReferenceCountUtil::release);
         mQueuedMessages.clear();
--- a/org.cornelway/src/org/cornelway/traffic/GuardedAttempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/GuardedAttempt.java
@@ -7,16 +7,21 @@
 /**
  * Passes the events of an attempt's connection to the attempt.
  *
- * <p>Invariant: an unexpected error ends the call, unless a head or a part of a body is passed on;
- * then the connection reports it as a failure of the attempt. Confined to the traffic thread.
+ * <p>Invariant: an unexpected error ends the attempt if another one goes on with the call, else the
+ * call, unless a head or a part of a body is passed on; then the connection reports it as a failure
+ * of the attempt. Confined to the traffic thread.
  */
 final class GuardedAttempt implements ResponseListener, UpstreamPool.AcquireListener {
     private final Attempt mAttempt;
-    private final CallGuard mGuard;
+    private final CallHandler mCallHandler;
 
-    GuardedAttempt(Attempt attempt, CallGuard guard) {
+    GuardedAttempt(Attempt attempt, CallHandler callHandler) {
         mAttempt = attempt;
-        mGuard = guard;
+        mCallHandler = callHandler;
+    }
+
+    private void run(Runnable step) {
+        mCallHandler.guard().runSend(step, reason -> mCallHandler.endBesideOther(mAttempt, reason));
     }
 
     @Override
@@ -26,7 +31,7 @@
 
     @Override
     public void onAcquired(UpstreamConnection connection) {
-        mGuard.run(
+        run(
                 () -> {
                     try {
                         mAttempt.onAcquired(connection);
@@ -39,7 +44,7 @@
 
     @Override
     public void onConnectFailed(String reason) {
-        mGuard.run(() -> mAttempt.onConnectFailed(reason));
+        run(() -> mAttempt.onConnectFailed(reason));
     }
 
     @Override
@@ -59,11 +64,11 @@
 
     @Override
     public void onEnd() {
-        mGuard.run(mAttempt::onEnd);
+        run(mAttempt::onEnd);
     }
 
     @Override
     public void onFailed(boolean sent, String reason) {
-        mGuard.run(() -> mAttempt.onFailed(sent, reason));
+        run(() -> mAttempt.onFailed(sent, reason));
     }
 }
