Take no close without a new event for the end of a stream

Callers saw: a stream whose server broke off ended as complete without its rest, once the next server had sent a head without a length or chunks and had closed. A first answer of this kind became a whole empty 200. Such an answer of a second server ended a stream whose first server was only silent.

Cause: an answer may end with its connection, and the end of such an answer counted as the end of the stream unless it came within an event.

Ruled out: an end with a last chunk or a length states that nothing is left, also without an event; an answer to HEAD ends with its head; answers that are no stream may be empty. All of these stay as they were.

Change: an answer that only its close ends, and that brought no event which the caller lacks (a comment is none), counts as broken off. The stream is sent again within its limits; if each server does so it is cut, or fails with 502 if its caller has no part of it.

CutAnswerTest is stricter: a cut right behind the head of a stream without a length was taken for a whole empty stream, and now has to fail. StreamRelayTest asks for the reason in place of the flag.

--- a/org.cornelway.test/tst/org/cornelway/traffic/CutAnswer.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/CutAnswer.java
@@ -103,7 +103,7 @@
     /**
      * Whether the cut cannot be told from the end of an answer: nothing is missing, or the answer
      * has neither a length nor chunks, its head is whole, the connection ended without a reset, and
-     * a stream ended between two events.
+     * a stream ended behind an event.
      */
     boolean isWhole(int cut, ScriptedServer.Close close) {
         if (cut == bytes.length() && framing != Framing.CLOSE) {
@@ -111,15 +111,15 @@
         }
         boolean endsWithConnection =
                 framing == Framing.CLOSE && cut >= headBytes && close == ScriptedServer.Close.FIN;
-        return endsWithConnection && (!isStream() || endsBetweenEvents(bodyBefore(cut)));
+        return endsWithConnection && (!isStream() || endsBehindEvent(bodyBefore(cut)));
     }
 
     boolean isStream() {
         return path.equals(EntryTestBase.STREAM_PATH) && status == 200;
     }
 
-    private static boolean endsBetweenEvents(String part) {
-        return part.isEmpty() || part.endsWith("\n\n");
+    private static boolean endsBehindEvent(String part) {
+        return part.endsWith("\n\n");
     }
 
     @Override
--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgedAnswerTest.java
@@ -174,6 +174,19 @@
         assertThat(ids(call(STREAM_PATH))).isEqualTo(idsUpTo(5));
     }
 
+    /** Guards against a stream that a second server ends although it has sent no event of it. */
+    @Test
+    public void closeOfSecondServerWithoutEventDoesNotEndStream() throws IOException {
+        String eventStream = "Content-Type: text/event-stream";
+        first().setScripts(head -> pausedStream(1_400));
+        second().setScripts(
+                        head ->
+                                new Script(
+                                        List.of(new Part(0, head("200 OK", ID, eventStream))),
+                                        true));
+        assertThat(ids(call(STREAM_PATH))).isEqualTo(idsUpTo(5));
+    }
+
     /** Guards against a refusal to one call that counts as work on the others. */
     @Test
     public void refusalToOtherCallDoesNotEndPausedStream() throws IOException {
--- a/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/StreamRelayTest.java
@@ -122,7 +122,7 @@
     @Test
     public void partialEventOfAnEarlierServerIsDiscarded() throws BrokenAnswerException {
         feed(event(1) + "id: 2\nda");
-        assertThat(mAnswer.hasPartialEvent()).isTrue();
+        assertThat(mAnswer.reasonIfBroken(false)).contains("ended within an event");
         startAnswer();
         feed(events(2, 3));
         assertThat(mResponse.body()).isEqualTo(events(1, 2, 3));
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -36,6 +36,7 @@
     private HttpResponseStatus mStatus = HttpResponseStatus.OK;
     private HttpHeaders mHeaders;
     private boolean mStreaming;
+    private boolean mEndsWithClose;
     private boolean mEnded;
 
     /** When the call was sent, in milliseconds since the epoch; 0 before. */
@@ -169,6 +170,7 @@
         ResponseHead head = mContext.codec().readResponseHead(response);
         mHead = Optional.of(head);
         mStatus = response.status();
+        mEndsWithClose = ResponseValidator.endsWithClose(mRequest.message().method(), response);
         mHeaders = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         mContext.codec().writeResponseHeaders(response, mHeaders);
         mCallHandler.log().recordHead(mServer.id(), head.status());
@@ -285,10 +287,11 @@
     }
 
     private void handleStreamEnd() {
-        if (mAnswer.orElseThrow().hasPartialEvent()) {
+        Optional<String> broken = mAnswer.orElseThrow().reasonIfBroken(mEndsWithClose);
+        if (broken.isPresent()) {
             mObserver.recordResponse(false);
             recordBreak();
-            mCallHandler.onMayHaveRun(this, "ended within an event", Optional.empty());
+            mCallHandler.onMayHaveRun(this, broken.get(), Optional.empty());
         } else {
             mObserver.recordStream(mProgress.streamingMillis());
             if (mProgress.streamingMillis().isPresent()) {
--- a/org.cornelway/src/org/cornelway/traffic/ResponseValidator.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseValidator.java
@@ -1,6 +1,8 @@
 package org.cornelway.traffic;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -33,6 +35,17 @@
         return false;
     }
 
+    /**
+     * Whether only the close of the connection ends a response: it has neither a length nor chunks.
+     *
+     * @param method method of the request; a response to HEAD ends with its head
+     */
+    static boolean endsWithClose(HttpMethod method, HttpResponse response) {
+        return !method.equals(HttpMethod.HEAD)
+                && !HttpUtil.isContentLengthSet(response)
+                && !HttpUtil.isTransferEncodingChunked(response);
+    }
+
     private static boolean isStatusLineIn(String text) {
         return text.contains(VERSION_PREFIX) && STATUS_LINE.matcher(text).find();
     }
--- a/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/StreamRelay.java
@@ -51,6 +51,9 @@
         private final BooleanSupplier mIsAlone;
         private final Runnable mOnForward;
 
+        /** Whether an event was forwarded; a comment is none. */
+        private boolean mHasNewEvent;
+
         private Answer(BooleanSupplier isAlone, Runnable onForward) {
             mIsAlone = isAlone;
             mOnForward = onForward;
@@ -88,6 +91,7 @@
                     throw new BrokenAnswerException("event does not continue the resumed stream");
                 default:
                     mOnForward.run();
+                    mHasNewEvent |= !event.isComment();
                     ensureHeadSent(status, headers);
                     mResponse.sendPart(event.bytes());
                     return true;
@@ -99,9 +103,19 @@
             return mReader.bufferBytes();
         }
 
-        /** Whether an incomplete event was received. */
-        boolean hasPartialEvent() {
-            return mReader.hasPartialEvent();
+        /**
+         * Returns why the end of this answer is not the end of the stream; empty if it is. The
+         * close of a connection alone does not tell that the server has sent all events, or any.
+         *
+         * @param endsWithClose whether only the close of the connection ends the answer
+         */
+        Optional<String> reasonIfBroken(boolean endsWithClose) {
+            if (mReader.hasPartialEvent()) {
+                return Optional.of("ended within an event");
+            }
+            return endsWithClose && !mHasNewEvent
+                    ? Optional.of("closed without a new event")
+                    : Optional.empty();
         }
     }
 
