Let an error of one engine or request end only its part of a round

Seen (tests only): a call to one engine that could not be made, or one request that the planner failed for, ended the controller's round for all engines and requests, again in each later round; an engine whose report or order could not be sent counted as having a call in flight for ever and got no other one.

Cause: a round runs as one step, and exceptions thrown before a call returned did not take the way of a call that failed.

Change: each engine, request, answer and the proactive loads are guarded on their own (RoundGuard); a request that fails is answered as one whose model comes too late; an exception of a report is a failed call, one of an order an unconfirmed order, which a report clears up.

Ruled out: periodic tasks that end with an exception, for the step that schedules rounds (GuardedTask).

Failed before: FaultyRoundTest 3 of 3, with the exception of the engine's call, of the order's and of the planner out of runRound.

--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
@@ -54,6 +54,9 @@
     /** What the planner returns instead of a plan of its own. */
     Optional<LoadPlan> mFixedPlan;
 
+    /** Model that the planner fails for; empty for none. */
+    String mUnplannableModel;
+
     FixedLimits mLimits;
 
     /** The different views that the planner was given. */
@@ -68,6 +71,7 @@
         mEngines = new HashMap<>();
         mOutcomes = new ArrayList<>();
         mFixedPlan = Optional.empty();
+        mUnplannableModel = "";
         mLimits = new FixedLimits();
         mSeenViews.clear();
         mSeenViewCount = 0;
@@ -100,6 +104,9 @@
 
     /** Records the views that the planner is given, and returns the fixed plan if there is one. */
     private Optional<LoadPlan> recordAndPlan(LoadRequest request, List<EngineView> engines) {
+        if (request.model().name().equals(mUnplannableModel)) {
+            throw new IllegalStateException("a fault of this process");
+        }
         if (mFixedPlan.isPresent()) {
             return mFixedPlan;
         }
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -1,6 +1,7 @@
 package org.cornelway.models;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
 import java.util.Map;
 import java.util.Optional;
 import org.cornelway.directory.ServerRecord;
@@ -210,7 +211,7 @@
 
     private void readReport() {
         mCallInFlight = true;
-        mEngines.report(mServer)
+        Single.defer(() -> mEngines.report(mServer))
                 .observeOn(mControl)
                 .subscribe(
                         report -> {
@@ -308,7 +309,8 @@
                         mAcceptedOrders,
                         term.get().holder(),
                         term.get().fencingNumber());
-        mEngines.order(mServer, order, () -> mListener.term().equals(term))
+        Single.defer(() -> mEngines.order(mServer, order, () -> mListener.term().equals(term)))
+                .onErrorReturn(e -> new OrderReply.Unconfirmed(String.valueOf(e)))
                 .observeOn(mControl)
                 .subscribe(
                         reply -> {
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -213,23 +213,35 @@
         }
         long now = now();
         // Completes the orders whose assumed end has passed, before new loads are planned.
-        List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
+        advanceDrivers(now);
         Map<String, SchedulingRound> rounds = new HashMap<>();
         for (PendingRequests.Pending pending : mPending.mostUrgentFirst()) {
-            round(pending.request().service(), rounds, now)
-                    .map(round -> mScheduler.findOrLoad(pending.request(), round))
-                    .orElse(Optional.of(new ModelRequestOutcome.TooLate(0)))
+            ModelRequest request = pending.request();
+            RoundGuard.answer(request, () -> findOrLoad(request, rounds, now))
                     .ifPresent(outcome -> complete(pending, outcome));
         }
         if (now >= mNextProactiveMillis) {
             mNextProactiveMillis = now + PROACTIVE_INTERVAL_MILLIS;
-            planProactiveLoads(rounds, now);
+            RoundGuard.run("proactive loads", () -> planProactiveLoads(rounds, now));
         }
         // Sends the orders that this round has planned.
-        List.copyOf(mDrivers.values()).forEach(driver -> driver.advance(now));
+        advanceDrivers(now);
         mLastRoundMillis = now() - now;
     }
 
+    private void advanceDrivers(long now) {
+        for (EngineDriver driver : List.copyOf(mDrivers.values())) {
+            RoundGuard.run(driver.server().id(), () -> driver.advance(now));
+        }
+    }
+
+    private Optional<ModelRequestOutcome> findOrLoad(
+            ModelRequest request, Map<String, SchedulingRound> rounds, long now) {
+        return round(request.service(), rounds, now)
+                .map(round -> mScheduler.findOrLoad(request, round))
+                .orElse(Optional.of(new ModelRequestOutcome.TooLate(0)));
+    }
+
     /** Plans loads that no call waits for. */
     private void planProactiveLoads(Map<String, SchedulingRound> rounds, long now) {
         for (String service : mRoutes.get().configuration().services().keySet()) {
@@ -264,7 +276,8 @@
 
     private void complete(PendingRequests.Pending pending, ModelRequestOutcome outcome) {
         mPending.remove(pending);
-        pending.callbacks().forEach(callback -> callback.accept(outcome));
+        pending.callbacks()
+                .forEach(each -> RoundGuard.run("an answer", () -> each.accept(outcome)));
         mLog.write(
                 "model.answered",
                 "model",
