Read both servers before one of two attempts is ended

What callers saw: a stream that ran at two servers lost the one that went on, if the entry stood still at the end of the time for which both may run; if the other one then failed or was silent, the stream was cut or sent to the first server once more.

Cause: the timer of Hedging runs as the thread wakes. After SIGSTOP, or while another connection held the thread, timers run before what has arrived meanwhile is read, so that a server that had gone on counted as silent.

Ruled out: a check in the next task of the loop alone; tasks run before the next read. LoopDelay.isLate as a condition: a stop below its 100 ms can hide an event as well.

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -64,7 +64,7 @@
         MetricRegistry metrics = new MetricRegistry();
         mTraffic =
                 new TrafficPlane(
-                        new WireCallCodec(),
+                        newCodec(),
                         clock,
                         "zone-1",
                         mFront,
@@ -77,6 +77,11 @@
         announce(mSecond.port());
     }
 
+    /** Returns the codec of the entry. */
+    CallCodec newCodec() {
+        return new WireCallCodec();
+    }
+
     @AfterMethod(alwaysRun = true)
     public final void stop() throws IOException {
         mTraffic.shutdown();
@@ -92,6 +97,10 @@
         return mSecond;
     }
 
+    final TrafficPlane traffic() {
+        return mTraffic;
+    }
+
     /** Announces the first server, and the second one at a port. */
     final void announce(int secondPort) {
         ServerRecord first = server("s1", mFirst.port(), "zone-1");
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -87,8 +87,9 @@
         checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
     }
 
+    /** Checks after a delay, and not before what the servers have sent until then is read. */
     private void checkAfter(Attempt silent, Attempt hedge, long delayMillis) {
-        mGuard.schedule(() -> check(silent, hedge), delayMillis);
+        mGuard.schedule(() -> mGuard.afterNextRead(() -> check(silent, hedge)), delayMillis);
     }
 
     /**
