Test changes of the configuration beside a running stream

HedgeTestBase publishes configurations and servers that a test chooses.

Not shown: two processes with different versions; SIGHUP in the same second as a change.

--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -38,9 +38,9 @@
     static final String SAFE_PATH = "/safe/a";
     static final String STREAM_PATH = "/resume/a";
     static final String UNSAFE_PATH = "/unsafe/a";
+    static final String SERVICE = "service";
+    static final long TIMEOUT_MILLIS = 5_000;
     private static final String HOST = "host.example";
-    private static final String SERVICE = "service";
-    private static final long TIMEOUT_MILLIS = 5_000;
     private static final long GAP_MILLIS = 200;
     private static final int READ_TIMEOUT_MILLIS = 8_000;
     private static final int SMALL_BUFFER_BYTES = 16_384;
@@ -94,28 +94,53 @@
 
     /** Announces the first server, and the second one at a port. */
     final void announce(int secondPort) {
-        ServerRecord first = server("s1", mFirst.port(), "zone-1");
-        ServerRecord second = server("s2", secondPort, "zone-2");
-        RoutingConfiguration configuration =
-                new RoutingConfiguration(
-                        1,
-                        List.of(
-                                route("/safe/", CallKind.SAFE),
-                                route("/unsafe/", CallKind.UNSAFE),
-                                route("/resume/", CallKind.STREAM)),
-                        Map.of(SERVICE, new ServiceDefinition(SERVICE, 50, Optional.empty())),
-                        CallerLimits.defaults());
+        ServerRecord second = server("s2", secondPort, "zone-2", SERVICE);
+        publish(
+                configuration(1, TIMEOUT_MILLIS, SERVICE),
+                Map.of("s1", firstRecord(), "s2", second));
+    }
+
+    /** Publishes a configuration and the servers; there is no configuration if it is empty. */
+    final void publish(
+            Optional<RoutingConfiguration> configuration, Map<String, ServerRecord> servers) {
         mTraffic.publish(
                 new TrafficView(
-                        Optional.of(new RouteTable(configuration)),
-                        new DirectorySnapshot(Map.of("s1", first, "s2", second)),
-                        1));
+                        configuration.map(RouteTable::new), new DirectorySnapshot(servers), 1));
+    }
+
+    /** Returns the announcement of the first server. */
+    final ServerRecord firstRecord() {
+        return server("s1", mFirst.port(), "zone-1", SERVICE);
+    }
+
+    /** Returns an announcement of the second server as one of a service. */
+    final ServerRecord secondRecord(String service) {
+        return server("s2", mSecond.port(), "zone-2", service);
+    }
+
+    /**
+     * Returns a configuration.
+     *
+     * @param timeoutMillis timeout of each route
+     * @param service service of each route
+     */
+    static Optional<RoutingConfiguration> configuration(
+            long version, long timeoutMillis, String service) {
+        return Optional.of(
+                new RoutingConfiguration(
+                        version,
+                        List.of(
+                                route("/safe/", CallKind.SAFE, timeoutMillis, service),
+                                route("/unsafe/", CallKind.UNSAFE, timeoutMillis, service),
+                                route("/resume/", CallKind.STREAM, timeoutMillis, service)),
+                        Map.of(service, new ServiceDefinition(service, 50, Optional.empty())),
+                        CallerLimits.defaults()));
     }
 
-    private static ServerRecord server(String id, int port, String zone) {
+    private static ServerRecord server(String id, int port, String zone, String service) {
         return new ServerRecord(
                 new ServerIncarnation(id, 1),
-                SERVICE,
+                service,
                 "127.0.0.1",
                 port,
                 zone,
@@ -127,16 +152,16 @@
                 Set.of());
     }
 
-    private static Route route(String prefix, CallKind kind) {
+    private static Route route(String prefix, CallKind kind, long timeoutMillis, String service) {
         return new Route(
                 prefix,
                 HOST,
                 prefix,
                 kind,
-                TIMEOUT_MILLIS,
+                timeoutMillis,
                 1_000,
                 0,
-                List.of(new WeightedService(SERVICE, 1)),
+                List.of(new WeightedService(service, 1)),
                 2,
                 false,
                 kind == CallKind.STREAM,
