--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -60,11 +60,11 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             mFront = new HttpEndpoint("127.0.0.1", free.getLocalPort());
         }
-        Clock clock = Clock.system();
+        Clock clock = newClock();
         MetricRegistry metrics = new MetricRegistry();
         mTraffic =
                 new TrafficPlane(
-                        new WireCallCodec(),
+                        newCodec(),
                         clock,
                         "zone-1",
                         mFront,
@@ -77,6 +77,11 @@
         announce(mSecond.port());
     }
 
+    /** Returns the codec of the entry. */
+    CallCodec newCodec() {
+        return new WireCallCodec();
+    }
+
     @AfterMethod(alwaysRun = true)
     public final void stop() throws IOException {
         mTraffic.shutdown();
@@ -84,6 +89,11 @@
         mSecond.close();
     }
 
+    /** Returns the clock of the entry. */
+    Clock newClock() {
+        return Clock.system();
+    }
+
     final TimedServer first() {
         return mFirst;
     }
@@ -92,6 +102,10 @@
         return mSecond;
     }
 
+    final TrafficPlane traffic() {
+        return mTraffic;
+    }
+
     /** Announces the first server, and the second one at a port. */
     final void announce(int secondPort) {
         ServerRecord second = server("s2", secondPort, "zone-2", SERVICE);
@@ -184,12 +198,18 @@
         return head(status, requestId, "Content-Length: " + body.length()) + body;
     }
 
-    /** Sends a call on a new connection and returns it, before anything is read from it. */
-    final Socket send(String path, String requestId) throws IOException {
+    /** Returns a new connection to the entry. */
+    final Socket connect() throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
         socket.connect(new InetSocketAddress(mFront.host(), mFront.port()));
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /** Sends a call on a new connection and returns it, before anything is read from it. */
+    final Socket send(String path, String requestId) throws IOException {
+        Socket socket = connect();
         String head =
                 "POST "
                         + path
