End a request of an entry with a true outcome after an unexpected error

Seen (tests only): an exception while a chunk was passed to the caller's sink was dropped by the scheduler; the chunk counted as delivered, the later ones followed, and the answer ended with OK although it lacked a part. An exception at the send left the caller waiting without an outcome.

Cause: the tasks of an exchange run on a worker of the scheduler, which drops exceptions; a periodic task also ends with its first one.

Change: GuardedWorker passes the exception on; the exchange withdraws its attempt and ends: ANSWER_INCOMPLETE if the caller has a part, OUTCOME_UNKNOWN if an attempt was made, else FAILED_BEFORE_RUN (FailurePolicy).

--- a/org.cornelway/src/org/cornelway/entry/EntryExchange.java
+++ b/org.cornelway/src/org/cornelway/entry/EntryExchange.java
@@ -1,6 +1,5 @@
 package org.cornelway.entry;
 
-import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import java.util.Optional;
@@ -39,7 +38,7 @@
     private final CallerSink mSink;
     private final EntryContext mContext;
     private final Runnable mOnEnd;
-    private final Scheduler.Worker mWorker;
+    private final GuardedWorker mWorker;
     private final SerialDisposable mCall = new SerialDisposable();
     private final AgentSelector mSelector;
     private Optional<RequestAttempt> mAttempt = Optional.empty();
@@ -59,7 +58,7 @@
         mContext = context;
         mOnEnd = onEnd;
         mSelector = new AgentSelector(request, context);
-        mWorker = context.scheduler().createWorker();
+        mWorker = new GuardedWorker(context.scheduler().createWorker(), this::onUnexpectedError);
     }
 
     /** Starts the exchange. Must be called only once. */
@@ -375,7 +374,10 @@
         mContext.invariants().check(!mEnded, "request " + mRequest.id() + " ended twice");
         mEnded = true;
         mAttempt.ifPresent(this::endAttempt);
-        Outcome reported = mEarlierAttemptMayHaveRun ? withoutNotRun(outcome) : outcome;
+        Outcome reported =
+                mEarlierAttemptMayHaveRun
+                        ? FailurePolicy.withoutNotRun(outcome, mRequest.repeatable())
+                        : outcome;
         mContext.metrics().counter("entry.ended." + reported.code()).inc();
         mSink.onEnd(reported);
         mCall.dispose();
@@ -383,14 +385,12 @@
         mWorker.dispose();
     }
 
-    /** Replaces a "not run" outcome, since it holds only for the last attempt. */
-    private Outcome withoutNotRun(Outcome outcome) {
-        if (outcome.code().executionState() != ResultCode.ExecutionState.NOT_RUN) {
-            return outcome;
+    /** Ends the request, since a step of it is missing. */
+    private void onUnexpectedError(RuntimeException error) {
+        if (!mEnded) {
+            withdraw();
+            end(FailurePolicy.afterError(error, mAttemptCount, mChunkDelivered));
         }
-        ResultCode code =
-                mRequest.repeatable() ? ResultCode.BACKEND_FAILED : ResultCode.OUTCOME_UNKNOWN;
-        return Outcome.failed(code, "an earlier try may have run; then: " + outcome.message());
     }
 
     private long now() {
