Leave a server that hangs while the traffic thread is late

What callers saw: at an entry that is late by 0.1 s or more all the time, a stream of a server that hung waited for its deadline and was cut, and a safe call got 504 then, while another server was free.

Cause: a late thread judged no silence at all (LoopDelay.isLate, held for 250 ms after each late tick), since a part of the silence may be its own.

Change: the lateness is subtracted from the silence, and silence is judged after the loop has read all connections once more. A stream is still not hedged by a late thread, which could not end one of two attempts in time: it leaves its server after 1.5 s beyond the lateness, once another server and the budget are granted, and is then sent there. Calls without a stream are hedged.

Ruled out: hedges of streams by a late thread (a timer late by over 0.15 s passes the 400 ms); a watchdog on another thread (SIGSTOP and a quota stop all threads). A sound server is not left after a freeze: HedgedCallProcessTest.streamsAreNotSentAgainAfterTheEntryWasFrozen passes.

Failed before: LateEntryTest, blocks of 180 ms and 300 ms one after the other: streams 2 of 2 ("id: 1", "id: 2" for five ids, at the deadline of 5 s), safe calls 2 of 2 (504).

--- a/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
@@ -47,4 +47,18 @@
                 .isPositive();
         assertThat(HedgePolicy.remainingMillis(CallKind.SAFE, LONG_PAUSE_MILLIS, 400)).isZero();
     }
+
+    /** Guards against two servers that work on a stream until a late thread ends one of them. */
+    @Test
+    public void onlyOtherCallsAreHedgedByLateThread() {
+        assertThat(HedgePolicy.canHedge(CallKind.STREAM, 0)).isTrue();
+        assertThat(HedgePolicy.canHedge(CallKind.STREAM, 100)).isFalse();
+        assertThat(HedgePolicy.canHedge(CallKind.SAFE, 100)).isTrue();
+    }
+
+    @Test
+    public void serverIsLeftOnlyAfterLongSilence() {
+        assertThat(HedgePolicy.isLeft(SHORT_PAUSE_MILLIS)).isFalse();
+        assertThat(HedgePolicy.isLeft(LONG_PAUSE_MILLIS)).isTrue();
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/LateEntryTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/LateEntryTest.java
@@ -4,7 +4,9 @@
 
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.cornelway.traffic.TimedServer.Part;
@@ -115,4 +117,57 @@
         assertThat(runs).hasValue(1);
         assertThat(hedges).hasValue(1);
     }
+
+    @DataProvider
+    public Object[][] delays() {
+        return new Object[][] {{180L}, {300L}};
+    }
+
+    /** Guards against an entry that is always late and leaves no server that hangs. */
+    @Test(dataProvider = "delays")
+    public void streamOfHangingServerIsMovedWhileThreadIsAlwaysLate(long delayMillis)
+            throws Exception {
+        answerStream(first(), new Script(List.of(new Part(0, HEAD)), false));
+        answerStream(second(), new Script(List.of(new Part(0, RESUMED_HEAD + REST)), false));
+        assertThat(ids(callWhileLate(STREAM_PATH, delayMillis))).isEqualTo(wholeIds());
+    }
+
+    /** Guards against an entry that is always late and waits for a server that hangs. */
+    @Test(dataProvider = "delays")
+    public void safeCallIsSentToSecondServerWhileThreadIsAlwaysLate(long delayMillis)
+            throws Exception {
+        second().setScripts(
+                        head ->
+                                new Script(
+                                        List.of(new Part(0, answer("200 OK", ID, "done"))), false));
+        assertThat(callWhileLate(SAFE_PATH, delayMillis)).startsWith("HTTP/1.1 200");
+    }
+
+    /** Calls while the traffic thread is late all the time. */
+    private String callWhileLate(String path, long delayMillis) throws Exception {
+        AtomicBoolean ended = new AtomicBoolean();
+        CompletableFuture<Void> blocks =
+                CompletableFuture.runAsync(() -> blockUntil(ended, delayMillis));
+        try {
+            return call(path);
+        } finally {
+            ended.set(true);
+            blocks.join();
+        }
+    }
+
+    /** Blocks the traffic thread again and again; it runs for a moment in between. */
+    private void blockUntil(AtomicBoolean ended, long delayMillis) {
+        while (!ended.get()) {
+            CompletableFuture<Void> block = new CompletableFuture<>();
+            traffic()
+                    .execute(
+                            () -> {
+                                BlockingCodec.block(delayMillis);
+                                block.complete(null);
+                            });
+            block.join();
+            BlockingCodec.block(20);
+        }
+    }
 }
--- a/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
+++ b/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
@@ -20,6 +20,21 @@
 
     private HedgePolicy() {}
 
+    /**
+     * Whether a call may be sent to another server while its silent server may still work on it.
+     *
+     * @param kind kind of the call
+     * @param lateMillis how late the traffic thread is; 0 if it does not count as late
+     */
+    public static boolean canHedge(CallKind kind, long lateMillis) {
+        return kind != CallKind.STREAM || lateMillis == 0;
+    }
+
+    /** Whether a server was silent for so long that it is not expected to go on with a stream. */
+    public static boolean isLeft(long silentMillis) {
+        return silentMillis >= MAX_PAUSE_MILLIS;
+    }
+
     /**
      * Returns for how much longer both attempts may run. A call without a stream may run at two
      * servers at once, so that its first answer is given up only if it is not expected any more.
@@ -44,6 +59,6 @@
      */
     public static boolean endsSilentAttempt(
             CallKind kind, long silentMillis, boolean serverActive) {
-        return kind != CallKind.STREAM || serverActive || silentMillis >= MAX_PAUSE_MILLIS;
+        return kind != CallKind.STREAM || serverActive || isLeft(silentMillis);
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
+++ b/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
@@ -103,9 +103,11 @@
      * usual time.
      *
      * @param begun whether the caller has received a part of the stream
+     * @param lateMillis how late the traffic thread is, which may be a part of the silence
      */
-    boolean isStalled(Route route, boolean begun, boolean hasRecentFailure) {
-        return silentMillis() > stallLimitMillis(route, begun) / (hasRecentFailure ? 2 : 1);
+    boolean isStalled(Route route, boolean begun, boolean hasRecentFailure, long lateMillis) {
+        return silentMillis() - lateMillis
+                > stallLimitMillis(route, begun) / (hasRecentFailure ? 2 : 1);
     }
 
     private static long stallLimitMillis(Route route, boolean begun) {
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -329,17 +329,16 @@
     }
 
     /**
-     * Checks whether the server has gone silent; called periodically. What this process itself has
-     * not read yet is no silence of the server.
+     * Whether the call was sent and the server counts as silent.
+     *
+     * @param lateMillis how late the traffic thread is, which may be a part of the silence
      */
-    void tick() {
-        if (mEnded || mConnection.isEmpty() || mContext.loopDelay().isLate()) {
-            return;
-        }
+    boolean isStalled(long lateMillis) {
         boolean begun = mCallHandler.isStreamBegun();
-        if (mProgress.isStalled(mCallHandler.route(), begun, mObserver.hasRecentFailure())) {
-            mCallHandler.onSilent(this);
-        }
+        boolean failed = mObserver.hasRecentFailure();
+        return !mEnded
+                && mConnection.isPresent()
+                && mProgress.isStalled(mCallHandler.route(), begun, failed, lateMillis);
     }
 
     /** Time since the call was handed to a connection; empty before. */
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -313,11 +313,6 @@
         }
     }
 
-    /** Called periodically while the server of an attempt is silent. */
-    void onSilent(Attempt attempt) {
-        mHedging.onSilent(attempt);
-    }
-
     @Override
     public Optional<Candidate> acquireAlternative(Attempt silent) {
         return mAdmission.canRepeat(route(), deadline(), mRelay, 1)
@@ -368,7 +363,7 @@
                     ResultCode.DEADLINE_PASSED,
                     "the deadline passed; last: " + mHistory.lastReason());
         } else if (!mAttempts.isEmpty()) {
-            mAttempts.forEach(Attempt::tick);
+            mAttempts.forEach(mHedging::tick);
         } else if (mModelWait.mustRefuse(now())) {
             waitOrFail(ResultCode.DEADLINE_INFEASIBLE, "no server holds the model yet");
         }
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -12,7 +12,9 @@
  *
  * <p>Invariants: the server that goes on first keeps the call, and the other attempt is cancelled
  * then; neither a failure nor a silence of the hedge ends the first attempt; both run for a bounded
- * time only. Confined to the traffic thread; lives as long as its call.
+ * time only. While the traffic thread is late, it could not bound that time, and a stream leaves
+ * its silent server, later, before it is sent to another one. Confined to the traffic thread; lives
+ * as long as its call.
  */
 final class Hedging {
     /** Time from the failure of one of two attempts to the next hedge. */
@@ -22,6 +24,7 @@
     private static final long REFUSED_DELAY_MILLIS = 30;
 
     private static final String NEITHER_WENT_ON = "neither server went on";
+    private static final String NO_HEDGE = "silent, and the traffic thread is late";
 
     private final TrafficContext mContext;
     private final RunningAttempts mAttempts;
@@ -71,9 +74,27 @@
         mSender = sender;
     }
 
-    /** Sends a hedge if one is allowed now; called while the server of an attempt is silent. */
-    void onSilent(Attempt silent) {
+    /**
+     * Sends the call to another server if that of an attempt has gone silent; called periodically.
+     * What this process itself has not read yet is no silence of the server.
+     */
+    void tick(Attempt attempt) {
+        long lateMillis = mContext.loopDelay().lateMillis();
+        if (attempt.isStalled(lateMillis)) {
+            mGuard.afterNextRead(() -> checkSilence(attempt, lateMillis));
+        }
+    }
+
+    private void checkSilence(Attempt attempt, long lateMillis) {
+        if (attempt.isStalled(lateMillis)) {
+            onSilent(attempt, lateMillis);
+        }
+    }
+
+    private void onSilent(Attempt silent, long lateMillis) {
+        boolean canHedge = HedgePolicy.canHedge(mSender.route().kind(), lateMillis);
         if (mAttempts.isHedged()
+                || !canHedge && !HedgePolicy.isLeft(silent.silentMillis() - lateMillis)
                 || !mPausedUntil.isPast(mContext.clock().nowMillis())
                 || !mHistory.hasSpareSend()) {
             return;
@@ -83,8 +104,13 @@
             return;
         }
         mLog.logSilent(silent.server().id(), silent.silentMillis());
+        if (!canHedge) {
+            endOne(silent, true, NO_HEDGE);
+        }
         Attempt hedge = mSender.start(next.get());
-        checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
+        if (canHedge) {
+            checkAfter(silent, hedge, HedgePolicy.MAX_HEDGE_MILLIS);
+        }
     }
 
     /** Checks after a delay, and not before what the servers have sent until then is read. */
@@ -124,7 +150,7 @@
 
     private void endOneOf(Attempt silent, Attempt hedge) {
         if (!mAttempts.contains(hedge)) {
-            endOne(silent, true);
+            endOne(silent, true, NEITHER_WENT_ON);
             mSender.repeatOrFail(NEITHER_WENT_ON);
             return;
         }
@@ -135,14 +161,14 @@
                                 mSender.route().kind(),
                                 silent.silentMillis(),
                                 silent.isServerActive());
-        endOne(endsSilent ? silent : hedge, endsSilent);
+        endOne(endsSilent ? silent : hedge, endsSilent, NEITHER_WENT_ON);
     }
 
-    private void endOne(Attempt attempt, boolean isSilent) {
+    private void endOne(Attempt attempt, boolean isSilent, String reason) {
         if (isSilent) {
             attempt.recordSilence();
         }
-        mAttempts.cancel(attempt, NEITHER_WENT_ON);
+        mAttempts.cancel(attempt, reason);
         pause(PAUSE_MILLIS);
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/LoopDelay.java
+++ b/org.cornelway/src/org/cornelway/traffic/LoopDelay.java
@@ -72,6 +72,11 @@
         return Math.max(heldDelayMillis(), Math.max(mLastDelayMillis, sinceDueMillis()));
     }
 
+    /** Returns the delay if the thread counts as late, otherwise 0. */
+    long lateMillis() {
+        return isLate() ? millis() : 0;
+    }
+
     /** Whether the delay is so long that callers may have left unnoticed. */
     boolean isLate() {
         return millis() >= LATE_MILLIS;
