End or take out of rotation a process whose traffic thread stopped

What callers saw: after an OutOfMemoryError in the traffic thread an entry lived on without answering (690 s in a trial), and the load balancer went on sending calls, since /ready said 200.

Cause: Netty ends an event loop on an Error outside of a task (its selector rethrows it) and nothing looked at the loop. Readiness was read on another thread from the view of the cluster alone.

TrafficWatch looks at the count every 500 ms on a thread of its own. Both limits are stored as deadlines on a time that counts at most 1 s for each check: a process that was frozen, or all of whose threads starved, is not taken for one that stopped. The limits were chosen, not tuned.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -74,13 +74,23 @@
             DirectEntryRole role = new DirectEntryRole(settings, source, platformPorts());
             // The default action of SIGHUP would terminate the process.
             Signal.handle(new Signal("HUP"), signal -> role.reload());
-            return RoleRunner.start(role, StopLimits.withinGrace(settings.bounds().graceMillis()));
+            return run(role, StopLimits.withinGrace(settings.bounds().graceMillis()));
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
             return EXIT_USAGE;
         }
     }
 
+    /** Starts the role; returns when the process must end, and on a signal does not return. */
+    private static int run(DirectEntryRole role, StopLimits limits) {
+        int status = RoleRunner.start(role, limits);
+        if (status >= 0) {
+            return status;
+        }
+        role.awaitFailure();
+        return EXIT_FAILED;
+    }
+
     /**
      * Keeps Netty and its shaded copy in gRPC from starting Java Flight Recorder, because its
      * events are not used.
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -36,8 +36,8 @@
  * The process of an entry that calls backend servers directly. While it is the controller, it also
  * sends orders to the model engines.
  *
- * <p>Called only by the thread that starts and stops the process, except {@link #reload}, which is
- * thread-safe. Each component documents its own threading.
+ * <p>Called only by the thread that starts and stops the process, except {@link #reload} and {@link
+ * #awaitFailure}, which are thread-safe. Each component documents its own threading.
  */
 public final class DirectEntryRole implements Component {
     private static final long STEP_PERIOD_MILLIS = 50;
@@ -60,6 +60,7 @@
     private final MemberTable mMembers;
     private final ClusterState mClusterState;
     private final TrafficPlane mTraffic;
+    private final TrafficWatch mTrafficWatch;
     private final ControlPlane mControlPlane;
     private final PeerGossip mGossip;
     private final SlidingWindowRetryBudget mRetryBudget;
@@ -90,6 +91,7 @@
                         bounds.retrySlack());
         DelegatingModelRequester modelRequester = new DelegatingModelRequester();
         mTraffic = newTraffic(settings, ports, modelRequester);
+        mTrafficWatch = new TrafficWatch(mTraffic, Schedulers.single(), mClock, mLog, mMetrics);
         mControlPlane = newControlPlane(settings, ports);
         modelRequester.setDelegate(mControlPlane.modelRequester());
         mGossip = newGossip(settings);
@@ -186,6 +188,7 @@
         mControlPlane.followers().forEach(supervisor::add);
         return supervisor
                 .add(mTraffic.frontServer())
+                .add(mTrafficWatch)
                 .add(
                         new ReadinessServer(
                                 mInitialSettings.ready(),
@@ -207,10 +210,16 @@
 
     private boolean isReady() {
         return !mSupervisor.isStopRequested()
+                && mTrafficWatch.isGoingOn()
                 && mTraffic.view().routes().isPresent()
                 && !mTraffic.view().directory().all().isEmpty();
     }
 
+    /** Returns when the process can't go on and must end with an error; blocks until then. */
+    public void awaitFailure() {
+        mTrafficWatch.ended().blockingAwait();
+    }
+
     /**
      * Reads the settings again and applies the changes that can be applied while the process runs.
      */
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.supervisor.Component;
 import org.cornelway.supervisor.GuardedTask;
@@ -26,8 +27,8 @@
  * <p>While draining it still accepts connections and requests for some seconds, since the load
  * balancer and callers learn of the drain late, but it asks callers to close the connection after
  * each response. When this time is over, it keeps only the connections with a call in progress. Its
- * connections are confined to the traffic thread; {@link #isDraining} and {@link #openCallCount}
- * may be called on any thread.
+ * connections are confined to the traffic thread; {@link #isDraining}, {@link #openCallCount} and
+ * {@link #sweepCount} may be called on any thread.
  */
 public final class FrontServer implements Component {
     private static final int BACKLOG = 1_024;
@@ -64,6 +65,9 @@
     private boolean mAcceptingStopped;
     private volatile int mOpenCalls;
 
+    /** Number of completed sweeps; written by the traffic thread only. */
+    private final AtomicLong mSweepCount = new AtomicLong();
+
     /** Whether accepting has stopped and all connections were closed at the last sweep. */
     private volatile boolean mDrained;
 
@@ -132,6 +136,7 @@
             Set.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
             mDrained = mConnections.isEmpty();
         }
+        mSweepCount.incrementAndGet();
     }
 
     /**
@@ -174,6 +179,11 @@
         return mOpenCalls;
     }
 
+    /** Returns how often the deadlines of all connections have been checked to the end. */
+    public long sweepCount() {
+        return mSweepCount.get();
+    }
+
     @Override
     public Completable drain(Deadline deadline) {
         long now = mContext.clock().nowMillis();
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -152,6 +152,11 @@
         return mView;
     }
 
+    /** Whether the traffic thread has ended, or is about to; it is never started again. */
+    public boolean hasEnded() {
+        return mLoop.isShuttingDown();
+    }
+
     /** Runs an action on the traffic thread. */
     public void execute(Runnable action) {
         mLoop.execute(action);
