Let an Error end one run of a periodic task, not all

Not seen in a deployment.

Cause: GuardedTask and ConnectionSweep caught RuntimeException only, and Netty and RxJava run a periodic task no more once it has thrown.

Change: both catch errors too.

--- a/org.cornelway.test/tst/org/cornelway/direct/TrafficThreadFaults.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/TrafficThreadFaults.java
@@ -1,5 +1,6 @@
 package org.cornelway.direct;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cornelway.pgm.Main;
 import sun.misc.Signal;
@@ -17,18 +18,22 @@
     /** Runs the command that the last argument names. */
     public static void main(String[] arguments) {
         AtomicBoolean suspended = new AtomicBoolean();
-        Signal.handle(new Signal(STOP_SIGNAL), signal -> stop(trafficThread()));
+        Signal.handle(
+                new Signal(STOP_SIGNAL),
+                signal -> trafficThread().ifPresent(TrafficThreadFaults::stop));
         Signal.handle(
                 new Signal(SUSPEND_SIGNAL),
-                signal -> toggle(trafficThread(), !suspended.getAndSet(!suspended.get())));
+                signal ->
+                        toggle(
+                                trafficThread().orElseThrow(),
+                                !suspended.getAndSet(!suspended.get())));
         Main.main(new String[] {arguments[arguments.length - 1]});
     }
 
-    private static Thread trafficThread() {
+    private static Optional<Thread> trafficThread() {
         return Thread.getAllStackTraces().keySet().stream()
                 .filter(thread -> thread.getName().startsWith("traffic-"))
-                .findFirst()
-                .orElseThrow();
+                .findFirst();
     }
 
     /** Throws an error in a thread, wherever it is, as the lack of memory may. */
--- a/org.cornelway/src/org/cornelway/supervisor/GuardedTask.java
+++ b/org.cornelway/src/org/cornelway/supervisor/GuardedTask.java
@@ -5,8 +5,8 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * A task of which an exception ends only the run that threw it, so that a scheduler goes on calling
- * it. Failures are logged and counted. As thread-safe as the task itself.
+ * A task of which an exception or an error ends only the run that threw it, so that a scheduler
+ * goes on calling it. Failures are logged and counted. As thread-safe as the task itself.
  */
 public final class GuardedTask implements Runnable {
     private static final Logger LOG = LogManager.getLogger(GuardedTask.class);
@@ -28,7 +28,7 @@
     public void run() {
         try {
             mBody.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mMetrics.counter("supervisor.failures").inc();
             LOG.error("task {} failed", mName, e);
         }
--- a/org.cornelway/src/org/cornelway/traffic/ConnectionSweep.java
+++ b/org.cornelway/src/org/cornelway/traffic/ConnectionSweep.java
@@ -9,8 +9,8 @@
 /**
  * Checks the deadlines of all connections from callers.
  *
- * <p>Invariant: an exception of one connection ends the call of that connection and leaves the
- * others alone. Confined to the traffic thread.
+ * <p>Invariant: an exception or error of one connection ends the call of that connection and leaves
+ * the others alone. Confined to the traffic thread.
  */
 final class ConnectionSweep {
     private static final Logger LOG = LogManager.getLogger(ConnectionSweep.class);
@@ -46,7 +46,7 @@
     private void tick(Connection connection) {
         try {
             connection.tick();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mMetrics.counter("callers.faults").inc();
             LOG.error("a call is ended because of an unexpected error", e);
             connection.abort();
