Read limits in engines' replies to reports and orders

Callers: calls that were sent at once to engines which had had no call yet reached them beyond the limit that the engines name.

Cause: Server-Limit was read from answers to calls only. The controller reads an engine's report before any call reaches it, and dropped the header.

Ruled out: that the limit needs longer to reach all entries; the burst comes 3.5 s after the entries are ready, and on the untouched code no entry knows of a limit until the first answer to a call.

Change: WireEngineControl decodes the header of each complete reply, whatever its status, with the decoder of the answers to calls, and passes it on to the limits of this entry. From there the reports to the controller tell it to all entries, as before. A reply without a limit ends one only if an earlier reply of that incarnation has named one: a server that would name its limit to callers only would otherwise lose it with each report. The log line server.limit has "-" as its id then. Status checks: the code sends none.

Other tests changed for the new constructor only.

Failed before, on the untouched program: ServerLimitReplyProcessTest, [e1] 25 calls in a window, allowed 12. Now: these two, CutEngineAnswerTest, RepeatedEngineReplyTest, ServerLimitsTest, PermitExchangeTest, LimitedStreamTest 63 run, 0 failed; ServerLimitReplyProcessTest, ServerLimitProcessTest, ServerNoticesProcessTest, IdleEnginesProcessTest, LimitedEnginesTest, WireCodecsTest 65 run, 0 failed, at a load of 26.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -13,6 +13,7 @@
 import org.cornelway.role.DirectEntrySettings;
 import org.cornelway.role.PlatformPorts;
 import org.cornelway.role.SettingsSource;
+import org.cornelway.time.Clock;
 import sun.misc.Signal;
 
 /**
@@ -100,6 +101,8 @@
                             new WireStore(target.client(), target.endpoint(), STORE_TIMEOUT_MILLIS);
                     return new PlatformPorts.Store(store, store);
                 },
-                caller -> new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS));
+                (caller, limits) ->
+                        new WireEngineControl(
+                                caller, ENGINE_TIMEOUT_MILLIS, Clock.system(), limits));
     }
 }
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -66,6 +66,9 @@
     /** Header lines that each response to a call has in addition; empty for none. */
     private volatile String mExtraHeaders = "";
 
+    /** Header lines that each report and each reply to an order has in addition. */
+    private volatile String mReplyHeaders = "";
+
     private volatile long mLoadMillis = 30;
 
     /** Time from the receipt of a call to its response or refusal. */
@@ -134,9 +137,15 @@
         mExtraHeaders = headerLines;
     }
 
+    /** Adds header lines to each report and each reply to an order from now on. */
+    public void addToReplies(String headerLines) {
+        mReplyHeaders = headerLines;
+    }
+
     /** Starts a new incarnation without the connections and extra headers of the old one. */
     public void restart() {
         mExtraHeaders = "";
+        mReplyHeaders = "";
         crash();
     }
 
@@ -211,13 +220,11 @@
             String id = request.headers().get("x-request-id");
             misdirect(socket, id == null ? "" : "X-Request-Id: " + id + "\r\n");
         } else if (path.equals("/report")) {
-            write(
-                    socket,
-                    "200 OK",
-                    "",
-                    new String(mDocuments.report(mAcceptedOrders, mStartedMillis)));
+            String report = new String(mDocuments.report(mAcceptedOrders, mStartedMillis));
+            write(socket, "200 OK", mReplyHeaders, report);
         } else if (path.equals("/order")) {
-            handleOrder(socket, Json.lenientMapper().readTree(request.body()));
+            String status = handleOrder(Json.lenientMapper().readTree(request.body()));
+            write(socket, status, mReplyHeaders, "");
         } else {
             handleCall(socket, request);
         }
@@ -226,19 +233,17 @@
     /**
      * Accepts an order, unless its fencing number is lower than that of an earlier order or its
      * expected number of accepted orders differs from the actual one. An accepted load of a model
-     * completes {@link #mLoadMillis} later.
+     * completes {@link #mLoadMillis} later. Returns the status of the reply.
      */
-    private void handleOrder(NetSocket socket, JsonNode order) {
+    private String handleOrder(JsonNode order) {
         long fencingNumber = order.path("Fence").asLong();
         mReceivedOrders.add(new ReceivedOrder(order.path("Holder").asText(), fencingNumber));
         if (fencingNumber < mHighestFencingNumber) {
-            write(socket, "412 Precondition Failed", "", "");
-            return;
+            return "412 Precondition Failed";
         }
         mHighestFencingNumber = fencingNumber;
         if (order.has("Expected") && order.path("Expected").asLong() != mAcceptedOrders) {
-            write(socket, "409 Conflict", "", "");
-            return;
+            return "409 Conflict";
         }
         mAcceptedOrders++;
         String model = order.path("Model").asText();
@@ -252,7 +257,7 @@
             mVertx.setTimer(
                     mLoadMillis, timer -> mModels.put(model, ConcurrentHashMap.newKeySet()));
         }
-        write(socket, "202 Accepted", "", "");
+        return "202 Accepted";
     }
 
     private void handleCall(NetSocket socket, RequestParser.Request request) {
@@ -361,6 +366,7 @@
     /** Responds to a call to a model with a stream of events, and to another one with its body. */
     private void sendResult(
             NetSocket socket, ReceivedCall call, String model, String requestIdHeader) {
+        String headers = requestIdHeader + SERVER_STAMP_HEADER;
         if (!model.isEmpty()) {
             int lastEventId = Integer.parseInt(call.headers().getOrDefault("last-event-id", "0"));
             new EventStreamWriter(
@@ -370,23 +376,15 @@
                             mFault,
                             mStreamPlan,
                             () -> mPausedUntilMillis - System.currentTimeMillis())
-                    .start(
-                            requestIdHeader + SERVER_STAMP_HEADER,
-                            lastEventId + 1,
-                            mAbandonedStreams::incrementAndGet);
+                    .start(headers, lastEventId + 1, mAbandonedStreams::incrementAndGet);
         } else if (mFault == Fault.TRUNCATED_RESPONSE) {
-            socket.write(
-                    "HTTP/1.1 200 OK\r\n"
-                            + requestIdHeader
-                            + SERVER_STAMP_HEADER
-                            + "Content-Length: 100\r\n\r\nhalf");
+            socket.write("HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 100\r\n\r\nhalf");
             socket.close();
         } else if (mFault.isUnframed()) {
-            String head = "HTTP/1.1 200 OK\r\n" + requestIdHeader + SERVER_STAMP_HEADER + "\r\n";
+            String head = "HTTP/1.1 200 OK\r\n" + headers + "\r\n";
             socket.write(head + "done " + call.body());
             socket.close();
         } else {
-            String headers = requestIdHeader + SERVER_STAMP_HEADER;
             mAnswerPlan.apply(call).write(mVertx, socket, headers, "done " + call.body());
         }
     }
--- a/org.cornelway.test/tst/org/cornelway/traffic/CutEngineAnswerTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/CutEngineAnswerTest.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 import org.cornelway.ScriptedServer;
 import org.cornelway.ScriptedServer.Close;
+import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.OrderReply;
 import org.cornelway.platform.SendPermit;
 import org.cornelway.platform.ServerOrder;
-import org.cornelway.platform.wire.WireEngineControl;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -40,7 +40,7 @@
     /** Guards against a part of a report, as one without models, that is taken for the whole. */
     @Test(dataProvider = "framings")
     public void cutReportIsNotTakenForWhole(String framing, Close close) {
-        WireEngineControl engine = new WireEngineControl(platformClient(), TIMEOUT_MILLIS);
+        EngineControl engine = newEngineControl(TIMEOUT_MILLIS);
         String bytes = answer("200", framing, REPORT);
         for (int cut = 0; cut < bytes.length(); cut++) {
             server().setAnswer(new ScriptedServer.Answer(bytes.substring(0, cut), close, 0));
@@ -57,7 +57,7 @@
     /** Guards against the reply to an order that is believed before it is complete. */
     @Test(dataProvider = "framings")
     public void cutReplyToAnOrderLeavesTheOrderUnconfirmed(String framing, Close close) {
-        WireEngineControl engine = new WireEngineControl(platformClient(), TIMEOUT_MILLIS);
+        EngineControl engine = newEngineControl(TIMEOUT_MILLIS);
         String bytes = answer("202", framing, "{\"a\":1}");
         boolean endsWithConnection = framing.startsWith("\r\n") && close == Close.FIN;
         // Such a reply is complete with its head, and only its status is used.
--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -19,6 +19,7 @@
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.platform.wire.WireCallCodec;
+import org.cornelway.platform.wire.WireEngineControl;
 import org.cornelway.platform.wire.WireStore;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.CallerLimits;
@@ -103,6 +104,12 @@
         return mTraffic.platformClient();
     }
 
+    /** Returns the client of engines, which tells the entry of their limits. */
+    final WireEngineControl newEngineControl(long timeoutMillis) {
+        return new WireEngineControl(
+                platformClient(), timeoutMillis, Clock.system(), mTraffic::recordReplyLimit);
+    }
+
     /** Returns a client of the platform's key-value service, which the server stands for. */
     final WireStore newStore() {
         HttpEndpoint endpoint = new HttpEndpoint("127.0.0.1", mServer.port());
--- a/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
@@ -49,7 +49,12 @@
         WireCallCodec codec = new WireCallCodec();
         EventLog log = new EventLog(Clock.system(), new MetricRegistry());
         UpstreamPool pool = new UpstreamPool(loop, codec, Clock.system(), log);
-        mEngines = new WireEngineControl(new PlatformHttpClient(loop, pool, codec), TIMEOUT_MILLIS);
+        mEngines =
+                new WireEngineControl(
+                        new PlatformHttpClient(loop, pool, codec),
+                        TIMEOUT_MILLIS,
+                        Clock.system(),
+                        (server, notice, sentMillis) -> {});
         mServer = new RepeatingServer(this::answer);
         mReports.set(0);
     }
--- a/org.cornelway/src/org/cornelway/dispatch/LimitObservation.java
+++ b/org.cornelway/src/org/cornelway/dispatch/LimitObservation.java
@@ -1,5 +1,6 @@
 package org.cornelway.dispatch;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.cornelway.directory.ServerIncarnation;
 
@@ -17,6 +18,20 @@
         OptionalDouble callsPerSecond,
         long sentMillis,
         long receivedMillis) {
+    /** Returns what an answer said; empty if its limit is malformed. */
+    public static Optional<LimitObservation> of(
+            ServerIncarnation server, LimitNotice notice, long sentMillis, long receivedMillis) {
+        if (notice instanceof LimitNotice.Malformed) {
+            return Optional.empty();
+        }
+        OptionalDouble callsPerSecond =
+                notice instanceof LimitNotice.Rate rate
+                        ? OptionalDouble.of(rate.callsPerSecond())
+                        : OptionalDouble.empty();
+        return Optional.of(
+                new LimitObservation(server, callsPerSecond, sentMillis, receivedMillis));
+    }
+
     /** Whether this is certainly what the server said after the other observation. */
     boolean isAfter(LimitObservation other) {
         return sentMillis >= other.receivedMillis;
--- a/org.cornelway/src/org/cornelway/dispatch/ServerLimits.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerLimits.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,9 @@
     private final Map<ServerIncarnation, Deque<Deadline>> mPermits = new HashMap<>();
     private final Map<ServerIncarnation, Integer> mWanted = new HashMap<>();
 
+    /** Servers that have named a limit in a reply to a report or an order. */
+    private final Set<ServerIncarnation> mNamedInReplies = new HashSet<>();
+
     /**
      * What an entry tells the controller. Immutable.
      *
@@ -52,6 +56,18 @@
         return changed;
     }
 
+    /**
+     * Records what a reply to a report or an order said; returns whether the limit in force has
+     * changed. A reply without a limit ends one only if an earlier reply of that server has named
+     * one, since a server might name its limit in answers to calls only.
+     */
+    public boolean recordReply(LimitObservation observation) {
+        if (observation.callsPerSecond().isPresent()) {
+            mNamedInReplies.add(observation.server());
+        }
+        return mNamedInReplies.contains(observation.server()) && record(observation);
+    }
+
     /** Returns the limit of a server, in calls per second; empty if it has none. */
     public OptionalDouble callsPerSecond(ServerIncarnation server) {
         return mTable.callsPerSecond(server);
@@ -132,5 +148,6 @@
         mTable.retain(servers, nowMillis);
         mPermits.keySet().retainAll(servers);
         mWanted.keySet().retainAll(servers);
+        mNamedInReplies.retainAll(servers);
     }
 }
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -126,7 +126,10 @@
         mLease = newLease();
         mRegistration = new Registration(deps.self(), keys, mLease, deps.cache(), control);
         mElection = new Election(deps.self(), keys, mLease, deps.cache(), control, log, this);
-        EngineControl engines = deps.ports().engines().apply(deps.traffic().platformClient());
+        EngineControl engines =
+                deps.ports()
+                        .engines()
+                        .apply(deps.traffic().platformClient(), deps.traffic()::recordReplyLimit);
         mController =
                 new ModelController(
                         engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
--- a/org.cornelway/src/org/cornelway/role/PlatformPorts.java
+++ b/org.cornelway/src/org/cornelway/role/PlatformPorts.java
@@ -1,9 +1,11 @@
 package org.cornelway.role;
 
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.platform.ChangeFeed;
 import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineLimitListener;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.traffic.CallCodec;
 import org.cornelway.traffic.PlatformHttpClient;
@@ -16,14 +18,14 @@
  * @param routing decodes the operator's configuration
  * @param servers decodes the announcements of backend servers
  * @param store creates the client of the key-value service
- * @param engines creates the client of the model engines
+ * @param engines creates the client of the model engines, which passes on the limits that they name
  */
 public record PlatformPorts(
         CallCodec codec,
         RoutingDecoder routing,
         ServerRecordDecoder servers,
         Function<StoreEndpoint, Store> store,
-        Function<PlatformHttpClient, EngineControl> engines) {
+        BiFunction<PlatformHttpClient, EngineLimitListener, EngineControl> engines) {
     /** The address of the key-value service, and the client that sends requests to it. */
     public record StoreEndpoint(PlatformHttpClient client, HttpEndpoint endpoint) {}
 
--- a/org.cornelway/src/org/cornelway/traffic/NoticeReader.java
+++ b/org.cornelway/src/org/cornelway/traffic/NoticeReader.java
@@ -1,6 +1,6 @@
 package org.cornelway.traffic;
 
-import java.util.OptionalDouble;
+import java.util.Optional;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.dispatch.LimitObservation;
@@ -47,22 +47,13 @@
 
     /** Records the limit in an answer to this call; one to another call may be much older. */
     private void recordLimit(LimitNotice notice) {
-        if (notice instanceof LimitNotice.Malformed) {
+        Optional<LimitObservation> observation =
+                LimitObservation.of(
+                        mServer.incarnation(), notice, mSentMillis, mContext.clock().nowMillis());
+        if (observation.isEmpty()) {
             logLimit("malformed");
-            return;
-        }
-        OptionalDouble callsPerSecond =
-                notice instanceof LimitNotice.Rate rate
-                        ? OptionalDouble.of(rate.callsPerSecond())
-                        : OptionalDouble.empty();
-        LimitObservation observation =
-                new LimitObservation(
-                        mServer.incarnation(),
-                        callsPerSecond,
-                        mSentMillis,
-                        mContext.clock().nowMillis());
-        if (mContext.limits().record(observation)) {
-            logLimit(callsPerSecond);
+        } else if (mContext.limits().record(observation.get())) {
+            logLimit(observation.get().callsPerSecond());
         }
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -20,6 +20,7 @@
 import org.cornelway.dispatch.Holdings;
 import org.cornelway.dispatch.LeastLoadedChooser;
 import org.cornelway.dispatch.LimitBackoff;
+import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.dispatch.LimitObservation;
 import org.cornelway.dispatch.ServerLimits;
 import org.cornelway.dispatch.ServerLoads;
@@ -233,17 +234,33 @@
 
     private void recordLimit(LimitObservation limit) {
         if (mLimits.record(limit)) {
-            mContext.log()
-                    .write(
-                            "server.limit",
-                            "id",
-                            "-",
-                            "server",
-                            limit.server().id(),
-                            "per_second",
-                            limit.callsPerSecond(),
-                            "age_ms",
-                            mContext.clock().nowMillis() - limit.receivedMillis());
+            logLimit(limit);
+        }
+    }
+
+    private void logLimit(LimitObservation limit) {
+        mContext.log()
+                .write(
+                        "server.limit",
+                        "id",
+                        "-",
+                        "server",
+                        limit.server().id(),
+                        "per_second",
+                        limit.callsPerSecond(),
+                        "age_ms",
+                        mContext.clock().nowMillis() - limit.receivedMillis());
+    }
+
+    /** Records what an engine's reply to a report or an order says about its limit. */
+    public void recordReplyLimit(ServerRecord server, LimitNotice notice, long sentMillis) {
+        LimitObservation.of(server.incarnation(), notice, sentMillis, mContext.clock().nowMillis())
+                .ifPresent(limit -> mLoop.execute(() -> recordReplyLimit(limit)));
+    }
+
+    private void recordReplyLimit(LimitObservation limit) {
+        if (mLimits.recordReply(limit)) {
+            logLimit(limit);
         }
     }
 
