Order limits in replies by the clock of the entry

Found by reading, not shown to fail: WireEngineControl read the time of sending from a clock of its own. A system clock reads the wall clock once and then follows the monotonic timer, so that two of them differ by what the wall clock was set in between, and a reply sent after an earlier answer could count as overlapping it.

Change: the clock of the entry is passed to the client of the engines. After: ServerLimitReplyTest, ServerLimitReplyProcessTest, RepeatedEngineReplyTest, CutEngineAnswerTest 54 run, 0 failed.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -13,7 +13,6 @@
 import org.cornelway.role.DirectEntrySettings;
 import org.cornelway.role.PlatformPorts;
 import org.cornelway.role.SettingsSource;
-import org.cornelway.time.Clock;
 import sun.misc.Signal;
 
 /**
@@ -101,8 +100,7 @@
                             new WireStore(target.client(), target.endpoint(), STORE_TIMEOUT_MILLIS);
                     return new PlatformPorts.Store(store, store);
                 },
-                (caller, limits) ->
-                        new WireEngineControl(
-                                caller, ENGINE_TIMEOUT_MILLIS, Clock.system(), limits));
+                (caller, clock, limits) ->
+                        new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS, clock, limits));
     }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -48,6 +48,7 @@
     private static final long TIMEOUT_MILLIS = 10_000;
     private static final int READ_TIMEOUT_MILLIS = 8_000;
 
+    private final Clock mClock = Clock.system();
     private ScriptedServer mServer;
     private TrafficPlane mTraffic;
     private HttpEndpoint mFront;
@@ -58,18 +59,17 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             mFront = new HttpEndpoint("127.0.0.1", free.getLocalPort());
         }
-        Clock clock = Clock.system();
         MetricRegistry metrics = new MetricRegistry();
         mTraffic =
                 new TrafficPlane(
                         new WireCallCodec(),
-                        clock,
+                        mClock,
                         "zone-1",
                         mFront,
                         new HttpEndpoint("127.0.0.1", 1),
-                        new SlidingWindowRetryBudget(clock, 1_000, 1, 10),
+                        new SlidingWindowRetryBudget(mClock, 1_000, 1, 10),
                         this::requestModel,
-                        new EventLog(clock, metrics),
+                        new EventLog(mClock, metrics),
                         metrics);
         mTraffic.frontServer().start().blockingAwait();
     }
@@ -107,7 +107,7 @@
     /** Returns the client of engines, which tells the entry of their limits. */
     final WireEngineControl newEngineControl(long timeoutMillis) {
         return new WireEngineControl(
-                platformClient(), timeoutMillis, Clock.system(), mTraffic::recordReplyLimit);
+                platformClient(), timeoutMillis, mClock, mTraffic::recordReplyLimit);
     }
 
     /** Returns a client of the platform's key-value service, which the server stands for. */
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -129,7 +129,10 @@
         EngineControl engines =
                 deps.ports()
                         .engines()
-                        .apply(deps.traffic().platformClient(), deps.traffic()::recordReplyLimit);
+                        .create(
+                                deps.traffic().platformClient(),
+                                deps.clock(),
+                                deps.traffic()::recordReplyLimit);
         mController =
                 new ModelController(
                         engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
--- a/org.cornelway/src/org/cornelway/role/PlatformPorts.java
+++ b/org.cornelway/src/org/cornelway/role/PlatformPorts.java
@@ -1,12 +1,12 @@
 package org.cornelway.role;
 
-import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.platform.ChangeFeed;
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineLimitListener;
 import org.cornelway.platform.KeyValueStore;
+import org.cornelway.time.Clock;
 import org.cornelway.traffic.CallCodec;
 import org.cornelway.traffic.PlatformHttpClient;
 
@@ -25,7 +25,17 @@
         RoutingDecoder routing,
         ServerRecordDecoder servers,
         Function<StoreEndpoint, Store> store,
-        BiFunction<PlatformHttpClient, EngineLimitListener, EngineControl> engines) {
+        EngineFactory engines) {
+    /** Creates the client of the model engines. */
+    @FunctionalInterface
+    public interface EngineFactory {
+        /**
+         * @param clock the clock by which the times of limits are ordered
+         * @param limits receives the limits that the engines name
+         */
+        EngineControl create(PlatformHttpClient client, Clock clock, EngineLimitListener limits);
+    }
+
     /** The address of the key-value service, and the client that sends requests to it. */
     public record StoreEndpoint(PlatformHttpClient client, HttpEndpoint endpoint) {}
 
