Close the scripted engine's connection in the head of each reply

Cause: the scripted engine closed each connection without saying so, the next report could be sent on it before its end was seen, and the test ignored the failure of that report. Ruled out: the clocks, as it failed with a common clock too.

Change: each reply says Connection: close. The test is stricter: a report must succeed, or fail for its status, and an order may not end unconfirmed.

--- a/org.cornelway.test/tst/org/cornelway/traffic/ServerLimitReplyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/ServerLimitReplyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.reactivex.rxjava3.core.Single;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,17 +37,25 @@
 
     private void report(String status, String headers) {
         setAnswer(status, headers, "{\"Models\":[],\"Seq\":2}");
-        mEngines.report(serverRecord()).ignoreElement().onErrorComplete().blockingAwait();
+        Single<String> result =
+                mEngines.report(serverRecord())
+                        .map(report -> "report")
+                        .onErrorReturn(Throwable::getMessage);
+        assertThat(result.blockingGet())
+                .isEqualTo(status.equals("200") ? "report" : "/report answered status " + status);
     }
 
     private OrderReply order(String status, String headers) {
         setAnswer(status, headers, "");
-        return mEngines.order(serverRecord(), ORDER, SendPermit.ALWAYS).blockingGet();
+        OrderReply reply = mEngines.order(serverRecord(), ORDER, SendPermit.ALWAYS).blockingGet();
+        assertThat(reply).isNotInstanceOf(OrderReply.Unconfirmed.class);
+        return reply;
     }
 
     private void setAnswer(String status, String headers, String body) {
         String length = "Content-Length: " + body.length() + "\r\n\r\n";
-        String bytes = "HTTP/1.1 " + status + " S\r\n" + headers + length + body;
+        String bytes =
+                "HTTP/1.1 " + status + " S\r\nConnection: close\r\n" + headers + length + body;
         server().setAnswer(new ScriptedServer.Answer(bytes, Close.FIN, 0));
     }
 
