--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -110,6 +110,7 @@
                             new WireStore(target.client(), target.endpoint(), STORE_TIMEOUT_MILLIS);
                     return new PlatformPorts.Store(store, store);
                 },
-                caller -> new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS));
+                (caller, clock, limits) ->
+                        new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS, clock, limits));
     }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -19,6 +19,7 @@
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.platform.wire.WireCallCodec;
+import org.cornelway.platform.wire.WireEngineControl;
 import org.cornelway.platform.wire.WireStore;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.CallerLimits;
@@ -47,6 +48,7 @@
     private static final long TIMEOUT_MILLIS = 10_000;
     private static final int READ_TIMEOUT_MILLIS = 8_000;
 
+    private final Clock mClock = Clock.system();
     private ScriptedServer mServer;
     private TrafficPlane mTraffic;
     private HttpEndpoint mFront;
@@ -57,18 +59,17 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             mFront = new HttpEndpoint("127.0.0.1", free.getLocalPort());
         }
-        Clock clock = Clock.system();
         MetricRegistry metrics = new MetricRegistry();
         mTraffic =
                 new TrafficPlane(
                         new WireCallCodec(),
-                        clock,
+                        mClock,
                         "zone-1",
                         mFront,
                         new HttpEndpoint("127.0.0.1", 1),
-                        new SlidingWindowRetryBudget(clock, 1_000, 1, 10),
+                        new SlidingWindowRetryBudget(mClock, 1_000, 1, 10),
                         this::requestModel,
-                        new EventLog(clock, metrics),
+                        new EventLog(mClock, metrics),
                         metrics);
         mTraffic.frontServer().start().blockingAwait();
     }
@@ -103,6 +104,12 @@
         return mTraffic.platformClient();
     }
 
+    /** Returns the client of engines, which tells the entry of their limits. */
+    final WireEngineControl newEngineControl(long timeoutMillis) {
+        return new WireEngineControl(
+                platformClient(), timeoutMillis, mClock, mTraffic::recordReplyLimit);
+    }
+
     /** Returns a client of the platform's key-value service, which the server stands for. */
     final WireStore newStore() {
         HttpEndpoint endpoint = new HttpEndpoint("127.0.0.1", mServer.port());
--- a/org.cornelway/src/org/cornelway/role/PlatformPorts.java
+++ b/org.cornelway/src/org/cornelway/role/PlatformPorts.java
@@ -4,7 +4,9 @@
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.platform.ChangeFeed;
 import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineLimitListener;
 import org.cornelway.platform.KeyValueStore;
+import org.cornelway.time.Clock;
 import org.cornelway.traffic.CallCodec;
 import org.cornelway.traffic.PlatformHttpClient;
 
@@ -16,14 +18,24 @@
  * @param routing decodes the operator's configuration
  * @param servers decodes the announcements of backend servers
  * @param store creates the client of the key-value service
- * @param engines creates the client of the model engines
+ * @param engines creates the client of the model engines, which passes on the limits that they name
  */
 public record PlatformPorts(
         CallCodec codec,
         RoutingDecoder routing,
         ServerRecordDecoder servers,
         Function<StoreEndpoint, Store> store,
-        Function<PlatformHttpClient, EngineControl> engines) {
+        EngineFactory engines) {
+    /** Creates the client of the model engines. */
+    @FunctionalInterface
+    public interface EngineFactory {
+        /**
+         * @param clock the clock by which the times of limits are ordered
+         * @param limits receives the limits that the engines name
+         */
+        EngineControl create(PlatformHttpClient client, Clock clock, EngineLimitListener limits);
+    }
+
     /** The address of the key-value service, and the client that sends requests to it. */
     public record StoreEndpoint(PlatformHttpClient client, HttpEndpoint endpoint) {}
 
