--- a/org.cornelway.pgm/src/org/cornelway/pgm/CallExplanation.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/CallExplanation.java
@@ -126,7 +126,8 @@
                 event.startsWith("controller.")
                         || event.startsWith("config.")
                         || event.startsWith("store.")
-                        || event.startsWith("process.");
+                        || event.startsWith("process.")
+                        || event.startsWith("traffic.");
         // The log has "-" in place of the model if the call was not to a model.
         return isStateChange
                 || servers.contains(line.get("server"))
--- a/org.cornelway.test/tst/org/cornelway/pgm/CallExplanationTest.java
+++ b/org.cornelway.test/tst/org/cornelway/pgm/CallExplanationTest.java
@@ -31,6 +31,13 @@
         assertThat(explanation.cause()).contains("m1/a2").contains("could not be loaded in time");
     }
 
+    @Test
+    public void stallOfTrafficThreadIsShown() {
+        String stalled = "a ts=1200 level=INFO event=traffic.stalled sweeps=12";
+        assertThat(CallExplanation.of("x1", List.of(stalled, SENT, FAILED)).lines())
+                .containsExactly(SENT, stalled, FAILED);
+    }
+
     @Test
     public void unknownCallHasNoLines() {
         CallExplanation explanation = CallExplanation.of("x2", List.of(SENT, FAILED));
