Close the connection of a late send that an unexpected error has ended

Seen: an entry whose traffic thread is late reads once more before it sends; an exception in that step answered the call (503, FAILED_BEFORE_RUN) but left the connection to the server open, neither used nor in the pool.

Cause: the step ran under the call's guard, and only the step before it closed the connection.

Change: both run under GuardedAttempt.use.

Failed before: FaultBesideCallTest.faultBeforeLateSendClosesConnection, 0 of 1 connections to the server ended within 3 s.

--- a/org.cornelway.test/tst/org/cornelway/traffic/FaultBesideCallTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/FaultBesideCallTest.java
@@ -24,6 +24,9 @@
     private static final long END_TIMEOUT_MILLIS = 3_000;
     private static final long POLL_MILLIS = 10;
 
+    /** Longer than the delay from which a traffic thread is late. */
+    private static final long BLOCK_MILLIS = 500;
+
     private final FaultyClock mClock = new FaultyClock();
 
     @Override
@@ -124,6 +127,28 @@
         awaitFault();
     }
 
+    private static void block() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(BLOCK_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Guards against a connection that stays open and unused after a fault before a late send. */
+    @Test
+    public void faultBeforeLateSendClosesConnection() throws Exception {
+        mClock.failOnceIn("Attempt.sendIfOpen");
+        traffic().execute(FaultBesideCallTest::block);
+        assertThat(call(UNSAFE_PATH)).startsWith("HTTP/1.1 503 ").contains("FAILED_BEFORE_RUN");
+        awaitFault();
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(END_TIMEOUT_MILLIS);
+        while (first().ends() == 0 && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        assertThat(first().ends()).isEqualTo(1);
+    }
+
     private Socket sendKept(String path) throws IOException {
         Socket socket = connect();
         writeKept(socket, path);
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -91,7 +91,9 @@
     @Override
     public void onAcquired(UpstreamConnection connection) {
         if (mContext.loopDelay().isLate()) {
-            mCallHandler.guard().afterNextRead(() -> sendIfOpen(connection));
+            mCallHandler
+                    .guard()
+                    .afterNextRead(() -> mGuarded.use(connection, () -> sendIfOpen(connection)));
         } else {
             send(connection);
         }
--- a/org.cornelway/src/org/cornelway/traffic/GuardedAttempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/GuardedAttempt.java
@@ -31,10 +31,15 @@
 
     @Override
     public void onAcquired(UpstreamConnection connection) {
+        use(connection, () -> mAttempt.onAcquired(connection));
+    }
+
+    /** Runs a step that uses a connection; an unexpected error closes it. */
+    void use(UpstreamConnection connection, Runnable step) {
         run(
                 () -> {
                     try {
-                        mAttempt.onAcquired(connection);
+                        step.run();
                     } catch (RuntimeException e) {
                         connection.close();
                         throw e;
