Use no engine that says in a reply to the controller that it leaves

Callers: calls were sent to an engine that had said so to the controller in its report.

Cause: Server-Leaving was read from answers to calls only; the controller kept the engine and named it.

This entry sends that incarnation no calls, and its controller is given a directory without it, also in a later term of this process, so that it drops the engine as it does one that drains. EngineLimitListener is EngineNoticeListener now. An order that was queued at the engine may still be sent once, as with draining engines (read, not shown).

Not changed: the other entries are not told; a 503's Retry-After in such a reply is not read; leaving in an answer to a call is not told to the controller.

Failed before: LeavingReplyProcessTest, with 10 of 10 calls at e1 ("Expecting empty but was: [ReceivedCall..."), on the program without this change. A later term has no test. Now: LeavingReplyProcessTest, LimitedEnginesTest, ServerLimitReplyTest, ModelControllerTest, RepeatedEngineReplyTest, CutEngineAnswerTest, WireCodecsTest 110 run, 0 failed.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/DirectEntryCommand.java
@@ -100,7 +100,7 @@
                             new WireStore(target.client(), target.endpoint(), STORE_TIMEOUT_MILLIS);
                     return new PlatformPorts.Store(store, store);
                 },
-                (caller, clock, limits) ->
-                        new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS, clock, limits));
+                (caller, clock, notices) ->
+                        new WireEngineControl(caller, ENGINE_TIMEOUT_MILLIS, clock, notices));
     }
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -15,9 +15,11 @@
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.wire.WireCallCodec;
 import org.cornelway.platform.wire.WireEngineControl;
 import org.cornelway.platform.wire.WireStore;
@@ -104,10 +106,23 @@
         return mTraffic.platformClient();
     }
 
-    /** Returns the client of engines, which tells the entry of their limits. */
+    /** Returns the client of engines, which tells the entry what they say of themselves. */
     final WireEngineControl newEngineControl(long timeoutMillis) {
         return new WireEngineControl(
-                platformClient(), timeoutMillis, mClock, mTraffic::recordReplyLimit);
+                platformClient(),
+                timeoutMillis,
+                mClock,
+                new EngineNoticeListener() {
+                    @Override
+                    public void onLeaving(ServerRecord server) {
+                        mTraffic.recordLeaving(server);
+                    }
+
+                    @Override
+                    public void onReply(ServerRecord server, LimitNotice notice, long sentMillis) {
+                        mTraffic.recordReplyLimit(server, notice, sentMillis);
+                    }
+                });
     }
 
     /** Returns a client of the platform's key-value service, which the server stands for. */
--- a/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/RepeatedEngineReplyTest.java
@@ -16,6 +16,7 @@
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
+import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.EngineReport;
 import org.cornelway.platform.OrderReply;
 import org.cornelway.platform.SendPermit;
@@ -54,7 +55,7 @@
                         new PlatformHttpClient(loop, pool, codec),
                         TIMEOUT_MILLIS,
                         Clock.system(),
-                        (server, notice, sentMillis) -> {});
+                        EngineNoticeListener.NONE);
         mServer = new RepeatingServer(this::answer);
         mReports.set(0);
     }
--- a/org.cornelway/src/org/cornelway/dispatch/ServerNotices.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerNotices.java
@@ -13,8 +13,8 @@
  * leaving, or that they want no call for a while.
  *
  * <p>State is kept by incarnation, so a restarted server starts anew. A server that is leaving
- * never comes back in the same incarnation, also not if its announcement lapses and returns.
- * Confined to the traffic thread.
+ * never comes back in the same incarnation, also not if its announcement lapses and returns. Not
+ * thread-safe.
  */
 public final class ServerNotices {
     /** Number of leaving incarnations that are remembered; the oldest are forgotten first. */
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -3,7 +3,9 @@
 import com.codahale.metrics.MetricRegistry;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -25,10 +27,13 @@
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.LimitNotice;
+import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.models.CheapestLoadPlanner;
 import org.cornelway.models.ModelController;
 import org.cornelway.platform.EngineControl;
+import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.supervisor.Component;
@@ -78,6 +83,7 @@
     private final ProcessLease mLease;
     private final Registration mRegistration;
     private final Election mElection;
+    private final ServerNotices mNotices = new ServerNotices();
     private final LimitDistributor mLimits = new LimitDistributor();
     private final ModelController mController;
     private final DemandStore mDemandStore;
@@ -129,10 +135,7 @@
         EngineControl engines =
                 deps.ports()
                         .engines()
-                        .create(
-                                deps.traffic().platformClient(),
-                                deps.clock(),
-                                deps.traffic()::recordReplyLimit);
+                        .create(deps.traffic().platformClient(), deps.clock(), new EngineNotices());
         mController =
                 new ModelController(
                         engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
@@ -146,6 +149,34 @@
         deps.store().feed().restores().observeOn(control).subscribe(this::onStoreRestored);
     }
 
+    private void onEngineLeaving(ServerIncarnation engine) {
+        if (mNotices.recordLeaving(engine)) {
+            mController.applyDirectory(directoryWithoutLeaving());
+            mController.scheduleRound();
+        }
+    }
+
+    /** Returns the directory without the engines that have said that they are leaving. */
+    private DirectorySnapshot directoryWithoutLeaving() {
+        Map<String, ServerRecord> servers = new HashMap<>(mDeps.traffic().view().directory().all());
+        servers.values().removeIf(server -> mNotices.isLeaving(server.incarnation()));
+        return new DirectorySnapshot(servers);
+    }
+
+    /** Passes on what engines say in replies to reports and orders. */
+    private final class EngineNotices implements EngineNoticeListener {
+        @Override
+        public void onLeaving(ServerRecord server) {
+            mDeps.traffic().recordLeaving(server);
+            mDeps.control().scheduleDirect(() -> onEngineLeaving(server.incarnation()));
+        }
+
+        @Override
+        public void onReply(ServerRecord server, LimitNotice notice, long sentMillis) {
+            mDeps.traffic().recordReplyLimit(server, notice, sentMillis);
+        }
+    }
+
     private List<StoreFollower> newFollowers() {
         long serversPauseMillis = (long) (mDeps.drainMillis() * SERVERS_PAUSE_SHARE);
         return Stream.of(
@@ -278,7 +309,7 @@
         mDeps.clusterState().routes().ifPresent(mController::applyRoutes);
         DirectorySnapshot directory = mDeps.traffic().view().directory();
         mLimits.retain(directory.incarnations(), mDeps.control().now(TimeUnit.MILLISECONDS));
-        mController.applyDirectory(directory);
+        mController.applyDirectory(directoryWithoutLeaving());
         mController.scheduleRound();
     }
 
@@ -302,7 +333,7 @@
     public void onTermBegan(long fencingNumber) {
         mDeps.clusterState().routes().ifPresent(mController::applyRoutes);
         mDemandStore.restore();
-        mController.beginTerm(mDeps.traffic().view().directory());
+        mController.beginTerm(directoryWithoutLeaving());
     }
 
     @Override
--- a/org.cornelway/src/org/cornelway/role/PlatformPorts.java
+++ b/org.cornelway/src/org/cornelway/role/PlatformPorts.java
@@ -4,7 +4,7 @@
 import org.cornelway.internal.platform.HttpEndpoint;
 import org.cornelway.platform.ChangeFeed;
 import org.cornelway.platform.EngineControl;
-import org.cornelway.platform.EngineLimitListener;
+import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.time.Clock;
 import org.cornelway.traffic.CallCodec;
@@ -18,7 +18,8 @@
  * @param routing decodes the operator's configuration
  * @param servers decodes the announcements of backend servers
  * @param store creates the client of the key-value service
- * @param engines creates the client of the model engines, which passes on the limits that they name
+ * @param engines creates the client of the model engines, which passes on what they say of
+ *     themselves
  */
 public record PlatformPorts(
         CallCodec codec,
@@ -31,9 +32,9 @@
     public interface EngineFactory {
         /**
          * @param clock the clock by which the times of limits are ordered
-         * @param limits receives the limits that the engines name
+         * @param notices receives what the engines say of themselves
          */
-        EngineControl create(PlatformHttpClient client, Clock clock, EngineLimitListener limits);
+        EngineControl create(PlatformHttpClient client, Clock clock, EngineNoticeListener notices);
     }
 
     /** The address of the key-value service, and the client that sends requests to it. */
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -258,6 +258,16 @@
                 .ifPresent(limit -> mLoop.execute(() -> recordReplyLimit(limit)));
     }
 
+    /** Records that an engine's reply to a report or an order says that the engine is leaving. */
+    public void recordLeaving(ServerRecord server) {
+        mLoop.execute(
+                () -> {
+                    if (mNotices.recordLeaving(server.incarnation())) {
+                        mContext.log().write("server.leaving", "id", "-", "server", server.id());
+                    }
+                });
+    }
+
     private void recordReplyLimit(LimitObservation limit) {
         if (mLimits.recordReply(limit)) {
             logLimit(limit);
