Decode customers, their keys and quotas, and name what a call's terms are

The parts for contended load share these types: the configuration's customers, the key and the token count of a call, and the terms that follow from both. Nothing reads the customers yet; calls are served as before.

--- a/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
@@ -65,7 +65,8 @@
                         1,
                         List.of(),
                         Map.of(SERVICE, new ServiceDefinition(SERVICE, 50, Optional.of(engines))),
-                        CallerLimits.defaults()));
+                        CallerLimits.defaults(),
+                        List.of()));
     }
 
     private long now() {
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
@@ -155,7 +155,8 @@
                                 Map.of(
                                         SERVICE,
                                         new ServiceDefinition(SERVICE, 50, Optional.of(engines))),
-                                CallerLimits.defaults())));
+                                CallerLimits.defaults(),
+                                List.of())));
         mController.beginTerm(
                 new DirectorySnapshot(
                         mEngines.keySet().stream()
--- a/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -19,6 +19,7 @@
 import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.RoutingConfiguration;
+import org.cornelway.traffic.CallIdentity;
 import org.cornelway.traffic.ForwardedHeaders;
 import org.cornelway.traffic.RequestHead;
 import org.cornelway.traffic.ResponseHead;
@@ -86,7 +87,14 @@
         request.headers().set("Private", "p").set("Keep-Alive", "timeout=1");
         HttpHeaders to = new DefaultHttpHeaders();
         mCodec.writeForwardedHeaders(
-                request, new ForwardedHeaders("i-1", 700, Optional.of(2), Optional.of("12")), to);
+                request,
+                new ForwardedHeaders(
+                        "i-1",
+                        700,
+                        Optional.of(2),
+                        Optional.of("12"),
+                        new CallIdentity.Unchanged()),
+                to);
         assertThat(to.get("X-Target-Instance")).isEqualTo("i-1");
         assertThat(to.get("X-Deadline-Ms")).isEqualTo("700");
         assertThat(to.get("X-Request-Priority")).isEqualTo("2");
--- a/org.cornelway.test/tst/org/cornelway/route/RouteTableTest.java
+++ b/org.cornelway.test/tst/org/cornelway/route/RouteTableTest.java
@@ -22,12 +22,14 @@
                 1,
                 false,
                 false,
-                0);
+                0,
+                false);
     }
 
     private static RouteTable table(Route... routes) {
         return new RouteTable(
-                new RoutingConfiguration(1, List.of(routes), Map.of(), CallerLimits.defaults()));
+                new RoutingConfiguration(
+                        1, List.of(routes), Map.of(), CallerLimits.defaults(), List.of()));
     }
 
     @Test
--- a/org.cornelway.test/tst/org/cornelway/traffic/ChangedConfigurationTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/ChangedConfigurationTest.java
@@ -61,7 +61,8 @@
                                 version,
                                 usual.routes(),
                                 usual.services(),
-                                new CallerLimits(1, 1, 1, 1))),
+                                new CallerLimits(1, 1, 1, 1),
+                                List.of())),
                 true);
     }
 
@@ -69,7 +70,7 @@
         return new Change(
                 Optional.of(
                         new RoutingConfiguration(
-                                version, List.of(), Map.of(), CallerLimits.defaults())),
+                                version, List.of(), Map.of(), CallerLimits.defaults(), List.of())),
                 true);
     }
 
--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -159,7 +159,8 @@
                                 route("/stream/", CallKind.STREAM),
                                 resumableRoute()),
                         Map.of(SERVICE, new ServiceDefinition(SERVICE, 50, Optional.empty())),
-                        CallerLimits.defaults());
+                        CallerLimits.defaults(),
+                        List.of());
         mTraffic.publish(
                 new TrafficView(
                         Optional.of(new RouteTable(configuration)),
@@ -180,7 +181,8 @@
                 1,
                 false,
                 false,
-                0);
+                0,
+                false);
     }
 
     private static Route resumableRoute() {
@@ -196,7 +198,8 @@
                 2,
                 false,
                 true,
-                0);
+                0,
+                false);
     }
 
     /** Called on the traffic thread when a call needs a model that no server holds. */
--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -148,7 +148,8 @@
                                 route("/unsafe/", CallKind.UNSAFE, timeoutMillis, service),
                                 route("/resume/", CallKind.STREAM, timeoutMillis, service)),
                         Map.of(service, new ServiceDefinition(service, 50, Optional.empty())),
-                        CallerLimits.defaults()));
+                        CallerLimits.defaults(),
+                        List.of()));
     }
 
     private static ServerRecord server(String id, int port, String zone, String service) {
@@ -179,7 +180,8 @@
                 2,
                 false,
                 kind == CallKind.STREAM,
-                GAP_MILLIS);
+                GAP_MILLIS,
+                false);
     }
 
     /** Returns the head of an answer. */
--- a/org.cornelway/src/org/cornelway/route/Route.java
+++ b/org.cornelway/src/org/cornelway/route/Route.java
@@ -19,6 +19,7 @@
  * @param sticky whether calls share prompt parts that backend servers cache; not used for routing
  * @param resumable whether a stream may be resumed at another backend server
  * @param targetGapMillis objective for the longest pause between two events; 0 if there is none
+ * @param isPublic whether calls need no customer's key
  */
 public record Route(
         String name,
@@ -32,7 +33,8 @@
         int maxAttempts,
         boolean sticky,
         boolean resumable,
-        long targetGapMillis) {
+        long targetGapMillis,
+        boolean isPublic) {
     private static final long MIN_SILENCE_TIMEOUT_MILLIS = 2_000;
     private static final long SILENCE_LATENCY_MULTIPLE = 4;
     private static final long SILENCE_GAP_MULTIPLE = 8;
--- a/org.cornelway/src/org/cornelway/route/RouteTable.java
+++ b/org.cornelway/src/org/cornelway/route/RouteTable.java
@@ -16,6 +16,7 @@
 public final class RouteTable {
     private final RoutingConfiguration mConfiguration;
     private final Map<String, List<Route>> mByHost = new HashMap<>();
+    private final Map<CustomerKey, Customer> mByKey = new HashMap<>();
 
     /** Builds the table from a configuration. */
     public RouteTable(RoutingConfiguration configuration) {
@@ -25,6 +26,9 @@
         }
         Comparator<Route> byLength = Comparator.comparingInt(route -> route.prefix().length());
         mByHost.values().forEach(routes -> routes.sort(byLength.reversed()));
+        for (Customer customer : configuration.customers()) {
+            customer.keys().forEach(key -> mByKey.put(key, customer));
+        }
     }
 
     /** Returns the configuration that the table was built from. */
@@ -52,6 +56,16 @@
         return Optional.empty();
     }
 
+    /** Whether calls need a customer's key, except on public routes. */
+    public boolean requiresKeys() {
+        return !mConfiguration.customers().isEmpty();
+    }
+
+    /** Finds the customer that holds a key; empty if none does. */
+    public Optional<Customer> customer(CustomerKey key) {
+        return Optional.ofNullable(mByKey.get(key));
+    }
+
     /** Finds a service by name; empty if the configuration has none of this name. */
     public Optional<ServiceDefinition> service(String name) {
         return Optional.ofNullable(mConfiguration.services().get(name));
--- a/org.cornelway/src/org/cornelway/route/RoutingConfiguration.java
+++ b/org.cornelway/src/org/cornelway/route/RoutingConfiguration.java
@@ -10,9 +10,11 @@
  * @param routes all routes
  * @param services all services by name
  * @param limits limits on what callers may send
+ * @param customers customers whose calls are accepted; if there are none, calls need no key
  */
 public record RoutingConfiguration(
         long version,
         List<Route> routes,
         Map<String, ServiceDefinition> services,
-        CallerLimits limits) {}
+        CallerLimits limits,
+        List<Customer> customers) {}
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -144,12 +144,14 @@
 
     private UpstreamRequest buildUpstreamRequest() {
         Optional<String> lastEventId = mCallHandler.relay().flatMap(StreamRelay::resumeAfter);
+        CallTerms terms = mCallHandler.terms();
         Optional<Integer> priority =
-                mRequest.head().target().map(target -> EnginePriority.of(mCallHandler.route()));
+                mRequest.head().target().map(target -> EnginePriority.of(terms.priority()));
         long remainingMillis = mCallHandler.deadline().remainingMillis(nowMillis());
         return UpstreamRequest.forward(
                 mRequest,
-                new ForwardedHeaders(mServer.id(), remainingMillis, priority, lastEventId),
+                new ForwardedHeaders(
+                        mServer.id(), remainingMillis, priority, lastEventId, terms.identity()),
                 mContext.codec());
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -35,7 +35,7 @@
     private final CallGuard mGuard;
     private final ServerSelector mSelector;
     private final CallAdmission mAdmission;
-    private Optional<Route> mRoute = Optional.empty();
+    private Optional<CallTerms> mTerms = Optional.empty();
     private String mService = "";
     private final CallDeadline mDeadline;
     private final RunningAttempts mAttempts;
@@ -83,11 +83,11 @@
             return;
         }
         TrafficView view = mContext.view().get();
-        mRoute = CallRouting.findOrRespond(view, mRequest, mResponder);
-        if (mRoute.isEmpty()) {
+        mTerms = CallRouting.findOrRespond(view, mRequest, mResponder);
+        if (mTerms.isEmpty()) {
             return;
         }
-        Route route = mRoute.get();
+        Route route = route();
         mResponder.setRoute(route);
         mHistory.limitServers(route.maxAttempts());
         mService = route.selectService(mRequest.head().requestId().hashCode());
@@ -114,9 +114,13 @@
         return mContext.clock().nowMillis();
     }
 
+    CallTerms terms() {
+        return mTerms.orElseThrow();
+    }
+
     @Override
     public Route route() {
-        return mRoute.orElseThrow();
+        return terms().route();
     }
 
     Deadline deadline() {
@@ -217,7 +221,7 @@
     private void requestModel() {
         mModelWait.request(
                 mService,
-                route(),
+                terms(),
                 deadline(),
                 isStreamBegun(),
                 millis -> mGuard.run(() -> onModelTooLate(millis)));
@@ -376,7 +380,7 @@
         if (mResponder.isDone()) {
             return;
         }
-        mRoute.ifPresent(route -> mDeadline.refresh(route, mContext.view().get()));
+        mTerms.ifPresent(t -> mDeadline.refresh(t.route(), mContext.view().get()));
         if (deadline().isPast(now())) {
             mEnding.end(
                     ResultCode.DEADLINE_PASSED,
--- a/org.cornelway/src/org/cornelway/traffic/CallRouting.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallRouting.java
@@ -5,12 +5,12 @@
 import org.cornelway.result.ResultCode;
 import org.cornelway.route.Route;
 
-/** Finds the route of a call. Stateless. */
+/** Finds the route and the customer of a call. Stateless. */
 final class CallRouting {
     private CallRouting() {}
 
-    /** Returns the route of a call, or responds to the call and returns empty if it has none. */
-    static Optional<Route> findOrRespond(
+    /** Returns the terms of a call, or responds to the call and returns empty if it has none. */
+    static Optional<CallTerms> findOrRespond(
             TrafficView view, CallerRequest request, CallResponder responder) {
         if (view.routes().isEmpty()) {
             responder.refuse(
@@ -28,6 +28,6 @@
                     "no route for this host and path",
                     0);
         }
-        return route;
+        return route.map(found -> CallTerms.of(request, found, Optional.empty()));
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/EnginePriority.java
+++ b/org.cornelway/src/org/cornelway/traffic/EnginePriority.java
@@ -1,9 +1,8 @@
 package org.cornelway.traffic;
 
-import org.cornelway.route.Route;
-
 /**
- * Derives the priority of a call in an engine's queue from the priority of its route. Stateless.
+ * Derives the priority of a call in an engine's queue from that of its route or customer.
+ * Stateless.
  *
  * <p>Engines accept priorities from 0, the most urgent, to 9. Adjacent route priorities are mapped
  * to engine priorities that are two apart, which leaves room for priorities in between.
@@ -14,7 +13,8 @@
 
     private EnginePriority() {}
 
-    static int of(Route route) {
-        return Math.max(0, Math.min(LOWEST_PRIORITY, route.priority() * PRIORITY_STEP));
+    /** Returns the priority at the engine of a call with a priority, 0 the most urgent. */
+    static int of(int priority) {
+        return Math.max(0, Math.min(LOWEST_PRIORITY, priority * PRIORITY_STEP));
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/ForwardedHeaders.java
+++ b/org.cornelway/src/org/cornelway/traffic/ForwardedHeaders.java
@@ -9,9 +9,11 @@
  * @param remainingMillis time from sending the call until its deadline
  * @param enginePriority priority in the queue of the engine, 0 first; empty for a plain service
  * @param lastEventId id of the last event that the caller received; empty if no stream is resumed
+ * @param identity what the server is told of the customer of the call
  */
 public record ForwardedHeaders(
         String serverId,
         long remainingMillis,
         Optional<Integer> enginePriority,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        CallIdentity identity) {}
--- a/org.cornelway/src/org/cornelway/traffic/ModelWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelWait.java
@@ -63,14 +63,14 @@
      */
     void request(
             String service,
-            Route route,
+            CallTerms terms,
             Deadline callDeadline,
             boolean streamBegun,
             LongConsumer tooLate) {
         if (isWaiting()) {
             return;
         }
-        Deadline deadline = earlier(callDeadline, abandonment(route, streamBegun));
+        Deadline deadline = earlier(callDeadline, abandonment(terms.route(), streamBegun));
         mDeadline = Optional.of(deadline);
         mRequested = true;
         mContext.modelRequester()
@@ -79,7 +79,7 @@
                                 service,
                                 mRequest.head().target().orElseThrow(),
                                 deadline,
-                                route.priority(),
+                                terms.priority(),
                                 mNotHeldBy),
                         tooLate);
     }
--- a/org.cornelway/src/org/cornelway/traffic/RequestHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/RequestHead.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cornelway.route.CustomerKey;
 
 /**
  * The parsed head of a caller's request. Immutable.
@@ -15,6 +16,8 @@
  * @param promptPartIds ids of the parts of the prompt, in order
  * @param lastEventId id of the last event that the caller received if it resumes a stream; else
  *     empty
+ * @param customerKey key of the customer; empty if the caller sent none
+ * @param tokens size of a call for a model; empty if the caller states none
  */
 public record RequestHead(
         String requestId,
@@ -23,7 +26,9 @@
         Optional<ModelTarget> target,
         Optional<Long> expectedTokens,
         List<String> promptPartIds,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<CustomerKey> customerKey,
+        Optional<TokenCount> tokens) {
     /** Ids of the parts of the prompt that other calls may share: all but the last. */
     public List<String> sharedParts() {
         return promptPartIds.size() < 2
