Split the dispatch of a call from its handling

Choosing a server, waiting for a model and refusing move to CallDispatch; the attempts and their ends stay. No behaviour changes.

--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.List;
 import java.util.Optional;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
@@ -19,12 +18,6 @@
  * proven for each of its sends. Confined to the traffic thread.
  */
 final class CallHandler implements Hedging.Sender {
-    /** Delay before dispatching again if the directory lacks the server the controller named. */
-    private static final long DIRECTORY_DELAY_MILLIS = 60;
-
-    /** Delay before a stream that has begun and that no server can take now is dispatched again. */
-    private static final long RESEND_DELAY_MILLIS = 100;
-
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
     private final CallerResponse mResponse;
@@ -33,14 +26,13 @@
     private final CallResponder mResponder;
     private final CallEnding mEnding;
     private final CallGuard mGuard;
-    private final ServerSelector mSelector;
     private final CallAdmission mAdmission;
     private Optional<CallTerms> mTerms = Optional.empty();
     private String mService = "";
     private final CallDeadline mDeadline;
     private final RunningAttempts mAttempts;
     private Optional<StreamRelay> mRelay = Optional.empty();
-    private final ModelWait mModelWait;
+    private final CallDispatch mDispatch;
     private final Hedging mHedging;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
@@ -49,10 +41,9 @@
         mResponse = response;
         mLog = new CallLog(context, request);
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
-        mModelWait = new ModelWait(context, request, mHistory);
         mAttempts = new RunningAttempts(mHistory, mLog);
-        mSelector = new ServerSelector(context, request, mHistory, mAttempts);
-        mAdmission = new CallAdmission(context, request, mSelector, mHistory);
+        ServerSelector selector = new ServerSelector(context, request, mHistory, mAttempts);
+        mAdmission = new CallAdmission(context, request, selector, mHistory);
         mDeadline = new CallDeadline(request);
         mEnding =
                 new CallEnding(
@@ -63,6 +54,7 @@
                         request.head().requestId(),
                         mEnding::onUnexpectedError,
                         response::abort);
+        mDispatch = new CallDispatch(context, request, this, mHistory, selector, mAdmission);
         mHedging = new Hedging(context, mAttempts, mHistory, mLog, mGuard, this);
     }
 
@@ -97,7 +89,7 @@
         }
         mContext.usage().recordCall(mRequest.head().target(), route.targetLatencyMillis());
         mDeadline.apply(route, view.configurationVersion());
-        dispatch();
+        mDispatch.dispatch();
     }
 
     /** Runs the steps of this call. */
@@ -123,6 +115,16 @@
         return terms().route();
     }
 
+    /** Returns the service that the call is routed to; empty before. */
+    String service() {
+        return mService;
+    }
+
+    /** Whether the call has ended. */
+    boolean isDone() {
+        return mResponder.isDone();
+    }
+
     Deadline deadline() {
         return mDeadline.get();
     }
@@ -135,79 +137,6 @@
         return mRelay;
     }
 
-    private void dispatch() {
-        if (mResponder.isDone() || !mAttempts.isEmpty()) {
-            return;
-        }
-        List<Candidate> candidates = mSelector.candidates(mService);
-        mSelector.requestPermits(mService, candidates);
-        boolean mayRequestModel = canUseAnotherEngine() && !mModelWait.wasRequested();
-        Optional<CallAdmission.Rejection> rejection =
-                mAdmission.check(mService, deadline(), candidates, mayRequestModel);
-        if (rejection.isPresent()) {
-            reject(rejection.get());
-            return;
-        }
-        boolean allSuspect = candidates.stream().allMatch(Candidate::suspect);
-        if (canUseAnotherEngine()
-                && (candidates.isEmpty() || allSuspect && !mModelWait.wasRequested())) {
-            // If all holders are suspect, the controller is asked once for another server.
-            candidates.stream().findFirst().ifPresent(c -> onNotHeld(c.server().incarnation()));
-            requestModel();
-            return;
-        }
-        rejection = mModelWait.checkQueues(candidates, route(), deadline());
-        if (rejection.isPresent()) {
-            reject(rejection.get());
-            return;
-        }
-        String noServer = "no backend server of " + mService;
-        mSelector
-                .choose(candidates)
-                .ifPresentOrElse(this::send, () -> waitOrFail(ResultCode.NO_REPLICA, noServer));
-    }
-
-    /** Whether the call is for a model and may go to a server that it has not been sent to. */
-    private boolean canUseAnotherEngine() {
-        return mRequest.head().target().isPresent() && !mHistory.hasUsedServers();
-    }
-
-    /** Ends the call; a stream that has begun tries again, in time to ask for each permit. */
-    private void reject(CallAdmission.Rejection rejection) {
-        if (isStreamBegun() && rejection.code() == ResultCode.QUEUE_FULL) {
-            dispatchAfter(Math.min(rejection.retryAfterMillis(), RESEND_DELAY_MILLIS));
-        } else {
-            mEnding.setRetryAfterMillis(rejection.retryAfterMillis());
-            mEnding.fail(rejection.code(), rejection.reason());
-        }
-    }
-
-    private void send(Candidate chosen) {
-        if (!mHistory.hasArrived() || mAdmission.tryAcquireResend(mService)) {
-            start(chosen);
-        } else {
-            waitOrFail(ResultCode.QUEUE_FULL, "no retry budget after: " + mHistory.lastReason());
-        }
-    }
-
-    /** Ends the call, unless its caller has a part of a stream and waits for the rest. */
-    private void waitOrFail(ResultCode code, String reason) {
-        mModelWait.end();
-        if (isStreamBegun()) {
-            dispatchAfter(RESEND_DELAY_MILLIS);
-        } else {
-            mEnding.fail(code, reason);
-        }
-    }
-
-    private void dispatchAfter(long delayMillis) {
-        if (delayMillis > 0) {
-            mGuard.schedule(this::dispatch, delayMillis);
-        } else {
-            dispatch();
-        }
-    }
-
     @Override
     public Attempt start(Candidate chosen) {
         mHistory.recordSend(chosen.server().id());
@@ -218,59 +147,29 @@
         return attempt;
     }
 
-    private void requestModel() {
-        mModelWait.request(
-                mService,
-                terms(),
-                deadline(),
-                isStreamBegun(),
-                millis -> mGuard.run(() -> onModelTooLate(millis)));
-    }
-
     /** Whether the caller has received a part of a stream. */
     boolean isStreamBegun() {
         return mRelay.map(StreamRelay::isHeadSent).orElse(false);
     }
 
-    private void onModelTooLate(long expectedMillis) {
-        if (!mResponder.isDone() && mAttempts.isEmpty()) {
-            mEnding.setRetryAfterMillis(Math.max(CallAdmission.RETRY_AFTER_MILLIS, expectedMillis));
-            waitOrFail(ResultCode.DEADLINE_INFEASIBLE, "the model needs " + expectedMillis + " ms");
-        }
-    }
-
     /** Dispatches the call if it waits for a model that a server holds now. */
     void onHoldingsChanged() {
-        if (mModelWait.isWaiting()) {
-            dispatchIfWaiting();
-        }
+        mDispatch.onHoldingsChanged();
     }
 
     /** Whether the call waits for its model, or for a server that goes on with its stream. */
     boolean isWaiting() {
-        return mAttempts.isEmpty() && (mModelWait.isWaiting() || isStreamBegun());
+        return mDispatch.isWaiting();
     }
 
     /** Dispatches the call if it waits and a server takes it now. */
     void dispatchIfWaiting() {
-        if (isWaiting() && mSelector.hasCandidates(mService)) {
-            mModelWait.end();
-            dispatch();
-        }
+        mDispatch.dispatchIfWaiting();
     }
 
     /** Called when the controller has named a server that holds a model. */
     void onModelGranted(ModelTarget target) {
-        if (!mModelWait.isWaiting() || !mRequest.head().target().equals(Optional.of(target))) {
-            return;
-        }
-        mModelWait.end();
-        if (mSelector.hasCandidates(mService)) {
-            dispatch();
-        } else {
-            // This process's directory does not list the server yet, or no longer lists it.
-            dispatchAfter(DIRECTORY_DELAY_MILLIS);
-        }
+        mDispatch.onModelGranted(target);
     }
 
     /** Called when an attempt failed before the call was sent, so that the call did not run. */
@@ -294,12 +193,13 @@
         mAdmission
                 .delayAfterNotRun(isStreamBegun(), busy)
                 .ifPresentOrElse(
-                        this::dispatchAfter, () -> mEnding.fail(ResultCode.QUEUE_FULL, failure));
+                        mDispatch::dispatchAfter,
+                        () -> mEnding.fail(ResultCode.QUEUE_FULL, failure));
     }
 
     /** Records a server that does not serve the model although it was expected to hold it. */
     void onNotHeld(ServerIncarnation incarnation) {
-        mModelWait.recordNotHeldBy(incarnation);
+        mDispatch.recordNotHeldBy(incarnation);
     }
 
     /** Called when an attempt failed and the call may have run. */
@@ -316,7 +216,7 @@
     @Override
     public void repeatOrFail(String reason) {
         if (mAdmission.canRepeat(route(), deadline(), mRelay, 0)) {
-            dispatch();
+            mDispatch.dispatch();
         } else {
             mEnding.fail(ResultCode.OUTCOME_UNKNOWN, reason);
         }
@@ -387,8 +287,8 @@
                     "the deadline passed; last: " + mHistory.lastReason());
         } else if (!mAttempts.isEmpty()) {
             mAttempts.forEach(mHedging::tick);
-        } else if (mModelWait.mustRefuse(now())) {
-            waitOrFail(ResultCode.DEADLINE_INFEASIBLE, "no server holds the model yet");
+        } else {
+            mDispatch.checkModelWait(now());
         }
     }
 
