Check the keys of customers at arrival and before each send

If the configuration lists customers, a call needs the key of one of them unless its route is public; servers are told the customer's name and never the key. The newest configuration decides again before each send, so that a removed key ends waiting calls, repeats, hedges and resumed streams, but no send that has begun. A check at arrival alone was ruled out: a call may wait seconds for its model. Configurations without customers are served as before.

--- a/org.cornelway.pgm/src/org/cornelway/pgm/CallExplanation.java
+++ b/org.cornelway.pgm/src/org/cornelway/pgm/CallExplanation.java
@@ -180,6 +180,7 @@
             case "QUEUE_FULL" ->
                     "no server accepted the call in " + sendCount + " attempts: " + reason;
             case "NO_REPLICA" -> "the process knew of no backend server for the service";
+            case "UNKNOWN_KEY" -> "the call had no key of a customer in the active configuration";
             case "NOT_CONFIGURED" -> "the process had not received a configuration yet";
             case "UNKNOWN_SERVICE" -> "no route in the active configuration matched the call";
             case "AGENT_LEAVING" -> "the process was shutting down";
--- a/org.cornelway/src/org/cornelway/result/ResultCode.java
+++ b/org.cornelway/src/org/cornelway/result/ResultCode.java
@@ -33,6 +33,11 @@
             422,
             ExecutionState.NOT_RUN,
             "The idempotency key was used before for another request."),
+    UNKNOWN_KEY(
+            107,
+            401,
+            ExecutionState.NOT_RUN,
+            "The customer's key is missing, malformed or unknown."),
     QUEUE_FULL(200, 503, ExecutionState.NOT_RUN, "Too many requests are waiting."),
     DEADLINE_PASSED(
             201, 504, ExecutionState.NOT_RUN, "The deadline passed before the work started."),
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -56,7 +56,7 @@
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
         mObserver = new ServerObserver(context, server, request.head().target());
-        mGate = new SendGate(context, server.incarnation());
+        mGate = new SendGate(context, callHandler, server.incarnation());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
         mGuarded = new GuardedAttempt(this, callHandler);
@@ -110,15 +110,18 @@
     }
 
     private void send(UpstreamConnection connection) {
-        Optional<String> reason =
-                mEnded ? Optional.of("") : mGate.reasonNotToSend(mCallHandler.deadline());
+        Optional<String> reason = mEnded ? Optional.of("") : mGate.reasonNotToSend();
         if (reason.isPresent()) {
             endUnsent(connection, reason.get());
             return;
         }
         UpstreamRequest request;
         try {
-            request = buildUpstreamRequest();
+            request =
+                    UpstreamRequest.forward(
+                            mRequest,
+                            mCallHandler.forwardedHeaders(mServer.id()),
+                            mContext.codec());
         } catch (IllegalArgumentException e) {
             mObserver.recordFailure();
             endUnsent(connection, "the request cannot be written: " + e.getMessage());
@@ -142,19 +145,6 @@
         }
     }
 
-    private UpstreamRequest buildUpstreamRequest() {
-        Optional<String> lastEventId = mCallHandler.relay().flatMap(StreamRelay::resumeAfter);
-        CallTerms terms = mCallHandler.terms();
-        Optional<Integer> priority =
-                mRequest.head().target().map(target -> EnginePriority.of(terms.priority()));
-        long remainingMillis = mCallHandler.deadline().remainingMillis(nowMillis());
-        return UpstreamRequest.forward(
-                mRequest,
-                new ForwardedHeaders(
-                        mServer.id(), remainingMillis, priority, lastEventId, terms.identity()),
-                mContext.codec());
-    }
-
     @Override
     public void onConnectFailed(String reason) {
         mObserver.recordFailure();
--- a/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
@@ -42,7 +42,7 @@
 
     /** Sends the call, lets it wait, or ends it. */
     void dispatch() {
-        if (mCall.isDone() || !mCall.attempts().isEmpty()) {
+        if (mCall.isDone() || !mCall.attempts().isEmpty() || mCall.endIfKeyRemoved()) {
             return;
         }
         List<Candidate> candidates = mSelector.candidates(mCall.service());
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -23,6 +23,7 @@
     private final CallerResponse mResponse;
     private final CallLog mLog;
     private final SendHistory mHistory = new SendHistory();
+    private final CallCustomer mCustomer;
     private final CallResponder mResponder;
     private final CallEnding mEnding;
     private final CallGuard mGuard;
@@ -40,6 +41,7 @@
         mRequest = request;
         mResponse = response;
         mLog = new CallLog(context, request);
+        mCustomer = new CallCustomer(context, request, mLog);
         mResponder = new CallResponder(context, request, response, mHistory, mLog);
         mAttempts = new RunningAttempts(mHistory, mLog);
         ServerSelector selector = new ServerSelector(context, request, mHistory, mAttempts);
@@ -75,7 +77,7 @@
             return;
         }
         TrafficView view = mContext.view().get();
-        mTerms = CallRouting.findOrRespond(view, mRequest, mResponder);
+        mTerms = CallRouting.findOrRespond(view, mRequest, mCustomer, mResponder);
         if (mTerms.isEmpty()) {
             return;
         }
@@ -115,6 +117,24 @@
         return terms().route();
     }
 
+    /** Returns the customer of the call. */
+    CallCustomer customer() {
+        return mCustomer;
+    }
+
+    /**
+     * Ends the call, which has no attempt, if it may no longer be sent; returns whether it does.
+     */
+    boolean endIfKeyRemoved() {
+        if (mTerms.isEmpty() || mCustomer.maySend(route())) {
+            return false;
+        }
+        CustomerPolicy.Refusal refusal = CustomerPolicy.Refusal.KEY_REMOVED;
+        mCustomer.recordRefusal(refusal);
+        mEnding.fail(ResultCode.UNKNOWN_KEY, refusal.reason());
+        return true;
+    }
+
     /** Returns the service that the call is routed to; empty before. */
     String service() {
         return mService;
@@ -147,6 +167,18 @@
         return attempt;
     }
 
+    /** Returns the headers with which the call is sent to a server now. */
+    ForwardedHeaders forwardedHeaders(String serverId) {
+        Optional<Integer> priority =
+                mRequest.head().target().map(target -> EnginePriority.of(terms().priority()));
+        return new ForwardedHeaders(
+                serverId,
+                deadline().remainingMillis(now()),
+                priority,
+                mRelay.flatMap(StreamRelay::resumeAfter),
+                mCustomer.identity());
+    }
+
     /** Whether the caller has received a part of a stream. */
     boolean isStreamBegun() {
         return mRelay.map(StreamRelay::isHeadSent).orElse(false);
@@ -189,6 +221,9 @@
             mHedging.onEnded(true);
             return;
         }
+        if (endIfKeyRemoved()) {
+            return;
+        }
         String failure = "not run after " + mHistory.sends() + " sends: " + reason;
         mAdmission
                 .delayAfterNotRun(isStreamBegun(), busy)
@@ -224,7 +259,7 @@
 
     @Override
     public Optional<Candidate> acquireAlternative(Attempt silent) {
-        return mAdmission.canRepeat(route(), deadline(), mRelay, 1)
+        return mCustomer.maySend(route()) && mAdmission.canRepeat(route(), deadline(), mRelay, 1)
                 ? mAdmission.acquireAlternative(mService, silent.server().incarnation())
                 : Optional.empty();
     }
@@ -287,7 +322,7 @@
                     "the deadline passed; last: " + mHistory.lastReason());
         } else if (!mAttempts.isEmpty()) {
             mAttempts.forEach(mHedging::tick);
-        } else {
+        } else if (!endIfKeyRemoved()) {
             mDispatch.checkModelWait(now());
         }
     }
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -1,5 +1,6 @@
 package org.cornelway.traffic;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +26,9 @@
     /** The server and the status of the last head of a response; "-" if there is none. */
     private String mResponder = "-";
 
+    /** Name of the customer of the call; empty if it belongs to none. */
+    private Optional<String> mCustomer = Optional.empty();
+
     CallLog(TrafficContext context, CallerRequest request) {
         mContext = context;
         mRequest = request;
@@ -59,6 +63,11 @@
                         mContext.view().get().configurationVersion());
     }
 
+    /** Sets the name of the customer with which the end of the call is logged. */
+    void setCustomer(String name) {
+        mCustomer = Optional.of(name);
+    }
+
     /** Records the connection that the call is sent on. */
     void recordConnection(UpstreamConnection connection) {
         mConnection = connection.label();
@@ -113,28 +122,27 @@
         long millis = mContext.clock().nowMillis() - mRequest.arrivedMillis();
         mContext.metrics().counter("calls." + outcome + "." + status).inc();
         mContext.metrics().histogram("calls.millis").update(millis);
-        mContext.log()
-                .write(
-                        SUCCESS_OUTCOMES.contains(outcome) ? "call.done" : "call.failed",
-                        "id",
-                        requestId(),
-                        "route",
-                        route.map(Route::name).orElse("none"),
-                        "model",
-                        mRequest.head().target().map(ModelTarget::toString).orElse("-"),
-                        "how",
-                        outcome,
-                        "status",
-                        status,
-                        "sends",
-                        sends,
-                        "connection",
-                        mConnection,
-                        "response",
-                        mResponder,
-                        "ms",
-                        millis,
-                        "reason",
-                        reason.isEmpty() ? "-" : reason);
+        List<Object> fields =
+                new ArrayList<>(
+                        List.of(
+                                "id",
+                                requestId(),
+                                "route",
+                                route.map(Route::name).orElse("none"),
+                                "model",
+                                mRequest.head().target().map(ModelTarget::toString).orElse("-"),
+                                "how",
+                                outcome,
+                                "status",
+                                status,
+                                "sends",
+                                sends,
+                                "connection",
+                                mConnection));
+        fields.addAll(List.of("response", mResponder, "ms", millis));
+        fields.addAll(List.of("reason", reason.isEmpty() ? "-" : reason));
+        mCustomer.ifPresent(name -> fields.addAll(List.of("customer", name)));
+        boolean succeeded = SUCCESS_OUTCOMES.contains(outcome);
+        mContext.log().write(succeeded ? "call.done" : "call.failed", fields.toArray());
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallResponder.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -87,6 +87,11 @@
         respondLocally(HttpResponseStatus.SERVICE_UNAVAILABLE, code, reason, retryAfterMillis);
     }
 
+    /** Ends a call that has not run and has no key of a customer. */
+    void refuseKey(String reason) {
+        respondLocally(HttpResponseStatus.UNAUTHORIZED, ResultCode.UNKNOWN_KEY, reason, 0);
+    }
+
     /** Ends the call with a response of this process. */
     void respondLocally(
             HttpResponseStatus status, ResultCode code, String reason, long retryAfterMillis) {
@@ -107,6 +112,8 @@
     void fail(ResultCode code, String reason, long retryAfterMillis, Deadline deadline) {
         if (mErrorResponse.isPresent()) {
             forward(mErrorResponse.get());
+        } else if (mHistory.possibleRunCount() == 0 && code == ResultCode.UNKNOWN_KEY) {
+            refuseKey(reason);
         } else if (mHistory.possibleRunCount() == 0) {
             refuse(code, reason, retryAfterMillis);
         } else if (deadline.isPast(mContext.clock().nowMillis())) {
--- a/org.cornelway/src/org/cornelway/traffic/CallTerms.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallTerms.java
@@ -29,9 +29,4 @@
                 Deadline.after(request.arrivedMillis(), route.targetLatencyMillis()),
                 request.head().tokens());
     }
-
-    /** Returns what a backend server is told of the customer. */
-    CallIdentity identity() {
-        return CallIdentity.UNCHANGED;
-    }
 }
--- a/org.cornelway/src/org/cornelway/traffic/CallerRequest.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallerRequest.java
@@ -19,4 +19,10 @@
         RequestHead head,
         ByteBuf body,
         long arrivedMillis,
-        Deadline callerDeadline) {}
+        Deadline callerDeadline) {
+    @Override
+    public String toString() {
+        // The text form of the message has all headers, and so the key.
+        return "CallerRequest[" + head + "]";
+    }
+}
--- a/org.cornelway/src/org/cornelway/traffic/FrontServer.java
+++ b/org.cornelway/src/org/cornelway/traffic/FrontServer.java
@@ -55,7 +55,7 @@
     /** Order in which waiting calls get permits. */
     private static final Comparator<CallHandler> MOST_URGENT_FIRST =
             Comparator.comparing((CallHandler call) -> !call.isStreamBegun())
-                    .thenComparingInt(call -> call.route().priority())
+                    .thenComparingInt(call -> call.terms().priority())
                     .thenComparing(CallHandler::deadline);
 
     private final HttpEndpoint mEndpoint;
--- a/org.cornelway/src/org/cornelway/traffic/SendGate.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendGate.java
@@ -6,18 +6,21 @@
 import org.cornelway.time.Deadline;
 
 /**
- * Decides, at the moment when one attempt is sent, whether its server still takes the call. Holds
- * the permit of the attempt if the server is limited; a permit that was not used is returned.
+ * Decides, at the moment when one attempt is sent, whether the call may still be sent and its
+ * server still takes it. Holds the permit of the attempt if the server is limited; a permit that
+ * was not used is returned.
  *
  * <p>Confined to the traffic thread; lives as long as its attempt.
  */
 final class SendGate {
     private final TrafficContext mContext;
+    private final CallHandler mCall;
     private final ServerIncarnation mServer;
     private Optional<Deadline> mPermit = Optional.empty();
 
-    SendGate(TrafficContext context, ServerIncarnation server) {
+    SendGate(TrafficContext context, CallHandler call, ServerIncarnation server) {
         mContext = context;
+        mCall = call;
         mServer = server;
     }
 
@@ -37,11 +40,14 @@
     }
 
     /** Returns why the call is not sent; if there is no reason, the permit is used up. */
-    Optional<String> reasonNotToSend(Deadline deadline) {
+    Optional<String> reasonNotToSend() {
+        if (!mCall.customer().maySend(mCall.route())) {
+            return Optional.of("the key was removed before the send");
+        }
         if (!mContext.takesCalls(mServer)) {
             return Optional.of("the server left or paused before the send");
         }
-        if (deadline.isPast(nowMillis())) {
+        if (mCall.deadline().isPast(nowMillis())) {
             return Optional.of("the deadline passed before the send");
         }
         reserve();
