Reject responses whose status HTTP does not define

A backend server in trouble answered with status 000, 099, 600 or 999, and the entry passed it on as the answer to its caller; an order answered with 000 or 099 counted as rejected although the engine may carry it out. Such a response is now malformed: the call may have run, so that an idempotent one is sent again and any other gets 502, and an order stays unconfirmed.

--- a/org.cornelway/src/org/cornelway/traffic/ResponseValidator.java
+++ b/org.cornelway/src/org/cornelway/traffic/ResponseValidator.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Iterator;
 import java.util.Map;
@@ -20,6 +21,11 @@
 
     private ResponseValidator() {}
 
+    /** Whether the status is one that HTTP defines, from 100 to 599. */
+    static boolean hasDefinedStatus(HttpResponse response) {
+        return response.status().codeClass() != HttpStatusClass.UNKNOWN;
+    }
+
     /** Whether the reason or the value of a header contains the status line of a response. */
     static boolean containsStatusLine(HttpResponse response) {
         if (isStatusLineIn(response.status().reasonPhrase())) {
--- a/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
+++ b/org.cornelway/src/org/cornelway/traffic/UpstreamConnection.java
@@ -203,6 +203,11 @@
     }
 
     private void onHead(HttpResponse response) {
+        if (!ResponseValidator.hasDefinedStatus(response)) {
+            // Such a status says nothing about the call, not even whether it has run.
+            fail("malformed answer: status " + response.status().code());
+            return;
+        }
         if (ResponseValidator.containsStatusLine(response)) {
             fail("malformed answer: a status line within the head");
             return;
