--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -46,6 +46,7 @@
     private final Map<Integer, Process> mEntries = new HashMap<>();
     private final List<Ports> mPorts = new ArrayList<>();
     private final int mFirstPort;
+    private final ArrayNode mCustomers = Json.lenientMapper().createArrayNode();
     private int mConfigurationCount;
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
@@ -176,9 +177,17 @@
                     .put("Adapters", 2)
                     .put("AdapterMb", 0.1);
         }
+        if (!mCustomers.isEmpty()) {
+            root.set("Tenants", mCustomers);
+        }
         mStore.withState(state -> state.put("op/config", Json.write(root), 0));
     }
 
+    /** The customers of the next configurations that are written, in the store's format. */
+    public ArrayNode customers() {
+        return mCustomers;
+    }
+
     /** A change to the default routes. */
     public interface RouteChange {
         /** Applies the change to the list of routes. */
