Quote no text of malformed replies of the store

The store's replies contain the configuration, and the reason of store.read_failed was the JSON parser's message, which quotes the token it stopped at. Reading through Json.readTree tells the position only, for configurations as well.

--- a/org.cornelway/src/org/cornelway/config/Json.java
+++ b/org.cornelway/src/org/cornelway/config/Json.java
@@ -1,5 +1,6 @@
 package org.cornelway.config;
 
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -32,6 +33,24 @@
         return LENIENT;
     }
 
+    /**
+     * Reads JSON that may contain secrets, such as customers' keys.
+     *
+     * @throws IOException if it is malformed; unlike that of the mapper, the message does not quote
+     *     the text
+     */
+    public static JsonNode readTree(byte[] bytes) throws IOException {
+        try {
+            return LENIENT.readTree(bytes);
+        } catch (JsonProcessingException e) {
+            JsonLocation at = e.getLocation();
+            String where =
+                    at == null ? "" : " at line " + at.getLineNr() + ", column " + at.getColumnNr();
+            // The exception is no cause of the new one, since logs of causes have its message.
+            throw new IOException("not valid JSON" + where);
+        }
+    }
+
     /**
      * Reads the JSON object or array in a response of another system.
      *
@@ -39,7 +58,7 @@
      *     cut; the mapper itself reads an empty body as a value without fields
      */
     public static JsonNode readDocument(byte[] bytes) throws IOException {
-        JsonNode node = LENIENT.readTree(bytes);
+        JsonNode node = readTree(bytes);
         if (!node.isContainerNode()) {
             throw new IOException("not a JSON object or array; length in bytes: " + bytes.length);
         }
