Fail requests of agents whose response has no status that HTTP defines

An agent passed on a plain service's status 000, 099, 600 or 999 as the answer, and took it for the reply to an order. The client of an agent now fails such a request after the whole response, so that its outcome is unknown.

--- a/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
+++ b/org.cornelway/src/org/cornelway/internal/platform/HttpEndpointClient.java
@@ -1,5 +1,6 @@
 package org.cornelway.internal.platform;
 
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -127,13 +128,24 @@
                         request.send(Buffer.buffer(body))
                                 .compose(
                                         response ->
-                                                collect(request, response)
+                                                collectIfDefined(request, response)
                                                         .map(bytes -> countBytes(body, bytes))
                                                         .map(bytes -> toReply(response, bytes)))
                                 .onSuccess(emitter::onSuccess)
                                 .onFailure(emitter::tryOnError));
     }
 
+    /** Collects the body; fails if HTTP defines no such status, which says nothing. */
+    private static Future<Buffer> collectIfDefined(
+            HttpClientRequest request, HttpClientResponse response) {
+        int status = response.statusCode();
+        Future<Buffer> body = collect(request, response);
+        return HttpStatusClass.valueOf(status) == HttpStatusClass.UNKNOWN
+                ? body.compose(
+                        b -> Future.failedFuture(new IOException("undefined status " + status)))
+                : body;
+    }
+
     /** Collects the body; if it is too long, resets the request and fails. */
     private static Future<Buffer> collect(HttpClientRequest request, HttpClientResponse response) {
         Promise<Buffer> body = Promise.promise();
