Let calls wait for the first configuration of a process

After a loss of all processes, each one that started refused the callers that came back until it had read the configuration, 0.3 to 1.1 s later; the callers used up their retry at another process that was starting too. Such a call now waits for a third of its caller's time and a second at most. Ruled out: to refuse with a longer Retry-After, since the time is not known and the retry is still used up.

--- a/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/EntryTestBase.java
@@ -54,6 +54,7 @@
     private ScriptedServer mServer;
     private TrafficPlane mTraffic;
     private HttpEndpoint mFront;
+    private MetricRegistry mMetrics;
     private long mIncarnations;
 
     @BeforeClass
@@ -62,6 +63,7 @@
             mFront = new HttpEndpoint("127.0.0.1", free.getLocalPort());
         }
         MetricRegistry metrics = new MetricRegistry();
+        mMetrics = metrics;
         mTraffic =
                 new TrafficPlane(
                         new WireCallCodec(),
@@ -96,6 +98,11 @@
         return mServer;
     }
 
+    /** Returns how many calls have waited for the first configuration. */
+    final long waitedCount() {
+        return mMetrics.counter("calls.waited_for_configuration").getCount();
+    }
+
     /** Returns the traffic of the entry. */
     final TrafficPlane traffic() {
         return mTraffic;
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -34,6 +34,7 @@
     private final RunningAttempts mAttempts;
     private Optional<StreamRelay> mRelay = Optional.empty();
     private final CallDispatch mDispatch;
+    private final ConfigurationWait mConfigurationWait;
     private final Hedging mHedging;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
@@ -47,6 +48,8 @@
         ServerSelector selector = new ServerSelector(context, request, mHistory, mAttempts);
         mAdmission = new CallAdmission(context, request, selector, mHistory);
         mDeadline = new CallDeadline(request);
+        mConfigurationWait =
+                new ConfigurationWait(request.arrivedMillis(), request.callerDeadline());
         mEnding =
                 new CallEnding(
                         response, mResponder, mAttempts, mHistory, mDeadline, this::isStreamBegun);
@@ -77,6 +80,10 @@
             return;
         }
         TrafficView view = mContext.view().get();
+        if (view.routes().isEmpty() && mConfigurationWait.begin(now())) {
+            mContext.metrics().counter("calls.waited_for_configuration").inc();
+            return;
+        }
         mTerms = CallRouting.findOrRespond(view, mRequest, mCustomer, mResponder);
         if (mTerms.isEmpty()) {
             return;
@@ -184,8 +191,16 @@
         return mRelay.map(StreamRelay::isHeadSent).orElse(false);
     }
 
-    /** Dispatches the call if it waits for a model that a server holds now. */
+    /**
+     * Dispatches the call if it waits for the first configuration, or for a model that a server
+     * holds now.
+     */
     void onHoldingsChanged() {
+        if (mConfigurationWait.isWaiting() && mContext.view().get().routes().isPresent()) {
+            mConfigurationWait.end();
+            begin();
+            return;
+        }
         mDispatch.onHoldingsChanged();
     }
 
@@ -320,6 +335,8 @@
             mEnding.end(
                     ResultCode.DEADLINE_PASSED,
                     "the deadline passed; last: " + mHistory.lastReason());
+        } else if (mConfigurationWait.end()) {
+            begin();
         } else if (!mAttempts.isEmpty()) {
             mAttempts.forEach(mHedging::tick);
         } else if (!endIfKeyRemoved()) {
