--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/EntryServiceGrpc.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/EntryServiceGrpc.java
@@ -77,6 +77,37 @@
     return getReportUseMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.cornelway.rpc.QuotaReport,
+      org.cornelway.rpc.QuotaReply> getTakeQuotaMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "TakeQuota",
+      requestType = org.cornelway.rpc.QuotaReport.class,
+      responseType = org.cornelway.rpc.QuotaReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.cornelway.rpc.QuotaReport,
+      org.cornelway.rpc.QuotaReply> getTakeQuotaMethod() {
+    io.grpc.MethodDescriptor<org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReply> getTakeQuotaMethod;
+    if ((getTakeQuotaMethod = EntryServiceGrpc.getTakeQuotaMethod) == null) {
+      synchronized (EntryServiceGrpc.class) {
+        if ((getTakeQuotaMethod = EntryServiceGrpc.getTakeQuotaMethod) == null) {
+          EntryServiceGrpc.getTakeQuotaMethod = getTakeQuotaMethod =
+              io.grpc.MethodDescriptor.<org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "TakeQuota"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.cornelway.rpc.QuotaReport.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.cornelway.rpc.QuotaReply.getDefaultInstance()))
+              .setSchemaDescriptor(new EntryServiceMethodDescriptorSupplier("TakeQuota"))
+              .build();
+        }
+      }
+    }
+    return getTakeQuotaMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -162,6 +193,16 @@
         io.grpc.stub.StreamObserver<org.cornelway.rpc.HoldingsReply> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getReportUseMethod(), responseObserver);
     }
+
+    /**
+     * <pre>
+     * Asks the process that grants tokens of customers' quotas for more; answers at once.
+     * </pre>
+     */
+    default void takeQuota(org.cornelway.rpc.QuotaReport request,
+        io.grpc.stub.StreamObserver<org.cornelway.rpc.QuotaReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getTakeQuotaMethod(), responseObserver);
+    }
   }
 
   /**
@@ -218,6 +259,17 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getReportUseMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * Asks the process that grants tokens of customers' quotas for more; answers at once.
+     * </pre>
+     */
+    public void takeQuota(org.cornelway.rpc.QuotaReport request,
+        io.grpc.stub.StreamObserver<org.cornelway.rpc.QuotaReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getTakeQuotaMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -258,6 +310,16 @@
       return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
           getChannel(), getReportUseMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Asks the process that grants tokens of customers' quotas for more; answers at once.
+     * </pre>
+     */
+    public org.cornelway.rpc.QuotaReply takeQuota(org.cornelway.rpc.QuotaReport request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getTakeQuotaMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -298,6 +360,16 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getReportUseMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Asks the process that grants tokens of customers' quotas for more; answers at once.
+     * </pre>
+     */
+    public org.cornelway.rpc.QuotaReply takeQuota(org.cornelway.rpc.QuotaReport request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getTakeQuotaMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -340,10 +412,22 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getReportUseMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * Asks the process that grants tokens of customers' quotas for more; answers at once.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.cornelway.rpc.QuotaReply> takeQuota(
+        org.cornelway.rpc.QuotaReport request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getTakeQuotaMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_ASK_MODEL = 0;
   private static final int METHODID_REPORT_USE = 1;
+  private static final int METHODID_TAKE_QUOTA = 2;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -370,6 +454,10 @@
           serviceImpl.reportUse((org.cornelway.rpc.UseReport) request,
               (io.grpc.stub.StreamObserver<org.cornelway.rpc.HoldingsReply>) responseObserver);
           break;
+        case METHODID_TAKE_QUOTA:
+          serviceImpl.takeQuota((org.cornelway.rpc.QuotaReport) request,
+              (io.grpc.stub.StreamObserver<org.cornelway.rpc.QuotaReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -402,6 +490,13 @@
               org.cornelway.rpc.UseReport,
               org.cornelway.rpc.HoldingsReply>(
                 service, METHODID_REPORT_USE)))
+        .addMethod(
+          getTakeQuotaMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              org.cornelway.rpc.QuotaReport,
+              org.cornelway.rpc.QuotaReply>(
+                service, METHODID_TAKE_QUOTA)))
         .build();
   }
 
@@ -452,6 +547,7 @@
               .setSchemaDescriptor(new EntryServiceFileDescriptorSupplier())
               .addMethod(getAskModelMethod())
               .addMethod(getReportUseMethod())
+              .addMethod(getTakeQuotaMethod())
               .build();
         }
       }
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -382,6 +382,44 @@
     return permits_.get(index);
   }
 
+  public static final int QUOTAS_FIELD_NUMBER = 11;
+  private org.cornelway.rpc.QuotaReply quotas_;
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   * @return Whether the quotas field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotas() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   * @return The quotas.
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReply getQuotas() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+  }
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReplyOrBuilder getQuotasOrBuilder() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -426,6 +464,9 @@
     for (int i = 0; i < permits_.size(); i++) {
       output.writeMessage(10, permits_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(11, getQuotas());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -490,6 +531,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getQuotas());
+    }
     return size;
   }
   @java.lang.Override
@@ -537,6 +582,11 @@
         .equals(other.getLimitsList())) return false;
     if (!getPermitsList()
         .equals(other.getPermitsList())) return false;
+    if (hasQuotas() != other.hasQuotas()) return false;
+    if (hasQuotas()) {
+      if (!getQuotas()
+          .equals(other.getQuotas())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -583,6 +633,10 @@
       hash = (37 * hash) + PERMITS_FIELD_NUMBER;
       hash = (53 * hash) + getPermitsList().hashCode();
     }
+    if (hasQuotas()) {
+      hash = (37 * hash) + QUOTAS_FIELD_NUMBER;
+      hash = (53 * hash) + getQuotas().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -718,6 +772,7 @@
         internalGetEvidenceFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetPermitsFieldBuilder();
+        internalGetQuotasFieldBuilder();
       }
     }
     @java.lang.Override
@@ -762,6 +817,11 @@
         permitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
       return this;
     }
 
@@ -857,6 +917,12 @@
             : evidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.quotas_ = quotasBuilder_ == null
+            ? quotas_
+            : quotasBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -994,6 +1060,9 @@
           }
         }
       }
+      if (other.hasQuotas()) {
+        mergeQuotas(other.getQuotas());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1102,6 +1171,13 @@
               }
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetQuotasFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2622,6 +2698,161 @@
       return permitsBuilder_;
     }
 
+    private org.cornelway.rpc.QuotaReply quotas_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReply, org.cornelway.rpc.QuotaReply.Builder, org.cornelway.rpc.QuotaReplyOrBuilder> quotasBuilder_;
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     * @return Whether the quotas field is set.
+     */
+    public boolean hasQuotas() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     * @return The quotas.
+     */
+    public org.cornelway.rpc.QuotaReply getQuotas() {
+      if (quotasBuilder_ == null) {
+        return quotas_ == null ? org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+      } else {
+        return quotasBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder setQuotas(org.cornelway.rpc.QuotaReply value) {
+      if (quotasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        quotas_ = value;
+      } else {
+        quotasBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder setQuotas(
+        org.cornelway.rpc.QuotaReply.Builder builderForValue) {
+      if (quotasBuilder_ == null) {
+        quotas_ = builderForValue.build();
+      } else {
+        quotasBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder mergeQuotas(org.cornelway.rpc.QuotaReply value) {
+      if (quotasBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          quotas_ != null &&
+          quotas_ != org.cornelway.rpc.QuotaReply.getDefaultInstance()) {
+          getQuotasBuilder().mergeFrom(value);
+        } else {
+          quotas_ = value;
+        }
+      } else {
+        quotasBuilder_.mergeFrom(value);
+      }
+      if (quotas_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder clearQuotas() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public org.cornelway.rpc.QuotaReply.Builder getQuotasBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetQuotasFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public org.cornelway.rpc.QuotaReplyOrBuilder getQuotasOrBuilder() {
+      if (quotasBuilder_ != null) {
+        return quotasBuilder_.getMessageOrBuilder();
+      } else {
+        return quotas_ == null ?
+            org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+      }
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReply, org.cornelway.rpc.QuotaReply.Builder, org.cornelway.rpc.QuotaReplyOrBuilder> 
+        internalGetQuotasFieldBuilder() {
+      if (quotasBuilder_ == null) {
+        quotasBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelway.rpc.QuotaReply, org.cornelway.rpc.QuotaReply.Builder, org.cornelway.rpc.QuotaReplyOrBuilder>(
+                getQuotas(),
+                getParentForChildren(),
+                isClean());
+        quotas_ = null;
+      }
+      return quotasBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.HoldingsReply)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
@@ -234,4 +234,31 @@
    */
   org.cornelway.rpc.ServerCallsOrBuilder getPermitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   * @return Whether the quotas field is set.
+   */
+  boolean hasQuotas();
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   * @return The quotas.
+   */
+  org.cornelway.rpc.QuotaReply getQuotas();
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   */
+  org.cornelway.rpc.QuotaReplyOrBuilder getQuotasOrBuilder();
 }
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -380,6 +380,44 @@
     return wanted_.get(index);
   }
 
+  public static final int QUOTAS_FIELD_NUMBER = 10;
+  private org.cornelway.rpc.QuotaReport quotas_;
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   * @return Whether the quotas field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotas() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   * @return The quotas.
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReport getQuotas() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+  }
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReportOrBuilder getQuotasOrBuilder() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -421,6 +459,9 @@
     for (int i = 0; i < wanted_.size(); i++) {
       output.writeMessage(9, wanted_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(10, getQuotas());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -480,6 +521,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getQuotas());
+    }
     return size;
   }
   @java.lang.Override
@@ -525,6 +570,11 @@
         .equals(other.getLimitsList())) return false;
     if (!getWantedList()
         .equals(other.getWantedList())) return false;
+    if (hasQuotas() != other.hasQuotas()) return false;
+    if (hasQuotas()) {
+      if (!getQuotas()
+          .equals(other.getQuotas())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -567,6 +617,10 @@
       hash = (37 * hash) + WANTED_FIELD_NUMBER;
       hash = (53 * hash) + getWantedList().hashCode();
     }
+    if (hasQuotas()) {
+      hash = (37 * hash) + QUOTAS_FIELD_NUMBER;
+      hash = (53 * hash) + getQuotas().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -702,6 +756,7 @@
         internalGetEvidenceFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetWantedFieldBuilder();
+        internalGetQuotasFieldBuilder();
       }
     }
     @java.lang.Override
@@ -745,6 +800,11 @@
         wantedBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
       return this;
     }
 
@@ -837,6 +897,12 @@
             : evidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.quotas_ = quotasBuilder_ == null
+            ? quotas_
+            : quotasBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -973,6 +1039,9 @@
           }
         }
       }
+      if (other.hasQuotas()) {
+        mergeQuotas(other.getQuotas());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1076,6 +1145,13 @@
               }
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetQuotasFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2532,6 +2608,161 @@
       return wantedBuilder_;
     }
 
+    private org.cornelway.rpc.QuotaReport quotas_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReport.Builder, org.cornelway.rpc.QuotaReportOrBuilder> quotasBuilder_;
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     * @return Whether the quotas field is set.
+     */
+    public boolean hasQuotas() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     * @return The quotas.
+     */
+    public org.cornelway.rpc.QuotaReport getQuotas() {
+      if (quotasBuilder_ == null) {
+        return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+      } else {
+        return quotasBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder setQuotas(org.cornelway.rpc.QuotaReport value) {
+      if (quotasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        quotas_ = value;
+      } else {
+        quotasBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder setQuotas(
+        org.cornelway.rpc.QuotaReport.Builder builderForValue) {
+      if (quotasBuilder_ == null) {
+        quotas_ = builderForValue.build();
+      } else {
+        quotasBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder mergeQuotas(org.cornelway.rpc.QuotaReport value) {
+      if (quotasBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          quotas_ != null &&
+          quotas_ != org.cornelway.rpc.QuotaReport.getDefaultInstance()) {
+          getQuotasBuilder().mergeFrom(value);
+        } else {
+          quotas_ = value;
+        }
+      } else {
+        quotasBuilder_.mergeFrom(value);
+      }
+      if (quotas_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder clearQuotas() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public org.cornelway.rpc.QuotaReport.Builder getQuotasBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return internalGetQuotasFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public org.cornelway.rpc.QuotaReportOrBuilder getQuotasOrBuilder() {
+      if (quotasBuilder_ != null) {
+        return quotasBuilder_.getMessageOrBuilder();
+      } else {
+        return quotas_ == null ?
+            org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+      }
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReport.Builder, org.cornelway.rpc.QuotaReportOrBuilder> 
+        internalGetQuotasFieldBuilder() {
+      if (quotasBuilder_ == null) {
+        quotasBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReport.Builder, org.cornelway.rpc.QuotaReportOrBuilder>(
+                getQuotas(),
+                getParentForChildren(),
+                isClean());
+        quotas_ = null;
+      }
+      return quotasBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.UseReport)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
@@ -214,4 +214,31 @@
    */
   org.cornelway.rpc.ServerCallsOrBuilder getWantedOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   * @return Whether the quotas field is set.
+   */
+  boolean hasQuotas();
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   * @return The quotas.
+   */
+  org.cornelway.rpc.QuotaReport getQuotas();
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   */
+  org.cornelway.rpc.QuotaReportOrBuilder getQuotasOrBuilder();
 }
--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of customers' quotas. */
+package org.cornelway.quota;
--- a/org.cornelway/src/org/cornelway/cluster/ControllerClient.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerClient.java
@@ -5,6 +5,8 @@
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
+import org.cornelway.rpc.QuotaReply;
+import org.cornelway.rpc.QuotaReport;
 import org.cornelway.rpc.UseReport;
 
 /**
@@ -24,4 +26,12 @@
      * list has changed since the version that the report names.
      */
     Single<HoldingsReply> reportUsage(Member controller, UseReport report);
+
+    /**
+     * Reports this process's use of customers' quotas to an entry, whether or not it is the
+     * controller, and returns what its ledger grants. Fails if there is no reply in time.
+     *
+     * @param waitMillis longest time to wait for the reply
+     */
+    Single<QuotaReply> takeQuota(Member entry, QuotaReport report, long waitMillis);
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -16,6 +16,8 @@
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
+import org.cornelway.rpc.QuotaReply;
+import org.cornelway.rpc.QuotaReport;
 import org.cornelway.rpc.ServerActivity;
 import org.cornelway.rpc.UseReport;
 import org.cornelway.time.Deadline;
@@ -35,6 +37,7 @@
     private final Function<String, Optional<ServerIncarnation>> mIncarnations;
     private final Scheduler mControl;
     private final LimitDistributor mLimits;
+    private final QuotaHandler mQuotas;
     private final HoldingsHistory mHoldings = new HoldingsHistory();
 
     /** What all entries have reported; kept from term to term. */
@@ -43,17 +46,20 @@
     /**
      * @param incarnations looks up the current incarnation of a server by the server's id
      * @param limits deals out the rates of limited servers
+     * @param quotas grants tokens of customers' quotas
      */
     public ControllerRequestHandler(
             ModelController controller,
             ModelController.TermSource terms,
             Function<String, Optional<ServerIncarnation>> incarnations,
             LimitDistributor limits,
+            QuotaHandler quotas,
             Scheduler control) {
         mController = controller;
         mTerms = terms;
         mIncarnations = incarnations;
         mLimits = limits;
+        mQuotas = quotas;
         mControl = control;
     }
 
@@ -101,7 +107,7 @@
     public HoldingsReply handleUsageReport(UseReport report) {
         Optional<Long> fencingNumber = mTerms.fencingNumber();
         if (fencingNumber.isEmpty()) {
-            return HoldingsReply.getDefaultInstance();
+            return addQuotas(report, HoldingsReply.newBuilder()).build();
         }
         mController
                 .demand()
@@ -124,7 +130,19 @@
                                                 .setActive(active)));
         addEvidence(report, reply);
         addLimits(report, reply);
-        return reply.build();
+        return addQuotas(report, reply).build();
+    }
+
+    /** Handles a report on customers' quotas, also if this process is not the controller. */
+    public QuotaReply handleQuotaReport(QuotaReport report) {
+        return mQuotas.handle(report);
+    }
+
+    private HoldingsReply.Builder addQuotas(UseReport report, HoldingsReply.Builder reply) {
+        if (report.hasQuotas()) {
+            reply.setQuotas(mQuotas.handle(report.getQuotas()));
+        }
+        return reply;
     }
 
     /** Merges the limits of a report, and adds all limits and the sender's permits to the reply. */
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -13,6 +13,7 @@
 import org.cornelway.dispatch.LimitObservation;
 import org.cornelway.dispatch.ServerLimits;
 import org.cornelway.platform.Member;
+import org.cornelway.quota.QuotaReport;
 import org.cornelway.rpc.HeldModel;
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelUse;
@@ -42,6 +43,7 @@
     private final Scheduler mControl;
     private final TrafficPlane mTraffic;
     private final FallbackPermits mFallback;
+    private final QuotaExchange mQuotas;
 
     /**
      * Term of the controller that sent the last list. Each report contains the term and the version
@@ -64,6 +66,7 @@
      * @param self this process's instance id
      * @param localHandler handles the reports while this process is the controller
      * @param fallback deals out permits while no controller does
+     * @param quotas exchanges the use of customers' quotas
      */
     public UsageReporter(
             String self,
@@ -72,7 +75,8 @@
             ControllerClient client,
             Scheduler control,
             TrafficPlane traffic,
-            FallbackPermits fallback) {
+            FallbackPermits fallback,
+            QuotaExchange quotas) {
         mSelf = self;
         mElection = election;
         mLocalHandler = localHandler;
@@ -80,6 +84,7 @@
         mControl = control;
         mTraffic = traffic;
         mFallback = fallback;
+        mQuotas = quotas;
     }
 
     private long now() {
@@ -88,7 +93,10 @@
 
     /** Sends a report, unless the previous one is still in progress; called periodically. */
     public void step() {
-        if (!mReportInProgress) {
+        if (mReportInProgress) {
+            // Grants lapse before a report to a controller that does not respond ends.
+            mTraffic.reportQuotas(report -> mControl.scheduleDirect(() -> mQuotas.send(report)));
+        } else {
             mReportInProgress = true;
             mTraffic.report(report -> mControl.scheduleDirect(() -> send(report)));
         }
@@ -103,10 +111,11 @@
         if (isEvidenceNew) {
             message.setEvidence(EvidenceMessages.toMessage(evidence));
         }
-        UseReport report = message.build();
         long reported = isEvidenceNew ? evidence.version() : -1;
         if (mElection.fencingNumber().isPresent()) {
-            onReply(mLocalHandler.handleUsageReport(report), reported, traffic.limits());
+            addQuotas(traffic.quotas(), mSelf, message);
+            HoldingsReply reply = mLocalHandler.handleUsageReport(message.build());
+            onReply(reply, reported, mSelf, traffic);
             return;
         }
         Optional<Member> controller =
@@ -116,13 +125,23 @@
                         .filter(member -> !member.id().equals(mSelf));
         if (controller.isEmpty()) {
             mReportInProgress = false;
+            traffic.quotas().ifPresent(mQuotas::send);
             return;
         }
-        mClient.reportUsage(controller.get(), report)
+        String id = controller.get().id();
+        addQuotas(traffic.quotas(), id, message);
+        mClient.reportUsage(controller.get(), message.build())
                 .observeOn(mControl)
-                .subscribe(
-                        reply -> onReply(reply, reported, traffic.limits()),
-                        e -> mReportInProgress = false);
+                .subscribe(reply -> onReply(reply, reported, id, traffic), e -> onFailure(id));
+    }
+
+    private void onFailure(String controller) {
+        mReportInProgress = false;
+        mQuotas.onFailure(controller);
+    }
+
+    private void addQuotas(Optional<QuotaReport> quotas, String to, UseReport.Builder message) {
+        quotas.flatMap(report -> mQuotas.attachOrSend(report, to)).ifPresent(message::setQuotas);
     }
 
     private static void addLimits(ServerLimits.Report limits, UseReport.Builder message) {
@@ -173,15 +192,23 @@
 
     /**
      * @param reportedEvidence version of the evidence in the report; -1 if it had none
-     * @param limits limits in the report
+     * @param from sender of the reply
+     * @param traffic what was reported
      */
-    private void onReply(HoldingsReply reply, long reportedEvidence, ServerLimits.Report limits) {
+    private void onReply(
+            HoldingsReply reply, long reportedEvidence, String from, TrafficReport traffic) {
         mReportInProgress = false;
+        mQuotas.onOtherReply(from);
+        if (reply.hasQuotas()) {
+            long sentMillis = traffic.quotas().map(QuotaReport::sentMillis).orElse(0L);
+            mQuotas.onReply(reply.getQuotas(), from, sentMillis);
+        }
         if (!reply.getController()) {
             return;
         }
         mFallback.recordReply(now());
         applyEvidence(reply, reportedEvidence);
+        ServerLimits.Report limits = traffic.limits();
         // Counted back from the report, so that a late reply makes no limit appear newer.
         applyPermits(
                 LimitMessages.fromMessages(reply.getLimitsList(), limits.takenMillis()),
--- a/org.cornelway/src/org/cornelway/internal/grpc/EntryServer.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/EntryServer.java
@@ -8,6 +8,8 @@
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
+import org.cornelway.rpc.QuotaReply;
+import org.cornelway.rpc.QuotaReport;
 import org.cornelway.rpc.UseReport;
 
 /**
@@ -41,6 +43,15 @@
                                 }));
     }
 
+    @Override
+    public void takeQuota(QuotaReport request, StreamObserver<QuotaReply> observer) {
+        mControl.scheduleDirect(
+                () -> {
+                    observer.onNext(mHandler.handleQuotaReport(request));
+                    observer.onCompleted();
+                });
+    }
+
     @Override
     public void reportUse(UseReport report, StreamObserver<HoldingsReply> observer) {
         mControl.scheduleDirect(
--- a/org.cornelway/src/org/cornelway/internal/grpc/GrpcControllerClient.java
+++ b/org.cornelway/src/org/cornelway/internal/grpc/GrpcControllerClient.java
@@ -8,6 +8,8 @@
 import org.cornelway.rpc.HoldingsReply;
 import org.cornelway.rpc.ModelAsk;
 import org.cornelway.rpc.ModelGrant;
+import org.cornelway.rpc.QuotaReply;
+import org.cornelway.rpc.QuotaReport;
 import org.cornelway.rpc.UseReport;
 
 /** Calls the controller, which is one of the entries, over gRPC. Thread-safe. */
@@ -45,6 +47,15 @@
                                         new GrpcPeerClient.SingleReplyObserver<>(emitter)));
     }
 
+    @Override
+    public Single<QuotaReply> takeQuota(Member entry, QuotaReport report, long waitMillis) {
+        return Single.create(
+                emitter ->
+                        stub(entry, waitMillis)
+                                .takeQuota(
+                                        report, new GrpcPeerClient.SingleReplyObserver<>(emitter)));
+    }
+
     @Override
     public Single<HoldingsReply> reportUsage(Member controller, UseReport report) {
         return Single.<HoldingsReply>create(
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/quota/EntryCount.java
@@ -0,0 +1,58 @@
+package org.cornelway.quota;
+
+/**
+ * The number of entries among which quotas are divided, from the numbers known at each time.
+ *
+ * <p>Too small a number would let the entries use more than the quota. Entries that are cut off
+ * disappear from the list of members while they still use their shares, so the largest number known
+ * within {@link #RETENTION_MILLIS} counts. Entries that start together learn of one another over
+ * some seconds, so {@link #UNSETTLED_ENTRIES} counts at first. Confined to one thread.
+ */
+public final class EntryCount {
+    /** Number assumed while the members may still be incomplete. */
+    static final int UNSETTLED_ENTRIES = 32;
+
+    /** Time from the start of a process until its list of members is taken to be complete. */
+    static final long SETTLE_MILLIS = 5_000;
+
+    /** Time for which a larger number is remembered, at least. */
+    static final long RETENTION_MILLIS = 600_000;
+
+    private final long mStartMillis;
+    private long mPeriodStartMillis;
+    private int mLargest;
+    private int mLargestBefore;
+
+    /**
+     * @param nowMillis start of the process
+     */
+    public EntryCount(long nowMillis) {
+        mStartMillis = nowMillis;
+        mPeriodStartMillis = nowMillis;
+    }
+
+    /** Records the number of members known now. */
+    public void record(int members, long nowMillis) {
+        if (nowMillis - mPeriodStartMillis >= RETENTION_MILLIS) {
+            mPeriodStartMillis = nowMillis;
+            mLargestBefore = mLargest;
+            mLargest = 0;
+        }
+        mLargest = Math.max(mLargest, members);
+    }
+
+    /** Whether another entry is known, or long enough has passed to know of one. */
+    public boolean isKnown(long nowMillis) {
+        return Math.max(mLargest, mLargestBefore) > 1 || isSettled(nowMillis);
+    }
+
+    private boolean isSettled(long nowMillis) {
+        return nowMillis - mStartMillis >= SETTLE_MILLIS;
+    }
+
+    /** Returns the number of entries to count with, at least 1. */
+    public int get(long nowMillis) {
+        int known = Math.max(1, Math.max(mLargest, mLargestBefore));
+        return isSettled(nowMillis) ? known : Math.max(known, UNSETTLED_ENTRIES);
+    }
+}
--- /dev/null
+++ b/org.cornelway/src/org/cornelway/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps customers to their token quotas, over all entries together. */
+package org.cornelway.quota;
--- a/org.cornelway/src/org/cornelway/result/ResultCode.java
+++ b/org.cornelway/src/org/cornelway/result/ResultCode.java
@@ -73,6 +73,11 @@
             "A part of the prompt has crashed backend servers; calls with it are not sent now."),
     FAILED_BEFORE_RUN(
             212, 503, ExecutionState.NOT_RUN, "An internal fault ended the call before it ran."),
+    QUOTA_EXCEEDED(
+            213,
+            429,
+            ExecutionState.NOT_RUN,
+            "The customer's quota has no tokens for the call now."),
     OUTCOME_UNKNOWN(
             300,
             502,
--- a/org.cornelway/src/org/cornelway/role/ClusterState.java
+++ b/org.cornelway/src/org/cornelway/role/ClusterState.java
@@ -19,10 +19,12 @@
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.KeyValue;
+import org.cornelway.platform.Member;
 import org.cornelway.platform.StoreRevision;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.relay.MemberTable;
 import org.cornelway.result.Result;
+import org.cornelway.route.Customer;
 import org.cornelway.route.RouteTable;
 import org.cornelway.route.RoutingConfiguration;
 import org.cornelway.time.Clock;
@@ -274,6 +276,16 @@
         return mRoutes;
     }
 
+    /** Returns the customers in the configuration; empty if there are none. */
+    List<Customer> customers() {
+        return mRoutes.map(table -> table.configuration().customers()).orElse(List.of());
+    }
+
+    /** Returns the registered members, the first candidate for controller first. */
+    List<Member> membersByRank() {
+        return mCandidates.stream().flatMap(id -> mMembers.find(id).stream()).toList();
+    }
+
     /** Returns the part of the state that the traffic thread needs. */
     TrafficView trafficView() {
         int memberCount = (int) mMembers.all().values().stream().filter(m -> !m.leaving()).count();
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -20,6 +20,8 @@
 import org.cornelway.cluster.FallbackPermits;
 import org.cornelway.cluster.LimitDistributor;
 import org.cornelway.cluster.ProcessLease;
+import org.cornelway.cluster.QuotaExchange;
+import org.cornelway.cluster.QuotaHandler;
 import org.cornelway.cluster.Registration;
 import org.cornelway.cluster.StoreFollower;
 import org.cornelway.cluster.StoreHealth;
@@ -35,6 +37,8 @@
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.KeyValueStore;
+import org.cornelway.quota.QuotaBounds;
+import org.cornelway.quota.QuotaTargets;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.supervisor.Component;
 import org.cornelway.time.Clock;
@@ -89,6 +93,7 @@
     private final DemandStore mDemandStore;
     private final ControllerRequestHandler mRequestHandler;
     private final CoalescingModelRequester mModelRequester;
+    private final QuotaHandler mQuotaHandler;
     private final UsageReporter mUsageReporter;
     private final List<StoreFollower> mFollowers;
     private boolean mResigned;
@@ -99,11 +104,13 @@
      * @param self registration of this process
      * @param drainMillis time from the announcement that a backend server drains until no call may
      *     reach it any more
+     * @param quotaBounds by how much customers may exceed their quotas
      * @param store the key-value service
      */
     record Dependencies(
             ClusterMember self,
             long drainMillis,
+            QuotaBounds quotaBounds,
             PlatformPorts ports,
             PlatformPorts.Store store,
             TrafficPlane traffic,
@@ -140,9 +147,15 @@
                 new ModelController(
                         engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
         mDemandStore = new DemandStore(keys, mController.demand(), control, log);
+        mQuotaHandler = newQuotaHandler();
         mRequestHandler =
                 new ControllerRequestHandler(
-                        mController, mElection, this::findIncarnation, mLimits, control);
+                        mController,
+                        mElection,
+                        this::findIncarnation,
+                        mLimits,
+                        mQuotaHandler,
+                        control);
         mModelRequester = newModelRequester();
         mUsageReporter = newUsageReporter();
         mFollowers = newFollowers();
@@ -219,7 +232,35 @@
                 new FallbackPermits(
                         mDeps.self().id(),
                         mDeps.clusterState()::isPermitSharer,
-                        mDeps.control().now(TimeUnit.MILLISECONDS)));
+                        mDeps.control().now(TimeUnit.MILLISECONDS)),
+                newQuotaExchange());
+    }
+
+    private QuotaHandler newQuotaHandler() {
+        return new QuotaHandler(
+                new Random().nextLong(),
+                mDeps.quotaBounds(),
+                () -> mDeps.traffic().view().entryCount(),
+                mDeps.clusterState()::customers,
+                mDeps.control());
+    }
+
+    private QuotaExchange newQuotaExchange() {
+        String self = mDeps.self().id();
+        QuotaExchange exchange =
+                new QuotaExchange(
+                        self,
+                        mDeps.self().zone(),
+                        mElection,
+                        mQuotaHandler,
+                        mDeps.controllerClient(),
+                        mDeps.clusterState()::membersByRank,
+                        new QuotaTargets(mDeps.quotaBounds().windowMillis()),
+                        mDeps.control(),
+                        mDeps.log(),
+                        mDeps.traffic());
+        mDeps.traffic().startQuotas(self, mDeps.quotaBounds(), exchange);
+        return exchange;
     }
 
     private CoalescingModelRequester newModelRequester() {
--- a/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.quota.QuotaBounds;
 
 /**
  * Validated settings of an entry that calls backend servers directly. Immutable.
@@ -51,7 +52,8 @@
                         bounds.drainMillis(),
                         bounds.retryWindowMillis(),
                         0,
-                        0));
+                        0,
+                        bounds.quotas()));
     }
 
     /**
@@ -63,11 +65,13 @@
      * @param retryWindowMillis window over which resends are counted
      * @param retryRatio resends allowed per call
      * @param retrySlack additional resends allowed per service and window, over all processes
+     * @param quotas by how much customers may exceed their quotas
      */
     public record Bounds(
             long graceMillis,
             long drainMillis,
             long retryWindowMillis,
             double retryRatio,
-            double retrySlack) {}
+            double retrySlack,
+            QuotaBounds quotas) {}
 }
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -56,7 +56,7 @@
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
         mObserver = new ServerObserver(context, server, request.head().target());
-        mGate = new SendGate(context, server.incarnation());
+        mGate = new SendGate(context, server.incarnation(), callHandler.quota());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
         mGuarded = new GuardedAttempt(this, callHandler);
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -32,6 +32,7 @@
     private final SendHistory mHistory = new SendHistory();
     private final CallResponder mResponder;
     private final CallEnding mEnding;
+    private final CallQuota mQuota;
     private final CallGuard mGuard;
     private final ServerSelector mSelector;
     private final CallAdmission mAdmission;
@@ -48,7 +49,8 @@
         mRequest = request;
         mResponse = response;
         mLog = new CallLog(context, request);
-        mResponder = new CallResponder(context, request, response, mHistory, mLog);
+        mQuota = new CallQuota(context, request);
+        mResponder = new CallResponder(context, request, response, mHistory, mLog, mQuota);
         mModelWait = new ModelWait(context, request, mHistory);
         mAttempts = new RunningAttempts(mHistory, mLog);
         mSelector = new ServerSelector(context, request, mHistory, mAttempts);
@@ -136,7 +138,7 @@
     }
 
     private void dispatch() {
-        if (mResponder.isDone() || !mAttempts.isEmpty()) {
+        if (mResponder.isDone() || !mAttempts.isEmpty() || !isWithinQuota()) {
             return;
         }
         List<Candidate> candidates = mSelector.candidates(mService);
@@ -167,6 +169,18 @@
                 .ifPresentOrElse(this::send, () -> waitOrFail(ResultCode.NO_REPLICA, noServer));
     }
 
+    /** Whether the call has the tokens of its quota; if not, requests them to dispatch it then. */
+    private boolean isWithinQuota() {
+        return mQuota.isReadyOrRequest(
+                terms().customer(),
+                () -> mGuard.run(this::dispatch),
+                millis -> mGuard.run(() -> mResponder.refuseForQuota(millis)));
+    }
+
+    CallQuota quota() {
+        return mQuota;
+    }
+
     /** Whether the call is for a model and may go to a server that it has not been sent to. */
     private boolean canUseAnotherEngine() {
         return mRequest.head().target().isPresent() && !mHistory.hasUsedServers();
--- a/org.cornelway/src/org/cornelway/traffic/CallResponder.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallResponder.java
@@ -18,6 +18,7 @@
     private final CallerResponse mResponse;
     private final SendHistory mHistory;
     private final CallLog mLog;
+    private final CallQuota mQuota;
     private Optional<Route> mRoute = Optional.empty();
     private Optional<FullResponse> mErrorResponse = Optional.empty();
     private boolean mDone;
@@ -28,12 +29,14 @@
             CallerRequest request,
             CallerResponse response,
             SendHistory history,
-            CallLog log) {
+            CallLog log,
+            CallQuota quota) {
         mContext = context;
         mRequest = request;
         mResponse = response;
         mHistory = history;
         mLog = log;
+        mQuota = quota;
     }
 
     /** Sets the route that the end of the call is recorded with. */
@@ -87,6 +90,15 @@
         respondLocally(HttpResponseStatus.SERVICE_UNAVAILABLE, code, reason, retryAfterMillis);
     }
 
+    /** Ends the call since it is beyond its customer's quota; it has not run and never will. */
+    void refuseForQuota(long retryAfterMillis) {
+        respondLocally(
+                HttpResponseStatus.TOO_MANY_REQUESTS,
+                ResultCode.QUOTA_EXCEEDED,
+                "the quota has no tokens for this call now",
+                retryAfterMillis);
+    }
+
     /** Ends the call with a response of this process. */
     void respondLocally(
             HttpResponseStatus status, ResultCode code, String reason, long retryAfterMillis) {
@@ -132,6 +144,7 @@
 
     private void markDone(String outcome, int status, String reason) {
         mDone = true;
+        mQuota.end();
         mLog.recordEnd(mRoute, outcome, status, mHistory.sends(), reason);
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/SendGate.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendGate.java
@@ -14,11 +14,13 @@
 final class SendGate {
     private final TrafficContext mContext;
     private final ServerIncarnation mServer;
+    private final CallQuota mQuota;
     private Optional<Deadline> mPermit = Optional.empty();
 
-    SendGate(TrafficContext context, ServerIncarnation server) {
+    SendGate(TrafficContext context, ServerIncarnation server, CallQuota quota) {
         mContext = context;
         mServer = server;
+        mQuota = quota;
     }
 
     private ServerLimits limits() {
@@ -48,6 +50,9 @@
         if (limits().isLimited(mServer) && mPermit.isEmpty()) {
             return Optional.of("the server named a limit before the send");
         }
+        if (!mQuota.spend()) {
+            return Optional.of("the tokens were taken back before the send");
+        }
         mPermit = Optional.empty();
         return Optional.empty();
     }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -28,6 +28,9 @@
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.quota.QuotaBounds;
+import org.cornelway.quota.QuotaReply;
+import org.cornelway.quota.QuotaReport;
 import org.cornelway.supervisor.GuardedTask;
 import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
@@ -106,6 +109,7 @@
                         modelRequester,
                         mUsage,
                         mEvidence,
+                        new QuotaGate(mLoop, () -> mView, clock, log, metrics),
                         clock,
                         new LoopDelay(
                                 SuspendAwareClock.system(), FrontServer.SWEEP_INTERVAL_MILLIS),
@@ -118,8 +122,12 @@
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool, codec);
         metrics.registerGauge("connections.opened", mPool::openedCount);
         metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
+        scheduleSweep();
+    }
+
+    private void scheduleSweep() {
         mLoop.scheduleAtFixedRate(
-                new GuardedTask("sweep of servers", metrics, this::sweep),
+                new GuardedTask("sweep of servers", mContext.metrics(), this::sweep),
                 SWEEP_INTERVAL_MILLIS,
                 SWEEP_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -205,6 +213,31 @@
                 });
     }
 
+    /**
+     * Begins to limit customers to their quotas; called before this process serves callers.
+     *
+     * @param entry id of this entry
+     * @param requester asks for tokens
+     */
+    public void startQuotas(String entry, QuotaBounds bounds, QuotaRequester requester) {
+        mLoop.execute(() -> mContext.quotas().start(entry, bounds, requester));
+    }
+
+    /** Passes a report on customers' quotas to the receiver, if a customer has one. */
+    public void reportQuotas(Consumer<QuotaReport> receiver) {
+        mLoop.execute(() -> mContext.quotas().takeReport().ifPresent(receiver));
+    }
+
+    /** Passes on a ledger's reply to a report that was taken at a time. */
+    public void onQuotaReply(QuotaReply reply, long sentMillis) {
+        mLoop.execute(() -> mContext.quotas().onReply(reply, sentMillis));
+    }
+
+    /** Called after a question for tokens was answered, or has failed. */
+    public void onQuotaAskEnded() {
+        mLoop.execute(mContext.quotas()::onAskEnded);
+    }
+
     /** Passes a report on the calls to the receiver, which is called on the traffic thread. */
     public void report(Consumer<TrafficReport> receiver) {
         mLoop.execute(
@@ -213,7 +246,8 @@
                                 new TrafficReport(
                                         mUsage.snapshot(),
                                         mEvidence.snapshot(),
-                                        mLimits.takeReport(mContext.clock().nowMillis()))));
+                                        mLimits.takeReport(mContext.clock().nowMillis()),
+                                        mContext.quotas().takeReport())));
     }
 
     /**
