--- a/org.cornelway.test/tst/org/cornelway/quota/QuotaFleet.java
+++ b/org.cornelway.test/tst/org/cornelway/quota/QuotaFleet.java
@@ -26,7 +26,7 @@
     final QuotaBounds mBounds = new QuotaBounds(8_000, 0.1, 7_400);
     final Random mRandom;
     final List<Entry> mEntries = new ArrayList<>();
-    final Map<String, List<Arrival>> mArrivals = new HashMap<>();
+    final Map<String, Arrivals> mArrivals = new HashMap<>();
     final Map<String, Counts> mCounts = new HashMap<>();
     List<Customer> mCustomers;
     long mNowMillis;
@@ -58,14 +58,12 @@
     /** Something that happens at a time. */
     private record Event(long atMillis, long number, Runnable action) {}
 
-    /** Tokens that reached a server. */
-    record Arrival(long atMillis, double tokens) {}
-
     /** Calls of one customer. */
     static final class Counts {
         int mCalls;
         int mServed;
         int mWaited;
+        double mServedTokens;
 
         double servedShare() {
             return (double) mServed / mCalls;
@@ -131,7 +129,12 @@
         mEntries.get(mRandom.nextInt(mEntries.size())).call(customer, cost);
     }
 
-    private Optional<Entry> find(String id) {
+    /** Cuts an entry off from those that are not cut off, or joins it to them. */
+    void cut(Entry entry, boolean off) {
+        mGroups.put(entry.mId, off ? 1 : 0);
+    }
+
+    Optional<Entry> find(String id) {
         return mEntries.stream().filter(each -> each.mId.equals(id) && each.mUp).findFirst();
     }
 
@@ -145,29 +148,11 @@
                 || mLostOneIn > 0 && mRandom.nextInt(mLostOneIn) == 0;
     }
 
-    /** Returns the largest ratio of the tokens in a window to those allowed. */
+    /** Returns the largest ratio of a customer's tokens in a window to those allowed. */
     double worstWindow(Customer customer) {
-        return worstWindow(customer, 0, Long.MAX_VALUE);
-    }
-
-    double worstWindow(Customer customer, long fromMillis, long toMillis) {
-        double allowed = mBounds.allowed(customer.quota());
-        List<Arrival> arrivals =
-                mArrivals.getOrDefault(customer.name(), List.of()).stream()
-                        .filter(a -> a.atMillis() >= fromMillis && a.atMillis() < toMillis)
-                        .sorted((a, b) -> Long.compare(a.atMillis(), b.atMillis()))
-                        .toList();
-        double worst = 0;
-        double sum = 0;
-        int first = 0;
-        for (Arrival last : arrivals) {
-            sum += last.tokens();
-            while (last.atMillis() - arrivals.get(first).atMillis() > mBounds.windowMillis()) {
-                sum -= arrivals.get(first++).tokens();
-            }
-            worst = Math.max(worst, sum / allowed);
-        }
-        return worst;
+        return mArrivals
+                .getOrDefault(customer.name(), new Arrivals())
+                .worstWindow(mBounds.windowMillis(), mBounds.allowed(customer.quota()));
     }
 
     /** One entry with its ledger. */
@@ -175,6 +160,7 @@
         final String mId;
         final int mZone;
         boolean mUp;
+        private boolean mConfigured;
         private int mLife;
         private EntryCount mCount;
         private QuotaPolicy mPolicy;
@@ -195,6 +181,7 @@
 
         void start() {
             mUp = true;
+            mConfigured = false;
             mLife++;
             mCount = new EntryCount(mNowMillis);
             mLedgerCount = new EntryCount(mNowMillis);
@@ -356,7 +343,8 @@
         void call(Customer customer, double cost) {
             Counts counts = counts(customer.name());
             counts.mCalls++;
-            if (!mUp) {
+            mConfigured |= mGroups.get(mId) == 0;
+            if (!mUp || !mConfigured) {
                 // The load balancer sends no calls to an entry that is down.
                 counts.mCalls--;
                 return;
@@ -390,11 +378,12 @@
                 return;
             }
             counts(customer.name()).mServed++;
+            counts(customer.name()).mServedTokens += cost;
             // A packet may be late after the check.
             long lateMillis = mRandom.nextInt(100) == 0 ? mRandom.nextInt(200) : 1;
             mArrivals
-                    .computeIfAbsent(customer.name(), key -> new ArrayList<>())
-                    .add(new Arrival(mNowMillis + lateMillis, cost));
+                    .computeIfAbsent(customer.name(), key -> new Arrivals())
+                    .add(mNowMillis + lateMillis, cost);
         }
     }
 }
