--- a/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
@@ -42,7 +42,10 @@
 
     /** Sends the call, lets it wait, or ends it. */
     void dispatch() {
-        if (mCall.isDone() || !mCall.attempts().isEmpty() || !isWithinQuota()) {
+        if (mCall.isDone()
+                || !mCall.attempts().isEmpty()
+                || mCall.endIfKeyRemoved()
+                || !isWithinQuota()) {
             return;
         }
         List<Candidate> candidates = mSelector.candidates(mCall.service());
