--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -26,6 +26,7 @@
     private final CallCustomer mCustomer;
     private final CallResponder mResponder;
     private final CallEnding mEnding;
+    private final CallQuota mQuota;
     private final CallGuard mGuard;
     private final CallAdmission mAdmission;
     private Optional<CallTerms> mTerms = Optional.empty();
@@ -43,7 +44,8 @@
         mResponse = response;
         mLog = new CallLog(context, request);
         mCustomer = new CallCustomer(context, request, mLog);
-        mResponder = new CallResponder(context, request, response, mHistory, mLog);
+        mQuota = new CallQuota(context, request);
+        mResponder = new CallResponder(context, request, response, mHistory, mLog, mQuota);
         mAttempts = new RunningAttempts(mHistory, mLog);
         ServerSelector selector = new ServerSelector(context, request, mHistory, mAttempts);
         mAdmission = new CallAdmission(context, request, selector, mHistory);
@@ -147,6 +149,16 @@
         return mService;
     }
 
+    /** The tokens of the call. */
+    CallQuota quota() {
+        return mQuota;
+    }
+
+    /** Ends the call since it is beyond its customer's quota. */
+    void refuseForQuota(long retryAfterMillis) {
+        mResponder.refuseForQuota(retryAfterMillis);
+    }
+
     /** Whether the call has ended. */
     boolean isDone() {
         return mResponder.isDone();
