Collect the calls of rarely called models and order the store's loads

Cause: with more models than places and many models without a copy on any engine, a rare model displaced popular ones while these had no calls, store loads began on engines that had the only copy of a popular model and kept it unreachable for 11 to 57 s, and calls for models that only the store has waited up to their deadline of 30 s.

Ruled out: the number of places and the time of the engines, which were occupied to a fifth; loads from disk, since calls for models with a copy were served in time before too.

The change: calls with objectives above 3 s are deferrable. Their models are loaded at the latest useful start and evict no replica that a recently popular model keeps (BatchScheduler, BatchTiming, DemandHistory); the store's loads go to the models with the most calls to gain, on the engine where the fewest calls get late (StoreTurns, StorePlacement), and calls whose model's turn comes too late are refused at once. While there are deferrable calls, the limit on store loads starts at two and judges a load by all loads beside it (SteadyStoreLoadLimit). Without deferrable calls all decisions are as before, which RareModelsTest compares.

--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -240,64 +240,66 @@
       "oller_lease\030\014 \001(\010\022\034\n\024key_value_service_u" +
       "p\030\r \001(\010\022#\n\033controller_lease_age_millis\030\016" +
       " \001(\003\022\014\n\004slow\030\017 \001(\010\022\021\n\trecovered\030\020 \001(\010\022 \n" +
-      "\030placement_fencing_number\030\021 \001(\003\"\212\001\n\010Mode" +
+      "\030placement_fencing_number\030\021 \001(\003\"\327\001\n\010Mode" +
       "lAsk\022\014\n\004from\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005m" +
       "odel\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\030\n\020remaining" +
       "_millis\030\005 \001(\003\022\020\n\010priority\030\006 \001(\005\022\023\n\013not_h" +
-      "eld_by\030\007 \001(\t\"\255\001\n\nModelGrant\0221\n\007outcome\030\001" +
-      " \001(\0162 .cornelway.v1.ModelGrant.Outcome\022\016" +
-      "\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected" +
-      "_millis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NO" +
-      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse" +
-      "\022\016\n\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapt" +
-      "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_mi" +
-      "llis\030\006 \001(\003J\004\010\005\020\006\"\256\002\n\tUseReport\022\014\n\004from\030\001" +
-      " \001(\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003" +
-      " \001(\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelU" +
-      "se\022&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRa" +
-      "te\022\030\n\020evidence_version\030\006 \001(\003\022-\n\010evidence" +
-      "\030\007 \001(\0132\033.cornelway.v1.CrashEvidence\022)\n\006l" +
-      "imits\030\010 \003(\0132\031.cornelway.v1.ServerLimit\022)" +
-      "\n\006wanted\030\t \003(\0132\031.cornelway.v1.ServerCall" +
-      "s\"\225\001\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022\014\n\004bor" +
-      "n\030\002 \001(\003\022\035\n\020calls_per_second\030\003 \001(\001H\000\210\001\001\022\027" +
-      "\n\017sent_age_millis\030\004 \001(\003\022\033\n\023received_age_" +
-      "millis\030\005 \001(\003B\023\n\021_calls_per_second\":\n\013Ser" +
-      "verCalls\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\r" +
-      "\n\005calls\030\003 \001(\005\"v\n\tPartCrash\022\014\n\004part\030\001 \001(\t" +
-      "\022\016\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\023\n\013sent_m" +
-      "illis\030\004 \001(\003\022\026\n\016crashed_millis\030\005 \001(\003\022\020\n\010p" +
-      "osition\030\006 \001(\005\"Q\n\rCrashEvidence\022(\n\007crashe" +
-      "s\030\001 \003(\0132\027.cornelway.v1.PartCrash\022\026\n\016answ" +
-      "ered_parts\030\002 \003(\t\"N\n\tModelRate\022\r\n\005model\030\001" +
-      " \001(\t\022\030\n\020calls_per_second\030\002 \001(\001\022\030\n\020object" +
-      "ive_millis\030\003 \001(\003\",\n\tHeldModel\022\r\n\005model\030\001" +
-      " \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHoldings" +
-      "\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models" +
-      "\030\003 \003(\0132\027.cornelway.v1.HeldModel\"\316\002\n\rHold" +
-      "ingsReply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002 " +
-      "\001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n" +
-      "\007servers\030\005 \003(\0132\034.cornelway.v1.ServerHold" +
-      "ings\022*\n\004busy\030\006 \003(\0132\034.cornelway.v1.Server" +
-      "Activity\022\030\n\020evidence_version\030\007 \001(\003\022-\n\010ev" +
-      "idence\030\010 \001(\0132\033.cornelway.v1.CrashEvidenc" +
-      "e\022)\n\006limits\030\t \003(\0132\031.cornelway.v1.ServerL" +
-      "imit\022*\n\007permits\030\n \003(\0132\031.cornelway.v1.Ser" +
-      "verCalls\"0\n\016ServerActivity\022\016\n\006server\030\001 \001" +
-      "(\t\022\016\n\006active\030\002 \001(\005*-\n\014RequestClass\022\017\n\013IN" +
-      "TERACTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001\n\014AgentServi" +
-      "ce\022@\n\010Exchange\022\035.cornelway.v1.ExchangeRe" +
-      "quest\032\023.cornelway.v1.Frame0\001\022F\n\010Withdraw" +
-      "\022\035.cornelway.v1.WithdrawRequest\032\033.cornel" +
-      "way.v1.WithdrawReply2\224\001\n\013PeerService\022=\n\005" +
-      "Relay\022\032.cornelway.v1.RelayRequest\032\030.corn" +
-      "elway.v1.RelayReply\022F\n\010Describe\022\035.cornel" +
-      "way.v1.DescribeRequest\032\033.cornelway.v1.De" +
-      "scribeReply2\217\001\n\014EntryService\022<\n\010AskModel" +
-      "\022\026.cornelway.v1.ModelAsk\032\030.cornelway.v1." +
-      "ModelGrant\022A\n\tReportUse\022\027.cornelway.v1.U" +
-      "seReport\032\033.cornelway.v1.HoldingsReplyB\025\n" +
-      "\021org.cornelway.rpcP\001b\006proto3"
+      "eld_by\030\007 \001(\t\022\030\n\020objective_millis\030\n \001(\003\022\"" +
+      "\n\032remaining_objective_millis\030\013 \001(\003\022\r\n\005ca" +
+      "lls\030\014 \001(\005\"\255\001\n\nModelGrant\0221\n\007outcome\030\001 \001(" +
+      "\0162 .cornelway.v1.ModelGrant.Outcome\022\016\n\006s" +
+      "erver\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected_mi" +
+      "llis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NOT_C" +
+      "ONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse\022\016\n" +
+      "\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030" +
+      "\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_milli" +
+      "s\030\006 \001(\003J\004\010\005\020\006\"\256\002\n\tUseReport\022\014\n\004from\030\001 \001(" +
+      "\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003 \001(" +
+      "\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelUse\022" +
+      "&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRate\022" +
+      "\030\n\020evidence_version\030\006 \001(\003\022-\n\010evidence\030\007 " +
+      "\001(\0132\033.cornelway.v1.CrashEvidence\022)\n\006limi" +
+      "ts\030\010 \003(\0132\031.cornelway.v1.ServerLimit\022)\n\006w" +
+      "anted\030\t \003(\0132\031.cornelway.v1.ServerCalls\"\225" +
+      "\001\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002" +
+      " \001(\003\022\035\n\020calls_per_second\030\003 \001(\001H\000\210\001\001\022\027\n\017s" +
+      "ent_age_millis\030\004 \001(\003\022\033\n\023received_age_mil" +
+      "lis\030\005 \001(\003B\023\n\021_calls_per_second\":\n\013Server" +
+      "Calls\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\r\n\005c" +
+      "alls\030\003 \001(\005\"v\n\tPartCrash\022\014\n\004part\030\001 \001(\t\022\016\n" +
+      "\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\023\n\013sent_mill" +
+      "is\030\004 \001(\003\022\026\n\016crashed_millis\030\005 \001(\003\022\020\n\010posi" +
+      "tion\030\006 \001(\005\"Q\n\rCrashEvidence\022(\n\007crashes\030\001" +
+      " \003(\0132\027.cornelway.v1.PartCrash\022\026\n\016answere" +
+      "d_parts\030\002 \003(\t\"N\n\tModelRate\022\r\n\005model\030\001 \001(" +
+      "\t\022\030\n\020calls_per_second\030\002 \001(\001\022\030\n\020objective" +
+      "_millis\030\003 \001(\003\",\n\tHeldModel\022\r\n\005model\030\001 \001(" +
+      "\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHoldings\022\016\n" +
+      "\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models\030\003 " +
+      "\003(\0132\027.cornelway.v1.HeldModel\"\316\002\n\rHolding" +
+      "sReply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002 \001(\003" +
+      "\022\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n\007se" +
+      "rvers\030\005 \003(\0132\034.cornelway.v1.ServerHolding" +
+      "s\022*\n\004busy\030\006 \003(\0132\034.cornelway.v1.ServerAct" +
+      "ivity\022\030\n\020evidence_version\030\007 \001(\003\022-\n\010evide" +
+      "nce\030\010 \001(\0132\033.cornelway.v1.CrashEvidence\022)" +
+      "\n\006limits\030\t \003(\0132\031.cornelway.v1.ServerLimi" +
+      "t\022*\n\007permits\030\n \003(\0132\031.cornelway.v1.Server" +
+      "Calls\"0\n\016ServerActivity\022\016\n\006server\030\001 \001(\t\022" +
+      "\016\n\006active\030\002 \001(\005*-\n\014RequestClass\022\017\n\013INTER" +
+      "ACTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001\n\014AgentService\022" +
+      "@\n\010Exchange\022\035.cornelway.v1.ExchangeReque" +
+      "st\032\023.cornelway.v1.Frame0\001\022F\n\010Withdraw\022\035." +
+      "cornelway.v1.WithdrawRequest\032\033.cornelway" +
+      ".v1.WithdrawReply2\224\001\n\013PeerService\022=\n\005Rel" +
+      "ay\022\032.cornelway.v1.RelayRequest\032\030.cornelw" +
+      "ay.v1.RelayReply\022F\n\010Describe\022\035.cornelway" +
+      ".v1.DescribeRequest\032\033.cornelway.v1.Descr" +
+      "ibeReply2\217\001\n\014EntryService\022<\n\010AskModel\022\026." +
+      "cornelway.v1.ModelAsk\032\030.cornelway.v1.Mod" +
+      "elGrant\022A\n\tReportUse\022\027.cornelway.v1.UseR" +
+      "eport\032\033.cornelway.v1.HoldingsReplyB\025\n\021or" +
+      "g.cornelway.rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -410,7 +412,7 @@
     internal_static_cornelway_v1_ModelAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ModelAsk_descriptor,
-        new java.lang.String[] { "From", "Service", "Model", "Adapter", "RemainingMillis", "Priority", "NotHeldBy", });
+        new java.lang.String[] { "From", "Service", "Model", "Adapter", "RemainingMillis", "Priority", "NotHeldBy", "ObjectiveMillis", "RemainingObjectiveMillis", "Calls", });
     internal_static_cornelway_v1_ModelGrant_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_cornelway_v1_ModelGrant_fieldAccessorTable = new
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelAsk.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelAsk.java
@@ -294,6 +294,51 @@
     }
   }
 
+  public static final int OBJECTIVE_MILLIS_FIELD_NUMBER = 10;
+  private long objectiveMillis_ = 0L;
+  /**
+   * <pre>
+   * Shortest latency objective of the waiting requests in milliseconds; 0 if not known.
+   * </pre>
+   *
+   * <code>int64 objective_millis = 10;</code>
+   * @return The objectiveMillis.
+   */
+  @java.lang.Override
+  public long getObjectiveMillis() {
+    return objectiveMillis_;
+  }
+
+  public static final int REMAINING_OBJECTIVE_MILLIS_FIELD_NUMBER = 11;
+  private long remainingObjectiveMillis_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds from the sending of the ask until the first objective passes; may be negative.
+   * </pre>
+   *
+   * <code>int64 remaining_objective_millis = 11;</code>
+   * @return The remainingObjectiveMillis.
+   */
+  @java.lang.Override
+  public long getRemainingObjectiveMillis() {
+    return remainingObjectiveMillis_;
+  }
+
+  public static final int CALLS_FIELD_NUMBER = 12;
+  private int calls_ = 0;
+  /**
+   * <pre>
+   * Number of waiting requests; 0 counts as one.
+   * </pre>
+   *
+   * <code>int32 calls = 12;</code>
+   * @return The calls.
+   */
+  @java.lang.Override
+  public int getCalls() {
+    return calls_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -329,6 +374,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(notHeldBy_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 7, notHeldBy_);
     }
+    if (objectiveMillis_ != 0L) {
+      output.writeInt64(10, objectiveMillis_);
+    }
+    if (remainingObjectiveMillis_ != 0L) {
+      output.writeInt64(11, remainingObjectiveMillis_);
+    }
+    if (calls_ != 0) {
+      output.writeInt32(12, calls_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -356,6 +410,18 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(notHeldBy_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, notHeldBy_);
     }
+    if (objectiveMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, objectiveMillis_);
+    }
+    if (remainingObjectiveMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, remainingObjectiveMillis_);
+    }
+    if (calls_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(12, calls_);
+    }
     return size;
   }
   @java.lang.Override
@@ -394,6 +460,12 @@
         != other.getPriority()) return false;
     if (!getNotHeldBy()
         .equals(other.getNotHeldBy())) return false;
+    if (getObjectiveMillis()
+        != other.getObjectiveMillis()) return false;
+    if (getRemainingObjectiveMillis()
+        != other.getRemainingObjectiveMillis()) return false;
+    if (getCalls()
+        != other.getCalls()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -420,6 +492,14 @@
     hash = (53 * hash) + getPriority();
     hash = (37 * hash) + NOT_HELD_BY_FIELD_NUMBER;
     hash = (53 * hash) + getNotHeldBy().hashCode();
+    hash = (37 * hash) + OBJECTIVE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getObjectiveMillis());
+    hash = (37 * hash) + REMAINING_OBJECTIVE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRemainingObjectiveMillis());
+    hash = (37 * hash) + CALLS_FIELD_NUMBER;
+    hash = (53 * hash) + getCalls();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -558,6 +638,9 @@
       remainingMillis_ = 0L;
       priority_ = 0;
       notHeldBy_ = "";
+      objectiveMillis_ = 0L;
+      remainingObjectiveMillis_ = 0L;
+      calls_ = 0;
       return this;
     }
 
@@ -612,6 +695,15 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.notHeldBy_ = notHeldBy_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.objectiveMillis_ = objectiveMillis_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.remainingObjectiveMillis_ = remainingObjectiveMillis_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.calls_ = calls_;
+      }
     }
 
     @java.lang.Override
@@ -657,6 +749,15 @@
         bitField0_ |= 0x00000040;
         onChanged();
       }
+      if (other.getObjectiveMillis() != 0L) {
+        setObjectiveMillis(other.getObjectiveMillis());
+      }
+      if (other.getRemainingObjectiveMillis() != 0L) {
+        setRemainingObjectiveMillis(other.getRemainingObjectiveMillis());
+      }
+      if (other.getCalls() != 0) {
+        setCalls(other.getCalls());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -716,6 +817,21 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 80: {
+              objectiveMillis_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 80
+            case 88: {
+              remainingObjectiveMillis_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 88
+            case 96: {
+              calls_ = input.readInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1221,6 +1337,138 @@
       return this;
     }
 
+    private long objectiveMillis_ ;
+    /**
+     * <pre>
+     * Shortest latency objective of the waiting requests in milliseconds; 0 if not known.
+     * </pre>
+     *
+     * <code>int64 objective_millis = 10;</code>
+     * @return The objectiveMillis.
+     */
+    @java.lang.Override
+    public long getObjectiveMillis() {
+      return objectiveMillis_;
+    }
+    /**
+     * <pre>
+     * Shortest latency objective of the waiting requests in milliseconds; 0 if not known.
+     * </pre>
+     *
+     * <code>int64 objective_millis = 10;</code>
+     * @param value The objectiveMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMillis(long value) {
+
+      objectiveMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Shortest latency objective of the waiting requests in milliseconds; 0 if not known.
+     * </pre>
+     *
+     * <code>int64 objective_millis = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      objectiveMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long remainingObjectiveMillis_ ;
+    /**
+     * <pre>
+     * Milliseconds from the sending of the ask until the first objective passes; may be negative.
+     * </pre>
+     *
+     * <code>int64 remaining_objective_millis = 11;</code>
+     * @return The remainingObjectiveMillis.
+     */
+    @java.lang.Override
+    public long getRemainingObjectiveMillis() {
+      return remainingObjectiveMillis_;
+    }
+    /**
+     * <pre>
+     * Milliseconds from the sending of the ask until the first objective passes; may be negative.
+     * </pre>
+     *
+     * <code>int64 remaining_objective_millis = 11;</code>
+     * @param value The remainingObjectiveMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRemainingObjectiveMillis(long value) {
+
+      remainingObjectiveMillis_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds from the sending of the ask until the first objective passes; may be negative.
+     * </pre>
+     *
+     * <code>int64 remaining_objective_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRemainingObjectiveMillis() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      remainingObjectiveMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int calls_ ;
+    /**
+     * <pre>
+     * Number of waiting requests; 0 counts as one.
+     * </pre>
+     *
+     * <code>int32 calls = 12;</code>
+     * @return The calls.
+     */
+    @java.lang.Override
+    public int getCalls() {
+      return calls_;
+    }
+    /**
+     * <pre>
+     * Number of waiting requests; 0 counts as one.
+     * </pre>
+     *
+     * <code>int32 calls = 12;</code>
+     * @param value The calls to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCalls(int value) {
+
+      calls_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of waiting requests; 0 counts as one.
+     * </pre>
+     *
+     * <code>int32 calls = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCalls() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      calls_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.ModelAsk)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelAskOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/ModelAskOrBuilder.java
@@ -105,4 +105,34 @@
    */
   com.google.protobuf.ByteString
       getNotHeldByBytes();
+
+  /**
+   * <pre>
+   * Shortest latency objective of the waiting requests in milliseconds; 0 if not known.
+   * </pre>
+   *
+   * <code>int64 objective_millis = 10;</code>
+   * @return The objectiveMillis.
+   */
+  long getObjectiveMillis();
+
+  /**
+   * <pre>
+   * Milliseconds from the sending of the ask until the first objective passes; may be negative.
+   * </pre>
+   *
+   * <code>int64 remaining_objective_millis = 11;</code>
+   * @return The remainingObjectiveMillis.
+   */
+  long getRemainingObjectiveMillis();
+
+  /**
+   * <pre>
+   * Number of waiting requests; 0 counts as one.
+   * </pre>
+   *
+   * <code>int32 calls = 12;</code>
+   * @return The calls.
+   */
+  int getCalls();
 }
--- a/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/AdapterEvictionTest.java
@@ -49,7 +49,10 @@
                         new FixedTerm(),
                         new CheapestLoadPlanner(),
                         EngineLimits.NONE,
-                        new EventLog(this::now, new MetricRegistry()));
+                        DeferralPolicy.NEVER,
+                        new ModelEvents(
+                                new EventLog(this::now, new MetricRegistry()),
+                                new MetricRegistry()));
         mController.applyRoutes(routes());
         ServerRecord record = SimulatedEngine.record();
         mController.beginTerm(new DirectorySnapshot(Map.of(record.id(), record)));
@@ -89,7 +92,8 @@
                         1,
                         now(),
                         1,
-                        Optional.empty()),
+                        Optional.empty(),
+                        CallGroup.UNKNOWN),
                 mOutcomes::add);
     }
 
--- a/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
+++ b/org.cornelway.test/tst/org/cornelway/models/EngineDriverTest.java
@@ -47,7 +47,10 @@
 
                     @Override
                     public void onStoreLoadEnded(
-                            long expectedMillis, long actualMillis, int concurrentLoads) {}
+                            long expectedMillis,
+                            long actualMillis,
+                            int loadsAtBegin,
+                            int mostLoads) {}
 
                     @Override
                     public int runningStoreLoads() {
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
@@ -75,7 +75,8 @@
         mLimits = new FixedLimits();
         mSeenViews.clear();
         mSeenViewCount = 0;
-        EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), new MetricRegistry());
+        MetricRegistry metrics = new MetricRegistry();
+        EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), metrics);
         mController =
                 new ModelController(
                         new EngineRouter(),
@@ -83,7 +84,8 @@
                         new FixedTerm(),
                         this::recordAndPlan,
                         mLimits,
-                        log);
+                        DeferralPolicy.BY_OBJECTIVE,
+                        new ModelEvents(log, metrics));
     }
 
     /** Limits that a test sets. */
@@ -193,7 +195,8 @@
                         1,
                         now,
                         1,
-                        Optional.empty()),
+                        Optional.empty(),
+                        CallGroup.UNKNOWN),
                 mOutcomes::add);
     }
 }
--- a/org.cornelway/src/org/cornelway/cluster/CoalescingModelRequester.java
+++ b/org.cornelway/src/org/cornelway/cluster/CoalescingModelRequester.java
@@ -138,6 +138,19 @@
                 .setAdapter(key.target().adapter())
                 .setRemainingMillis(remainingMillis)
                 .setPriority(pending.mRequests.stream().mapToInt(Request::priority).min().orElse(0))
+                .setObjectiveMillis(
+                        pending.mRequests.stream()
+                                .mapToLong(Request::objectiveMillis)
+                                .min()
+                                .orElse(0))
+                .setRemainingObjectiveMillis(
+                        pending.mRequests.stream()
+                                        .map(Request::objective)
+                                        .mapToLong(Deadline::epochMillis)
+                                        .min()
+                                        .orElse(0)
+                                - mClock.nowMillis())
+                .setCalls(pending.mRequests.size())
                 .setNotHeldBy(lastRequest.notHeldBy().map(ServerIncarnation::id).orElse(""))
                 .build();
     }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.CrashEvidence;
+import org.cornelway.models.CallGroup;
 import org.cornelway.models.ModelController;
 import org.cornelway.models.ModelRequest;
 import org.cornelway.models.ModelRequestOutcome;
@@ -73,7 +74,11 @@
                         1,
                         message.getNotHeldBy().isEmpty()
                                 ? Optional.empty()
-                                : mIncarnations.apply(message.getNotHeldBy()));
+                                : mIncarnations.apply(message.getNotHeldBy()),
+                        new CallGroup(
+                                Math.max(1, message.getCalls()),
+                                message.getObjectiveMillis(),
+                                Deadline.after(now, message.getRemainingObjectiveMillis())));
         mController.submit(request, outcome -> reply.accept(toGrant(outcome)));
     }
 
--- a/org.cornelway/src/org/cornelway/models/EngineDriver.java
+++ b/org.cornelway/src/org/cornelway/models/EngineDriver.java
@@ -58,8 +58,7 @@
     /** Until when a report with fewer accepted orders counts as older than the last order. */
     private Deadline mReportsLagUntil = new Deadline(0);
 
-    private long mBegunMillis;
-    private int mStoreLoadsAtBegin;
+    private final StoreLoadProgress mStoreLoad;
     private long mAssumedEndMillis;
     private long mBusyUntilMillis;
     private final CallPacing mPacing = new CallPacing();
@@ -78,6 +77,7 @@
         mEngines = engines;
         mControl = control;
         mListener = listener;
+        mStoreLoad = new StoreLoadProgress(listener);
     }
 
     ServerRecord server() {
@@ -190,6 +190,7 @@
      */
     void advance(long nowMillis) {
         Optional<PlannedOrder> running = mOrderQueue.running();
+        running.ifPresent(mStoreLoad::observe);
         if (running.isPresent() && nowMillis >= mAssumedEndMillis) {
             if (running.get().readsCheckpointStore()) {
                 // Concurrent loads slow the checkpoint store down, so only a report can tell
@@ -287,12 +288,7 @@
                 .running()
                 .filter(PlannedOrder::readsCheckpointStore)
                 .filter(load -> report.models().containsKey(load.model()))
-                .ifPresent(
-                        load ->
-                                mListener.onStoreLoadEnded(
-                                        load.expectedMillis(),
-                                        nowMillis - mBegunMillis,
-                                        mStoreLoadsAtBegin));
+                .ifPresent(load -> mStoreLoad.end(load, nowMillis));
     }
 
     private void sendOrder(PlannedOrder planned) {
@@ -371,8 +367,7 @@
         mPacing.recordNoConflict();
         if (planned.adapter().isEmpty()) {
             mOrderQueue.setRunning(Optional.of(planned));
-            mBegunMillis = nowMillis;
-            mStoreLoadsAtBegin = mListener.runningStoreLoads();
+            mStoreLoad.begin(nowMillis);
             mBusyUntilMillis = nowMillis + planned.expectedMillis();
             mAssumedEndMillis =
                     nowMillis
--- a/org.cornelway/src/org/cornelway/models/EngineListener.java
+++ b/org.cornelway/src/org/cornelway/models/EngineListener.java
@@ -36,9 +36,10 @@
      *
      * @param expectedMillis duration of a load that does not compete with others
      * @param actualMillis time since the engine accepted the order
-     * @param concurrentLoads loads that read the store when it began, itself included
+     * @param loadsAtBegin loads that read the store when it began, itself included
+     * @param mostLoads largest number of loads that read the store at once during it
      */
-    void onStoreLoadEnded(long expectedMillis, long actualMillis, int concurrentLoads);
+    void onStoreLoadEnded(long expectedMillis, long actualMillis, int loadsAtBegin, int mostLoads);
 
     /** Returns the number of loads that engines are reading from the checkpoint store. */
     int runningStoreLoads();
--- a/org.cornelway/src/org/cornelway/models/LoadScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/LoadScheduler.java
@@ -1,13 +1,17 @@
 package org.cornelway.models;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.route.ModelDefinition;
 import org.cornelway.time.Deadline;
+import org.cornelway.traffic.ModelRate;
 import org.cornelway.traffic.ModelTarget;
 
 /**
@@ -38,22 +42,46 @@
     private final LoadPlanner mPlanner;
     private final DemandTable mDemand;
     private final StoreLoadLimit mStoreLoads;
+    private final SteadyStoreLoadLimit mSteadyLoads;
+    private final DemandHistory mHistory;
     private final Map<ServerIncarnation, Map<String, Long>> mLastAnsweredMillis = new HashMap<>();
     private Deadline mEvictionsSuspendedUntil = new Deadline(0);
 
-    LoadScheduler(LoadPlanner planner, DemandTable demand, StoreLoadLimit storeLoads) {
+    LoadScheduler(
+            LoadPlanner planner,
+            DemandTable demand,
+            StoreLoadLimit storeLoads,
+            SteadyStoreLoadLimit steadyLoads,
+            DeferralPolicy deferral) {
+        mHistory = new DemandHistory(deferral);
         mPlanner = planner;
         mDemand = demand;
         mStoreLoads = storeLoads;
+        mSteadyLoads = steadyLoads;
     }
 
     DemandTable demand() {
         return mDemand;
     }
 
+    DemandHistory history() {
+        return mHistory;
+    }
+
+    /** Records the present demand in the history. */
+    void updateHistory(SchedulingRound round) {
+        long now = round.nowMillis();
+        mHistory.update(mDemand.rates(now), model -> neededReplicas(model, round), now);
+    }
+
+    /** Whether calls of any model may wait for each other. */
+    boolean hasDeferrable() {
+        return mHistory.hasDeferrable();
+    }
+
     /** Returns the number of loads that may read the checkpoint store at the same time. */
     int maxStoreLoads() {
-        return mStoreLoads.limit();
+        return hasDeferrable() ? mSteadyLoads.limit() : mStoreLoads.limit();
     }
 
     /**
@@ -126,6 +154,73 @@
         return plan(model, Optional.empty(), views, maxStoreLoads(), round);
     }
 
+    /**
+     * Plans a load of a model from a copy on an engine, for calls that may wait. Evicts no replica
+     * that a recently popular model keeps.
+     */
+    Optional<LoadPlan> planFromCopy(
+            ModelDefinition model, ModelRequest request, SchedulingRound round) {
+        List<EngineView> views =
+                candidates(model, round.engines(), round)
+                        .filter(engine -> engine.cachedWeights().contains(model.name()))
+                        .map(
+                                engine ->
+                                        view(engine, round)
+                                                .withPinned(name -> isRetained(name, round)))
+                        .toList();
+        return plan(model, Optional.of(request), views, 0, round);
+    }
+
+    /** Whether a model was popular recently and has no more replicas than it keeps. */
+    private boolean isRetained(String model, SchedulingRound round) {
+        int retained = mHistory.retainedReplicas(model, round.nowMillis());
+        return retained > 0 && round.stayingReplicas(model) <= retained;
+    }
+
+    /** Plans a load from the checkpoint store that begins now. */
+    Optional<LoadPlan> planFromStore(ModelDefinition model, SchedulingRound round) {
+        List<StorePlacement.Engine> engines =
+                candidates(model, round.engines(), round)
+                        .filter(EngineDriver::acceptsModelOrders)
+                        .map(engine -> storeTarget(engine, round))
+                        .toList();
+        boolean mayEvict = mEvictionsSuspendedUntil.isPast(round.nowMillis());
+        return StorePlacement.choose(model.weightsMegabytes(), model.storeLoadMillis(), engines)
+                .filter(plan -> mayEvict || plan.victims().isEmpty());
+    }
+
+    private StorePlacement.Engine storeTarget(EngineDriver engine, SchedulingRound round) {
+        EngineView view = view(engine, round);
+        List<StorePlacement.Copy> evictable = new ArrayList<>();
+        view.models()
+                .forEach(
+                        (name, held) -> {
+                            if (!held.pinned() && !isRetained(name, round)) {
+                                evictable.add(copy(name, Optional.of(held), engine, round));
+                            }
+                        });
+        Set<String> cached = new HashSet<>(view.onDisk());
+        cached.addAll(view.inMemory());
+        List<StorePlacement.Copy> cachedOnly =
+                cached.stream()
+                        .filter(name -> round.holders(name).isEmpty())
+                        .map(name -> copy(name, Optional.empty(), engine, round))
+                        .toList();
+        return new StorePlacement.Engine(view, evictable, cachedOnly);
+    }
+
+    private StorePlacement.Copy copy(
+            String model, Optional<ModelView> held, EngineDriver engine, SchedulingRound round) {
+        ModelRate rate = rate(model, round);
+        return new StorePlacement.Copy(
+                model,
+                held.map(ModelView::megabytes).orElse(0.0),
+                rate.callsPerSecond(),
+                rate.objectiveMillis(),
+                round.hasOtherCopy(engine, model),
+                held.map(ModelView::remainingMillis).orElse(0L));
+    }
+
     /** Returns the engines whose state is known and that neither hold nor load a model. */
     private static Stream<EngineDriver> candidates(
             ModelDefinition model, List<EngineDriver> engines, SchedulingRound round) {
@@ -220,13 +315,26 @@
                 model.weightsMegabytes() + adapterCount * model.adapterMegabytes(),
                 mDemand.activeCalls(server, name, now),
                 mDemand.remainingMillis(server, name, now),
-                mDemand.rate(name, now),
+                rate(name, round),
                 round.replicas(name),
                 neededReplicas(name, round),
                 isPinned(engine, name, round),
                 model.diskLoadMillis());
     }
 
+    /** Returns the rate by which the loss of an eviction is judged. */
+    private ModelRate rate(String model, SchedulingRound round) {
+        ModelRate present = mDemand.rate(model, round.nowMillis());
+        return hasDeferrable()
+                ? mHistory.expected(model, round.definition().models().size(), present)
+                : present;
+    }
+
+    /** Whether a model is expected to get fewer calls than another one. */
+    boolean isCalledLess(String model, String other, SchedulingRound round) {
+        return rate(model, round).callsPerSecond() < rate(other, round).callsPerSecond();
+    }
+
     private boolean isPinned(EngineDriver engine, String model, SchedulingRound round) {
         return wasAnsweredWithin(MIN_RESIDENT_MILLIS, engine, model, round.nowMillis())
                 || round.isRequested(model);
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -6,13 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
-import org.cornelway.eventlog.EventLog;
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.OrderReply;
 import org.cornelway.platform.ServerOrder;
@@ -51,12 +49,14 @@
     private final Scheduler mControl;
     private final TermSource mTerms;
     private final LoadScheduler mLoads;
+    private final BatchScheduler mBatches;
     private final ModelScheduler mScheduler;
     private final ProactiveScheduler mProactive;
     private final EngineLimits mLimits;
-    private final EventLog mLog;
+    private final ModelEvents mEvents;
     private final DemandTable mDemand = new DemandTable();
     private final StoreLoadLimit mStoreLoads = new StoreLoadLimit(MAX_STORE_LOADS);
+    private final SteadyStoreLoadLimit mSteadyLoads = new SteadyStoreLoadLimit(MAX_STORE_LOADS);
     private final Map<ServerIncarnation, EngineDriver> mDrivers = new HashMap<>();
     private final PendingRequests mPending = new PendingRequests();
     private final Map<ServerIncarnation, Deadline> mNextRereadTimes = new HashMap<>();
@@ -86,6 +86,7 @@
     /**
      * @param planner chooses where models are loaded
      * @param limits tells which engines take fewer calls than they have places for
+     * @param deferral decides whose calls may wait for a later load
      */
     public ModelController(
             EngineControl engines,
@@ -93,14 +94,16 @@
             TermSource terms,
             LoadPlanner planner,
             EngineLimits limits,
-            EventLog log) {
+            DeferralPolicy deferral,
+            ModelEvents events) {
         mEngines = engines;
         mControl = control;
         mTerms = terms;
         mLimits = limits;
-        mLog = log;
-        mLoads = new LoadScheduler(planner, mDemand, mStoreLoads);
-        mScheduler = new ModelScheduler(mLoads);
+        mEvents = events;
+        mLoads = new LoadScheduler(planner, mDemand, mStoreLoads, mSteadyLoads, deferral);
+        mBatches = new BatchScheduler(mLoads, deferral, events);
+        mScheduler = new ModelScheduler(mLoads, mBatches);
         mProactive = new ProactiveScheduler(mLoads);
     }
 
@@ -220,6 +223,7 @@
             RoundGuard.answer(request, () -> findOrLoad(request, rounds, now))
                     .ifPresent(outcome -> complete(pending, outcome));
         }
+        RoundGuard.run("loads from the store", () -> useStore(rounds, now));
         if (now >= mNextProactiveMillis) {
             mNextProactiveMillis = now + PROACTIVE_INTERVAL_MILLIS;
             RoundGuard.run("proactive loads", () -> planProactiveLoads(rounds, now));
@@ -242,12 +246,19 @@
                 .orElse(Optional.of(new ModelRequestOutcome.TooLate(0)));
     }
 
+    private void useStore(Map<String, SchedulingRound> rounds, long now) {
+        for (String service : mRoutes.get().configuration().services().keySet()) {
+            round(service, rounds, now).ifPresent(mBatches::useStore);
+        }
+    }
+
     /** Plans loads that no call waits for. */
     private void planProactiveLoads(Map<String, SchedulingRound> rounds, long now) {
         for (String service : mRoutes.get().configuration().services().keySet()) {
             round(service, rounds, now)
                     .ifPresent(
                             round -> {
+                                mLoads.updateHistory(round);
                                 mProactive.addReplicas(round);
                                 mProactive.fillFreeMemory(round);
                                 mProactive.prefetchFromStore(round);
@@ -259,9 +270,9 @@
     private Optional<SchedulingRound> round(
             String service, Map<String, SchedulingRound> rounds, long now) {
         if (!rounds.containsKey(service)) {
-            Set<String> requested = mPending.models();
+            Map<String, ModelRequest> requests = mPending.byModel();
             engineDefinition(service)
-                    .map(d -> new SchedulingRound(drivers(service), d, requested, mLimits, now))
+                    .map(d -> new SchedulingRound(drivers(service), d, requests, mLimits, now))
                     .ifPresent(round -> rounds.put(service, round));
         }
         return Optional.ofNullable(rounds.get(service));
@@ -278,16 +289,9 @@
         mPending.remove(pending);
         pending.callbacks()
                 .forEach(each -> RoundGuard.run("an answer", () -> each.accept(outcome)));
-        mLog.write(
-                "model.answered",
-                "model",
-                pending.request().target(),
-                "waiting",
-                pending.callbacks().size(),
-                "answer",
-                outcome,
-                "version",
-                mHoldingsVersion);
+        mBatches.recordOutcome(pending.request(), outcome, now());
+        mEvents.recordAnswer(
+                pending.request(), pending.callbacks().size(), outcome, mHoldingsVersion);
     }
 
     /**
@@ -361,37 +365,15 @@
     }
 
     @Override
-    public void onStoreLoadEnded(long expectedMillis, long actualMillis, int concurrentLoads) {
-        mStoreLoads.recordLoad(expectedMillis, actualMillis, concurrentLoads);
-        mLog.write(
-                "store_load.ended",
-                "expected_ms",
-                expectedMillis,
-                "ms",
-                actualMillis,
-                "concurrent",
-                concurrentLoads,
-                "limit",
-                mStoreLoads.limit());
+    public void onStoreLoadEnded(
+            long expectedMillis, long actualMillis, int loadsAtBegin, int mostLoads) {
+        mStoreLoads.recordLoad(expectedMillis, actualMillis, loadsAtBegin);
+        mSteadyLoads.recordLoad(expectedMillis, actualMillis, mostLoads);
+        mEvents.recordStoreLoad(expectedMillis, actualMillis, mostLoads, mLoads.maxStoreLoads());
     }
 
     @Override
     public void onOrderReply(ServerRecord server, ServerOrder order, OrderReply reply) {
-        mLog.write(
-                "engine.order",
-                "server",
-                server.id(),
-                "load",
-                order.isLoad(),
-                "model",
-                order.model(),
-                "adapter",
-                order.adapter().orElse("-"),
-                "orders",
-                order.expectedOrders(),
-                "fence",
-                order.fencingNumber(),
-                "reply",
-                reply);
+        mEvents.recordOrder(server, order, reply);
     }
 }
--- a/org.cornelway/src/org/cornelway/models/ModelRequest.java
+++ b/org.cornelway/src/org/cornelway/models/ModelRequest.java
@@ -18,6 +18,7 @@
  *     from an entry counts as one call, however many calls wait at that entry
  * @param notHeldBy an engine that has just replied that it does not hold the target, or that does
  *     not reply; empty if there is none
+ * @param calls the waiting calls
  */
 public record ModelRequest(
         String service,
@@ -26,4 +27,5 @@
         int priority,
         long firstArrivalMillis,
         int mergedRequests,
-        Optional<ServerIncarnation> notHeldBy) {}
+        Optional<ServerIncarnation> notHeldBy,
+        CallGroup calls) {}
--- a/org.cornelway/src/org/cornelway/models/ModelScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ModelScheduler.java
@@ -19,10 +19,12 @@
     private static final long MIN_MOVE_GAIN_MILLIS = 250;
 
     private final LoadScheduler mLoads;
+    private final BatchScheduler mBatches;
     private final DemandTable mDemand;
     private final AdapterScheduler mAdapterScheduler;
 
-    ModelScheduler(LoadScheduler loads) {
+    ModelScheduler(LoadScheduler loads, BatchScheduler batches) {
+        mBatches = batches;
         mLoads = loads;
         mDemand = loads.demand();
         mAdapterScheduler = new AdapterScheduler(loads.demand());
@@ -115,6 +117,9 @@
             mLoads.enqueue(soonerPlan.get(), model, round);
             return tooLateOrPending(request, now + soonerPlan.get().totalMillis(), now);
         }
+        if (limited.isEmpty() && mBatches.isDeferrable(request)) {
+            return mBatches.findOrLoad(request, model, round);
+        }
         Optional<LoadPlan> plan = planFor(request, model, round);
         if (plan.isEmpty() && !limited.isEmpty()) {
             return Optional.of(answerWith(leastBusy(limited, now), request.target(), now));
@@ -162,7 +167,8 @@
                 .filter(p -> now + p.totalMillis() < latestMillis);
     }
 
-    private static Optional<ModelRequestOutcome> tooLateOrPending(
+    /** Refuses a request whose model is ready only after its deadline. */
+    static Optional<ModelRequestOutcome> tooLateOrPending(
             ModelRequest request, long readyMillis, long nowMillis) {
         return request.deadline().isPast(readyMillis)
                 ? Optional.of(new ModelRequestOutcome.TooLate(readyMillis - nowMillis))
--- a/org.cornelway/src/org/cornelway/models/PendingRequests.java
+++ b/org.cornelway/src/org/cornelway/models/PendingRequests.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.cornelway.traffic.ModelTarget;
 
@@ -63,7 +61,8 @@
                 Math.min(earlier.priority(), later.priority()),
                 earlier.firstArrivalMillis(),
                 earlier.mergedRequests() + later.mergedRequests(),
-                later.notHeldBy().or(earlier::notHeldBy));
+                later.notHeldBy().or(earlier::notHeldBy),
+                earlier.calls().plus(later.calls()));
     }
 
     /** Removes a request that has its outcome. */
@@ -80,10 +79,13 @@
         return all;
     }
 
-    /** Returns the models that the requests are for, whether or not they name an adapter. */
-    Set<String> models() {
-        Set<String> models = new HashSet<>();
-        mByKey.keySet().forEach(key -> models.add(key.target().model()));
-        return models;
+    /**
+     * Returns the requests by the model that they are for, whether or not they name an adapter; one
+     * of them if there are several.
+     */
+    Map<String, ModelRequest> byModel() {
+        Map<String, ModelRequest> requests = new HashMap<>();
+        mByKey.forEach((key, pending) -> requests.put(key.target().model(), pending.request()));
+        return requests;
     }
 }
--- a/org.cornelway/src/org/cornelway/models/ProactiveScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/ProactiveScheduler.java
@@ -107,6 +107,9 @@
             EngineDriver engine, String evicted, ModelDefinition loaded, SchedulingRound round) {
         boolean answered =
                 mLoads.wasAnsweredWithin(MIN_STAY_MILLIS, engine, evicted, round.nowMillis());
+        if (mLoads.hasDeferrable() && !mLoads.isCalledLess(evicted, loaded.name(), round)) {
+            return false;
+        }
         return PrefetchEviction.isAllowed(
                 modelUse(loaded.name(), false, round),
                 modelUse(evicted, answered, round),
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
+import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.route.EngineDefinition;
 import org.cornelway.route.ModelDefinition;
 
@@ -24,11 +26,13 @@
     private final List<EngineDriver> mEngines;
     private final EngineDefinition mDefinition;
     private final long mNowMillis;
-    private final Set<String> mRequested;
+    private final Map<String, ModelRequest> mRequests;
     private final EngineLimits mLimits;
     private final Map<String, List<EngineDriver>> mHolders = new HashMap<>();
     private final Map<String, List<EngineDriver>> mLoaders = new HashMap<>();
     private final Map<String, Integer> mCachedCopies = new HashMap<>();
+    private final Map<ServerIncarnation, Long> mBacklogMillis = new HashMap<>();
+    private Optional<StoreTurns> mStoreTurns = Optional.empty();
     private final Map<EngineDriver, EngineView> mViews = new IdentityHashMap<>();
     private Optional<Integer> mMaxStoreLoadsForRequests = Optional.empty();
     private int mStoreReads;
@@ -36,17 +40,17 @@
 
     /**
      * @param engines the engines of the service, in a fixed order
-     * @param requested models that calls wait for
+     * @param requests the requests by model
      */
     SchedulingRound(
             List<EngineDriver> engines,
             EngineDefinition definition,
-            Set<String> requested,
+            Map<String, ModelRequest> requests,
             EngineLimits limits,
             long nowMillis) {
         mEngines = engines;
         mDefinition = definition;
-        mRequested = requested;
+        mRequests = requests;
         mLimits = limits;
         mNowMillis = nowMillis;
         engines.forEach(this::index);
@@ -139,12 +143,17 @@
 
     /** Whether calls wait for a model. */
     boolean isRequested(String model) {
-        return mRequested.contains(model);
+        return mRequests.containsKey(model);
+    }
+
+    /** Returns the request for a model. */
+    Optional<ModelRequest> request(String model) {
+        return Optional.ofNullable(mRequests.get(model));
     }
 
     /** Whether calls wait for any model. */
     boolean hasRequests() {
-        return !mRequested.isEmpty();
+        return !mRequests.isEmpty();
     }
 
     /**
@@ -206,6 +215,46 @@
         return mMaxStoreLoadsForRequests.get();
     }
 
+    /** Returns the turns of the models that only the store has, computed at their first use. */
+    StoreTurns storeTurns(Supplier<StoreTurns> factory) {
+        if (mStoreTurns.isEmpty()) {
+            mStoreTurns = Optional.of(factory.get());
+        }
+        return mStoreTurns.get();
+    }
+
+    /**
+     * Adds a load that waits for its latest start to an engine's backlog; returns the duration of
+     * those added before.
+     */
+    long addBacklog(ServerIncarnation engine, long loadMillis) {
+        long before = mBacklogMillis.getOrDefault(engine, 0L);
+        mBacklogMillis.put(engine, before + loadMillis);
+        return before;
+    }
+
+    /**
+     * Returns the number of engines that hold or load a model and have no order to unload it. An
+     * engine with a limit does not count.
+     */
+    int stayingReplicas(String model) {
+        Set<EngineDriver> replicas = new HashSet<>(holders(model));
+        replicas.removeIf(engine -> engine.isUnloading(model));
+        replicas.addAll(loaders(model));
+        replicas.removeIf(this::isLimited);
+        return replicas.size();
+    }
+
+    /** Whether an engine other than the given one holds a model or has it cached. */
+    boolean hasOtherCopy(EngineDriver engine, String model) {
+        return mEngines.stream()
+                .filter(each -> each != engine)
+                .anyMatch(
+                        each ->
+                                each.models().containsKey(model)
+                                        || each.cachedWeights().contains(model));
+    }
+
     /** Creates the view of an engine. */
     interface ViewFactory {
         EngineView create(EngineDriver engine);
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -31,7 +31,9 @@
 import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.models.CheapestLoadPlanner;
+import org.cornelway.models.DeferralPolicy;
 import org.cornelway.models.ModelController;
+import org.cornelway.models.ModelEvents;
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.KeyValueStore;
@@ -138,7 +140,13 @@
                         .create(deps.traffic().platformClient(), deps.clock(), new EngineNotices());
         mController =
                 new ModelController(
-                        engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
+                        engines,
+                        control,
+                        mElection,
+                        new CheapestLoadPlanner(),
+                        mLimits,
+                        DeferralPolicy.BY_OBJECTIVE,
+                        new ModelEvents(log, deps.metrics()));
         mDemandStore = new DemandStore(keys, mController.demand(), control, log);
         mRequestHandler =
                 new ControllerRequestHandler(
--- a/org.cornelway/src/org/cornelway/traffic/ModelRequester.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelRequester.java
@@ -18,6 +18,8 @@
      * @param target the model and adapter
      * @param deadline time by which the model must be available
      * @param priority priority of the call, 0 is the most urgent
+     * @param objectiveMillis latency objective of the call
+     * @param objective when the objective passes
      * @param notHeldBy a server that does not serve the model although it was expected to hold it;
      *     empty if there is none
      */
@@ -26,6 +28,8 @@
             ModelTarget target,
             Deadline deadline,
             int priority,
+            long objectiveMillis,
+            Deadline objective,
             Optional<ServerIncarnation> notHeldBy) {}
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/ModelWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelWait.java
@@ -80,6 +80,8 @@
                                 mRequest.head().target().orElseThrow(),
                                 deadline,
                                 terms.priority(),
+                                terms.route().targetLatencyMillis(),
+                                terms.objective(),
                                 mNotHeldBy),
                         tooLate);
     }
