Refuse merged calls singly, make spare copies, and test the batches

Cause: a request that was merged with a later one waited past its own deadline for a load that only the later one could use; a repeated request of an entry, whose reply came after its time limit, counted its calls again.

The change: each merged request keeps its deadline and its sender. The store copies models with a copy on one engine only while no other model needs it.

--- a/org.cornelway.test/tst/org/cornelway/models/FleetSimulation.java
+++ b/org.cornelway.test/tst/org/cornelway/models/FleetSimulation.java
@@ -63,7 +63,10 @@
     private final Set<String> mAsked = new HashSet<>();
     private final PriorityQueue<RunningCall> mRunning =
             new PriorityQueue<>(Comparator.comparingLong(RunningCall::endMillis));
-    private final Map<String, double[]> mRates = new HashMap<>();
+
+    /** Decayed number of calls and the time of the last one, by entry and model. */
+    private final Map<Integer, Map<String, double[]>> mRates = new TreeMap<>();
+
     private final FleetFigures.Counts mNotCounted = new FleetFigures.Counts();
     private long mCountedMillis;
     private List<Integer> mPopular = List.of();
@@ -215,7 +218,7 @@
         arrive(mScenario.rare(), true, isBurst ? BURST_FACTOR : 1);
         serveWaiting(now);
         if (now % REPORT_MILLIS == 0) {
-            mController.demand().recordReport("p1", usage(now), now);
+            reportUsage(now);
         }
         if (now % ROUND_MILLIS == 0) {
             mController.scheduleRound();
@@ -234,10 +237,13 @@
                             ? mScenario.candidates() + mRandom.nextInt(mScenario.rareModels())
                             : mPopular.get(mRandom.nextInt(mPopular.size()));
             String model = mScenario.model(index);
+            int entry = mRandom.nextInt(ENTRIES);
             mWaiting.computeIfAbsent(model, key -> new ArrayList<>())
-                    .add(new Call(model, mRandom.nextInt(ENTRIES), now(), kind));
+                    .add(new Call(model, entry, now(), kind));
             counts(isRare, now()).mCalls++;
-            double[] rate = mRates.computeIfAbsent(model, key -> new double[] {0, now()});
+            double[] rate =
+                    mRates.computeIfAbsent(entry, key -> new HashMap<>())
+                            .computeIfAbsent(model, key -> new double[] {0, now()});
             rate[0] = decayed(rate, now()) + 1;
             rate[1] = now();
         }
@@ -303,6 +309,7 @@
                         1,
                         Optional.empty(),
                         new CallGroup(
+                                "entry" + call.entry(),
                                 1,
                                 call.kind().objective(),
                                 new Deadline(call.arrivedMillis() + call.kind().objective()))),
@@ -324,7 +331,32 @@
         return true;
     }
 
-    private ModelUsage.Snapshot usage(long now) {
+    private void reportUsage(long now) {
+        mRates.forEach(
+                (entry, rates) ->
+                        mController
+                                .demand()
+                                .recordReport("entry" + entry, usage(entry, rates, now), now));
+    }
+
+    /** Returns the usage of an entry; the first one tells of the active calls of all. */
+    private ModelUsage.Snapshot usage(int entry, Map<String, double[]> ownRates, long now) {
+        Map<String, ModelRate> rates = new HashMap<>();
+        ownRates.forEach(
+                (model, rate) -> {
+                    // The share of a constant rate's decayed calls that the time so far holds.
+                    double observed = 1 - Math.pow(0.5, Math.max(500, now) / RATE_HALF_LIFE_MILLIS);
+                    double perSecond = decayed(rate, now) * Math.log(2) / 3 / observed;
+                    FleetScenario.Kind kind =
+                            model.startsWith("r") ? mScenario.rare() : mScenario.popular();
+                    if (perSecond > MIN_RATE) {
+                        rates.put(model, new ModelRate(perSecond, kind.objective()));
+                    }
+                });
+        return new ModelUsage.Snapshot(entry == 0 ? activeCalls(now) : List.of(), rates);
+    }
+
+    private List<ModelUsage.ActiveCalls> activeCalls(long now) {
         List<ModelUsage.ActiveCalls> active = new ArrayList<>();
         mEngines.forEach(
                 (id, engine) ->
@@ -337,19 +369,7 @@
                                                                 new ModelTarget(model, ""),
                                                                 count,
                                                                 remaining(id, model, now)))));
-        Map<String, ModelRate> rates = new HashMap<>();
-        mRates.forEach(
-                (model, rate) -> {
-                    // The share of a constant rate's decayed calls that the time so far holds.
-                    double observed = 1 - Math.pow(0.5, Math.max(500, now) / RATE_HALF_LIFE_MILLIS);
-                    double perSecond = decayed(rate, now) * Math.log(2) / 3 / observed;
-                    FleetScenario.Kind kind =
-                            model.startsWith("r") ? mScenario.rare() : mScenario.popular();
-                    if (perSecond > MIN_RATE) {
-                        rates.put(model, new ModelRate(perSecond, kind.objective()));
-                    }
-                });
-        return new ModelUsage.Snapshot(active, rates);
+        return active;
     }
 
     private long remaining(String engine, String model, long now) {
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
@@ -186,6 +186,17 @@
     }
 
     void request(String model, long timeoutMillis) {
+        request(model, timeoutMillis, CallGroup.UNKNOWN);
+    }
+
+    /** Requests a model for calls that may wait for each other. */
+    void requestDeferrable(String entry, String model, long objectiveMillis, long timeoutMillis) {
+        long now = mTime.now(TimeUnit.MILLISECONDS);
+        Deadline objective = Deadline.after(now, objectiveMillis);
+        request(model, timeoutMillis, new CallGroup(entry, 1, objectiveMillis, objective));
+    }
+
+    private void request(String model, long timeoutMillis, CallGroup calls) {
         long now = mTime.now(TimeUnit.MILLISECONDS);
         mController.submit(
                 new ModelRequest(
@@ -196,7 +207,7 @@
                         now,
                         1,
                         Optional.empty(),
-                        CallGroup.UNKNOWN),
+                        calls),
                 mOutcomes::add);
     }
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -76,6 +76,7 @@
                                 ? Optional.empty()
                                 : mIncarnations.apply(message.getNotHeldBy()),
                         new CallGroup(
+                                message.getFrom(),
                                 Math.max(1, message.getCalls()),
                                 message.getObjectiveMillis(),
                                 Deadline.after(now, message.getRemainingObjectiveMillis())));
--- a/org.cornelway/src/org/cornelway/models/BatchScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/BatchScheduler.java
@@ -1,8 +1,10 @@
 package org.cornelway.models;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,7 +30,7 @@
     private final ModelEvents mEvents;
 
     /** Models with calls that were let wait for the store, in the order of their admission. */
-    private final Set<String> mAdmitted = new java.util.LinkedHashSet<>();
+    private final Set<String> mAdmitted = new LinkedHashSet<>();
 
     private final Map<String, WeightSource> mSources = new HashMap<>();
 
@@ -113,6 +115,7 @@
         if (chosen.waitMillis() == 0 && BatchTiming.isDue(chosen, latestStart, now)) {
             enqueue(chosen, model, round);
         }
+        round.expectReady(model.name(), now + chosen.totalMillis());
         return ModelScheduler.tooLateOrPending(request, now + chosen.totalMillis(), now);
     }
 
@@ -123,6 +126,7 @@
         long endMillis = turns(round).endMillis(name);
         if (!request.deadline().isPast(endMillis)) {
             mAdmitted.add(name);
+            round.expectReady(name, endMillis);
             return Optional.empty();
         }
         mEvents.recordStoreRefusal(request, endMillis - now);
@@ -134,7 +138,11 @@
         if (round.awaitsFirstReport() || round.storeReads() >= mLoads.maxStoreLoads()) {
             return;
         }
-        for (String name : turns(round).order()) {
+        List<String> order = turns(round).order();
+        if (order.isEmpty()) {
+            addSpareCopy(round);
+        }
+        for (String name : order) {
             if (round.storeReads() >= mLoads.maxStoreLoads()) {
                 return;
             }
@@ -143,6 +151,27 @@
         }
     }
 
+    /**
+     * Loads the model with the most calls of those with a copy on one engine only, so that another
+     * engine can load it too. Nothing else needs the store now.
+     */
+    private void addSpareCopy(SchedulingRound round) {
+        if (!mLoads.hasDeferrable()) {
+            return;
+        }
+        round.definition().models().values().stream()
+                .filter(model -> round.enginesWithCopy(model.name()) == 1)
+                .filter(model -> round.loaders(model.name()).isEmpty())
+                .filter(model -> mLoads.history().callsPerSecond(model.name()) > 0)
+                .max(
+                        Comparator.comparingDouble(
+                                model -> mLoads.history().callsPerSecond(model.name())))
+                .ifPresent(
+                        model ->
+                                mLoads.planFromStore(model, round)
+                                        .ifPresent(plan -> enqueue(plan, model, round)));
+    }
+
     private void enqueue(LoadPlan plan, ModelDefinition model, SchedulingRound round) {
         mSources.put(model.name(), plan.source());
         mLoads.enqueue(plan, model, round);
--- a/org.cornelway/src/org/cornelway/models/DemandHistory.java
+++ b/org.cornelway/src/org/cornelway/models/DemandHistory.java
@@ -30,6 +30,7 @@
 
     private final DeferralPolicy mPolicy;
     private final Set<String> mDeferrable = new HashSet<>();
+    private double mCallsPerSecond;
     private double mDeferrableCallsPerSecond;
     private final Map<String, Entry> mEntries = new HashMap<>();
     private long mShortestObjectiveMillis = ModelRate.NONE.objectiveMillis();
@@ -88,6 +89,7 @@
                         mDeferrable.add(model);
                     }
                 });
+        mCallsPerSecond = mEntries.keySet().stream().mapToDouble(this::callsPerSecond).sum();
         mDeferrableCallsPerSecond = mDeferrable.stream().mapToDouble(this::callsPerSecond).sum();
     }
 
@@ -113,9 +115,9 @@
                     Math.max(present.callsPerSecond(), callsPerSecond(model)),
                     objectiveMillis(model));
         }
-        double total = mEntries.keySet().stream().mapToDouble(this::callsPerSecond).sum();
         double share = Math.pow(0.5, (mUpdatedMillis - mFirstMillis) / UNKNOWN_HALF_LIFE_MILLIS);
-        return new ModelRate(share * total / Math.max(1, models), mShortestObjectiveMillis);
+        return new ModelRate(
+                share * mCallsPerSecond / Math.max(1, models), mShortestObjectiveMillis);
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -129,6 +129,7 @@
      * orders since that state was read.
      */
     public void beginTerm(DirectorySnapshot directory) {
+        mLoads.history().clear();
         mScheduler.suspendEvictionUntil(Deadline.after(now(), WARM_UP_MILLIS));
         mDrivers.clear();
         applyDirectory(directory);
@@ -221,7 +222,9 @@
         for (PendingRequests.Pending pending : mPending.mostUrgentFirst()) {
             ModelRequest request = pending.request();
             RoundGuard.answer(request, () -> findOrLoad(request, rounds, now))
-                    .ifPresent(outcome -> complete(pending, outcome));
+                    .ifPresentOrElse(
+                            outcome -> complete(pending, outcome),
+                            () -> refuseTooLate(pending, rounds, now));
         }
         RoundGuard.run("loads from the store", () -> useStore(rounds, now));
         if (now >= mNextProactiveMillis) {
@@ -233,6 +236,24 @@
         mLastRoundMillis = now() - now;
     }
 
+    /** Refuses those of merged requests whose deadline passes before their model is loaded. */
+    private void refuseTooLate(
+            PendingRequests.Pending pending, Map<String, SchedulingRound> rounds, long now) {
+        ModelRequest request = pending.request();
+        round(request.service(), rounds, now)
+                .flatMap(round -> round.expectedReadyMillis(request.target().model()))
+                .ifPresent(
+                        ready ->
+                                answer(
+                                        pending.takeTooLate(ready),
+                                        new ModelRequestOutcome.TooLate(ready - now)));
+    }
+
+    private static void answer(
+            List<Consumer<ModelRequestOutcome>> callbacks, ModelRequestOutcome outcome) {
+        callbacks.forEach(each -> RoundGuard.run("an answer", () -> each.accept(outcome)));
+    }
+
     private void advanceDrivers(long now) {
         for (EngineDriver driver : List.copyOf(mDrivers.values())) {
             RoundGuard.run(driver.server().id(), () -> driver.advance(now));
@@ -287,8 +308,7 @@
 
     private void complete(PendingRequests.Pending pending, ModelRequestOutcome outcome) {
         mPending.remove(pending);
-        pending.callbacks()
-                .forEach(each -> RoundGuard.run("an answer", () -> each.accept(outcome)));
+        answer(pending.callbacks(), outcome);
         mBatches.recordOutcome(pending.request(), outcome, now());
         mEvents.recordAnswer(
                 pending.request(), pending.callbacks().size(), outcome, mHoldingsVersion);
--- a/org.cornelway/src/org/cornelway/models/ModelRequest.java
+++ b/org.cornelway/src/org/cornelway/models/ModelRequest.java
@@ -28,4 +28,17 @@
         long firstArrivalMillis,
         int mergedRequests,
         Optional<ServerIncarnation> notHeldBy,
-        CallGroup calls) {}
+        CallGroup calls) {
+    /** Returns this request without its calls, which a later one counts again. */
+    ModelRequest withoutCalls() {
+        return new ModelRequest(
+                service,
+                target,
+                deadline,
+                priority,
+                firstArrivalMillis,
+                mergedRequests,
+                notHeldBy,
+                calls.withoutCalls());
+    }
+}
--- a/org.cornelway/src/org/cornelway/models/PendingRequests.java
+++ b/org.cornelway/src/org/cornelway/models/PendingRequests.java
@@ -18,9 +18,16 @@
     /** Service and target of a request; requests with equal keys are merged. */
     private record Key(String service, ModelTarget target) {}
 
+    /** A request before it was merged, and the callback that waits for its outcome. */
+    private record Waiter(ModelRequest request, Consumer<ModelRequestOutcome> callback) {
+        private Waiter withoutCalls() {
+            return new Waiter(request.withoutCalls(), callback);
+        }
+    }
+
     /** Merged requests and the callbacks that wait for their outcome. */
     static final class Pending {
-        private final List<Consumer<ModelRequestOutcome>> mCallbacks = new ArrayList<>();
+        private final List<Waiter> mWaiters = new ArrayList<>();
         private ModelRequest mRequest;
 
         private Pending(ModelRequest request) {
@@ -32,7 +39,32 @@
         }
 
         List<Consumer<ModelRequestOutcome>> callbacks() {
-            return mCallbacks;
+            return mWaiters.stream().map(Waiter::callback).toList();
+        }
+
+        private void mergeAll() {
+            mRequest =
+                    mWaiters.stream()
+                            .map(Waiter::request)
+                            .reduce(PendingRequests::merged)
+                            .orElseThrow();
+        }
+
+        /**
+         * Removes the requests whose deadline passes before the model is ready, except if these are
+         * all; returns their callbacks.
+         */
+        List<Consumer<ModelRequestOutcome>> takeTooLate(long readyMillis) {
+            List<Waiter> late =
+                    mWaiters.stream()
+                            .filter(waiter -> waiter.request().deadline().isPast(readyMillis))
+                            .toList();
+            if (late.isEmpty() || late.size() == mWaiters.size()) {
+                return List.of();
+            }
+            mWaiters.removeAll(late);
+            mergeAll();
+            return late.stream().map(Waiter::callback).toList();
         }
     }
 
@@ -40,16 +72,21 @@
         return new Key(request.service(), request.target());
     }
 
-    /** Adds a request, merged with an earlier one for the same target if there is one. */
+    /**
+     * Adds a request, merged with earlier ones for the same target. If an entry requests a target
+     * again, since it got no reply in time, its calls are counted once.
+     */
     void add(ModelRequest request, Consumer<ModelRequestOutcome> callback) {
-        Pending pending = mByKey.get(keyOf(request));
-        if (pending == null) {
-            pending = new Pending(request);
-            mByKey.put(keyOf(request), pending);
-        } else {
-            pending.mRequest = merged(pending.mRequest, request);
+        Pending pending = mByKey.computeIfAbsent(keyOf(request), key -> new Pending(request));
+        if (!request.calls().from().isEmpty()) {
+            pending.mWaiters.replaceAll(
+                    waiter ->
+                            waiter.request().calls().from().equals(request.calls().from())
+                                    ? waiter.withoutCalls()
+                                    : waiter);
         }
-        pending.mCallbacks.add(callback);
+        pending.mWaiters.add(new Waiter(request, callback));
+        pending.mergeAll();
     }
 
     private static ModelRequest merged(ModelRequest earlier, ModelRequest later) {
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -32,6 +32,7 @@
     private final Map<String, List<EngineDriver>> mLoaders = new HashMap<>();
     private final Map<String, Integer> mCachedCopies = new HashMap<>();
     private final Map<ServerIncarnation, Long> mBacklogMillis = new HashMap<>();
+    private final Map<String, Long> mReadyMillis = new HashMap<>();
     private Optional<StoreTurns> mStoreTurns = Optional.empty();
     private final Map<EngineDriver, EngineView> mViews = new IdentityHashMap<>();
     private Optional<Integer> mMaxStoreLoadsForRequests = Optional.empty();
@@ -223,6 +224,16 @@
         return mStoreTurns.get();
     }
 
+    /** Records when a model that deferrable calls wait for is expected to be loaded. */
+    void expectReady(String model, long millis) {
+        mReadyMillis.put(model, millis);
+    }
+
+    /** Returns when a model that deferrable calls wait for is expected to be loaded. */
+    Optional<Long> expectedReadyMillis(String model) {
+        return Optional.ofNullable(mReadyMillis.get(model));
+    }
+
     /**
      * Adds a load that waits for its latest start to an engine's backlog; returns the duration of
      * those added before.
