--- a/org.cornelway/src/org/cornelway/models/BatchScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/BatchScheduler.java
@@ -69,7 +69,7 @@
             boolean isCandidate =
                     (request.isPresent() ? isDeferrable(request.get()) : rate > 0)
                             && isDeferrable(name, request.isPresent())
-                            && round.enginesWithCopy(name) == 0;
+                            && !round.isAvailable(name);
             if (isCandidate) {
                 waitingForStore.add(name);
                 candidates.add(
@@ -98,7 +98,7 @@
      */
     Optional<ModelRequestOutcome> findOrLoad(
             ModelRequest request, ModelDefinition model, SchedulingRound round) {
-        if (round.enginesWithCopy(model.name()) == 0 && turns(round).contains(model.name())) {
+        if (!round.isAvailable(model.name()) && turns(round).contains(model.name())) {
             return waitForStore(request, round);
         }
         long now = round.nowMillis();
@@ -123,6 +123,10 @@
             ModelRequest request, SchedulingRound round) {
         long now = round.nowMillis();
         String name = request.target().model();
+        if (round.awaitsFirstReport()) {
+            // An engine that has not reported yet may have a copy.
+            return Optional.empty();
+        }
         long endMillis = turns(round).endMillis(name);
         if (!request.deadline().isPast(endMillis)) {
             mAdmitted.add(name);
--- a/org.cornelway/src/org/cornelway/models/ModelEvents.java
+++ b/org.cornelway/src/org/cornelway/models/ModelEvents.java
@@ -1,7 +1,8 @@
 package org.cornelway.models;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
-import com.codahale.metrics.Meter;
+
 import com.codahale.metrics.MetricRegistry;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
@@ -13,7 +14,7 @@
     private final EventLog mLog;
     private final Histogram mBatchCalls;
     private final Histogram mBatchWaitMillis;
-    private final Meter mStoreRefusals;
+    private final Counter mStoreRefusals;
 
     /**
      * @param metrics registry that gets {@code models.batch_calls}, {@code models.batch_wait_ms}
@@ -23,7 +24,7 @@
         mLog = log;
         mBatchCalls = metrics.histogram("models.batch_calls");
         mBatchWaitMillis = metrics.histogram("models.batch_wait_ms");
-        mStoreRefusals = metrics.meter("models.store_refusals");
+        mStoreRefusals = metrics.counter("models.store_refusals");
     }
 
     void recordAnswer(
@@ -60,7 +61,7 @@
 
     /** Records calls that are refused because the store cannot load their model in time. */
     void recordStoreRefusal(ModelRequest request, long expectedMillis) {
-        mStoreRefusals.mark(request.calls().count());
+        mStoreRefusals.inc(request.calls().count());
         mLog.write(
                 "model.store_refused",
                 "model",
--- a/org.cornelway/src/org/cornelway/models/SchedulingRound.java
+++ b/org.cornelway/src/org/cornelway/models/SchedulingRound.java
@@ -31,6 +31,7 @@
     private final Map<String, List<EngineDriver>> mHolders = new HashMap<>();
     private final Map<String, List<EngineDriver>> mLoaders = new HashMap<>();
     private final Map<String, Integer> mCachedCopies = new HashMap<>();
+    private final Set<String> mAvailable = new HashSet<>();
     private final Map<ServerIncarnation, Long> mBacklogMillis = new HashMap<>();
     private final Map<String, Long> mReadyMillis = new HashMap<>();
     private Optional<StoreTurns> mStoreTurns = Optional.empty();
@@ -63,6 +64,11 @@
         Set<String> cached = new HashSet<>(engine.cachedWeights().onDisk());
         cached.addAll(engine.cachedWeights().inMemory());
         cached.forEach(model -> mCachedCopies.merge(model, 1, Integer::sum));
+        if (engine.isStateKnown()) {
+            mAvailable.addAll(cached);
+            mAvailable.addAll(engine.models().keySet());
+            mAvailable.addAll(engine.orderQueue().loadingModels());
+        }
         mStoreReads += engine.orderQueue().readsStore() ? 1 : 0;
         mAwaitsFirstReport |= engine.awaitsFirstReport();
     }
@@ -78,6 +84,7 @@
         mViews.remove(engine);
         if (order.isLoad() && order.adapter().isEmpty()) {
             add(mLoaders, order.model(), engine);
+            mAvailable.add(order.model());
             mStoreReads += order.readsCheckpointStore() ? 1 : 0;
         }
     }
@@ -165,6 +172,11 @@
         return Math.max(replicas(model), mCachedCopies.getOrDefault(model, 0));
     }
 
+    /** Whether an engine that replies holds, loads or has cached a model. */
+    boolean isAvailable(String model) {
+        return mAvailable.contains(model);
+    }
+
     /**
      * Returns how many of the given models no engine holds or loads and exactly one engine has
      * cached.
