--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -260,79 +260,81 @@
       "oller_lease\030\014 \001(\010\022\034\n\024key_value_service_u" +
       "p\030\r \001(\010\022#\n\033controller_lease_age_millis\030\016" +
       " \001(\003\022\014\n\004slow\030\017 \001(\010\022\021\n\trecovered\030\020 \001(\010\022 \n" +
-      "\030placement_fencing_number\030\021 \001(\003\"\212\001\n\010Mode" +
+      "\030placement_fencing_number\030\021 \001(\003\"\327\001\n\010Mode" +
       "lAsk\022\014\n\004from\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005m" +
       "odel\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\030\n\020remaining" +
       "_millis\030\005 \001(\003\022\020\n\010priority\030\006 \001(\005\022\023\n\013not_h" +
-      "eld_by\030\007 \001(\t\"\255\001\n\nModelGrant\0221\n\007outcome\030\001" +
-      " \001(\0162 .cornelway.v1.ModelGrant.Outcome\022\016" +
-      "\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected" +
-      "_millis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NO" +
-      "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse" +
-      "\022\016\n\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapt" +
-      "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_mi" +
-      "llis\030\006 \001(\003J\004\010\005\020\006\"\331\002\n\tUseReport\022\014\n\004from\030\001" +
-      " \001(\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003" +
-      " \001(\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelU" +
-      "se\022&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRa" +
-      "te\022\030\n\020evidence_version\030\006 \001(\003\022-\n\010evidence" +
-      "\030\007 \001(\0132\033.cornelway.v1.CrashEvidence\022)\n\006l" +
-      "imits\030\010 \003(\0132\031.cornelway.v1.ServerLimit\022)" +
-      "\n\006wanted\030\t \003(\0132\031.cornelway.v1.ServerCall" +
-      "s\022)\n\006quotas\030\n \001(\0132\031.cornelway.v1.QuotaRe" +
-      "port\"\177\n\013QuotaReport\022\014\n\004from\030\001 \001(\t\022\014\n\004bor" +
-      "n\030\002 \001(\003\022\017\n\007sharing\030\003 \001(\010\022\r\n\005first\030\004 \001(\010\022" +
-      "\016\n\006ledger\030\005 \001(\003\022$\n\004uses\030\006 \003(\0132\026.cornelwa" +
-      "y.v1.QuotaUse\"\224\001\n\010QuotaUse\022\020\n\010customer\030\001" +
-      " \001(\t\022\017\n\007ceiling\030\002 \001(\001\022\r\n\005spent\030\003 \001(\001\022\020\n\010" +
-      "returned\030\004 \001(\001\022\016\n\006wanted\030\005 \001(\001\022\r\n\005least\030" +
-      "\006 \001(\001\022\022\n\nper_second\030\007 \001(\001\022\021\n\tcall_cost\030\010" +
-      " \001(\001\"W\n\nQuotaReply\022\016\n\006ledger\030\001 \001(\003\022\017\n\007en" +
-      "tries\030\002 \001(\005\022(\n\006grants\030\003 \003(\0132\030.cornelway." +
-      "v1.QuotaGrant\"R\n\nQuotaGrant\022\020\n\010customer\030" +
-      "\001 \001(\t\022\017\n\007ceiling\030\002 \001(\001\022\014\n\004keep\030\003 \001(\001\022\023\n\013" +
-      "wait_millis\030\004 \001(\003\"\225\001\n\013ServerLimit\022\016\n\006ser" +
-      "ver\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\035\n\020calls_per_sec" +
-      "ond\030\003 \001(\001H\000\210\001\001\022\027\n\017sent_age_millis\030\004 \001(\003\022" +
-      "\033\n\023received_age_millis\030\005 \001(\003B\023\n\021_calls_p" +
-      "er_second\":\n\013ServerCalls\022\016\n\006server\030\001 \001(\t" +
-      "\022\014\n\004born\030\002 \001(\003\022\r\n\005calls\030\003 \001(\005\"v\n\tPartCra" +
-      "sh\022\014\n\004part\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\014\n\004born" +
-      "\030\003 \001(\003\022\023\n\013sent_millis\030\004 \001(\003\022\026\n\016crashed_m" +
-      "illis\030\005 \001(\003\022\020\n\010position\030\006 \001(\005\"Q\n\rCrashEv" +
-      "idence\022(\n\007crashes\030\001 \003(\0132\027.cornelway.v1.P" +
-      "artCrash\022\026\n\016answered_parts\030\002 \003(\t\"N\n\tMode" +
-      "lRate\022\r\n\005model\030\001 \001(\t\022\030\n\020calls_per_second" +
-      "\030\002 \001(\001\022\030\n\020objective_millis\030\003 \001(\003\",\n\tHeld" +
-      "Model\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W" +
-      "\n\016ServerHoldings\022\016\n\006server\030\001 \001(\t\022\014\n\004born" +
-      "\030\002 \001(\003\022\'\n\006models\030\003 \003(\0132\027.cornelway.v1.He" +
-      "ldModel\"\370\002\n\rHoldingsReply\022\022\n\ncontroller\030" +
-      "\001 \001(\010\022\014\n\004term\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007" +
-      "changed\030\004 \001(\010\022-\n\007servers\030\005 \003(\0132\034.cornelw" +
-      "ay.v1.ServerHoldings\022*\n\004busy\030\006 \003(\0132\034.cor" +
-      "nelway.v1.ServerActivity\022\030\n\020evidence_ver" +
-      "sion\030\007 \001(\003\022-\n\010evidence\030\010 \001(\0132\033.cornelway" +
-      ".v1.CrashEvidence\022)\n\006limits\030\t \003(\0132\031.corn" +
-      "elway.v1.ServerLimit\022*\n\007permits\030\n \003(\0132\031." +
-      "cornelway.v1.ServerCalls\022(\n\006quotas\030\013 \001(\013" +
-      "2\030.cornelway.v1.QuotaReply\"0\n\016ServerActi" +
-      "vity\022\016\n\006server\030\001 \001(\t\022\016\n\006active\030\002 \001(\005*-\n\014" +
-      "RequestClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFERRE" +
-      "D\020\0012\230\001\n\014AgentService\022@\n\010Exchange\022\035.corne" +
-      "lway.v1.ExchangeRequest\032\023.cornelway.v1.F" +
-      "rame0\001\022F\n\010Withdraw\022\035.cornelway.v1.Withdr" +
-      "awRequest\032\033.cornelway.v1.WithdrawReply2\224" +
-      "\001\n\013PeerService\022=\n\005Relay\022\032.cornelway.v1.R" +
-      "elayRequest\032\030.cornelway.v1.RelayReply\022F\n" +
-      "\010Describe\022\035.cornelway.v1.DescribeRequest" +
-      "\032\033.cornelway.v1.DescribeReply2\321\001\n\014EntryS" +
-      "ervice\022<\n\010AskModel\022\026.cornelway.v1.ModelA" +
-      "sk\032\030.cornelway.v1.ModelGrant\022A\n\tReportUs" +
-      "e\022\027.cornelway.v1.UseReport\032\033.cornelway.v" +
-      "1.HoldingsReply\022@\n\tTakeQuota\022\031.cornelway" +
-      ".v1.QuotaReport\032\030.cornelway.v1.QuotaRepl" +
-      "yB\025\n\021org.cornelway.rpcP\001b\006proto3"
+      "eld_by\030\007 \001(\t\022\030\n\020objective_millis\030\n \001(\003\022\"" +
+      "\n\032remaining_objective_millis\030\013 \001(\003\022\r\n\005ca" +
+      "lls\030\014 \001(\005\"\255\001\n\nModelGrant\0221\n\007outcome\030\001 \001(" +
+      "\0162 .cornelway.v1.ModelGrant.Outcome\022\016\n\006s" +
+      "erver\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\027\n\017expected_mi" +
+      "llis\030\004 \001(\003\"5\n\007Outcome\022\010\n\004HELD\020\000\022\022\n\016NOT_C" +
+      "ONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse\022\016\n" +
+      "\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030" +
+      "\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_milli" +
+      "s\030\006 \001(\003J\004\010\005\020\006\"\331\002\n\tUseReport\022\014\n\004from\030\001 \001(" +
+      "\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003 \001(" +
+      "\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelUse\022" +
+      "&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRate\022" +
+      "\030\n\020evidence_version\030\006 \001(\003\022-\n\010evidence\030\007 " +
+      "\001(\0132\033.cornelway.v1.CrashEvidence\022)\n\006limi" +
+      "ts\030\010 \003(\0132\031.cornelway.v1.ServerLimit\022)\n\006w" +
+      "anted\030\t \003(\0132\031.cornelway.v1.ServerCalls\022)" +
+      "\n\006quotas\030\n \001(\0132\031.cornelway.v1.QuotaRepor" +
+      "t\"\177\n\013QuotaReport\022\014\n\004from\030\001 \001(\t\022\014\n\004born\030\002" +
+      " \001(\003\022\017\n\007sharing\030\003 \001(\010\022\r\n\005first\030\004 \001(\010\022\016\n\006" +
+      "ledger\030\005 \001(\003\022$\n\004uses\030\006 \003(\0132\026.cornelway.v" +
+      "1.QuotaUse\"\224\001\n\010QuotaUse\022\020\n\010customer\030\001 \001(" +
+      "\t\022\017\n\007ceiling\030\002 \001(\001\022\r\n\005spent\030\003 \001(\001\022\020\n\010ret" +
+      "urned\030\004 \001(\001\022\016\n\006wanted\030\005 \001(\001\022\r\n\005least\030\006 \001" +
+      "(\001\022\022\n\nper_second\030\007 \001(\001\022\021\n\tcall_cost\030\010 \001(" +
+      "\001\"W\n\nQuotaReply\022\016\n\006ledger\030\001 \001(\003\022\017\n\007entri" +
+      "es\030\002 \001(\005\022(\n\006grants\030\003 \003(\0132\030.cornelway.v1." +
+      "QuotaGrant\"R\n\nQuotaGrant\022\020\n\010customer\030\001 \001" +
+      "(\t\022\017\n\007ceiling\030\002 \001(\001\022\014\n\004keep\030\003 \001(\001\022\023\n\013wai" +
+      "t_millis\030\004 \001(\003\"\225\001\n\013ServerLimit\022\016\n\006server" +
+      "\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\035\n\020calls_per_second" +
+      "\030\003 \001(\001H\000\210\001\001\022\027\n\017sent_age_millis\030\004 \001(\003\022\033\n\023" +
+      "received_age_millis\030\005 \001(\003B\023\n\021_calls_per_" +
+      "second\":\n\013ServerCalls\022\016\n\006server\030\001 \001(\t\022\014\n" +
+      "\004born\030\002 \001(\003\022\r\n\005calls\030\003 \001(\005\"v\n\tPartCrash\022" +
+      "\014\n\004part\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\014\n\004born\030\003 " +
+      "\001(\003\022\023\n\013sent_millis\030\004 \001(\003\022\026\n\016crashed_mill" +
+      "is\030\005 \001(\003\022\020\n\010position\030\006 \001(\005\"Q\n\rCrashEvide" +
+      "nce\022(\n\007crashes\030\001 \003(\0132\027.cornelway.v1.Part" +
+      "Crash\022\026\n\016answered_parts\030\002 \003(\t\"N\n\tModelRa" +
+      "te\022\r\n\005model\030\001 \001(\t\022\030\n\020calls_per_second\030\002 " +
+      "\001(\001\022\030\n\020objective_millis\030\003 \001(\003\",\n\tHeldMod" +
+      "el\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016S" +
+      "erverHoldings\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 " +
+      "\001(\003\022\'\n\006models\030\003 \003(\0132\027.cornelway.v1.HeldM" +
+      "odel\"\370\002\n\rHoldingsReply\022\022\n\ncontroller\030\001 \001" +
+      "(\010\022\014\n\004term\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007cha" +
+      "nged\030\004 \001(\010\022-\n\007servers\030\005 \003(\0132\034.cornelway." +
+      "v1.ServerHoldings\022*\n\004busy\030\006 \003(\0132\034.cornel" +
+      "way.v1.ServerActivity\022\030\n\020evidence_versio" +
+      "n\030\007 \001(\003\022-\n\010evidence\030\010 \001(\0132\033.cornelway.v1" +
+      ".CrashEvidence\022)\n\006limits\030\t \003(\0132\031.cornelw" +
+      "ay.v1.ServerLimit\022*\n\007permits\030\n \003(\0132\031.cor" +
+      "nelway.v1.ServerCalls\022(\n\006quotas\030\013 \001(\0132\030." +
+      "cornelway.v1.QuotaReply\"0\n\016ServerActivit" +
+      "y\022\016\n\006server\030\001 \001(\t\022\016\n\006active\030\002 \001(\005*-\n\014Req" +
+      "uestClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFERRED\020\001" +
+      "2\230\001\n\014AgentService\022@\n\010Exchange\022\035.cornelwa" +
+      "y.v1.ExchangeRequest\032\023.cornelway.v1.Fram" +
+      "e0\001\022F\n\010Withdraw\022\035.cornelway.v1.WithdrawR" +
+      "equest\032\033.cornelway.v1.WithdrawReply2\224\001\n\013" +
+      "PeerService\022=\n\005Relay\022\032.cornelway.v1.Rela" +
+      "yRequest\032\030.cornelway.v1.RelayReply\022F\n\010De" +
+      "scribe\022\035.cornelway.v1.DescribeRequest\032\033." +
+      "cornelway.v1.DescribeReply2\321\001\n\014EntryServ" +
+      "ice\022<\n\010AskModel\022\026.cornelway.v1.ModelAsk\032" +
+      "\030.cornelway.v1.ModelGrant\022A\n\tReportUse\022\027" +
+      ".cornelway.v1.UseReport\032\033.cornelway.v1.H" +
+      "oldingsReply\022@\n\tTakeQuota\022\031.cornelway.v1" +
+      ".QuotaReport\032\030.cornelway.v1.QuotaReplyB\025" +
+      "\n\021org.cornelway.rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -445,7 +447,7 @@
     internal_static_cornelway_v1_ModelAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ModelAsk_descriptor,
-        new java.lang.String[] { "From", "Service", "Model", "Adapter", "RemainingMillis", "Priority", "NotHeldBy", });
+        new java.lang.String[] { "From", "Service", "Model", "Adapter", "RemainingMillis", "Priority", "NotHeldBy", "ObjectiveMillis", "RemainingObjectiveMillis", "Calls", });
     internal_static_cornelway_v1_ModelGrant_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_cornelway_v1_ModelGrant_fieldAccessorTable = new
--- a/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/models/ModelControllerTestBase.java
@@ -75,7 +75,8 @@
         mLimits = new FixedLimits();
         mSeenViews.clear();
         mSeenViewCount = 0;
-        EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), new MetricRegistry());
+        MetricRegistry metrics = new MetricRegistry();
+        EventLog log = new EventLog(() -> mTime.now(TimeUnit.MILLISECONDS), metrics);
         mController =
                 new ModelController(
                         new EngineRouter(),
@@ -83,7 +84,8 @@
                         new FixedTerm(),
                         this::recordAndPlan,
                         mLimits,
-                        log);
+                        DeferralPolicy.BY_OBJECTIVE,
+                        new ModelEvents(log, metrics));
     }
 
     /** Limits that a test sets. */
@@ -184,6 +186,17 @@
     }
 
     void request(String model, long timeoutMillis) {
+        request(model, timeoutMillis, CallGroup.UNKNOWN);
+    }
+
+    /** Requests a model for calls that may wait for each other. */
+    void requestDeferrable(String entry, String model, long objectiveMillis, long timeoutMillis) {
+        long now = mTime.now(TimeUnit.MILLISECONDS);
+        Deadline objective = Deadline.after(now, objectiveMillis);
+        request(model, timeoutMillis, new CallGroup(entry, 1, objectiveMillis, objective));
+    }
+
+    private void request(String model, long timeoutMillis, CallGroup calls) {
         long now = mTime.now(TimeUnit.MILLISECONDS);
         mController.submit(
                 new ModelRequest(
@@ -193,7 +206,8 @@
                         1,
                         now,
                         1,
-                        Optional.empty()),
+                        Optional.empty(),
+                        calls),
                 mOutcomes::add);
     }
 }
