Choose servers by current speed, memory and estimated requests

Cause: entries compared their own calls with reports of all calls, chose the lowest figure of late reports all at once, and knew nothing of an engine's memory.

Ruled out: comparing servers by the estimate of all requests.

Change: SlowServers defines slow servers for choice and hedges; OtherRequests estimates what other entries send, from reports and the controller's counts, which now cover all engines; BalancedChooser chooses; HedgePolicy sends hedges before the objective while most of the retry budget is left.

--- a/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/HedgePolicyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.OptionalLong;
 import org.cornelway.route.CallKind;
 import org.testng.annotations.Test;
 
@@ -61,4 +62,34 @@
         assertThat(HedgePolicy.isLeft(SHORT_PAUSE_MILLIS)).isFalse();
         assertThat(HedgePolicy.isLeft(LONG_PAUSE_MILLIS)).isTrue();
     }
+
+    private static boolean isDue(CallKind kind, boolean slow, long silentMillis, long remaining) {
+        return HedgePolicy.isDueBeforeObjective(
+                kind, slow, silentMillis, OptionalLong.of(100), remaining);
+    }
+
+    /** Guards against hedges of calls that may still be answered in time. */
+    @Test
+    public void callIsHedgedOnlyWhenSecondServerCouldNotAnswerInTimeLater() {
+        assertThat(isDue(CallKind.SAFE, true, 100, 150)).isTrue();
+        assertThat(isDue(CallKind.SAFE, true, 100, 151)).isFalse();
+        assertThat(isDue(CallKind.SAFE, true, 99, 50)).isFalse();
+        assertThat(isDue(CallKind.STREAM, true, 100, 150)).isTrue();
+    }
+
+    /** Guards against hedges of streams whose prompt is only long. */
+    @Test
+    public void callAtServerThatIsNotSlowIsHedgedLaterOrNotAtAll() {
+        assertThat(isDue(CallKind.SAFE, false, 199, 50)).isFalse();
+        assertThat(isDue(CallKind.SAFE, false, 200, 50)).isTrue();
+        assertThat(isDue(CallKind.STREAM, false, 1_000, -500)).isFalse();
+    }
+
+    @Test
+    public void callIsNotHedgedBeforeTimesAreKnown() {
+        assertThat(
+                        HedgePolicy.isDueBeforeObjective(
+                                CallKind.SAFE, true, 1_000, OptionalLong.empty(), -500))
+                .isFalse();
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/dispatch/LeastLoadedChooserTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/LeastLoadedChooserTest.java
@@ -38,7 +38,8 @@
     }
 
     private String choose(List<Candidate> candidates, int affinity, Set<String> tried) {
-        return mChooser.choose(candidates, affinity, tried).orElseThrow().server().id();
+        CallNeeds needs = new CallNeeds(affinity, tried, 0, 0);
+        return mChooser.choose(candidates, needs).orElseThrow().server().id();
     }
 
     @Test
@@ -50,7 +51,7 @@
                 List.of(candidate("a", 1, 8, false), candidate("b", 3, 1, false));
         assertThat(choose(withSlow, 0, Set.of())).isEqualTo("b");
         assertThat(choose(withSlow, 0, Set.of("b"))).isEqualTo("a");
-        assertThat(mChooser.choose(List.of(), 0, Set.of())).isEmpty();
+        assertThat(mChooser.choose(List.of(), new CallNeeds(0, Set.of(), 0, 0))).isEmpty();
     }
 
     @Test
@@ -93,7 +94,7 @@
                 candidates.add(candidate("s" + i, inFlight[i], 1, false));
             }
             int chosen =
-                    chooser.choose(candidates, 0, Set.of())
+                    chooser.choose(candidates, new CallNeeds(0, Set.of(), 0, 0))
                             .map(candidate -> candidate.server().id().charAt(1) - '0')
                             .orElseThrow();
             long unloadedDuration = (20 + random.nextInt(20)) * (chosen == 0 ? 5 : 1);
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -115,7 +115,7 @@
         HoldingsReply.Builder reply =
                 mHoldings.replyTo(report.getTerm(), report.getHoldingsVersion()).toBuilder();
         mController
-                .busyEngines()
+                .activeCalls()
                 .forEach(
                         (server, active) ->
                                 reply.addBusy(
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -198,9 +198,9 @@
             holdings.put(new ServerIncarnation(server.getServer(), server.getBorn()), models);
         }
         // Also without a change, since the reply shows that the earlier ones still hold.
-        Map<String, Integer> busy = new HashMap<>();
-        reply.getBusyList().forEach(server -> busy.put(server.getServer(), server.getActive()));
-        mTraffic.updateHoldings(holdings, busy);
+        Map<String, Integer> activeCalls = new HashMap<>();
+        reply.getBusyList().forEach(s -> activeCalls.put(s.getServer(), s.getActive()));
+        mTraffic.updateHoldings(holdings, activeCalls);
     }
 
     /** Merges the controller's evidence; a new controller is sent this process's evidence next. */
--- a/org.cornelway/src/org/cornelway/dispatch/FirstUntriedChooser.java
+++ b/org.cornelway/src/org/cornelway/dispatch/FirstUntriedChooser.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Chooses the first server that has not been tried yet, or the first one if all were tried. Tests
@@ -10,9 +9,9 @@
  */
 public final class FirstUntriedChooser implements ServerChooser {
     @Override
-    public Optional<Candidate> choose(List<Candidate> candidates, int affinity, Set<String> tried) {
+    public Optional<Candidate> choose(List<Candidate> candidates, CallNeeds needs) {
         return candidates.stream()
-                .filter(each -> !tried.contains(each.server().id()))
+                .filter(each -> !needs.tried().contains(each.server().id()))
                 .findFirst()
                 .or(() -> candidates.stream().findFirst());
     }
--- a/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
+++ b/org.cornelway/src/org/cornelway/dispatch/HedgePolicy.java
@@ -1,11 +1,13 @@
 package org.cornelway.dispatch;
 
+import java.util.OptionalLong;
 import org.cornelway.route.CallKind;
 
 /**
- * Decides which of two attempts of a call ends if neither server has gone on in the time for which
- * both may work on the call. Answers streams of servers that are silent for a moment, and of
- * servers that hang, alone or with all their calls. Pure and thread-safe.
+ * Decides when a call is sent to a second server although the first one may still answer, and which
+ * of the two attempts ends if neither server has gone on in the time for which both may work on the
+ * call. Answers streams of servers that are silent for a moment, of servers that hang, alone or
+ * with all their calls, and of servers that are slow for a moment. Pure and thread-safe.
  */
 public final class HedgePolicy {
     /** Silence after which a server is not expected to go on. */
@@ -18,8 +20,42 @@
      */
     public static final long MAX_HEDGE_MILLIS = 250;
 
+    /** Time that a hedge needs besides the work of its server: calls are checked periodically. */
+    private static final long CHECK_MILLIS = 50;
+
+    /**
+     * Part of the retry budget that hedges before the objective may use; the rest is left for
+     * servers that fail.
+     */
+    public static final double EARLY_BUDGET_SHARE = 0.5;
+
     private HedgePolicy() {}
 
+    /**
+     * Whether a call without an answer is sent to a second server so that it meets its objective:
+     * the server has taken longer than it does for nearly all calls, and a second one could not
+     * answer in time later. A stream stays at a server that is not slow against its peers, since
+     * its prompt may be long; another call stays there for twice the time.
+     *
+     * @param slow whether the server is slow against its peers
+     * @param silentMillis time for which it has sent nothing for the call
+     * @param usualMillis 95th percentile of the time to such an answer; empty if it is not known
+     * @param remainingMillis time to the latency objective; negative after it
+     */
+    public static boolean isDueBeforeObjective(
+            CallKind kind,
+            boolean slow,
+            long silentMillis,
+            OptionalLong usualMillis,
+            long remainingMillis) {
+        if (usualMillis.isEmpty() || !slow && kind == CallKind.STREAM) {
+            return false;
+        }
+        long usual = usualMillis.getAsLong();
+        return silentMillis >= (slow ? usual : 2 * usual)
+                && remainingMillis <= usual + CHECK_MILLIS;
+    }
+
     /**
      * Whether a call may be sent to another server while its silent server may still work on it.
      *
--- a/org.cornelway/src/org/cornelway/dispatch/LeastLoadedChooser.java
+++ b/org.cornelway/src/org/cornelway/dispatch/LeastLoadedChooser.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Chooses the server with the lowest cost. The cost is the number of requests per slot, including
@@ -14,7 +13,8 @@
  *
  * <p>The calls in flight from this process are known immediately, whereas load reports arrive late.
  * The number of requests is therefore the larger of these calls and the reported requests. The
- * reported slowness accounts for servers that are slow for a short time. Pure and thread-safe.
+ * reported slowness accounts for servers that are slow for a short time. Tests use it as the
+ * baseline of {@link BalancedChooser}. Pure and thread-safe.
  */
 public final class LeastLoadedChooser implements ServerChooser {
     /** Cost of a server in another availability zone, in requests per slot. */
@@ -42,7 +42,8 @@
     private static final double SUSPECT_COST = 100;
 
     @Override
-    public Optional<Candidate> choose(List<Candidate> candidates, int affinity, Set<String> tried) {
+    public Optional<Candidate> choose(List<Candidate> candidates, CallNeeds needs) {
+        int affinity = needs.affinity();
         double lowestErrorRate =
                 candidates.stream().mapToDouble(Candidate::errorRate).min().orElse(0);
         Optional<Candidate> affinityServer =
@@ -55,7 +56,7 @@
                         Comparator.comparingDouble(
                                 each ->
                                         cost(each, lowestErrorRate)
-                                                + (tried.contains(each.server().id())
+                                                + (needs.tried().contains(each.server().id())
                                                         ? TRIED_COST
                                                         : 0)
                                                 - (affinityServer.filter(each::equals).isPresent()
--- a/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
@@ -1,7 +1,9 @@
 package org.cornelway.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cornelway.directory.ServerIncarnation;
@@ -9,6 +11,7 @@
 import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
 import org.cornelway.traffic.ReportedLoad;
+import org.cornelway.traffic.RequestHead;
 
 /**
  * Load and failures of each backend server, as seen from the calls of this process.
@@ -17,9 +20,6 @@
  * to the traffic thread.
  */
 public final class ServerLoads {
-    /** Age above which a reported load is ignored, because it may have changed since. */
-    private static final long MAX_LOAD_AGE_MILLIS = 400;
-
     /**
      * Time for which a server is suspect after its first failure. It doubles with each further
      * failure in a row, up to {@link #MAX_SUSPICION_MILLIS}.
@@ -37,8 +37,8 @@
 
     private static final double PERCENT = 100;
 
-    /** Age above which the controller's counts of active calls are ignored. */
-    private static final long MAX_BUSY_AGE_MILLIS = 1_000;
+    /** Mean age of the controller's counts of active calls when they arrive. */
+    private static final long CONTROLLER_COUNT_AGE_MILLIS = 250;
 
     /** Assumed time that a running stream takes until one has been measured. */
     private static final double DEFAULT_STREAM_MILLIS = 1_000;
@@ -46,24 +46,29 @@
     /** Weight of the newest stream in the mean time that a running stream takes. */
     private static final double NEWEST_STREAM_WEIGHT = 0.05;
 
+    /** Tokens that a call to an engine is assumed to hold until one is sent. */
+    private static final double DEFAULT_CALL_TOKENS = 1_000;
+
+    /** Weight of the newest call in the mean number of tokens. */
+    private static final double NEWEST_TOKENS_WEIGHT = 0.02;
+
     private final Clock mClock;
     private final String mZone;
     private final Map<ServerIncarnation, ServerState> mStates = new HashMap<>();
-    private Map<String, Integer> mBusyEngines = Map.of();
-    private Deadline mBusyEnginesValidUntil = new Deadline(0);
+    private final SlowServers mSlow;
+    private final ServiceTimes mServiceTimes = new ServiceTimes();
     private double mStreamMillis = DEFAULT_STREAM_MILLIS;
+    private double mMeanCallTokens = DEFAULT_CALL_TOKENS;
 
     /** State of one incarnation of a server. */
     private static final class ServerState {
         private int mInFlight;
         private int mStreams;
-        private ReportedLoad mReportedLoad = new ReportedLoad(0, 0, 1, 100);
 
-        /**
-         * When the load was last reported; half the minimum while there is no report, so that
-         * computing its age can't overflow.
-         */
-        private long mReportedMillis = Long.MIN_VALUE / 2;
+        /** Tokens that the calls of this process hold or will hold in the engine's memory. */
+        private long mTokens;
+
+        private final OtherRequests.Count mOthers = new OtherRequests.Count();
 
         private long mLastActivityMillis;
 
@@ -77,25 +82,96 @@
 
     /**
      * @param zone availability zone of this process
+     * @param slowListener is told which servers become slow or normal
      */
-    public ServerLoads(Clock clock, String zone) {
+    public ServerLoads(Clock clock, String zone, SlowServers.Listener slowListener) {
         mClock = clock;
         mZone = zone;
+        mSlow = new SlowServers(slowListener);
+    }
+
+    /** Returns the servers that are slow against their peers. */
+    public SlowServers slow() {
+        return mSlow;
+    }
+
+    /** Returns the times that recent calls took. */
+    public ServiceTimes serviceTimes() {
+        return mServiceTimes;
     }
 
     private ServerState getOrCreateState(ServerIncarnation incarnation) {
         return mStates.computeIfAbsent(incarnation, key -> new ServerState());
     }
 
-    /** Records that a call is sent to a server. */
-    public void recordCallStarted(ServerIncarnation incarnation) {
-        getOrCreateState(incarnation).mInFlight++;
+    /**
+     * Records that a call is sent to a server.
+     *
+     * @param tokens tokens that it holds in the server's memory; 0 for a plain service
+     */
+    public void recordCallStarted(ServerIncarnation incarnation, long tokens) {
+        ServerState state = getOrCreateState(incarnation);
+        state.mInFlight++;
+        state.mTokens += tokens;
+        if (tokens > 0) {
+            mMeanCallTokens += NEWEST_TOKENS_WEIGHT * (tokens - mMeanCallTokens);
+        }
     }
 
-    /** Records that a call to a server has ended, successfully or not. */
-    public void recordCallEnded(ServerIncarnation incarnation) {
+    /**
+     * Records that a call to a server has ended, successfully or not.
+     *
+     * @param tokens as at its start
+     */
+    public void recordCallEnded(ServerIncarnation incarnation, long tokens) {
         ServerState state = getOrCreateState(incarnation);
         state.mInFlight = Math.max(0, state.mInFlight - 1);
+        state.mTokens = Math.max(0, state.mTokens - tokens);
+    }
+
+    /**
+     * Returns the tokens that a call is expected to hold in an engine's memory, those of a usual
+     * call if its caller does not state them; 0 for a plain service.
+     */
+    public long tokensOf(RequestHead head) {
+        return head.target().isEmpty()
+                ? 0
+                : head.expectedTotalTokens().orElse(Math.round(mMeanCallTokens));
+    }
+
+    /** Records the time that a plain server took for a call of a route. */
+    public void recordServiceTime(ServerRecord server, String route, long millis) {
+        mServiceTimes.record(route, millis);
+        recordAtLeast(server, route, millis);
+    }
+
+    /** Records that a plain server has taken this time for a call, which it has not answered. */
+    public void recordAtLeast(ServerRecord server, String route, long millis) {
+        mSlow.recordWork(
+                server.incarnation(),
+                server.service(),
+                route,
+                millis,
+                1,
+                SlowServers.CALL_WEIGHT,
+                mClock.nowMillis());
+    }
+
+    /**
+     * Records events of a stream.
+     *
+     * @param model model of the stream
+     * @param millis time since the event before
+     */
+    public void recordEvents(ServerRecord server, String model, long millis, int events) {
+        mSlow.recordWork(
+                server.incarnation(),
+                server.service(),
+                model,
+                millis,
+                events,
+                SlowServers.EVENT_WEIGHT,
+                mClock.nowMillis());
     }
 
     /**
@@ -123,19 +199,27 @@
     }
 
     /** Records the load that a server reports. */
-    public void recordReportedLoad(ServerIncarnation incarnation, ReportedLoad load) {
-        ServerState state = getOrCreateState(incarnation);
-        state.mReportedLoad = load;
-        state.mReportedMillis = mClock.nowMillis();
+    public void recordReportedLoad(ServerRecord server, ReportedLoad load) {
+        long now = mClock.nowMillis();
+        ServerState state = getOrCreateState(server.incarnation());
+        state.mOthers.record(load.running() + load.waiting(), state.mInFlight, now);
+        mSlow.recordReport(
+                server.incarnation(), server.service(), load.slownessPercent() / PERCENT, now);
     }
 
     /**
-     * Replaces the numbers of active calls on busy engines that the controller has counted over all
+     * Records the numbers of active calls on engines that the controller has counted over all
      * entries, by the engine's id.
      */
-    public void recordBusyEngines(Map<String, Integer> busyEngines) {
-        mBusyEngines = Map.copyOf(busyEngines);
-        mBusyEnginesValidUntil = Deadline.after(mClock.nowMillis(), MAX_BUSY_AGE_MILLIS);
+    public void recordActiveCalls(Map<String, Integer> activeCalls) {
+        long countedMillis = mClock.nowMillis() - CONTROLLER_COUNT_AGE_MILLIS;
+        mStates.forEach(
+                (incarnation, state) -> {
+                    Integer active = activeCalls.get(incarnation.id());
+                    if (active != null) {
+                        state.mOthers.record(active, state.mInFlight, countedMillis);
+                    }
+                });
     }
 
     /** Records the time from the first to the last event of a complete stream. */
@@ -148,12 +232,6 @@
         return mStreamMillis;
     }
 
-    private int busyRequests(String server) {
-        return mBusyEnginesValidUntil.isPast(mClock.nowMillis())
-                ? 0
-                : mBusyEngines.getOrDefault(server, 0);
-    }
-
     /** Records whether a server responded to a call successfully, and updates its error rate. */
     public void recordResponse(ServerIncarnation incarnation, boolean success) {
         ServerState state = getOrCreateState(incarnation);
@@ -192,24 +270,60 @@
         return state.mStreams > 0 && now - state.mLastActivityMillis > STREAM_SILENCE_MILLIS;
     }
 
-    /** Returns a server with its current state, as a candidate for a call. */
-    public Candidate candidate(ServerRecord server) {
-        ServerState state = getOrCreateState(server.incarnation());
-        boolean reportIsCurrent = mClock.nowMillis() - state.mReportedMillis <= MAX_LOAD_AGE_MILLIS;
-        int reported =
-                reportIsCurrent ? state.mReportedLoad.running() + state.mReportedLoad.waiting() : 0;
+    /**
+     * Returns servers with their current states, as candidates for a call.
+     *
+     * @param tokenCapacity tokens that the memory of each engine holds; 0 if they are no engines or
+     *     this is not known
+     * @param entries number of entries that send calls to the servers
+     */
+    public List<Candidate> candidates(List<ServerRecord> servers, long tokenCapacity, int entries) {
+        long now = mClock.nowMillis();
+        List<ServerState> states = new ArrayList<>(servers.size());
+        List<OtherRequests.Count> counts = new ArrayList<>(servers.size());
+        for (ServerRecord server : servers) {
+            ServerState state = getOrCreateState(server.incarnation());
+            mSlow.add(server.incarnation(), server.service());
+            states.add(state);
+            counts.add(state.mOthers);
+        }
+        mSlow.compare(now);
+        int[] others =
+                OtherRequests.estimate(counts, OtherRequests.horizonMillis(tokenCapacity > 0), now);
+        List<Candidate> candidates = new ArrayList<>(servers.size());
+        for (int i = 0; i < others.length; i++) {
+            double comparable =
+                    OtherRequests.comparable(states.get(i).mInFlight, others[i], entries);
+            candidates.add(
+                    candidate(servers.get(i), states.get(i), others[i], comparable, tokenCapacity));
+        }
+        return candidates;
+    }
+
+    private Candidate candidate(
+            ServerRecord server,
+            ServerState state,
+            int others,
+            double comparable,
+            long tokenCapacity) {
         return new Candidate(
                 server,
                 state.mInFlight,
-                Math.max(reported, busyRequests(server.id())),
-                reportIsCurrent ? state.mReportedLoad.slownessPercent() / PERCENT : 1,
+                state.mInFlight + others,
+                comparable,
+                Math.max(1, mSlow.factor(server.incarnation())),
                 state.mErrorRate,
                 isSuspect(server.incarnation()),
-                server.zone().equals(mZone));
+                server.zone().equals(mZone),
+                mSlow.isSlow(server.incarnation()),
+                state.mTokens + Math.round(others * mMeanCallTokens),
+                tokenCapacity);
     }
 
     /** Discards the state of servers that are not in the set and have no call in progress. */
     public void retain(Set<ServerIncarnation> incarnations) {
+        mSlow.retain(incarnations);
+        mSlow.compare(mClock.nowMillis());
         for (ServerIncarnation incarnation : new HashSet<>(mStates.keySet())) {
             if (!incarnations.contains(incarnation) && mStates.get(incarnation).mInFlight == 0) {
                 mStates.remove(incarnation);
--- a/org.cornelway/src/org/cornelway/dispatch/SlidingWindowRetryBudget.java
+++ b/org.cornelway/src/org/cornelway/dispatch/SlidingWindowRetryBudget.java
@@ -68,6 +68,17 @@
      * @return false if the budget is exhausted
      */
     public boolean tryAcquire(String service, int processes) {
+        return tryAcquire(service, processes, 1);
+    }
+
+    /**
+     * Takes one resend from the budget unless more than a share of the budget is used with it.
+     *
+     * @param processes number of processes that share the slack; at least 1
+     * @param share share of the budget, up to 1
+     * @return false if the share is used up
+     */
+    public boolean tryAcquire(String service, int processes, double share) {
         Window window = mWindows.computeIfAbsent(service, key -> new Window());
         int bucket = currentBucket(window);
         long lastExpiredBucketNumber = mClock.nowMillis() / mBucketMillis - BUCKETS;
@@ -80,7 +91,7 @@
             }
         }
         double limit = SAFETY_FACTOR * (mRatio * calls + mSlack / Math.max(1, processes));
-        if (resends + 1 > limit) {
+        if (resends + 1 > share * limit) {
             return false;
         }
         window.mResends[bucket]++;
--- a/org.cornelway/src/org/cornelway/models/ModelController.java
+++ b/org.cornelway/src/org/cornelway/models/ModelController.java
@@ -290,19 +290,14 @@
                 mHoldingsVersion);
     }
 
-    /**
-     * Returns the number of active calls, over all entries, on each engine that has at least as
-     * many as slots, by the engine's id.
-     */
-    public Map<String, Integer> busyEngines() {
-        Map<String, Integer> busy = new HashMap<>();
+    /** Returns the number of active calls, over all entries, on each engine by its id. */
+    public Map<String, Integer> activeCalls() {
+        Map<String, Integer> activeCalls = new HashMap<>();
         for (EngineDriver driver : mDrivers.values()) {
-            int active = mDemand.activeCalls(driver.server().id(), now());
-            if (active >= driver.server().slots()) {
-                busy.put(driver.server().id(), active);
-            }
+            String id = driver.server().id();
+            activeCalls.put(id, mDemand.activeCalls(id, now()));
         }
-        return busy;
+        return activeCalls;
     }
 
     /**
--- a/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
+++ b/org.cornelway/src/org/cornelway/traffic/AnswerProgress.java
@@ -1,6 +1,7 @@
 package org.cornelway.traffic;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cornelway.route.CallKind;
 import org.cornelway.route.Route;
 import org.cornelway.time.Clock;
@@ -75,6 +76,16 @@
         return mEvents >= EVENTS_PAST_BEGINNING;
     }
 
+    /**
+     * Time since the last event; empty if there is none yet, or if reading from the server is
+     * paused.
+     */
+    OptionalLong sinceEventMillis() {
+        return mEvents == 0 || mReadingPaused
+                ? OptionalLong.empty()
+                : OptionalLong.of(silentMillis());
+    }
+
     /** Time since the first event of the stream; empty if there is none yet. */
     Optional<Long> streamingMillis() {
         return mFirstEventMillis.map(first -> mClock.nowMillis() - first);
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -24,6 +24,7 @@
     private final AnswerProgress mProgress;
     private final PromptEvidence mEvidence;
     private final ServerObserver mObserver;
+    private final AttemptSilence mSilence;
     private final SendGate mGate;
     private final ResponseBuffer mBuffer;
     private final GuardedAttempt mGuarded;
@@ -55,7 +56,8 @@
         mHistory = history;
         mProgress = new AnswerProgress(context.clock());
         mEvidence = new PromptEvidence(context, request, server);
-        mObserver = new ServerObserver(context, server, request.head().target());
+        mObserver = new ServerObserver(context, server, request.head());
+        mSilence = new AttemptSilence(context, this, callHandler, mProgress, mObserver);
         mGate = new SendGate(context, server.incarnation());
         Runnable onRevoked = () -> failWithUnknownOutcome("the answer held the most memory");
         mBuffer = new ResponseBuffer(context.pool().memory().newShare(onRevoked));
@@ -75,7 +77,7 @@
     /** Acquires a connection to the server; the call is sent once there is one. */
     void start() {
         mGate.reserve();
-        mObserver.recordStart(mRequest.head().expectedTokens());
+        mObserver.recordStart();
         mContext.pool().acquire(mServer.host(), mServer.port(), mGuarded);
     }
 
@@ -239,7 +241,11 @@
         StreamRelay.Answer answer = mAnswer.orElseThrow();
         int events = answer.feed(mStatus, mHeaders, content);
         if (events > 0) {
-            mObserver.recordActivity();
+            mObserver.recordEvents(
+                    mCallHandler.route(),
+                    events,
+                    mProgress.sinceEventMillis(),
+                    nowMillis() - mSentMillis);
             if (mProgress.recordEvents(events)) {
                 mEvidence.recordAnswered();
             }
@@ -308,6 +314,9 @@
     private void handleFullResponse(ResponseHead head) {
         boolean isServerError = head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         mObserver.recordResponse(!isServerError);
+        if (head.isSuccess()) {
+            mObserver.recordServiceTime(mCallHandler.route(), nowMillis() - mSentMillis);
+        }
         FullResponse fullResponse = new FullResponse(mStatus, mHeaders, mBuffer.body());
         if (mCallHandler.isStreamBegun()) {
             // The caller has the head and events of another answer.
@@ -335,17 +344,13 @@
         }
     }
 
-    /**
-     * Whether the call was sent and the server counts as silent.
-     *
-     * @param lateMillis how late the traffic thread is, which may be a part of the silence
-     */
-    boolean isStalled(long lateMillis) {
-        boolean begun = mCallHandler.isStreamBegun();
-        boolean failed = mObserver.hasRecentFailure();
-        return !mEnded
-                && mConnection.isPresent()
-                && mProgress.isStalled(mCallHandler.route(), begun, failed, lateMillis);
+    /** Whether the call was sent and the attempt has not ended. */
+    boolean isSent() {
+        return !mEnded && mConnection.isPresent();
+    }
+
+    AttemptSilence silence() {
+        return mSilence;
     }
 
     /** Time since the call was handed to a connection; empty before. */
@@ -353,21 +358,6 @@
         return mConnection.map(connection -> nowMillis() - mSentMillis);
     }
 
-    /** Time for which the server has sent nothing for this call. */
-    long silentMillis() {
-        return mProgress.silentMillis();
-    }
-
-    /** Makes the server suspect, since it was silent for so long that another one went on. */
-    void recordSilence() {
-        mObserver.recordFailure();
-    }
-
-    /** Whether the server works on other calls although it is silent for this one. */
-    boolean isServerActive() {
-        return mObserver.isActive(mProgress.silentMillis());
-    }
-
     /** Pauses or resumes reading; effective from the send on if the call is not sent yet. */
     void setReadingPaused(boolean paused) {
         mProgress.setReadingPaused(paused);
--- a/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallAdmission.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.Candidate;
+import org.cornelway.dispatch.HedgePolicy;
 import org.cornelway.result.ResultCode;
 import org.cornelway.route.Route;
 import org.cornelway.time.Deadline;
@@ -170,11 +171,18 @@
      * budget; empty if there is no such server or no budget.
      *
      * @param silent server at which the call runs and which is silent
+     * @param early whether the server does not count as silent yet; most of the budget must then be
+     *     left
      */
-    Optional<Candidate> acquireAlternative(String service, ServerIncarnation silent) {
+    Optional<Candidate> acquireAlternative(
+            String service, ServerIncarnation silent, boolean early) {
+        int entries = mContext.view().get().entryCount();
+        double share = early ? HedgePolicy.EARLY_BUDGET_SHARE : 1;
         return promptBlockedUntil().isPresent()
                 ? Optional.empty()
-                : mSelector.alternative(service, silent).filter(next -> tryAcquireResend(service));
+                : mSelector
+                        .alternative(service, silent, early)
+                        .filter(n -> mContext.retryBudget().tryAcquire(service, entries, share));
     }
 
     /** Returns until when no server takes the call, as a part of its prompt crashed servers. */
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -323,9 +323,9 @@
     }
 
     @Override
-    public Optional<Candidate> acquireAlternative(Attempt silent) {
+    public Optional<Candidate> acquireAlternative(Attempt silent, boolean early) {
         return mAdmission.canRepeat(route(), deadline(), mRelay, 1)
-                ? mAdmission.acquireAlternative(mService, silent.server().incarnation())
+                ? mAdmission.acquireAlternative(mService, silent.server().incarnation(), early)
                 : Optional.empty();
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallLog.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallLog.java
@@ -72,6 +72,7 @@
 
     /** Logs that a server is silent, so that the call is sent to another one beside it. */
     void logSilent(String server, long silentMillis) {
+        mContext.metrics().counter("hedges.sent").inc();
         mContext.log()
                 .write(
                         "call.silent",
@@ -83,6 +84,11 @@
                         silentMillis);
     }
 
+    /** Counts a call whose hedge went on before the silent server. */
+    void countHedgeWon() {
+        mContext.metrics().counter("hedges.won").inc();
+    }
+
     /** Logs that a send failed; the call may be sent again. */
     void logSendFailed(String server, String outcome, String reason) {
         mContext.log()
--- a/org.cornelway/src/org/cornelway/traffic/Hedging.java
+++ b/org.cornelway/src/org/cornelway/traffic/Hedging.java
@@ -8,7 +8,8 @@
 import org.cornelway.time.Deadline;
 
 /**
- * Sends one call to another server, as a hedge, while the server of its attempt is silent.
+ * Sends one call to another server, as a hedge, while the server of its attempt is silent, or
+ * earlier if the call would otherwise miss its objective and the retry budget is hardly used.
  *
  * <p>Invariants: the server that goes on first keeps the call, and the other attempt is cancelled
  * then; neither a failure nor a silence of the hedge ends the first attempt; both run for a bounded
@@ -46,8 +47,9 @@
          * empty if it is not.
          *
          * @param silent attempt that goes on meanwhile
+         * @param early whether its server does not count as silent yet
          */
-        Optional<Candidate> acquireAlternative(Attempt silent);
+        Optional<Candidate> acquireAlternative(Attempt silent, boolean early);
 
         /** Sends the call to a server. */
         Attempt start(Candidate chosen);
@@ -80,30 +82,41 @@
      */
     void tick(Attempt attempt) {
         long lateMillis = mContext.loopDelay().lateMillis();
-        if (attempt.isStalled(lateMillis)) {
+        if (attempt.silence().isStalled(lateMillis)) {
             mGuard.afterNextRead(() -> checkSilence(attempt, lateMillis));
+        } else if (lateMillis == 0 && !mAttempts.isHedged() && attempt.silence().isHedgeDue()) {
+            mGuard.afterNextRead(() -> checkDue(attempt));
+        }
+    }
+
+    private void checkDue(Attempt attempt) {
+        if (mContext.loopDelay().lateMillis() == 0 && attempt.silence().isHedgeDue()) {
+            hedge(attempt, 0, true);
         }
     }
 
     private void checkSilence(Attempt attempt, long lateMillis) {
-        if (attempt.isStalled(lateMillis)) {
-            onSilent(attempt, lateMillis);
+        if (attempt.silence().isStalled(lateMillis)) {
+            hedge(attempt, lateMillis, false);
         }
     }
 
-    private void onSilent(Attempt silent, long lateMillis) {
+    private void hedge(Attempt silent, long lateMillis, boolean early) {
         boolean canHedge = HedgePolicy.canHedge(mSender.route().kind(), lateMillis);
         if (mAttempts.isHedged()
-                || !canHedge && !HedgePolicy.isLeft(silent.silentMillis() - lateMillis)
+                || !canHedge && !HedgePolicy.isLeft(silent.silence().millis() - lateMillis)
                 || !mPausedUntil.isPast(mContext.clock().nowMillis())
                 || !mHistory.hasSpareSend()) {
             return;
         }
-        Optional<Candidate> next = mSender.acquireAlternative(silent);
+        Optional<Candidate> next = mSender.acquireAlternative(silent, early);
         if (next.isEmpty()) {
             return;
         }
-        mLog.logSilent(silent.server().id(), silent.silentMillis());
+        mLog.logSilent(silent.server().id(), silent.silence().millis());
+        if (early) {
+            silent.silence().recordEarlyHedge();
+        }
         if (!canHedge) {
             endOne(silent, true, NO_HEDGE);
         }
@@ -130,7 +143,7 @@
         Optional<Long> hedgeMillis = hedge.sinceSendMillis();
         long remaining =
                 HedgePolicy.remainingMillis(
-                        mSender.route().kind(), silent.silentMillis(), hedgeMillis.orElse(0L));
+                        mSender.route().kind(), silent.silence().millis(), hedgeMillis.orElse(0L));
         if (remaining > 0) {
             checkAfter(silent, hedge, remaining);
         } else if (isHedged && hedgeMillis.isEmpty()) {
@@ -154,19 +167,19 @@
             mSender.repeatOrFail(NEITHER_WENT_ON);
             return;
         }
-        boolean hasGoneOn = silent.silentMillis() < HedgePolicy.MAX_HEDGE_MILLIS;
+        boolean hasGoneOn = silent.silence().millis() < HedgePolicy.MAX_HEDGE_MILLIS;
         boolean endsSilent =
                 !hasGoneOn
                         && HedgePolicy.endsSilentAttempt(
                                 mSender.route().kind(),
-                                silent.silentMillis(),
-                                silent.isServerActive());
+                                silent.silence().millis(),
+                                silent.silence().isServerActive());
         endOne(endsSilent ? silent : hedge, endsSilent, NEITHER_WENT_ON);
     }
 
     private void endOne(Attempt attempt, boolean isSilent, String reason) {
         if (isSilent) {
-            attempt.recordSilence();
+            attempt.silence().record();
         }
         mAttempts.cancel(attempt, reason);
         pause(PAUSE_MILLIS);
--- a/org.cornelway/src/org/cornelway/traffic/RequestHead.java
+++ b/org.cornelway/src/org/cornelway/traffic/RequestHead.java
@@ -29,6 +29,19 @@
         Optional<String> lastEventId,
         Optional<CustomerKey> customerKey,
         Optional<TokenCount> tokens) {
+    /**
+     * Returns the tokens that a call for a model is expected to hold in an engine's memory at its
+     * end; empty if the caller does not state its size.
+     */
+    public Optional<Long> expectedTotalTokens() {
+        return tokens.map(
+                count ->
+                        count.prompt()
+                                + Math.min(
+                                        count.maxOutput(),
+                                        expectedTokens.orElse(count.maxOutput())));
+    }
+
     /** Ids of the parts of the prompt that other calls may share: all but the last. */
     public List<String> sharedParts() {
         return promptPartIds.size() < 2
--- a/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
+++ b/org.cornelway/src/org/cornelway/traffic/RunningAttempts.java
@@ -124,7 +124,8 @@
             return;
         }
         if (mAttempts.get(0) == other.get()) {
-            other.get().recordSilence();
+            other.get().silence().record();
+            mLog.countHedgeWon();
         }
         cancel(other.get(), attempt.server().id() + " went on");
     }
--- a/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
@@ -1,9 +1,11 @@
 package org.cornelway.traffic;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.ServerLoads;
+import org.cornelway.route.Route;
 
 /**
  * Records what one attempt shows about its server: its load, its failures, and whether it holds the
@@ -15,14 +17,19 @@
 
     private final TrafficContext mContext;
     private final ServerRecord mServer;
+    private final RequestHead mHead;
     private final Optional<ModelTarget> mTarget;
     private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
     private boolean mStreaming;
 
-    ServerObserver(TrafficContext context, ServerRecord server, Optional<ModelTarget> target) {
+    /** Tokens that the call holds in the server's memory; 0 for a plain service. */
+    private long mTokens;
+
+    ServerObserver(TrafficContext context, ServerRecord server, RequestHead head) {
         mContext = context;
         mServer = server;
-        mTarget = target;
+        mHead = head;
+        mTarget = head.target();
     }
 
     private ServerLoads loads() {
@@ -33,17 +40,15 @@
         return mServer.incarnation();
     }
 
-    /**
-     * Records that the attempt starts.
-     *
-     * @param expectedTokens size of the call, in tokens, if it is known
-     */
-    void recordStart(Optional<Long> expectedTokens) {
-        loads().recordCallStarted(incarnation());
+    /** Records that the attempt starts. */
+    void recordStart() {
+        mTokens = loads().tokensOf(mHead);
+        loads().recordCallStarted(incarnation(), mTokens);
         mRunningCall =
                 mTarget.map(
                         target ->
-                                mContext.usage().callStarted(mServer.id(), target, expectedTokens));
+                                mContext.usage()
+                                        .callStarted(mServer.id(), target, mHead.expectedTokens()));
     }
 
     /** Records that the server has begun to stream its answer. */
@@ -59,7 +64,7 @@
 
     /** Records the load that the server reports. */
     void recordReportedLoad(ReportedLoad load) {
-        loads().recordReportedLoad(incarnation(), load);
+        loads().recordReportedLoad(mServer, load);
     }
 
     /** Records whether the server answered successfully. */
@@ -78,6 +83,42 @@
         mRunningCall.ifPresent(mContext.usage()::callCompleted);
     }
 
+    /**
+     * Records events of a stream.
+     *
+     * @param sinceEventMillis time since the event before; empty if these are the first ones
+     * @param sinceSendMillis time since the call was sent
+     */
+    void recordEvents(
+            Route route, int events, OptionalLong sinceEventMillis, long sinceSendMillis) {
+        recordActivity();
+        if (sinceEventMillis.isEmpty()) {
+            loads().serviceTimes().record(route.name(), sinceSendMillis);
+        } else if (mTarget.isPresent()) {
+            String model = mTarget.get().model();
+            loads().recordEvents(mServer, model, sinceEventMillis.getAsLong(), events);
+        }
+    }
+
+    /** Records the time from the send of a plain call to its answer. */
+    void recordServiceTime(Route route, long millis) {
+        if (mTarget.isEmpty()) {
+            loads().recordServiceTime(mServer, route.name(), millis);
+        }
+    }
+
+    /** Records that the server has not answered a call in this time. */
+    void recordUnanswered(Route route, long millis) {
+        if (mTarget.isEmpty()) {
+            loads().recordAtLeast(mServer, route.name(), millis);
+        }
+    }
+
+    /** Whether the server is slow against its peers. */
+    boolean isSlow() {
+        return loads().slow().isSlow(incarnation());
+    }
+
     /** Records that the server could not be reached, or sent no answer or a broken one. */
     void recordFailure() {
         loads().recordFailure(incarnation());
@@ -110,7 +151,7 @@
 
     /** Records that the attempt has ended; called once. */
     void recordEnd() {
-        loads().recordCallEnded(incarnation());
+        loads().recordCallEnded(incarnation(), mTokens);
         if (mStreaming) {
             loads().changeStreamCount(incarnation(), -1);
         }
--- a/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerSelector.java
@@ -6,8 +6,12 @@
 import java.util.Set;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.BalancedChooser;
+import org.cornelway.dispatch.CallNeeds;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.dispatch.ServerNotices;
+import org.cornelway.route.EngineDefinition;
+import org.cornelway.route.ServiceDefinition;
 import org.cornelway.time.Deadline;
 
 /**
@@ -112,7 +116,12 @@
      * while another one has a place, unless they have not been heard of for a while.
      */
     List<Candidate> candidates(String service) {
-        List<Candidate> all = allowed(service).stream().map(mContext.loads()::candidate).toList();
+        List<Candidate> all =
+                mContext.loads()
+                        .candidates(
+                                allowed(service),
+                                tokenCapacity(service),
+                                mContext.view().get().entryCount());
         if (all.stream().noneMatch(this::hasPlaceWithoutLimit)) {
             return all;
         }
@@ -126,15 +135,34 @@
                 .toList();
     }
 
+    /** Returns the tokens that an engine's memory holds; 0 if the service has no engines. */
+    private long tokenCapacity(String service) {
+        return mContext.view()
+                .get()
+                .routes()
+                .flatMap(table -> table.service(service))
+                .flatMap(ServiceDefinition::engine)
+                .map(EngineDefinition::kvTokens)
+                .orElse(0L);
+    }
+
+    private CallNeeds needs() {
+        RequestHead head = mRequest.head();
+        return new CallNeeds(
+                head.sharedPrefixHash(),
+                mHistory.tried(),
+                mContext.loads().tokensOf(head),
+                head.requestId().hashCode() + mHistory.sends());
+    }
+
     private boolean isLimited(Candidate candidate) {
         return mContext.limits().isLimited(candidate.server().incarnation());
     }
 
     private boolean hasPlaceWithoutLimit(Candidate candidate) {
-        int requests = Math.max(candidate.inFlight(), candidate.reportedRequests());
         return !isLimited(candidate)
                 && !candidate.suspect()
-                && requests < candidate.server().slots();
+                && candidate.requests() < candidate.server().slots();
     }
 
     /**
@@ -148,22 +176,22 @@
                                 .filter(each -> !mHistory.wasLastAt(each.server().id()))
                                 .toList()
                         : List.of();
-        return mContext.chooser()
-                .choose(
-                        others.isEmpty() ? candidates : others,
-                        mRequest.head().sharedPrefixHash(),
-                        mHistory.tried());
+        return mContext.chooser().choose(others.isEmpty() ? candidates : others, needs());
     }
 
     /**
      * Returns the best server other than the given one that can take the call at once; none with a
      * limit, whose rate is left to calls that have no other server.
+     *
+     * @param fast whether only a server with a free slot counts that is not slow
      */
-    Optional<Candidate> alternative(String service, ServerIncarnation excluded) {
+    Optional<Candidate> alternative(String service, ServerIncarnation excluded, boolean fast) {
+        CallNeeds needs = needs();
         return choose(
                 candidates(service).stream()
                         .filter(each -> !each.server().incarnation().equals(excluded))
                         .filter(each -> !each.suspect() && !isLimited(each))
+                        .filter(each -> !fast || BalancedChooser.isFast(each, needs))
                         .toList());
     }
 }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -16,9 +16,9 @@
 import org.cornelway.directory.DirectorySnapshot;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.BalancedChooser;
 import org.cornelway.dispatch.CrashEvidence;
 import org.cornelway.dispatch.Holdings;
-import org.cornelway.dispatch.LeastLoadedChooser;
 import org.cornelway.dispatch.LimitBackoff;
 import org.cornelway.dispatch.LimitNotice;
 import org.cornelway.dispatch.LimitObservation;
@@ -87,7 +87,7 @@
             MetricRegistry metrics) {
         mLoop = (EventLoop) mGroup.next();
         mPool = new UpstreamPool(mLoop, codec, clock, log);
-        mLoads = new ServerLoads(clock, zone);
+        mLoads = new ServerLoads(clock, zone, new SlowServerLog(log));
         mStoreEndpoint = storeEndpoint;
         mUsage = new ModelUsage(clock);
         mContext =
@@ -96,7 +96,7 @@
                         codec,
                         mPool,
                         () -> mView,
-                        new LeastLoadedChooser(),
+                        new BalancedChooser(),
                         mLoads,
                         mNotices,
                         mLimits,
@@ -116,8 +116,7 @@
         EventLoop platformLoop = (EventLoop) mPlatformGroup.next();
         mPlatformPool = new UpstreamPool(platformLoop, codec, clock, log);
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool, codec);
-        metrics.registerGauge("connections.opened", mPool::openedCount);
-        metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
+        registerGauges(metrics);
         mLoop.scheduleAtFixedRate(
                 new GuardedTask("sweep of servers", metrics, this::sweep),
                 SWEEP_INTERVAL_MILLIS,
@@ -125,6 +124,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void registerGauges(MetricRegistry metrics) {
+        metrics.registerGauge("connections.opened", mPool::openedCount);
+        metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
+        metrics.registerGauge("servers.slow", mLoads.slow()::slowCount);
+    }
+
     private static MultiThreadIoEventLoopGroup newSingleThreadGroup(String name) {
         return new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory(name), NioIoHandler.newFactory());
@@ -181,14 +186,15 @@
      * notifies the calls that wait for models.
      *
      * @param holdings models, each with its adapters, by the incarnation of the server
-     * @param busy number of active calls, over all entries, on each busy engine, by its id
+     * @param activeCalls number of active calls, over all entries, on engines, by their ids
      */
     public void updateHoldings(
-            Map<ServerIncarnation, Map<String, Set<String>>> holdings, Map<String, Integer> busy) {
+            Map<ServerIncarnation, Map<String, Set<String>>> holdings,
+            Map<String, Integer> activeCalls) {
         mLoop.execute(
                 () -> {
                     mHoldings.recordControllerReply(mContext.clock().nowMillis());
-                    mLoads.recordBusyEngines(busy);
+                    mLoads.recordActiveCalls(activeCalls);
                     holdings.forEach(mHoldings::replace);
                     if (!holdings.isEmpty()) {
                         mFrontServer.onHoldingsChanged();
