Send calls for cached prompts by all requests, and play many entries

Cause: with 22 entries one own call counted like eleven requests, so that a call left the engine with its cached prompt for a small difference. Change: the preference for cached prompts compares all requests and ends at three quarters of an engine's slots or memory. The model draws the calls and the slow times alike for every chooser and plays a second fleet.

--- a/org.cornelway.test/tst/org/cornelway/dispatch/ModelledFleet.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/ModelledFleet.java
@@ -8,7 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.route.CallKind;
 import org.cornelway.time.Clock;
@@ -29,13 +29,20 @@
 
     private final ModelledLoad mLoad;
     private final ServerChooser mChooser;
+
+    /** Draws the calls and when servers are slow, the same for every chooser. */
     private final Random mRandom;
+
+    /** Draws what depends on the chooser. */
+    private final Random mOther;
+
     private final boolean mHedging;
     private final List<ModelledServer> mServers = new ArrayList<>();
     private final List<List<Integer>> mHolders = new ArrayList<>();
     private final List<ModelledView> mViews = new ArrayList<>();
     private final List<SlidingWindowRetryBudget> mBudgets = new ArrayList<>();
     private final List<ModelledCall> mOpenReads = new ArrayList<>();
+    private final List<Integer> mPlain = new ArrayList<>();
     private final Figures mFigures = new Figures();
     private Map<String, Integer> mCounts = Map.of();
     private long mNow;
@@ -106,38 +113,41 @@
     ModelledFleet(
             ModelledLoad load,
             ServerChooser chooser,
-            Function<Clock, ModelledView> newView,
+            BiFunction<Clock, Integer, ModelledView> newView,
             boolean hedging,
             long seed) {
         mLoad = load;
         mChooser = chooser;
         mHedging = hedging;
         mRandom = new Random(seed);
-        for (int i = 0; i < ModelledLoad.PLAIN_SERVERS; i++) {
+        mOther = new Random(seed);
+        for (int i = 0; i < mLoad.fleet().plainServers(); i++) {
+            mPlain.add(i);
             mServers.add(
                     new ModelledServer(
                             "p" + i, ModelledLoad.PLAIN_SLOTS, 0, ModelledLoad.SLOWNESS));
         }
-        for (int i = 0; i < ModelledLoad.ENGINES; i++) {
+        for (int i = 0; i < mLoad.fleet().engines(); i++) {
             mServers.add(
                     new ModelledServer(
                             "e" + i,
-                            ModelledLoad.ENGINE_SLOTS,
-                            ModelledLoad.ENGINE_TOKENS,
+                            mLoad.fleet().slots(),
+                            mLoad.fleet().tokens(),
                             ModelledLoad.SLOWNESS));
         }
         for (int model = 0; model < load.popularity().length; model++) {
             List<Integer> holders = new ArrayList<>();
             while (holders.size() < load.enginesPerModel()) {
-                int engine = ModelledLoad.PLAIN_SERVERS + mRandom.nextInt(ModelledLoad.ENGINES);
+                int engine =
+                        mLoad.fleet().plainServers() + mRandom.nextInt(mLoad.fleet().engines());
                 if (!holders.contains(engine)) {
                     holders.add(engine);
                 }
             }
             mHolders.add(holders);
         }
-        for (int i = 0; i < ModelledLoad.ENTRIES; i++) {
-            mViews.add(newView.apply(() -> mNow));
+        for (int i = 0; i < mLoad.entries(); i++) {
+            mViews.add(newView.apply(() -> mNow, load.entries()));
             mBudgets.add(new SlidingWindowRetryBudget(() -> mNow, 10_000, 0.1, 40));
         }
     }
@@ -190,8 +200,8 @@
         mCounts = counts;
         if (engines > 0 && plain > 0) {
             mFigures.mSamples++;
-            mFigures.mBusiestEngines += (double) busiestEngine * ModelledLoad.ENGINES / engines;
-            mFigures.mBusiestPlain += (double) busiestPlain * ModelledLoad.PLAIN_SERVERS / plain;
+            mFigures.mBusiestEngines += (double) busiestEngine * mLoad.fleet().engines() / engines;
+            mFigures.mBusiestPlain += (double) busiestPlain * mLoad.fleet().plainServers() / plain;
         }
     }
 
@@ -200,7 +210,7 @@
         double size = 0.5 + mRandom.nextDouble();
         return new ModelledCall(
                 kind,
-                mRandom.nextInt(ModelledLoad.ENTRIES),
+                mRandom.nextInt(mLoad.entries()),
                 mNow,
                 size * MEAN_WORK_MILLIS,
                 (int) (size * kind.promptTokens()),
@@ -222,11 +232,11 @@
         }
         int model = call.mKind.isStream() ? randomModel() : -1;
         call.mAffinity = model < 0 ? 0 : 1 + model * PROMPTS + mRandom.nextInt(PROMPTS);
-        List<Integer> holders = model < 0 ? List.of(0, 1, 2, 3) : mHolders.get(model);
+        List<Integer> holders = model < 0 ? mPlain : mHolders.get(model);
         List<ServerRecord> records =
                 holders.stream().map(each -> mServers.get(each).mRecord).toList();
         ModelledView view = mViews.get(call.mEntry);
-        long capacity = model < 0 ? 0 : ModelledLoad.ENGINE_TOKENS;
+        long capacity = model < 0 ? 0 : mLoad.fleet().tokens();
         Candidate chosen = choose(call, view.candidates(records, capacity));
         call.mServer = holders.get(records.indexOf(chosen.server()));
         if (call.mKind.isSafe()) {
@@ -263,7 +273,7 @@
     }
 
     private void report(ModelledView view, ModelledServer server) {
-        int age = MIN_REPORT_AGE_MILLIS + mRandom.nextInt(REPORT_AGE_RANGE_MILLIS);
+        int age = MIN_REPORT_AGE_MILLIS + mOther.nextInt(REPORT_AGE_RANGE_MILLIS);
         ReportedLoad load = server.loadAt(mNow - age);
         view.reported(server.mRecord, load);
     }
@@ -307,7 +317,7 @@
             return;
         }
         List<ServerRecord> records = new ArrayList<>();
-        for (int i = 0; i < ModelledLoad.PLAIN_SERVERS; i++) {
+        for (int i = 0; i < mLoad.fleet().plainServers(); i++) {
             records.add(mServers.get(i).mRecord);
         }
         CallNeeds needs = new CallNeeds(0, Set.of(server.id()), 0, mCallCount);
@@ -318,12 +328,11 @@
                         .toList();
         if (candidates.isEmpty()
                 || !mBudgets.get(call.mEntry)
-                        .tryAcquire(
-                                "plain", ModelledLoad.ENTRIES, HedgePolicy.EARLY_BUDGET_SHARE)) {
+                        .tryAcquire("plain", mLoad.entries(), HedgePolicy.EARLY_BUDGET_SHARE)) {
             return;
         }
         mFigures.mHedges++;
-        ModelledCall hedge = call.newHedge(mNow, (0.5 + mRandom.nextDouble()) * MEAN_WORK_MILLIS);
+        ModelledCall hedge = call.newHedge(mNow, (0.5 + mOther.nextDouble()) * MEAN_WORK_MILLIS);
         hedge.mServer = records.indexOf(choose(hedge, candidates).server());
         start(hedge, -1);
     }
--- a/org.cornelway.test/tst/org/cornelway/dispatch/ModelledView.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/ModelledView.java
@@ -26,15 +26,17 @@
     List<Candidate> candidates(List<ServerRecord> servers, long tokenCapacity);
 
     /** Returns the view of an entry of the present build. */
-    static ServerLoadsView of(Clock clock) {
-        return new ServerLoadsView(clock);
+    static ServerLoadsView of(Clock clock, int entries) {
+        return new ServerLoadsView(clock, entries);
     }
 
     /** The view of {@link ServerLoads}. */
     final class ServerLoadsView implements ModelledView {
         final ServerLoads mLoads;
+        private final int mEntries;
 
-        ServerLoadsView(Clock clock) {
+        ServerLoadsView(Clock clock, int entries) {
+            mEntries = entries;
             mLoads =
                     new ServerLoads(
                             clock,
@@ -80,7 +82,7 @@
 
         @Override
         public List<Candidate> candidates(List<ServerRecord> servers, long tokenCapacity) {
-            return mLoads.candidates(servers, tokenCapacity, ModelledLoad.ENTRIES);
+            return mLoads.candidates(servers, tokenCapacity, mEntries);
         }
     }
 
--- a/org.cornelway.test/tst/org/cornelway/dispatch/SlidingWindowRetryBudgetTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/SlidingWindowRetryBudgetTest.java
@@ -72,4 +72,17 @@
     public void limitIsExceededWithoutBudget() {
         assertThat(worstExcess(0, false)).isPositive();
     }
+
+    /** Guards against hedges that leave nothing for calls whose server fails. */
+    @Test
+    public void shareOfTheBudgetLeavesTheRest() {
+        SlidingWindowRetryBudget budget =
+                new SlidingWindowRetryBudget(() -> 1_000_000, WINDOW_MILLIS, 0, 20);
+        int granted = 0;
+        while (budget.tryAcquire("s", 1, 0.5)) {
+            granted++;
+        }
+        assertThat(granted).isEqualTo(7);
+        assertThat(budget.tryAcquire("s", 1)).isTrue();
+    }
 }
--- a/org.cornelway.test/tst/org/cornelway/dispatch/UnevenServersTest.java
+++ b/org.cornelway.test/tst/org/cornelway/dispatch/UnevenServersTest.java
@@ -23,7 +23,7 @@
                             ? new ModelledFleet(
                                     load,
                                     new LeastLoadedChooser(),
-                                    ModelledView.ReportsView::new,
+                                    (clock, entries) -> new ModelledView.ReportsView(clock),
                                     false,
                                     seed)
                             : new ModelledFleet(
@@ -59,6 +59,12 @@
         assertNoWorse("equal", ModelledLoad.of(0, 700, 200));
     }
 
+    /** Guards against a choice that depends on how many calls each entry has in flight. */
+    @Test
+    public void callsAreNoLaterWithManyEntries() {
+        assertNoWorse("many entries", ModelledLoad.ofManyEntries(SLOW_SHARE));
+    }
+
     /** Guards against entries that together fill an engine of which each sees a part. */
     @Test
     public void fewerStreamsArePreemptedIfMemoryIsShort() {
--- a/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/HedgeTestBase.java
@@ -69,7 +69,7 @@
                         "zone-1",
                         mFront,
                         new HttpEndpoint("127.0.0.1", 1),
-                        new SlidingWindowRetryBudget(clock, 60_000, 0, 2),
+                        newBudget(clock),
                         (request, tooLate) -> {},
                         new EventLog(clock, metrics),
                         metrics);
@@ -77,6 +77,11 @@
         announce(mSecond.port());
     }
 
+    /** Returns the retry budget of the entry. */
+    SlidingWindowRetryBudget newBudget(Clock clock) {
+        return new SlidingWindowRetryBudget(clock, 60_000, 0, 2);
+    }
+
     /** Returns the codec of the entry. */
     CallCodec newCodec() {
         return new WireCallCodec();
--- a/org.cornelway/src/org/cornelway/dispatch/BalancedChooser.java
+++ b/org.cornelway/src/org/cornelway/dispatch/BalancedChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Chooses between the servers whose cost is nearly the lowest, for entries that choose at the same
@@ -11,11 +12,11 @@
  * <p>The cost is the part of the server's slots or memory that is taken with this call, whichever
  * is larger, times the slowness. It is computed from {@link Candidate#comparableRequests}. A server
  * costs more if it is slow against its peers, has no place for the call, is in another availability
- * zone, has failed recent calls, is suspect or was tried before. The server that has probably
- * cached the shared parts of the prompt costs less if it has a place. Of the servers whose cost
- * differs from the lowest by less than the reports are accurate, two are drawn, and the one with
- * the lower cost is chosen, so that entries with the same reports do not all choose the same
- * server. Pure and thread-safe.
+ * zone, has failed recent calls, is suspect or was tried before. Of the servers whose cost differs
+ * from the lowest by less than the reports are accurate, two are drawn, and the one with the lower
+ * cost is chosen, so that entries with the same reports do not all choose the same server. Before,
+ * the server that has probably cached the shared parts of the prompt is chosen if it has a place
+ * and its cost by {@link Candidate#requests} is not much above the lowest. Pure and thread-safe.
  */
 public final class BalancedChooser implements ServerChooser {
     /** Cost of a server in another availability zone, in requests per slot. */
@@ -24,6 +25,12 @@
     /** Reduction of the cost for cached parts of the prompt, in requests per slot. */
     private static final double AFFINITY_GAIN = 0.2;
 
+    /**
+     * Part of an engine's slots or memory up to which calls are sent to it for the sake of cached
+     * parts of the prompt. All entries do so at once, and each learns of the others' calls late.
+     */
+    private static final double MAX_AFFINITY_LOAD = 0.75;
+
     /** Cost per unit of difference to the lowest error rate, in requests per slot. */
     private static final double ERROR_RATE_WEIGHT = 2.0;
 
@@ -59,17 +66,27 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        double[] costs = costs(candidates, needs);
         int cached = affinityIndex(candidates, needs.affinity());
-        if (cached >= 0 && hasPlace(candidates.get(cached), needs)) {
-            costs[cached] -= AFFINITY_GAIN;
+        if (cached >= 0 && load(candidates.get(cached), needs) <= MAX_AFFINITY_LOAD) {
+            double[] costs = costs(candidates, needs, Candidate::requests);
+            if (costs[cached] - AFFINITY_GAIN <= costs[indexOfLowest(costs)]) {
+                return Optional.of(candidates.get(cached));
+            }
         }
-        int best = 0;
+        double[] costs = costs(candidates, needs, Candidate::comparableRequests);
+        return Optional.of(candidates.get(draw(candidates, costs, needs)));
+    }
+
+    private static double load(Candidate candidate, CallNeeds needs) {
+        return Math.max(candidate.slotLoadWithCall(), candidate.memoryLoadWith(needs.tokens()));
+    }
+
+    private static int indexOfLowest(double[] costs) {
+        int lowest = 0;
         for (int i = 1; i < costs.length; i++) {
-            best = costs[i] < costs[best] ? i : best;
+            lowest = costs[i] < costs[lowest] ? i : lowest;
         }
-        return Optional.of(
-                candidates.get(best == cached ? best : draw(candidates, costs, best, needs)));
+        return lowest;
     }
 
     /** Whether an engine has a free slot and memory for the call; true for a plain server. */
@@ -84,22 +101,24 @@
         return !candidate.slow() && candidate.slotLoadWithCall() <= 1 && hasPlace(candidate, needs);
     }
 
-    private static double[] costs(List<Candidate> candidates, CallNeeds needs) {
+    private static double[] costs(
+            List<Candidate> candidates, CallNeeds needs, ToDoubleFunction<Candidate> requests) {
         double lowestErrorRate = Double.MAX_VALUE;
         for (Candidate each : candidates) {
             lowestErrorRate = Math.min(lowestErrorRate, each.errorRate());
         }
         double[] costs = new double[candidates.size()];
         for (int i = 0; i < costs.length; i++) {
-            costs[i] = cost(candidates.get(i), needs, lowestErrorRate);
+            Candidate candidate = candidates.get(i);
+            costs[i] = cost(candidate, requests.applyAsDouble(candidate), needs, lowestErrorRate);
         }
         return costs;
     }
 
-    private static double cost(Candidate candidate, CallNeeds needs, double lowestErrorRate) {
-        double slotLoad = (candidate.comparableRequests() + 1) / candidate.server().slots();
-        double load = Math.max(slotLoad, candidate.memoryLoadWith(needs.tokens()));
-        return load * candidate.slowness()
+    private static double cost(
+            Candidate candidate, double requests, CallNeeds needs, double lowestErrorRate) {
+        double slotLoad = (requests + 1) / candidate.server().slots();
+        return Math.max(slotLoad, candidate.memoryLoadWith(needs.tokens())) * candidate.slowness()
                 + (candidate.slow() ? SLOW_COST : 0)
                 + (hasPlace(candidate, needs) ? 0 : NO_PLACE_COST)
                 + (candidate.sameZone() ? 0 : OTHER_ZONE_COST)
@@ -109,7 +128,8 @@
     }
 
     /** Returns the better one of two servers drawn from those that cost nearly the least. */
-    private static int draw(List<Candidate> candidates, double[] costs, int best, CallNeeds needs) {
+    private static int draw(List<Candidate> candidates, double[] costs, CallNeeds needs) {
+        int best = indexOfLowest(costs);
         double limit = costs[best] + NEAR_REQUESTS / candidates.get(best).server().slots();
         int[] near = new int[costs.length];
         int count = 0;
