--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -151,7 +151,8 @@
   private java.util.List<org.cornelway.rpc.ServerActivity> busy_;
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -162,7 +163,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -174,7 +176,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -185,7 +188,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -196,7 +200,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1519,7 +1524,8 @@
 
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1533,7 +1539,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1547,7 +1554,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1561,7 +1569,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1580,7 +1589,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1598,7 +1608,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1616,7 +1627,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1635,7 +1647,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1653,7 +1666,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1671,7 +1685,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1690,7 +1705,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1707,7 +1723,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1724,7 +1741,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1735,7 +1753,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1749,7 +1768,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1764,7 +1784,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1775,7 +1796,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1787,7 +1809,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
@@ -68,7 +68,8 @@
 
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -77,7 +78,8 @@
       getBusyList();
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -85,7 +87,8 @@
   org.cornelway.rpc.ServerActivity getBusy(int index);
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -93,7 +96,8 @@
   int getBusyCount();
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -102,7 +106,8 @@
       getBusyOrBuilderList();
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
