--- a/org.cornelway/src/org/cornelway/models/ModelEvents.java
+++ b/org.cornelway/src/org/cornelway/models/ModelEvents.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
-
 import com.codahale.metrics.MetricRegistry;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.eventlog.EventLog;
--- a/org.cornelway/src/org/cornelway/traffic/SendGate.java
+++ b/org.cornelway/src/org/cornelway/traffic/SendGate.java
@@ -54,6 +54,9 @@
         if (limits().isLimited(mServer) && mPermit.isEmpty()) {
             return Optional.of("the server named a limit before the send");
         }
+        if (!mCall.quota().spend()) {
+            return Optional.of("the tokens were taken back before the send");
+        }
         mPermit = Optional.empty();
         return Optional.empty();
     }
