--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -145,15 +145,7 @@
                 deps.ports()
                         .engines()
                         .create(deps.traffic().platformClient(), deps.clock(), new EngineNotices());
-        mController =
-                new ModelController(
-                        engines,
-                        control,
-                        mElection,
-                        new CheapestLoadPlanner(),
-                        mLimits,
-                        DeferralPolicy.BY_OBJECTIVE,
-                        new ModelEvents(log, deps.metrics()));
+        mController = newModelController(engines);
         mDemandStore = new DemandStore(keys, mController.demand(), control, log);
         mQuotaHandler = newQuotaHandler();
         mRequestHandler =
@@ -170,6 +162,17 @@
         deps.store().feed().restores().observeOn(control).subscribe(this::onStoreRestored);
     }
 
+    private ModelController newModelController(EngineControl engines) {
+        return new ModelController(
+                engines,
+                mDeps.control(),
+                mElection,
+                new CheapestLoadPlanner(),
+                mLimits,
+                DeferralPolicy.BY_OBJECTIVE,
+                new ModelEvents(mDeps.log(), mDeps.metrics()));
+    }
+
     private void onEngineLeaving(ServerIncarnation engine) {
         if (mNotices.recordLeaving(engine)) {
             mController.applyDirectory(directoryWithoutLeaving());
