--- a/org.cornelway/src/org/cornelway/models/BatchScheduler.java
+++ b/org.cornelway/src/org/cornelway/models/BatchScheduler.java
@@ -183,8 +183,11 @@
 
     /** Records the outcome of a request if its calls were collected. */
     void recordOutcome(ModelRequest request, ModelRequestOutcome outcome, long nowMillis) {
-        Optional<WeightSource> source =
-                Optional.ofNullable(mSources.remove(request.target().model()));
+        String model = request.target().model();
+        Optional<WeightSource> source = Optional.ofNullable(mSources.get(model));
+        if (outcome instanceof ModelRequestOutcome.Held) {
+            mSources.remove(model);
+        }
         if (source.isPresent() && isDeferrable(request)) {
             mEvents.recordBatch(
                     request,
