Use the controller's counts for engines without own calls

Cause: the count was dropped for an engine that this entry had not called yet, such as one with a new copy of a model, which was then taken for as full as the engines that the copy was to relieve. Change: the last counts are kept for servers that become known.

--- a/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
+++ b/org.cornelway/src/org/cornelway/dispatch/ServerLoads.java
@@ -56,6 +56,13 @@
     private final String mZone;
     private final Map<ServerIncarnation, ServerState> mStates = new HashMap<>();
     private final SlowServers mSlow;
+
+    /** The controller's last counts of active calls, by the engine's id. */
+    private Map<String, Integer> mActiveCalls = Map.of();
+
+    /** When they were made. */
+    private long mCountedMillis;
+
     private final ServiceTimes mServiceTimes = new ServiceTimes();
     private double mStreamMillis = DEFAULT_STREAM_MILLIS;
     private double mMeanCallTokens = DEFAULT_CALL_TOKENS;
@@ -101,7 +108,17 @@
     }
 
     private ServerState getOrCreateState(ServerIncarnation incarnation) {
-        return mStates.computeIfAbsent(incarnation, key -> new ServerState());
+        return mStates.computeIfAbsent(incarnation, this::newState);
+    }
+
+    /** Creates a state with what the controller has counted there; no call is in flight yet. */
+    private ServerState newState(ServerIncarnation incarnation) {
+        ServerState state = new ServerState();
+        Integer active = mActiveCalls.get(incarnation.id());
+        if (active != null) {
+            state.mOthers.record(active, 0, mCountedMillis);
+        }
+        return state;
     }
 
     /**
@@ -212,12 +229,13 @@
      * entries, by the engine's id.
      */
     public void recordActiveCalls(Map<String, Integer> activeCalls) {
-        long countedMillis = mClock.nowMillis() - CONTROLLER_COUNT_AGE_MILLIS;
+        mActiveCalls = Map.copyOf(activeCalls);
+        mCountedMillis = mClock.nowMillis() - CONTROLLER_COUNT_AGE_MILLIS;
         mStates.forEach(
                 (incarnation, state) -> {
                     Integer active = activeCalls.get(incarnation.id());
                     if (active != null) {
-                        state.mOthers.record(active, state.mInFlight, countedMillis);
+                        state.mOthers.record(active, state.mInFlight, mCountedMillis);
                     }
                 });
     }
