--- a/org.cornelway.test/tst/org/cornelway/traffic/CustomerKeyTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/CustomerKeyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -40,9 +41,28 @@
 
     private final Queue<String> mHeads = new ConcurrentLinkedQueue<>();
 
+    /** Called on the traffic thread when the head of a call is read. */
+    private volatile Runnable mOnCall = () -> {};
+
+    @Override
+    CallCodec newCodec() {
+        CallCodec codec = super.newCodec();
+        return (CallCodec)
+                Proxy.newProxyInstance(
+                        CallCodec.class.getClassLoader(),
+                        new Class<?>[] {CallCodec.class},
+                        (proxy, method, arguments) -> {
+                            if (method.getName().equals("readRequestHead")) {
+                                mOnCall.run();
+                            }
+                            return method.invoke(codec, arguments);
+                        });
+    }
+
     @BeforeMethod
     public void publishCustomers() {
         mHeads.clear();
+        mOnCall = () -> {};
         publish(false, customer("acme", "k-a"), customer("other", "k-o"));
         first().setScripts(head -> record(head, whole(0, "200 OK", "done")));
         second().setScripts(head -> record(head, whole(0, "200 OK", "done")));
@@ -306,6 +326,15 @@
         assertThat(mHeads).hasSize(1);
     }
 
+    /** Guards against a send whose key is removed after the choice of its server. */
+    @Test
+    public void callIsNotSentIfItsKeyIsRemovedWhileItsServerIsConnected() throws IOException {
+        // The report is made once the call has been dispatched, before the server is connected.
+        mOnCall = () -> traffic().report(report -> removeKey());
+        assertThat(call(SAFE_PATH, KEY)).startsWith("HTTP/1.1 401");
+        assertThat(mHeads).isEmpty();
+    }
+
     /** Guards against a stream that is resumed for a customer that no longer has the key. */
     @Test
     public void brokenStreamIsNotResumed() throws IOException {
