--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -26,6 +26,7 @@
     private final CallCustomer mCustomer;
     private final CallResponder mResponder;
     private final CallEnding mEnding;
+    private final CallQuota mQuota;
     private final CallGuard mGuard;
     private final CallAdmission mAdmission;
     private Optional<CallTerms> mTerms = Optional.empty();
@@ -34,6 +35,7 @@
     private final RunningAttempts mAttempts;
     private Optional<StreamRelay> mRelay = Optional.empty();
     private final CallDispatch mDispatch;
+    private final ConfigurationWait mConfigurationWait;
     private final Hedging mHedging;
 
     CallHandler(TrafficContext context, CallerRequest request, CallerResponse response) {
@@ -42,11 +44,14 @@
         mResponse = response;
         mLog = new CallLog(context, request);
         mCustomer = new CallCustomer(context, request, mLog);
-        mResponder = new CallResponder(context, request, response, mHistory, mLog);
+        mQuota = new CallQuota(context, request);
+        mResponder = new CallResponder(context, request, response, mHistory, mLog, mQuota);
         mAttempts = new RunningAttempts(mHistory, mLog);
         ServerSelector selector = new ServerSelector(context, request, mHistory, mAttempts);
         mAdmission = new CallAdmission(context, request, selector, mHistory);
         mDeadline = new CallDeadline(request);
+        mConfigurationWait =
+                new ConfigurationWait(request.arrivedMillis(), request.callerDeadline());
         mEnding =
                 new CallEnding(
                         response, mResponder, mAttempts, mHistory, mDeadline, this::isStreamBegun);
@@ -77,6 +82,10 @@
             return;
         }
         TrafficView view = mContext.view().get();
+        if (view.routes().isEmpty() && mConfigurationWait.begin(now())) {
+            mContext.metrics().counter("calls.waited_for_configuration").inc();
+            return;
+        }
         mTerms = CallRouting.findOrRespond(view, mRequest, mCustomer, mResponder);
         if (mTerms.isEmpty()) {
             return;
@@ -140,6 +149,16 @@
         return mService;
     }
 
+    /** The tokens of the call. */
+    CallQuota quota() {
+        return mQuota;
+    }
+
+    /** Ends the call since it is beyond its customer's quota. */
+    void refuseForQuota(long retryAfterMillis) {
+        mResponder.refuseForQuota(retryAfterMillis);
+    }
+
     /** Whether the call has ended. */
     boolean isDone() {
         return mResponder.isDone();
@@ -184,8 +203,16 @@
         return mRelay.map(StreamRelay::isHeadSent).orElse(false);
     }
 
-    /** Dispatches the call if it waits for a model that a server holds now. */
+    /**
+     * Dispatches the call if it waits for the first configuration, or for a model that a server
+     * holds now.
+     */
     void onHoldingsChanged() {
+        if (mConfigurationWait.isWaiting() && mContext.view().get().routes().isPresent()) {
+            mConfigurationWait.end();
+            begin();
+            return;
+        }
         mDispatch.onHoldingsChanged();
     }
 
@@ -320,6 +347,8 @@
             mEnding.end(
                     ResultCode.DEADLINE_PASSED,
                     "the deadline passed; last: " + mHistory.lastReason());
+        } else if (mConfigurationWait.end()) {
+            begin();
         } else if (!mAttempts.isEmpty()) {
             mAttempts.forEach(mHedging::tick);
         } else if (!endIfKeyRemoved()) {
