--- /dev/null
+++ b/org.cornelway.test/tst/org/cornelway/overload/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions under overload. */
+package org.cornelway.overload;
--- a/org.cornelway/src/org/cornelway/dispatch/EngineQueuePolicy.java
+++ b/org.cornelway/src/org/cornelway/dispatch/EngineQueuePolicy.java
@@ -26,15 +26,25 @@
      */
     public static OptionalLong excessiveWaitMillis(
             List<Candidate> candidates, double callMillis, long patienceMillis) {
-        OptionalLong shortest =
-                candidates.stream()
-                        .mapToLong(candidate -> expectedWaitMillis(candidate, callMillis))
-                        .min();
-        return shortest.isPresent() && shortest.getAsLong() > WAIT_SHARE * patienceMillis
-                ? shortest
+        long shortest = shortestWaitMillis(candidates, callMillis);
+        return shortest > longestWaitMillis(patienceMillis)
+                ? OptionalLong.of(shortest)
                 : OptionalLong.empty();
     }
 
+    /** Returns the expected wait in the shortest queue; 0 if there are no candidates. */
+    public static long shortestWaitMillis(List<Candidate> candidates, double callMillis) {
+        return candidates.stream()
+                .mapToLong(candidate -> expectedWaitMillis(candidate, callMillis))
+                .min()
+                .orElse(0);
+    }
+
+    /** Returns the longest wait that is not too long. */
+    public static long longestWaitMillis(long patienceMillis) {
+        return (long) (WAIT_SHARE * patienceMillis);
+    }
+
     /** Returns the time until a slot becomes free for a call that is sent now. */
     private static long expectedWaitMillis(Candidate candidate, double callMillis) {
         int slots = candidate.server().slots();
--- a/org.cornelway/src/org/cornelway/models/DelayLoss.java
+++ b/org.cornelway/src/org/cornelway/models/DelayLoss.java
@@ -9,7 +9,7 @@
  * <p>The loss of a call grows with the square of its delay up to its latency objective, and
  * linearly, without bound, after that. Stateless.
  */
-final class DelayLoss {
+public final class DelayLoss {
     /** Loss of a call that just misses its latency objective. */
     private static final double LOSS_AT_OBJECTIVE = 0.8;
 
@@ -21,7 +21,7 @@
     private DelayLoss() {}
 
     /** Returns the loss of one call with the given delay. */
-    static double ofCall(double delayMillis, double objectiveMillis) {
+    public static double ofCall(double delayMillis, double objectiveMillis) {
         if (delayMillis <= objectiveMillis) {
             double fraction = delayMillis / objectiveMillis;
             return LOSS_AT_OBJECTIVE * fraction * fraction;
@@ -31,7 +31,8 @@
     }
 
     /** Returns the additional loss of a call that has already waited and continues to wait. */
-    static double ofWaiting(double waitedMillis, double furtherMillis, double objectiveMillis) {
+    public static double ofWaiting(
+            double waitedMillis, double furtherMillis, double objectiveMillis) {
         return ofCall(waitedMillis + furtherMillis, objectiveMillis)
                 - ofCall(waitedMillis, objectiveMillis);
     }
