--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -131,6 +131,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelway_v1_UseReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_CustomerUse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_CustomerUse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_CustomerShare_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_CustomerShare_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cornelway_v1_ServerLimit_descriptor;
   static final 
@@ -251,7 +261,7 @@
       "T_CONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse" +
       "\022\016\n\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapt" +
       "er\030\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_mi" +
-      "llis\030\006 \001(\003J\004\010\005\020\006\"\256\002\n\tUseReport\022\014\n\004from\030\001" +
+      "llis\030\006 \001(\003J\004\010\005\020\006\"\334\002\n\tUseReport\022\014\n\004from\030\001" +
       " \001(\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003" +
       " \001(\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelU" +
       "se\022&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRa" +
@@ -259,45 +269,52 @@
       "\030\007 \001(\0132\033.cornelway.v1.CrashEvidence\022)\n\006l" +
       "imits\030\010 \003(\0132\031.cornelway.v1.ServerLimit\022)" +
       "\n\006wanted\030\t \003(\0132\031.cornelway.v1.ServerCall" +
-      "s\"\225\001\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022\014\n\004bor" +
-      "n\030\002 \001(\003\022\035\n\020calls_per_second\030\003 \001(\001H\000\210\001\001\022\027" +
-      "\n\017sent_age_millis\030\004 \001(\003\022\033\n\023received_age_" +
-      "millis\030\005 \001(\003B\023\n\021_calls_per_second\":\n\013Ser" +
-      "verCalls\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\r" +
-      "\n\005calls\030\003 \001(\005\"v\n\tPartCrash\022\014\n\004part\030\001 \001(\t" +
-      "\022\016\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\023\n\013sent_m" +
-      "illis\030\004 \001(\003\022\026\n\016crashed_millis\030\005 \001(\003\022\020\n\010p" +
-      "osition\030\006 \001(\005\"Q\n\rCrashEvidence\022(\n\007crashe" +
-      "s\030\001 \003(\0132\027.cornelway.v1.PartCrash\022\026\n\016answ" +
-      "ered_parts\030\002 \003(\t\"N\n\tModelRate\022\r\n\005model\030\001" +
-      " \001(\t\022\030\n\020calls_per_second\030\002 \001(\001\022\030\n\020object" +
-      "ive_millis\030\003 \001(\003\",\n\tHeldModel\022\r\n\005model\030\001" +
-      " \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHoldings" +
-      "\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006models" +
-      "\030\003 \003(\0132\027.cornelway.v1.HeldModel\"\316\002\n\rHold" +
-      "ingsReply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002 " +
-      "\001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-\n" +
-      "\007servers\030\005 \003(\0132\034.cornelway.v1.ServerHold" +
-      "ings\022*\n\004busy\030\006 \003(\0132\034.cornelway.v1.Server" +
-      "Activity\022\030\n\020evidence_version\030\007 \001(\003\022-\n\010ev" +
-      "idence\030\010 \001(\0132\033.cornelway.v1.CrashEvidenc" +
-      "e\022)\n\006limits\030\t \003(\0132\031.cornelway.v1.ServerL" +
-      "imit\022*\n\007permits\030\n \003(\0132\031.cornelway.v1.Ser" +
-      "verCalls\"0\n\016ServerActivity\022\016\n\006server\030\001 \001" +
-      "(\t\022\016\n\006active\030\002 \001(\005*-\n\014RequestClass\022\017\n\013IN" +
-      "TERACTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001\n\014AgentServi" +
-      "ce\022@\n\010Exchange\022\035.cornelway.v1.ExchangeRe" +
-      "quest\032\023.cornelway.v1.Frame0\001\022F\n\010Withdraw" +
-      "\022\035.cornelway.v1.WithdrawRequest\032\033.cornel" +
-      "way.v1.WithdrawReply2\224\001\n\013PeerService\022=\n\005" +
-      "Relay\022\032.cornelway.v1.RelayRequest\032\030.corn" +
-      "elway.v1.RelayReply\022F\n\010Describe\022\035.cornel" +
-      "way.v1.DescribeRequest\032\033.cornelway.v1.De" +
-      "scribeReply2\217\001\n\014EntryService\022<\n\010AskModel" +
-      "\022\026.cornelway.v1.ModelAsk\032\030.cornelway.v1." +
-      "ModelGrant\022A\n\tReportUse\022\027.cornelway.v1.U" +
-      "seReport\032\033.cornelway.v1.HoldingsReplyB\025\n" +
-      "\021org.cornelway.rpcP\001b\006proto3"
+      "s\022,\n\tcustomers\030\017 \003(\0132\031.cornelway.v1.Cust" +
+      "omerUse\"d\n\013CustomerUse\022\020\n\010customer\030\001 \001(\t" +
+      "\022\030\n\020asked_per_second\030\002 \001(\001\022\031\n\021served_per" +
+      "_second\030\003 \001(\001\022\016\n\006weight\030\004 \001(\001\"3\n\rCustome" +
+      "rShare\022\020\n\010customer\030\001 \001(\t\022\020\n\010fraction\030\002 \001" +
+      "(\001\"\225\001\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022\014\n\004bo" +
+      "rn\030\002 \001(\003\022\035\n\020calls_per_second\030\003 \001(\001H\000\210\001\001\022" +
+      "\027\n\017sent_age_millis\030\004 \001(\003\022\033\n\023received_age" +
+      "_millis\030\005 \001(\003B\023\n\021_calls_per_second\":\n\013Se" +
+      "rverCalls\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022" +
+      "\r\n\005calls\030\003 \001(\005\"v\n\tPartCrash\022\014\n\004part\030\001 \001(" +
+      "\t\022\016\n\006server\030\002 \001(\t\022\014\n\004born\030\003 \001(\003\022\023\n\013sent_" +
+      "millis\030\004 \001(\003\022\026\n\016crashed_millis\030\005 \001(\003\022\020\n\010" +
+      "position\030\006 \001(\005\"Q\n\rCrashEvidence\022(\n\007crash" +
+      "es\030\001 \003(\0132\027.cornelway.v1.PartCrash\022\026\n\016ans" +
+      "wered_parts\030\002 \003(\t\"N\n\tModelRate\022\r\n\005model\030" +
+      "\001 \001(\t\022\030\n\020calls_per_second\030\002 \001(\001\022\030\n\020objec" +
+      "tive_millis\030\003 \001(\003\",\n\tHeldModel\022\r\n\005model\030" +
+      "\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016ServerHolding" +
+      "s\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\'\n\006model" +
+      "s\030\003 \003(\0132\027.cornelway.v1.HeldModel\"\243\003\n\rHol" +
+      "dingsReply\022\022\n\ncontroller\030\001 \001(\010\022\014\n\004term\030\002" +
+      " \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007changed\030\004 \001(\010\022-" +
+      "\n\007servers\030\005 \003(\0132\034.cornelway.v1.ServerHol" +
+      "dings\022*\n\004busy\030\006 \003(\0132\034.cornelway.v1.Serve" +
+      "rActivity\022\030\n\020evidence_version\030\007 \001(\003\022-\n\010e" +
+      "vidence\030\010 \001(\0132\033.cornelway.v1.CrashEviden" +
+      "ce\022)\n\006limits\030\t \003(\0132\031.cornelway.v1.Server" +
+      "Limit\022*\n\007permits\030\n \003(\0132\031.cornelway.v1.Se" +
+      "rverCalls\0224\n\017customer_shares\030\020 \003(\0132\033.cor" +
+      "nelway.v1.CustomerShare\022\035\n\025customer_shar" +
+      "es_known\030\021 \001(\010\"0\n\016ServerActivity\022\016\n\006serv" +
+      "er\030\001 \001(\t\022\016\n\006active\030\002 \001(\005*-\n\014RequestClass" +
+      "\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFERRED\020\0012\230\001\n\014Agen" +
+      "tService\022@\n\010Exchange\022\035.cornelway.v1.Exch" +
+      "angeRequest\032\023.cornelway.v1.Frame0\001\022F\n\010Wi" +
+      "thdraw\022\035.cornelway.v1.WithdrawRequest\032\033." +
+      "cornelway.v1.WithdrawReply2\224\001\n\013PeerServi" +
+      "ce\022=\n\005Relay\022\032.cornelway.v1.RelayRequest\032" +
+      "\030.cornelway.v1.RelayReply\022F\n\010Describe\022\035." +
+      "cornelway.v1.DescribeRequest\032\033.cornelway" +
+      ".v1.DescribeReply2\217\001\n\014EntryService\022<\n\010As" +
+      "kModel\022\026.cornelway.v1.ModelAsk\032\030.cornelw" +
+      "ay.v1.ModelGrant\022A\n\tReportUse\022\027.cornelwa" +
+      "y.v1.UseReport\032\033.cornelway.v1.HoldingsRe" +
+      "plyB\025\n\021org.cornelway.rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -428,57 +445,69 @@
     internal_static_cornelway_v1_UseReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_UseReport_descriptor,
-        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", "Rates", "EvidenceVersion", "Evidence", "Limits", "Wanted", });
-    internal_static_cornelway_v1_ServerLimit_descriptor =
+        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", "Rates", "EvidenceVersion", "Evidence", "Limits", "Wanted", "Customers", });
+    internal_static_cornelway_v1_CustomerUse_descriptor =
       getDescriptor().getMessageType(21);
+    internal_static_cornelway_v1_CustomerUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_CustomerUse_descriptor,
+        new java.lang.String[] { "Customer", "AskedPerSecond", "ServedPerSecond", "Weight", });
+    internal_static_cornelway_v1_CustomerShare_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_cornelway_v1_CustomerShare_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_CustomerShare_descriptor,
+        new java.lang.String[] { "Customer", "Fraction", });
+    internal_static_cornelway_v1_ServerLimit_descriptor =
+      getDescriptor().getMessageType(23);
     internal_static_cornelway_v1_ServerLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerLimit_descriptor,
         new java.lang.String[] { "Server", "Born", "CallsPerSecond", "SentAgeMillis", "ReceivedAgeMillis", });
     internal_static_cornelway_v1_ServerCalls_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_cornelway_v1_ServerCalls_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerCalls_descriptor,
         new java.lang.String[] { "Server", "Born", "Calls", });
     internal_static_cornelway_v1_PartCrash_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_cornelway_v1_PartCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_PartCrash_descriptor,
         new java.lang.String[] { "Part", "Server", "Born", "SentMillis", "CrashedMillis", "Position", });
     internal_static_cornelway_v1_CrashEvidence_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_cornelway_v1_CrashEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_CrashEvidence_descriptor,
         new java.lang.String[] { "Crashes", "AnsweredParts", });
     internal_static_cornelway_v1_ModelRate_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_cornelway_v1_ModelRate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ModelRate_descriptor,
         new java.lang.String[] { "Model", "CallsPerSecond", "ObjectiveMillis", });
     internal_static_cornelway_v1_HeldModel_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_cornelway_v1_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HeldModel_descriptor,
         new java.lang.String[] { "Model", "Adapters", });
     internal_static_cornelway_v1_ServerHoldings_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_cornelway_v1_ServerHoldings_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerHoldings_descriptor,
         new java.lang.String[] { "Server", "Born", "Models", });
     internal_static_cornelway_v1_HoldingsReply_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HoldingsReply_descriptor,
-        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", "Busy", "EvidenceVersion", "Evidence", "Limits", "Permits", });
+        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", "Busy", "EvidenceVersion", "Evidence", "Limits", "Permits", "CustomerShares", "CustomerSharesKnown", });
     internal_static_cornelway_v1_ServerActivity_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_cornelway_v1_ServerActivity_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerActivity_descriptor,
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -32,6 +32,7 @@
     busy_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     permits_ = java.util.Collections.emptyList();
+    customerShares_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -382,6 +383,82 @@
     return permits_.get(index);
   }
 
+  public static final int CUSTOMER_SHARES_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.CustomerShare> customerShares_;
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.CustomerShare> getCustomerSharesList() {
+    return customerShares_;
+  }
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.CustomerShareOrBuilder> 
+      getCustomerSharesOrBuilderList() {
+    return customerShares_;
+  }
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  @java.lang.Override
+  public int getCustomerSharesCount() {
+    return customerShares_.size();
+  }
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CustomerShare getCustomerShares(int index) {
+    return customerShares_.get(index);
+  }
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CustomerShareOrBuilder getCustomerSharesOrBuilder(
+      int index) {
+    return customerShares_.get(index);
+  }
+
+  public static final int CUSTOMER_SHARES_KNOWN_FIELD_NUMBER = 17;
+  private boolean customerSharesKnown_ = false;
+  /**
+   * <pre>
+   * Whether the shares were computed; false also from a controller that knows none.
+   * </pre>
+   *
+   * <code>bool customer_shares_known = 17;</code>
+   * @return The customerSharesKnown.
+   */
+  @java.lang.Override
+  public boolean getCustomerSharesKnown() {
+    return customerSharesKnown_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -426,6 +503,12 @@
     for (int i = 0; i < permits_.size(); i++) {
       output.writeMessage(10, permits_.get(i));
     }
+    for (int i = 0; i < customerShares_.size(); i++) {
+      output.writeMessage(16, customerShares_.get(i));
+    }
+    if (customerSharesKnown_ != false) {
+      output.writeBool(17, customerSharesKnown_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -490,6 +573,19 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = customerShares_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(customerShares_.get(i));
+          }
+          size += 2 * count;
+        }
+    if (customerSharesKnown_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(17, customerSharesKnown_);
+    }
     return size;
   }
   @java.lang.Override
@@ -537,6 +633,10 @@
         .equals(other.getLimitsList())) return false;
     if (!getPermitsList()
         .equals(other.getPermitsList())) return false;
+    if (!getCustomerSharesList()
+        .equals(other.getCustomerSharesList())) return false;
+    if (getCustomerSharesKnown()
+        != other.getCustomerSharesKnown()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -583,6 +683,13 @@
       hash = (37 * hash) + PERMITS_FIELD_NUMBER;
       hash = (53 * hash) + getPermitsList().hashCode();
     }
+    if (getCustomerSharesCount() > 0) {
+      hash = (37 * hash) + CUSTOMER_SHARES_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomerSharesList().hashCode();
+    }
+    hash = (37 * hash) + CUSTOMER_SHARES_KNOWN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCustomerSharesKnown());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -718,6 +825,7 @@
         internalGetEvidenceFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetPermitsFieldBuilder();
+        internalGetCustomerSharesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -762,6 +870,14 @@
         permitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      if (customerSharesBuilder_ == null) {
+        customerShares_ = java.util.Collections.emptyList();
+      } else {
+        customerShares_ = null;
+        customerSharesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
+      customerSharesKnown_ = false;
       return this;
     }
 
@@ -831,6 +947,15 @@
       } else {
         result.permits_ = permitsBuilder_.build();
       }
+      if (customerSharesBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          customerShares_ = java.util.Collections.unmodifiableList(customerShares_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.customerShares_ = customerShares_;
+      } else {
+        result.customerShares_ = customerSharesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.HoldingsReply result) {
@@ -857,6 +982,9 @@
             : evidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.customerSharesKnown_ = customerSharesKnown_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -994,6 +1122,35 @@
           }
         }
       }
+      if (customerSharesBuilder_ == null) {
+        if (!other.customerShares_.isEmpty()) {
+          if (customerShares_.isEmpty()) {
+            customerShares_ = other.customerShares_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureCustomerSharesIsMutable();
+            customerShares_.addAll(other.customerShares_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.customerShares_.isEmpty()) {
+          if (customerSharesBuilder_.isEmpty()) {
+            customerSharesBuilder_.dispose();
+            customerSharesBuilder_ = null;
+            customerShares_ = other.customerShares_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            customerSharesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCustomerSharesFieldBuilder() : null;
+          } else {
+            customerSharesBuilder_.addAllMessages(other.customerShares_);
+          }
+        }
+      }
+      if (other.getCustomerSharesKnown() != false) {
+        setCustomerSharesKnown(other.getCustomerSharesKnown());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1102,6 +1259,24 @@
               }
               break;
             } // case 82
+            case 130: {
+              org.cornelway.rpc.CustomerShare m =
+                  input.readMessage(
+                      org.cornelway.rpc.CustomerShare.parser(),
+                      extensionRegistry);
+              if (customerSharesBuilder_ == null) {
+                ensureCustomerSharesIsMutable();
+                customerShares_.add(m);
+              } else {
+                customerSharesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
+            case 136: {
+              customerSharesKnown_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 136
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2622,6 +2797,356 @@
       return permitsBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.CustomerShare> customerShares_ =
+      java.util.Collections.emptyList();
+    private void ensureCustomerSharesIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        customerShares_ = new java.util.ArrayList<org.cornelway.rpc.CustomerShare>(customerShares_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.CustomerShare, org.cornelway.rpc.CustomerShare.Builder, org.cornelway.rpc.CustomerShareOrBuilder> customerSharesBuilder_;
+
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public java.util.List<org.cornelway.rpc.CustomerShare> getCustomerSharesList() {
+      if (customerSharesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(customerShares_);
+      } else {
+        return customerSharesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public int getCustomerSharesCount() {
+      if (customerSharesBuilder_ == null) {
+        return customerShares_.size();
+      } else {
+        return customerSharesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public org.cornelway.rpc.CustomerShare getCustomerShares(int index) {
+      if (customerSharesBuilder_ == null) {
+        return customerShares_.get(index);
+      } else {
+        return customerSharesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder setCustomerShares(
+        int index, org.cornelway.rpc.CustomerShare value) {
+      if (customerSharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomerSharesIsMutable();
+        customerShares_.set(index, value);
+        onChanged();
+      } else {
+        customerSharesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder setCustomerShares(
+        int index, org.cornelway.rpc.CustomerShare.Builder builderForValue) {
+      if (customerSharesBuilder_ == null) {
+        ensureCustomerSharesIsMutable();
+        customerShares_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        customerSharesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder addCustomerShares(org.cornelway.rpc.CustomerShare value) {
+      if (customerSharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomerSharesIsMutable();
+        customerShares_.add(value);
+        onChanged();
+      } else {
+        customerSharesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder addCustomerShares(
+        int index, org.cornelway.rpc.CustomerShare value) {
+      if (customerSharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomerSharesIsMutable();
+        customerShares_.add(index, value);
+        onChanged();
+      } else {
+        customerSharesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder addCustomerShares(
+        org.cornelway.rpc.CustomerShare.Builder builderForValue) {
+      if (customerSharesBuilder_ == null) {
+        ensureCustomerSharesIsMutable();
+        customerShares_.add(builderForValue.build());
+        onChanged();
+      } else {
+        customerSharesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder addCustomerShares(
+        int index, org.cornelway.rpc.CustomerShare.Builder builderForValue) {
+      if (customerSharesBuilder_ == null) {
+        ensureCustomerSharesIsMutable();
+        customerShares_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        customerSharesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder addAllCustomerShares(
+        java.lang.Iterable<? extends org.cornelway.rpc.CustomerShare> values) {
+      if (customerSharesBuilder_ == null) {
+        ensureCustomerSharesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, customerShares_);
+        onChanged();
+      } else {
+        customerSharesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder clearCustomerShares() {
+      if (customerSharesBuilder_ == null) {
+        customerShares_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        customerSharesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public Builder removeCustomerShares(int index) {
+      if (customerSharesBuilder_ == null) {
+        ensureCustomerSharesIsMutable();
+        customerShares_.remove(index);
+        onChanged();
+      } else {
+        customerSharesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public org.cornelway.rpc.CustomerShare.Builder getCustomerSharesBuilder(
+        int index) {
+      return internalGetCustomerSharesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public org.cornelway.rpc.CustomerShareOrBuilder getCustomerSharesOrBuilder(
+        int index) {
+      if (customerSharesBuilder_ == null) {
+        return customerShares_.get(index);  } else {
+        return customerSharesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.CustomerShareOrBuilder> 
+         getCustomerSharesOrBuilderList() {
+      if (customerSharesBuilder_ != null) {
+        return customerSharesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(customerShares_);
+      }
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public org.cornelway.rpc.CustomerShare.Builder addCustomerSharesBuilder() {
+      return internalGetCustomerSharesFieldBuilder().addBuilder(
+          org.cornelway.rpc.CustomerShare.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public org.cornelway.rpc.CustomerShare.Builder addCustomerSharesBuilder(
+        int index) {
+      return internalGetCustomerSharesFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.CustomerShare.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The customers that ask for more than their shares.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+     */
+    public java.util.List<org.cornelway.rpc.CustomerShare.Builder> 
+         getCustomerSharesBuilderList() {
+      return internalGetCustomerSharesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.CustomerShare, org.cornelway.rpc.CustomerShare.Builder, org.cornelway.rpc.CustomerShareOrBuilder> 
+        internalGetCustomerSharesFieldBuilder() {
+      if (customerSharesBuilder_ == null) {
+        customerSharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.CustomerShare, org.cornelway.rpc.CustomerShare.Builder, org.cornelway.rpc.CustomerShareOrBuilder>(
+                customerShares_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        customerShares_ = null;
+      }
+      return customerSharesBuilder_;
+    }
+
+    private boolean customerSharesKnown_ ;
+    /**
+     * <pre>
+     * Whether the shares were computed; false also from a controller that knows none.
+     * </pre>
+     *
+     * <code>bool customer_shares_known = 17;</code>
+     * @return The customerSharesKnown.
+     */
+    @java.lang.Override
+    public boolean getCustomerSharesKnown() {
+      return customerSharesKnown_;
+    }
+    /**
+     * <pre>
+     * Whether the shares were computed; false also from a controller that knows none.
+     * </pre>
+     *
+     * <code>bool customer_shares_known = 17;</code>
+     * @param value The customerSharesKnown to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerSharesKnown(boolean value) {
+
+      customerSharesKnown_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the shares were computed; false also from a controller that knows none.
+     * </pre>
+     *
+     * <code>bool customer_shares_known = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustomerSharesKnown() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      customerSharesKnown_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.HoldingsReply)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReplyOrBuilder.java
@@ -234,4 +234,58 @@
    */
   org.cornelway.rpc.ServerCallsOrBuilder getPermitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  java.util.List<org.cornelway.rpc.CustomerShare> 
+      getCustomerSharesList();
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  org.cornelway.rpc.CustomerShare getCustomerShares(int index);
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  int getCustomerSharesCount();
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.CustomerShareOrBuilder> 
+      getCustomerSharesOrBuilderList();
+  /**
+   * <pre>
+   * The customers that ask for more than their shares.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerShare customer_shares = 16;</code>
+   */
+  org.cornelway.rpc.CustomerShareOrBuilder getCustomerSharesOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Whether the shares were computed; false also from a controller that knows none.
+   * </pre>
+   *
+   * <code>bool customer_shares_known = 17;</code>
+   * @return The customerSharesKnown.
+   */
+  boolean getCustomerSharesKnown();
 }
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -33,6 +33,7 @@
     rates_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     wanted_ = java.util.Collections.emptyList();
+    customers_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -380,6 +381,67 @@
     return wanted_.get(index);
   }
 
+  public static final int CUSTOMERS_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.CustomerUse> customers_;
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.CustomerUse> getCustomersList() {
+    return customers_;
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.CustomerUseOrBuilder> 
+      getCustomersOrBuilderList() {
+    return customers_;
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public int getCustomersCount() {
+    return customers_.size();
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CustomerUse getCustomers(int index) {
+    return customers_.get(index);
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CustomerUseOrBuilder getCustomersOrBuilder(
+      int index) {
+    return customers_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -421,6 +483,9 @@
     for (int i = 0; i < wanted_.size(); i++) {
       output.writeMessage(9, wanted_.get(i));
     }
+    for (int i = 0; i < customers_.size(); i++) {
+      output.writeMessage(15, customers_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -480,6 +545,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = customers_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(customers_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -525,6 +599,8 @@
         .equals(other.getLimitsList())) return false;
     if (!getWantedList()
         .equals(other.getWantedList())) return false;
+    if (!getCustomersList()
+        .equals(other.getCustomersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -567,6 +643,10 @@
       hash = (37 * hash) + WANTED_FIELD_NUMBER;
       hash = (53 * hash) + getWantedList().hashCode();
     }
+    if (getCustomersCount() > 0) {
+      hash = (37 * hash) + CUSTOMERS_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -702,6 +782,7 @@
         internalGetEvidenceFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetWantedFieldBuilder();
+        internalGetCustomersFieldBuilder();
       }
     }
     @java.lang.Override
@@ -745,6 +826,13 @@
         wantedBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      if (customersBuilder_ == null) {
+        customers_ = java.util.Collections.emptyList();
+      } else {
+        customers_ = null;
+        customersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -814,6 +902,15 @@
       } else {
         result.wanted_ = wantedBuilder_.build();
       }
+      if (customersBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          customers_ = java.util.Collections.unmodifiableList(customers_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.customers_ = customers_;
+      } else {
+        result.customers_ = customersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.UseReport result) {
@@ -973,6 +1070,32 @@
           }
         }
       }
+      if (customersBuilder_ == null) {
+        if (!other.customers_.isEmpty()) {
+          if (customers_.isEmpty()) {
+            customers_ = other.customers_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureCustomersIsMutable();
+            customers_.addAll(other.customers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.customers_.isEmpty()) {
+          if (customersBuilder_.isEmpty()) {
+            customersBuilder_.dispose();
+            customersBuilder_ = null;
+            customers_ = other.customers_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            customersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCustomersFieldBuilder() : null;
+          } else {
+            customersBuilder_.addAllMessages(other.customers_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1076,6 +1199,19 @@
               }
               break;
             } // case 74
+            case 122: {
+              org.cornelway.rpc.CustomerUse m =
+                  input.readMessage(
+                      org.cornelway.rpc.CustomerUse.parser(),
+                      extensionRegistry);
+              if (customersBuilder_ == null) {
+                ensureCustomersIsMutable();
+                customers_.add(m);
+              } else {
+                customersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2532,6 +2668,312 @@
       return wantedBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.CustomerUse> customers_ =
+      java.util.Collections.emptyList();
+    private void ensureCustomersIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        customers_ = new java.util.ArrayList<org.cornelway.rpc.CustomerUse>(customers_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder> customersBuilder_;
+
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public java.util.List<org.cornelway.rpc.CustomerUse> getCustomersList() {
+      if (customersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(customers_);
+      } else {
+        return customersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public int getCustomersCount() {
+      if (customersBuilder_ == null) {
+        return customers_.size();
+      } else {
+        return customersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse getCustomers(int index) {
+      if (customersBuilder_ == null) {
+        return customers_.get(index);
+      } else {
+        return customersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder setCustomers(
+        int index, org.cornelway.rpc.CustomerUse value) {
+      if (customersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomersIsMutable();
+        customers_.set(index, value);
+        onChanged();
+      } else {
+        customersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder setCustomers(
+        int index, org.cornelway.rpc.CustomerUse.Builder builderForValue) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        customersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(org.cornelway.rpc.CustomerUse value) {
+      if (customersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomersIsMutable();
+        customers_.add(value);
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(
+        int index, org.cornelway.rpc.CustomerUse value) {
+      if (customersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomersIsMutable();
+        customers_.add(index, value);
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(
+        org.cornelway.rpc.CustomerUse.Builder builderForValue) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(
+        int index, org.cornelway.rpc.CustomerUse.Builder builderForValue) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addAllCustomers(
+        java.lang.Iterable<? extends org.cornelway.rpc.CustomerUse> values) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, customers_);
+        onChanged();
+      } else {
+        customersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder clearCustomers() {
+      if (customersBuilder_ == null) {
+        customers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        customersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder removeCustomers(int index) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.remove(index);
+        onChanged();
+      } else {
+        customersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse.Builder getCustomersBuilder(
+        int index) {
+      return internalGetCustomersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUseOrBuilder getCustomersOrBuilder(
+        int index) {
+      if (customersBuilder_ == null) {
+        return customers_.get(index);  } else {
+        return customersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.CustomerUseOrBuilder> 
+         getCustomersOrBuilderList() {
+      if (customersBuilder_ != null) {
+        return customersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(customers_);
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse.Builder addCustomersBuilder() {
+      return internalGetCustomersFieldBuilder().addBuilder(
+          org.cornelway.rpc.CustomerUse.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse.Builder addCustomersBuilder(
+        int index) {
+      return internalGetCustomersFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.CustomerUse.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public java.util.List<org.cornelway.rpc.CustomerUse.Builder> 
+         getCustomersBuilderList() {
+      return internalGetCustomersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder> 
+        internalGetCustomersFieldBuilder() {
+      if (customersBuilder_ == null) {
+        customersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder>(
+                customers_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        customers_ = null;
+      }
+      return customersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.UseReport)
   }
 
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReportOrBuilder.java
@@ -214,4 +214,48 @@
    */
   org.cornelway.rpc.ServerCallsOrBuilder getWantedOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  java.util.List<org.cornelway.rpc.CustomerUse> 
+      getCustomersList();
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  org.cornelway.rpc.CustomerUse getCustomers(int index);
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  int getCustomersCount();
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  java.util.List<? extends org.cornelway.rpc.CustomerUseOrBuilder> 
+      getCustomersOrBuilderList();
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  org.cornelway.rpc.CustomerUseOrBuilder getCustomersOrBuilder(
+      int index);
 }
--- a/org.cornelway.test/tst/org/cornelway/traffic/TrafficContextTest.java
+++ b/org.cornelway.test/tst/org/cornelway/traffic/TrafficContextTest.java
@@ -84,6 +84,6 @@
     private static TrafficContext contextOf(EventLoop loop) {
         return new TrafficContext(
                 loop, null, null, null, null, null, null, null, null, null, null, null, null, null,
-                null, null, null, null, null);
+                null, null, null, null, null, null);
     }
 }
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -37,6 +37,8 @@
     private final LimitDistributor mLimits;
     private final HoldingsHistory mHoldings = new HoldingsHistory();
 
+    private final CustomerUses mCustomers = new CustomerUses();
+
     /** What all entries have reported; kept from term to term. */
     private final CrashEvidence mEvidence = new CrashEvidence();
 
@@ -124,6 +126,7 @@
                                                 .setActive(active)));
         addEvidence(report, reply);
         addLimits(report, reply);
+        addCustomerShares(report, reply);
         return reply.build();
     }
 
@@ -139,6 +142,15 @@
                                 reply.addPermits(LimitMessages.toMessage(server, calls)));
     }
 
+    /** Adds the shares of the customers over all entries, if any entry has customers. */
+    private void addCustomerShares(UseReport report, HoldingsReply.Builder reply) {
+        mCustomers.record(
+                report.getFrom(), report.getCustomersList(), mControl.now(TimeUnit.MILLISECONDS));
+        if (report.getCustomersCount() > 0) {
+            reply.setCustomerSharesKnown(true).addAllCustomerShares(mCustomers.toMessages());
+        }
+    }
+
     /** Merges the evidence of a report, and adds all evidence to the reply if there is news. */
     private void addEvidence(UseReport report, HoldingsReply.Builder reply) {
         long now = mControl.now(TimeUnit.MILLISECONDS);
--- a/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
+++ b/org.cornelway/src/org/cornelway/cluster/UsageReporter.java
@@ -99,6 +99,8 @@
         boolean isEvidenceNew = evidence.version() != mReportedEvidence;
         UseReport.Builder message = newReport(traffic.usage());
         addLimits(traffic.limits(), message);
+        traffic.customers()
+                .forEach((name, use) -> message.addCustomers(CustomerUses.toMessage(name, use)));
         applyPermits(List.of(), mFallback.deal(traffic.limits(), now()), traffic.limits());
         if (isEvidenceNew) {
             message.setEvidence(EvidenceMessages.toMessage(evidence));
@@ -182,6 +184,9 @@
         }
         mFallback.recordReply(now());
         applyEvidence(reply, reportedEvidence);
+        if (reply.getCustomerSharesKnown()) {
+            mTraffic.updateCustomerShares(CustomerUses.fromMessages(reply.getCustomerSharesList()));
+        }
         // Counted back from the report, so that a late reply makes no limit appear newer.
         applyPermits(
                 LimitMessages.fromMessages(reply.getLimitsList(), limits.takenMillis()),
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -75,7 +75,7 @@
     /** Acquires a connection to the server; the call is sent once there is one. */
     void start() {
         mGate.reserve();
-        mObserver.recordStart(mRequest.head().expectedTokens());
+        mObserver.recordStart(mRequest.head().expectedTokens(), mCallHandler.overload());
         mContext.pool().acquire(mServer.host(), mServer.port(), mGuarded);
     }
 
@@ -146,7 +146,7 @@
         Optional<String> lastEventId = mCallHandler.relay().flatMap(StreamRelay::resumeAfter);
         CallTerms terms = mCallHandler.terms();
         Optional<Integer> priority =
-                mRequest.head().target().map(target -> EnginePriority.of(terms.priority()));
+                mRequest.head().target().map(t -> mCallHandler.overload().enginePriority(terms));
         long remainingMillis = mCallHandler.deadline().remainingMillis(nowMillis());
         return UpstreamRequest.forward(
                 mRequest,
--- a/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
@@ -24,6 +24,7 @@
     private final ServerSelector mSelector;
     private final CallAdmission mAdmission;
     private final ModelWait mModelWait;
+    private final CallOverload mOverload;
 
     CallDispatch(
             TrafficContext context,
@@ -38,6 +39,18 @@
         mSelector = selector;
         mAdmission = admission;
         mModelWait = new ModelWait(context, request, history);
+        mOverload =
+                new CallOverload(
+                        context,
+                        request,
+                        history,
+                        () -> mCall.guard().run(this::dispatch),
+                        rejection -> mCall.guard().run(() -> reject(rejection)));
+    }
+
+    /** Decides whether the call is delayed or refused. */
+    CallOverload overload() {
+        return mOverload;
     }
 
     /** Sends the call, lets it wait, or ends it. */
@@ -64,11 +77,14 @@
             requestModel();
             return;
         }
-        rejection = mModelWait.checkQueues(candidates, mCall.route(), mCall.deadline());
+        rejection = mOverload.check(mCall.service(), mCall.terms(), candidates, mCall.deadline());
         if (rejection.isPresent()) {
             reject(rejection.get());
             return;
         }
+        if (mOverload.isHeld()) {
+            return;
+        }
         String noServer = "no backend server of " + mCall.service();
         mSelector
                 .choose(candidates)
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -133,6 +133,10 @@
         return mLog;
     }
 
+    CallOverload overload() {
+        return mDispatch.overload();
+    }
+
     Optional<StreamRelay> relay() {
         return mRelay;
     }
--- a/org.cornelway/src/org/cornelway/traffic/ModelWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ModelWait.java
@@ -1,13 +1,8 @@
 package org.cornelway.traffic;
 
-import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.LongConsumer;
 import org.cornelway.directory.ServerIncarnation;
-import org.cornelway.dispatch.Candidate;
-import org.cornelway.dispatch.EngineQueuePolicy;
-import org.cornelway.result.ResultCode;
 import org.cornelway.route.Route;
 import org.cornelway.time.Deadline;
 
@@ -101,32 +96,6 @@
                 .orElse(false);
     }
 
-    /**
-     * Rejects the call if its caller would abandon it before it begins, because of the expected
-     * wait in the engines' queues. Empty also if the call is for no model or may have run before.
-     *
-     * @param candidates engines that hold the model
-     */
-    Optional<CallAdmission.Rejection> checkQueues(
-            List<Candidate> candidates, Route route, Deadline callDeadline) {
-        if (mRequest.head().target().isEmpty() || mHistory.possibleRunCount() > 0) {
-            return Optional.empty();
-        }
-        long now = mContext.clock().nowMillis();
-        Deadline end = earlier(callDeadline, abandonment(route, false));
-        OptionalLong wait =
-                EngineQueuePolicy.excessiveWaitMillis(
-                        candidates, mContext.loads().streamMillis(), end.remainingMillis(now));
-        return wait.isPresent() ? Optional.of(queueFull(wait.getAsLong())) : Optional.empty();
-    }
-
-    private static CallAdmission.Rejection queueFull(long waitMillis) {
-        return new CallAdmission.Rejection(
-                ResultCode.QUEUE_FULL,
-                "an engine would need " + waitMillis + " ms",
-                Math.max(CallAdmission.RETRY_AFTER_MILLIS, waitMillis));
-    }
-
     /** Ends the wait; the call can be sent. */
     void end() {
         mDeadline = Optional.empty();
--- a/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
@@ -4,6 +4,8 @@
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.ServerLoads;
+import org.cornelway.overload.OverloadState;
+import org.cornelway.overload.SentCalls;
 
 /**
  * Records what one attempt shows about its server: its load, its failures, and whether it holds the
@@ -17,6 +19,7 @@
     private final ServerRecord mServer;
     private final Optional<ModelTarget> mTarget;
     private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
+    private Optional<SentCalls.SentCall> mSent = Optional.empty();
     private boolean mStreaming;
 
     ServerObserver(TrafficContext context, ServerRecord server, Optional<ModelTarget> target) {
@@ -29,6 +32,10 @@
         return mContext.loads();
     }
 
+    private OverloadState overload() {
+        return mContext.overload().state();
+    }
+
     private ServerIncarnation incarnation() {
         return mServer.incarnation();
     }
@@ -37,8 +44,10 @@
      * Records that the attempt starts.
      *
      * @param expectedTokens size of the call, in tokens, if it is known
+     * @param overload decided that the call is sent
      */
-    void recordStart(Optional<Long> expectedTokens) {
+    void recordStart(Optional<Long> expectedTokens, CallOverload overload) {
+        mSent = overload.recordSent();
         loads().recordCallStarted(incarnation());
         mRunningCall =
                 mTarget.map(
@@ -49,6 +58,7 @@
     /** Records that the server has begun to stream its answer. */
     void recordStreaming() {
         mStreaming = true;
+        recordBegun();
         loads().changeStreamCount(incarnation(), 1);
     }
 
@@ -57,6 +67,10 @@
         loads().recordActivity(incarnation());
     }
 
+    private void recordBegun() {
+        mSent.ifPresent(sent -> overload().recordBegun(sent, mContext.clock().nowMillis()));
+    }
+
     /** Records the load that the server reports. */
     void recordReportedLoad(ReportedLoad load) {
         loads().recordReportedLoad(incarnation(), load);
@@ -64,6 +78,9 @@
 
     /** Records whether the server answered successfully. */
     void recordResponse(boolean success) {
+        if (success) {
+            recordBegun();
+        }
         loads().recordResponse(incarnation(), success);
     }
 
@@ -111,6 +128,7 @@
     /** Records that the attempt has ended; called once. */
     void recordEnd() {
         loads().recordCallEnded(incarnation());
+        mSent.ifPresent(sent -> overload().recordEnded(sent, mContext.clock().nowMillis()));
         if (mStreaming) {
             loads().changeStreamCount(incarnation(), -1);
         }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -34,6 +34,7 @@
  * @param modelRequester requests models from the controller
  * @param usage calls in progress and call rates, reported to the controller
  * @param evidence parts of prompts that crash servers
+ * @param overload what calls share for the decisions under overload
  * @param clock monotonic clock
  * @param loopDelay measures how late the traffic thread is
  * @param drain how far the drain of this process has come
@@ -55,6 +56,7 @@
         ModelRequester modelRequester,
         ModelUsage usage,
         CrashEvidence evidence,
+        OverloadControl overload,
         Clock clock,
         LoopDelay loopDelay,
         DrainState drain,
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -62,6 +62,7 @@
     private final ServerLoads mLoads;
     private final ServerNotices mNotices = new ServerNotices();
     private final ServerLimits mLimits = new ServerLimits();
+    private final OverloadControl mOverload;
     private final TrafficContext mContext;
     private final FrontServer mFrontServer;
     private final PlatformHttpClient mPlatformClient;
@@ -90,6 +91,7 @@
         mLoads = new ServerLoads(clock, zone);
         mStoreEndpoint = storeEndpoint;
         mUsage = new ModelUsage(clock);
+        mOverload = new OverloadControl(mLoop, clock, metrics);
         mContext =
                 new TrafficContext(
                         mLoop,
@@ -106,6 +108,7 @@
                         modelRequester,
                         mUsage,
                         mEvidence,
+                        mOverload,
                         clock,
                         new LoopDelay(
                                 SuspendAwareClock.system(), FrontServer.SWEEP_INTERVAL_MILLIS),
@@ -116,8 +119,11 @@
         EventLoop platformLoop = (EventLoop) mPlatformGroup.next();
         mPlatformPool = new UpstreamPool(platformLoop, codec, clock, log);
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool, codec);
-        metrics.registerGauge("connections.opened", mPool::openedCount);
-        metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
+        registerGauges(metrics);
+        scheduleSweeps(metrics);
+    }
+
+    private void scheduleSweeps(MetricRegistry metrics) {
         mLoop.scheduleAtFixedRate(
                 new GuardedTask("sweep of servers", metrics, this::sweep),
                 SWEEP_INTERVAL_MILLIS,
@@ -125,6 +131,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void registerGauges(MetricRegistry metrics) {
+        metrics.registerGauge("connections.opened", mPool::openedCount);
+        metrics.registerGauge("overload.waiting", mOverload.waiting()::size);
+        metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
+    }
+
     private static MultiThreadIoEventLoopGroup newSingleThreadGroup(String name) {
         return new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory(name), NioIoHandler.newFactory());
@@ -207,13 +219,24 @@
 
     /** Passes a report on the calls to the receiver, which is called on the traffic thread. */
     public void report(Consumer<TrafficReport> receiver) {
+        mLoop.execute(() -> receiver.accept(newReport(mContext.clock().nowMillis())));
+    }
+
+    private TrafficReport newReport(long nowMillis) {
+        return new TrafficReport(
+                mUsage.snapshot(),
+                mEvidence.snapshot(),
+                mLimits.takeReport(nowMillis),
+                mOverload.state().customerUses(nowMillis));
+    }
+
+    /** Replaces the customers' shares by those that the controller has computed. */
+    public void updateCustomerShares(Map<String, Double> fractions) {
         mLoop.execute(
                 () ->
-                        receiver.accept(
-                                new TrafficReport(
-                                        mUsage.snapshot(),
-                                        mEvidence.snapshot(),
-                                        mLimits.takeReport(mContext.clock().nowMillis()))));
+                        mOverload
+                                .state()
+                                .setCustomerFractions(fractions, mContext.clock().nowMillis()));
     }
 
     /**
