--- a/org.cornelway.test/tst/org/cornelway/overload/OverloadPlay.java
+++ b/org.cornelway.test/tst/org/cornelway/overload/OverloadPlay.java
@@ -177,7 +177,9 @@
 
     private static void end(Job job, long now) {
         job.mEntry.mInFlight.merge(job.mEngine, -1, Integer::sum);
-        job.mEntry.mState.recordEnded(job.mSent, now);
+        if (job.mEntry.mState.recordEnded(job.mSent, now)) {
+            job.mEntry.mState.recordUnserved(job.mSent.call(), true, now);
+        }
     }
 
     private void arrive(Arrival arrival, long now) {
--- a/org.cornelway/src/org/cornelway/overload/CustomerShares.java
+++ b/org.cornelway/src/org/cornelway/overload/CustomerShares.java
@@ -9,8 +9,9 @@
  * Divides scarce capacity among customers: weighted max-min fairness over their recent use.
  *
  * <p>A customer that asks for less than the common level times its weight gets all that it asks
- * for; the others get that much. The level is such that the shares add up to what servers do. Pure
- * and thread-safe.
+ * for; the others get that much. The level is such that the shares add up to what servers do. A
+ * customer that asks for no more than the mean in proportion to its weight is not beyond its share
+ * at any level, since it does not cause the shortage. Pure and thread-safe.
  */
 public final class CustomerShares {
     /**
@@ -36,11 +37,12 @@
         }
         double capacity = (1 - RESERVE) * Math.min(asked, served);
         double level = level(uses, capacity);
+        double mean = asked / uses.values().stream().mapToDouble(CustomerShares::weight).sum();
         Map<String, Double> fractions = new HashMap<>();
         uses.forEach(
                 (name, use) -> {
                     double share = level * weight(use);
-                    if (use.askedPerSecond() > share) {
+                    if (use.askedPerSecond() > share && demand(use) > mean) {
                         double least = MIN_SHARE * capacity / asked;
                         fractions.put(name, Math.max(least, share / use.askedPerSecond()));
                     }
--- a/org.cornelway/src/org/cornelway/overload/KindShares.java
+++ b/org.cornelway/src/org/cornelway/overload/KindShares.java
@@ -57,8 +57,8 @@
         counts(Key.of(call)).mAsked.add(1, nowMillis);
     }
 
-    void recordUnserved(PendingCall call, long nowMillis) {
-        counts(Key.of(call)).mUnserved.add(1, nowMillis);
+    void recordUnserved(PendingCall call, int count, long nowMillis) {
+        counts(Key.of(call)).mUnserved.add(count, nowMillis);
     }
 
     /** Discards kinds without recent calls. */
--- a/org.cornelway/src/org/cornelway/overload/LeastLoss.java
+++ b/org.cornelway/src/org/cornelway/overload/LeastLoss.java
@@ -61,7 +61,8 @@
                         wait,
                         limit,
                         wait - limit + state.backlogMillis());
-        return hold(call, state, waiting, nowMillis).orElse(refusal);
+        boolean isHopeless = wait > call.end().remainingMillis(nowMillis);
+        return isHopeless ? refusal : hold(call, state, waiting, nowMillis).orElse(refusal);
     }
 
     /** Whether the call is sent only if a server has room. */
--- a/org.cornelway/src/org/cornelway/overload/OverloadState.java
+++ b/org.cornelway/src/org/cornelway/overload/OverloadState.java
@@ -34,7 +34,7 @@
 
     /** Counts the refusal of a call. */
     public void recordRefused(PendingCall call, long nowMillis) {
-        mKinds.recordUnserved(call, nowMillis);
+        mKinds.recordUnserved(call, 1, nowMillis);
         mSent.service(call.service()).recordRefused(nowMillis);
         call.customer()
                 .ifPresent(
@@ -61,11 +61,18 @@
         }
     }
 
-    /** Records that a sent call has ended, begun or not. */
-    public void recordEnded(SentCalls.SentCall sent, long nowMillis) {
-        if (sent.end(nowMillis)) {
-            mKinds.recordUnserved(sent.call(), nowMillis);
-        }
+    /**
+     * Records that a send has ended, begun or not.
+     *
+     * @return whether it ended after its objective without having begun
+     */
+    public boolean recordEnded(SentCalls.SentCall sent, long nowMillis) {
+        return sent.end(nowMillis);
+    }
+
+    /** Counts a call that was sent in vain, or no longer counts it since it is served after all. */
+    public void recordUnserved(PendingCall call, boolean isUnserved, long nowMillis) {
+        mKinds.recordUnserved(call, isUnserved ? 1 : -1, nowMillis);
     }
 
     /** Returns the work of a typical call of a service, in tokens. */
--- a/org.cornelway/src/org/cornelway/traffic/CallOverload.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallOverload.java
@@ -33,6 +33,10 @@
     private Optional<Integer> mEnginePriority = Optional.empty();
     private boolean mHadRoom;
     private boolean mHeld;
+    private boolean mBegun;
+
+    /** Whether the call counts as sent in vain, unless a further send serves it. */
+    private boolean mUnserved;
 
     /** When the call began to wait here; 0 before. */
     private long mHeldSinceMillis;
@@ -190,6 +194,26 @@
                                         now()));
     }
 
+    /** Records that a server has begun to answer a send of the call. */
+    void onBegun(SentCalls.SentCall sent) {
+        state().recordBegun(sent, now());
+        mBegun = true;
+        setUnserved(false);
+    }
+
+    /** Records that a send of the call has ended. */
+    void onEnded(SentCalls.SentCall sent) {
+        boolean inVain = state().recordEnded(sent, now());
+        setUnserved(inVain && !mBegun || mUnserved);
+    }
+
+    private void setUnserved(boolean unserved) {
+        if (unserved != mUnserved) {
+            mUnserved = unserved;
+            state().recordUnserved(mCall.orElseThrow(), unserved, now());
+        }
+    }
+
     private void recordHeld() {
         if (mHeldSinceMillis > 0) {
             mContext.metrics().counter("overload.held").inc();
--- a/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
@@ -4,7 +4,6 @@
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.ServerLoads;
-import org.cornelway.overload.OverloadState;
 import org.cornelway.overload.SentCalls;
 
 /**
@@ -19,6 +18,7 @@
     private final ServerRecord mServer;
     private final Optional<ModelTarget> mTarget;
     private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
+    private Optional<CallOverload> mOverload = Optional.empty();
     private Optional<SentCalls.SentCall> mSent = Optional.empty();
     private boolean mStreaming;
 
@@ -32,10 +32,6 @@
         return mContext.loads();
     }
 
-    private OverloadState overload() {
-        return mContext.overload().state();
-    }
-
     private ServerIncarnation incarnation() {
         return mServer.incarnation();
     }
@@ -47,6 +43,7 @@
      * @param overload decided that the call is sent
      */
     void recordStart(Optional<Long> expectedTokens, CallOverload overload) {
+        mOverload = Optional.of(overload);
         mSent = overload.recordSent();
         loads().recordCallStarted(incarnation());
         mRunningCall =
@@ -68,7 +65,7 @@
     }
 
     private void recordBegun() {
-        mSent.ifPresent(sent -> overload().recordBegun(sent, mContext.clock().nowMillis()));
+        mSent.ifPresent(sent -> mOverload.orElseThrow().onBegun(sent));
     }
 
     /** Records the load that the server reports. */
@@ -128,7 +125,7 @@
     /** Records that the attempt has ended; called once. */
     void recordEnd() {
         loads().recordCallEnded(incarnation());
-        mSent.ifPresent(sent -> overload().recordEnded(sent, mContext.clock().nowMillis()));
+        mSent.ifPresent(sent -> mOverload.orElseThrow().onEnded(sent));
         if (mStreaming) {
             loads().changeStreamCount(incarnation(), -1);
         }
