--- a/org.cornelway/src/org/cornelway/overload/CallLoss.java
+++ b/org.cornelway/src/org/cornelway/overload/CallLoss.java
@@ -32,13 +32,9 @@
 
     /** Returns the loss if the call begins after a further delay instead of now. */
     static double ofDelay(PendingCall call, double furtherMillis, long nowMillis) {
-        return weight(call.priority()) * delayLoss(call, furtherMillis, nowMillis);
-    }
-
-    /** Returns the same without the weight of the priority. */
-    static double delayLoss(PendingCall call, double furtherMillis, long nowMillis) {
-        return DelayLoss.ofWaiting(
-                waitedMillis(call, nowMillis), furtherMillis, call.objectiveMillis());
+        return weight(call.priority())
+                * DelayLoss.ofWaiting(
+                        waitedMillis(call, nowMillis), furtherMillis, call.objectiveMillis());
     }
 
     /** Returns the loss if the call is refused instead of beginning after a further delay. */
--- a/org.cornelway/src/org/cornelway/overload/LeastLoss.java
+++ b/org.cornelway/src/org/cornelway/overload/LeastLoss.java
@@ -27,14 +27,10 @@
     private static final double HELD_SHARE = 0.25;
 
     /**
-     * Part of the time to its objective that a call may be expected to wait in a server. The rest
-     * covers the error of the expectation: if calls were sent up to the whole time, they would all
-     * begin at about their objective, half of them late.
+     * Ratio of the time to its objective to the typical objective of its priority above which a
+     * call is served after the others. Calls with the same objective keep their order.
      */
-    private static final double IN_TIME_SHARE = 0.75;
-
-    /** Unweighted loss of a delay up to which a call is served after others of its priority. */
-    private static final double DEFERRABLE_LOSS = 0.01;
+    private static final double DEFERRABLE_RATIO = 2;
 
     private static final int DEFERRABLE_STEPS = 1;
     private static final int BEYOND_SHARE_STEPS = 2;
@@ -79,7 +75,8 @@
             return base;
         }
         boolean deferrable =
-                CallLoss.delayLoss(call, state.queueMillis(), nowMillis) < DEFERRABLE_LOSS;
+                call.objective().remainingMillis(nowMillis)
+                        > DEFERRABLE_RATIO * state.objectiveMillis();
         int steps =
                 (deferrable ? DEFERRABLE_STEPS : 0)
                         + (call.isBeyondShare() ? BEYOND_SHARE_STEPS : 0);
@@ -98,7 +95,7 @@
         }
         long inTime =
                 Math.max(0, call.objective().remainingMillis(nowMillis) - state.firstMillis());
-        return Math.min(longest, (long) (IN_TIME_SHARE * inTime));
+        return Math.min(longest, inTime);
     }
 
     private static String reason(PendingCall call, ServiceState state, long limit, long nowMillis) {
--- a/org.cornelway/src/org/cornelway/overload/OverloadState.java
+++ b/org.cornelway/src/org/cornelway/overload/OverloadState.java
@@ -116,6 +116,7 @@
                 service.aheadShares(nowMillis),
                 service.waitedMillis(nowMillis),
                 service.firstMillis(),
+                service.objectiveMillis(call.priority()),
                 service.tokens(),
                 lowestEnginePriority,
                 mKinds.standing(call, nowMillis),
--- a/org.cornelway/src/org/cornelway/overload/SentCalls.java
+++ b/org.cornelway/src/org/cornelway/overload/SentCalls.java
@@ -17,13 +17,8 @@
     /** Weight of the newest call in the means of a service. */
     private static final double NEWEST_WEIGHT = 0.05;
 
-    /**
-     * Weights of the newest call if it took less or more time until it began than usual; they
-     * follow about the tenth of the calls that begin soonest.
-     */
-    private static final double SHORTER_WEIGHT = 0.09;
-
-    private static final double LONGER_WEIGHT = 0.01;
+    /** Growth per call of the shortest time until a call begins, so that it follows a change. */
+    private static final double FIRST_GROWTH = 1.001;
 
     /** Means of a service until a call has been measured. */
     private static final double DEFAULT_MILLIS = 100;
@@ -48,6 +43,7 @@
         private final List<DecayingSum> mArrivals = new ArrayList<>();
         private final DecayingSum mRefused = new DecayingSum(1_000);
         private double mCallMillis = DEFAULT_MILLIS;
+        private final Map<Integer, Double> mObjectiveMillis = new HashMap<>();
         private double mFirstMillis;
         private double mTokens = DEFAULT_TOKENS;
 
@@ -67,10 +63,18 @@
             return (long) mFirstMillis;
         }
 
-        /** Follows the shorter times, which are those of calls that did not wait. */
+        /**
+         * Follows the shortest times, which are those of calls that did not wait; a server that was
+         * believed to have room may have had none.
+         */
         private void recordFirst(double millis) {
-            double weight = millis < mFirstMillis ? SHORTER_WEIGHT : LONGER_WEIGHT;
-            mFirstMillis += weight * (millis - mFirstMillis);
+            mFirstMillis =
+                    mFirstMillis == 0 ? millis : Math.min(millis, FIRST_GROWTH * mFirstMillis);
+        }
+
+        /** Mean objective of the calls of a priority. */
+        double objectiveMillis(int priority) {
+            return mObjectiveMillis.getOrDefault(priority, Double.MAX_VALUE);
         }
 
         /** Mean work of a call, in tokens. */
@@ -115,6 +119,10 @@
         void recordArrival(PendingCall call, long nowMillis) {
             mArrivals.get(EnginePriority.of(call.priority())).add(1, nowMillis);
             mTokens += NEWEST_WEIGHT * (call.tokens() - mTokens);
+            mObjectiveMillis.merge(
+                    call.priority(),
+                    (double) call.objectiveMillis(),
+                    (mean, newest) -> mean + NEWEST_WEIGHT * (newest - mean));
         }
 
         /** Returns the share of the waiting calls that are not less urgent, by priority. */
@@ -183,7 +191,9 @@
             }
             mBegun = true;
             mService.removeWaiting(mEnginePriority, mSentMillis);
-            mService.recordFirst(nowMillis - mSentMillis);
+            if (mHadRoom) {
+                mService.recordFirst(nowMillis - mSentMillis);
+            }
             return true;
         }
 
--- a/org.cornelway/src/org/cornelway/overload/ServiceState.java
+++ b/org.cornelway/src/org/cornelway/overload/ServiceState.java
@@ -12,6 +12,7 @@
  * @param waitedMillis mean time for which the calls of this entry that wait in servers have waited
  *     so far, by engine priority; 0 if few do
  * @param firstMillis time from the start of a call to its first event or its response
+ * @param objectiveMillis typical objective of the calls of the same priority
  * @param typicalTokens work of a typical call
  * @param lowestEnginePriority least urgent engine priority that the call may have without being
  *     mixed with calls of a less urgent priority
@@ -25,6 +26,7 @@
         List<Double> aheadShares,
         List<Long> waitedMillis,
         long firstMillis,
+        double objectiveMillis,
         double typicalTokens,
         int lowestEnginePriority,
         KindStanding standing,
