--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -383,6 +383,44 @@
     return permits_.get(index);
   }
 
+  public static final int QUOTAS_FIELD_NUMBER = 11;
+  private org.cornelway.rpc.QuotaReply quotas_;
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   * @return Whether the quotas field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotas() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   * @return The quotas.
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReply getQuotas() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+  }
+  /**
+   * <pre>
+   * Answer to the report's quotas, also from a process that is not the controller.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReplyOrBuilder getQuotasOrBuilder() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+  }
+
   public static final int CUSTOMER_SHARES_FIELD_NUMBER = 16;
   @SuppressWarnings("serial")
   private java.util.List<org.cornelway.rpc.CustomerShare> customerShares_;
@@ -503,6 +541,9 @@
     for (int i = 0; i < permits_.size(); i++) {
       output.writeMessage(10, permits_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(11, getQuotas());
+    }
     for (int i = 0; i < customerShares_.size(); i++) {
       output.writeMessage(16, customerShares_.get(i));
     }
@@ -573,6 +614,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getQuotas());
+    }
 
         {
           final int count = customerShares_.size();
@@ -633,6 +678,11 @@
         .equals(other.getLimitsList())) return false;
     if (!getPermitsList()
         .equals(other.getPermitsList())) return false;
+    if (hasQuotas() != other.hasQuotas()) return false;
+    if (hasQuotas()) {
+      if (!getQuotas()
+          .equals(other.getQuotas())) return false;
+    }
     if (!getCustomerSharesList()
         .equals(other.getCustomerSharesList())) return false;
     if (getCustomerSharesKnown()
@@ -683,6 +733,10 @@
       hash = (37 * hash) + PERMITS_FIELD_NUMBER;
       hash = (53 * hash) + getPermitsList().hashCode();
     }
+    if (hasQuotas()) {
+      hash = (37 * hash) + QUOTAS_FIELD_NUMBER;
+      hash = (53 * hash) + getQuotas().hashCode();
+    }
     if (getCustomerSharesCount() > 0) {
       hash = (37 * hash) + CUSTOMER_SHARES_FIELD_NUMBER;
       hash = (53 * hash) + getCustomerSharesList().hashCode();
@@ -825,6 +879,7 @@
         internalGetEvidenceFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetPermitsFieldBuilder();
+        internalGetQuotasFieldBuilder();
         internalGetCustomerSharesFieldBuilder();
       }
     }
@@ -870,13 +925,18 @@
         permitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
       if (customerSharesBuilder_ == null) {
         customerShares_ = java.util.Collections.emptyList();
       } else {
         customerShares_ = null;
         customerSharesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000800);
       customerSharesKnown_ = false;
       return this;
     }
@@ -948,9 +1008,9 @@
         result.permits_ = permitsBuilder_.build();
       }
       if (customerSharesBuilder_ == null) {
-        if (((bitField0_ & 0x00000400) != 0)) {
+        if (((bitField0_ & 0x00000800) != 0)) {
           customerShares_ = java.util.Collections.unmodifiableList(customerShares_);
-          bitField0_ = (bitField0_ & ~0x00000400);
+          bitField0_ = (bitField0_ & ~0x00000800);
         }
         result.customerShares_ = customerShares_;
       } else {
@@ -982,7 +1042,13 @@
             : evidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.quotas_ = quotasBuilder_ == null
+            ? quotas_
+            : quotasBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
         result.customerSharesKnown_ = customerSharesKnown_;
       }
       result.bitField0_ |= to_bitField0_;
@@ -1122,11 +1188,14 @@
           }
         }
       }
+      if (other.hasQuotas()) {
+        mergeQuotas(other.getQuotas());
+      }
       if (customerSharesBuilder_ == null) {
         if (!other.customerShares_.isEmpty()) {
           if (customerShares_.isEmpty()) {
             customerShares_ = other.customerShares_;
-            bitField0_ = (bitField0_ & ~0x00000400);
+            bitField0_ = (bitField0_ & ~0x00000800);
           } else {
             ensureCustomerSharesIsMutable();
             customerShares_.addAll(other.customerShares_);
@@ -1139,7 +1208,7 @@
             customerSharesBuilder_.dispose();
             customerSharesBuilder_ = null;
             customerShares_ = other.customerShares_;
-            bitField0_ = (bitField0_ & ~0x00000400);
+            bitField0_ = (bitField0_ & ~0x00000800);
             customerSharesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetCustomerSharesFieldBuilder() : null;
@@ -1259,6 +1328,13 @@
               }
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetQuotasFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             case 130: {
               org.cornelway.rpc.CustomerShare m =
                   input.readMessage(
@@ -1274,7 +1350,7 @@
             } // case 130
             case 136: {
               customerSharesKnown_ = input.readBool();
-              bitField0_ |= 0x00000800;
+              bitField0_ |= 0x00001000;
               break;
             } // case 136
             default: {
@@ -2797,12 +2873,167 @@
       return permitsBuilder_;
     }
 
+    private org.cornelway.rpc.QuotaReply quotas_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReply, org.cornelway.rpc.QuotaReply.Builder, org.cornelway.rpc.QuotaReplyOrBuilder> quotasBuilder_;
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     * @return Whether the quotas field is set.
+     */
+    public boolean hasQuotas() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     * @return The quotas.
+     */
+    public org.cornelway.rpc.QuotaReply getQuotas() {
+      if (quotasBuilder_ == null) {
+        return quotas_ == null ? org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+      } else {
+        return quotasBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder setQuotas(org.cornelway.rpc.QuotaReply value) {
+      if (quotasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        quotas_ = value;
+      } else {
+        quotasBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder setQuotas(
+        org.cornelway.rpc.QuotaReply.Builder builderForValue) {
+      if (quotasBuilder_ == null) {
+        quotas_ = builderForValue.build();
+      } else {
+        quotasBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder mergeQuotas(org.cornelway.rpc.QuotaReply value) {
+      if (quotasBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          quotas_ != null &&
+          quotas_ != org.cornelway.rpc.QuotaReply.getDefaultInstance()) {
+          getQuotasBuilder().mergeFrom(value);
+        } else {
+          quotas_ = value;
+        }
+      } else {
+        quotasBuilder_.mergeFrom(value);
+      }
+      if (quotas_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public Builder clearQuotas() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public org.cornelway.rpc.QuotaReply.Builder getQuotasBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetQuotasFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    public org.cornelway.rpc.QuotaReplyOrBuilder getQuotasOrBuilder() {
+      if (quotasBuilder_ != null) {
+        return quotasBuilder_.getMessageOrBuilder();
+      } else {
+        return quotas_ == null ?
+            org.cornelway.rpc.QuotaReply.getDefaultInstance() : quotas_;
+      }
+    }
+    /**
+     * <pre>
+     * Answer to the report's quotas, also from a process that is not the controller.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReply quotas = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReply, org.cornelway.rpc.QuotaReply.Builder, org.cornelway.rpc.QuotaReplyOrBuilder> 
+        internalGetQuotasFieldBuilder() {
+      if (quotasBuilder_ == null) {
+        quotasBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelway.rpc.QuotaReply, org.cornelway.rpc.QuotaReply.Builder, org.cornelway.rpc.QuotaReplyOrBuilder>(
+                getQuotas(),
+                getParentForChildren(),
+                isClean());
+        quotas_ = null;
+      }
+      return quotasBuilder_;
+    }
+
     private java.util.List<org.cornelway.rpc.CustomerShare> customerShares_ =
       java.util.Collections.emptyList();
     private void ensureCustomerSharesIsMutable() {
-      if (!((bitField0_ & 0x00000400) != 0)) {
+      if (!((bitField0_ & 0x00000800) != 0)) {
         customerShares_ = new java.util.ArrayList<org.cornelway.rpc.CustomerShare>(customerShares_);
-        bitField0_ |= 0x00000400;
+        bitField0_ |= 0x00000800;
        }
     }
 
@@ -2990,7 +3221,7 @@
     public Builder clearCustomerShares() {
       if (customerSharesBuilder_ == null) {
         customerShares_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000400);
+        bitField0_ = (bitField0_ & ~0x00000800);
         onChanged();
       } else {
         customerSharesBuilder_.clear();
@@ -3095,7 +3326,7 @@
         customerSharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.cornelway.rpc.CustomerShare, org.cornelway.rpc.CustomerShare.Builder, org.cornelway.rpc.CustomerShareOrBuilder>(
                 customerShares_,
-                ((bitField0_ & 0x00000400) != 0),
+                ((bitField0_ & 0x00000800) != 0),
                 getParentForChildren(),
                 isClean());
         customerShares_ = null;
@@ -3128,7 +3359,7 @@
     public Builder setCustomerSharesKnown(boolean value) {
 
       customerSharesKnown_ = value;
-      bitField0_ |= 0x00000800;
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
@@ -3141,7 +3372,7 @@
      * @return This builder for chaining.
      */
     public Builder clearCustomerSharesKnown() {
-      bitField0_ = (bitField0_ & ~0x00000800);
+      bitField0_ = (bitField0_ & ~0x00001000);
       customerSharesKnown_ = false;
       onChanged();
       return this;
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -381,6 +381,44 @@
     return wanted_.get(index);
   }
 
+  public static final int QUOTAS_FIELD_NUMBER = 10;
+  private org.cornelway.rpc.QuotaReport quotas_;
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   * @return Whether the quotas field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotas() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   * @return The quotas.
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReport getQuotas() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+  }
+  /**
+   * <pre>
+   * Use of customers' quotas; absent if no customer has one.
+   * </pre>
+   *
+   * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.QuotaReportOrBuilder getQuotasOrBuilder() {
+    return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+  }
+
   public static final int CUSTOMERS_FIELD_NUMBER = 15;
   @SuppressWarnings("serial")
   private java.util.List<org.cornelway.rpc.CustomerUse> customers_;
@@ -483,6 +521,9 @@
     for (int i = 0; i < wanted_.size(); i++) {
       output.writeMessage(9, wanted_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(10, getQuotas());
+    }
     for (int i = 0; i < customers_.size(); i++) {
       output.writeMessage(15, customers_.get(i));
     }
@@ -545,6 +586,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getQuotas());
+    }
 
         {
           final int count = customers_.size();
@@ -599,6 +644,11 @@
         .equals(other.getLimitsList())) return false;
     if (!getWantedList()
         .equals(other.getWantedList())) return false;
+    if (hasQuotas() != other.hasQuotas()) return false;
+    if (hasQuotas()) {
+      if (!getQuotas()
+          .equals(other.getQuotas())) return false;
+    }
     if (!getCustomersList()
         .equals(other.getCustomersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -643,6 +693,10 @@
       hash = (37 * hash) + WANTED_FIELD_NUMBER;
       hash = (53 * hash) + getWantedList().hashCode();
     }
+    if (hasQuotas()) {
+      hash = (37 * hash) + QUOTAS_FIELD_NUMBER;
+      hash = (53 * hash) + getQuotas().hashCode();
+    }
     if (getCustomersCount() > 0) {
       hash = (37 * hash) + CUSTOMERS_FIELD_NUMBER;
       hash = (53 * hash) + getCustomersList().hashCode();
@@ -782,6 +836,7 @@
         internalGetEvidenceFieldBuilder();
         internalGetLimitsFieldBuilder();
         internalGetWantedFieldBuilder();
+        internalGetQuotasFieldBuilder();
         internalGetCustomersFieldBuilder();
       }
     }
@@ -826,13 +881,18 @@
         wantedBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
       if (customersBuilder_ == null) {
         customers_ = java.util.Collections.emptyList();
       } else {
         customers_ = null;
         customersBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000200);
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -903,9 +963,9 @@
         result.wanted_ = wantedBuilder_.build();
       }
       if (customersBuilder_ == null) {
-        if (((bitField0_ & 0x00000200) != 0)) {
+        if (((bitField0_ & 0x00000400) != 0)) {
           customers_ = java.util.Collections.unmodifiableList(customers_);
-          bitField0_ = (bitField0_ & ~0x00000200);
+          bitField0_ = (bitField0_ & ~0x00000400);
         }
         result.customers_ = customers_;
       } else {
@@ -934,6 +994,12 @@
             : evidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.quotas_ = quotasBuilder_ == null
+            ? quotas_
+            : quotasBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1070,11 +1136,14 @@
           }
         }
       }
+      if (other.hasQuotas()) {
+        mergeQuotas(other.getQuotas());
+      }
       if (customersBuilder_ == null) {
         if (!other.customers_.isEmpty()) {
           if (customers_.isEmpty()) {
             customers_ = other.customers_;
-            bitField0_ = (bitField0_ & ~0x00000200);
+            bitField0_ = (bitField0_ & ~0x00000400);
           } else {
             ensureCustomersIsMutable();
             customers_.addAll(other.customers_);
@@ -1087,7 +1156,7 @@
             customersBuilder_.dispose();
             customersBuilder_ = null;
             customers_ = other.customers_;
-            bitField0_ = (bitField0_ & ~0x00000200);
+            bitField0_ = (bitField0_ & ~0x00000400);
             customersBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetCustomersFieldBuilder() : null;
@@ -1199,6 +1268,13 @@
               }
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetQuotasFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             case 122: {
               org.cornelway.rpc.CustomerUse m =
                   input.readMessage(
@@ -2668,12 +2744,167 @@
       return wantedBuilder_;
     }
 
+    private org.cornelway.rpc.QuotaReport quotas_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReport.Builder, org.cornelway.rpc.QuotaReportOrBuilder> quotasBuilder_;
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     * @return Whether the quotas field is set.
+     */
+    public boolean hasQuotas() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     * @return The quotas.
+     */
+    public org.cornelway.rpc.QuotaReport getQuotas() {
+      if (quotasBuilder_ == null) {
+        return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+      } else {
+        return quotasBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder setQuotas(org.cornelway.rpc.QuotaReport value) {
+      if (quotasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        quotas_ = value;
+      } else {
+        quotasBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder setQuotas(
+        org.cornelway.rpc.QuotaReport.Builder builderForValue) {
+      if (quotasBuilder_ == null) {
+        quotas_ = builderForValue.build();
+      } else {
+        quotasBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder mergeQuotas(org.cornelway.rpc.QuotaReport value) {
+      if (quotasBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          quotas_ != null &&
+          quotas_ != org.cornelway.rpc.QuotaReport.getDefaultInstance()) {
+          getQuotasBuilder().mergeFrom(value);
+        } else {
+          quotas_ = value;
+        }
+      } else {
+        quotasBuilder_.mergeFrom(value);
+      }
+      if (quotas_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public Builder clearQuotas() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      quotas_ = null;
+      if (quotasBuilder_ != null) {
+        quotasBuilder_.dispose();
+        quotasBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public org.cornelway.rpc.QuotaReport.Builder getQuotasBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return internalGetQuotasFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    public org.cornelway.rpc.QuotaReportOrBuilder getQuotasOrBuilder() {
+      if (quotasBuilder_ != null) {
+        return quotasBuilder_.getMessageOrBuilder();
+      } else {
+        return quotas_ == null ?
+            org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
+      }
+    }
+    /**
+     * <pre>
+     * Use of customers' quotas; absent if no customer has one.
+     * </pre>
+     *
+     * <code>.cornelway.v1.QuotaReport quotas = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReport.Builder, org.cornelway.rpc.QuotaReportOrBuilder> 
+        internalGetQuotasFieldBuilder() {
+      if (quotasBuilder_ == null) {
+        quotasBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelway.rpc.QuotaReport, org.cornelway.rpc.QuotaReport.Builder, org.cornelway.rpc.QuotaReportOrBuilder>(
+                getQuotas(),
+                getParentForChildren(),
+                isClean());
+        quotas_ = null;
+      }
+      return quotasBuilder_;
+    }
+
     private java.util.List<org.cornelway.rpc.CustomerUse> customers_ =
       java.util.Collections.emptyList();
     private void ensureCustomersIsMutable() {
-      if (!((bitField0_ & 0x00000200) != 0)) {
+      if (!((bitField0_ & 0x00000400) != 0)) {
         customers_ = new java.util.ArrayList<org.cornelway.rpc.CustomerUse>(customers_);
-        bitField0_ |= 0x00000200;
+        bitField0_ |= 0x00000400;
        }
     }
 
@@ -2861,7 +3092,7 @@
     public Builder clearCustomers() {
       if (customersBuilder_ == null) {
         customers_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000200);
+        bitField0_ = (bitField0_ & ~0x00000400);
         onChanged();
       } else {
         customersBuilder_.clear();
@@ -2966,7 +3197,7 @@
         customersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder>(
                 customers_,
-                ((bitField0_ & 0x00000200) != 0),
+                ((bitField0_ & 0x00000400) != 0),
                 getParentForChildren(),
                 isClean());
         customers_ = null;
--- a/org.cornelway.test/tst/org/cornelway/overload/PlayedLoad.java
+++ b/org.cornelway.test/tst/org/cornelway/overload/PlayedLoad.java
@@ -1,6 +1,7 @@
 package org.cornelway.overload;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -69,10 +70,7 @@
         Map<String, Double> shares = customers.isEmpty() ? Map.of("", 1.0) : customers;
         double total = shares.values().stream().mapToDouble(Double::doubleValue).sum();
         List<String> names = shares.keySet().stream().sorted().toList();
-        double tokensPerSecond =
-                kinds.stream()
-                        .mapToDouble(k -> k.perSecond() * (k.promptTokens() + k.outputTokens()))
-                        .sum();
+        double tokensPerSecond = tokensPerSecond();
         int stream = 0;
         for (Kind kind : kinds) {
             for (String customer : names) {
@@ -101,11 +99,17 @@
             }
         }
         arrivals.sort(
-                java.util.Comparator.comparingLong(Arrival::arrivedMillis)
+                Comparator.comparingLong(Arrival::arrivedMillis)
                         .thenComparing(each -> each.call().id()));
         return arrivals;
     }
 
+    private double tokensPerSecond() {
+        return kinds.stream()
+                .mapToDouble(kind -> kind.perSecond() * (kind.promptTokens() + kind.outputTokens()))
+                .sum();
+    }
+
     private void addCalls(
             Kind kind,
             Optional<PendingCall.Customer> customer,
--- a/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallDispatch.java
@@ -55,7 +55,10 @@
 
     /** Sends the call, lets it wait, or ends it. */
     void dispatch() {
-        if (mCall.isDone() || !mCall.attempts().isEmpty() || mCall.endIfKeyRemoved()) {
+        if (mCall.isDone()
+                || !mCall.attempts().isEmpty()
+                || mCall.endIfKeyRemoved()
+                || !isWithinQuota()) {
             return;
         }
         List<Candidate> candidates = mSelector.candidates(mCall.service());
@@ -91,6 +94,16 @@
                 .ifPresentOrElse(this::send, () -> waitOrFail(ResultCode.NO_REPLICA, noServer));
     }
 
+    /** Whether the call has the tokens of its quota; if not, requests them to dispatch it then. */
+    private boolean isWithinQuota() {
+        CallGuard guard = mCall.guard();
+        return mCall.quota()
+                .isReadyOrRequest(
+                        mCall.terms().customer(),
+                        () -> guard.run(this::dispatch),
+                        millis -> guard.run(() -> mCall.refuseForQuota(millis)));
+    }
+
     /** Whether the call is for a model and may go to a server that it has not been sent to. */
     private boolean canUseAnotherEngine() {
         return mRequest.head().target().isPresent() && !mHistory.hasUsedServers();
--- a/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficContext.java
@@ -35,6 +35,7 @@
  * @param usage calls in progress and call rates, reported to the controller
  * @param evidence parts of prompts that crash servers
  * @param overload what calls share for the decisions under overload
+ * @param quotas admits calls within the quotas of their customers
  * @param clock monotonic clock
  * @param loopDelay measures how late the traffic thread is
  * @param drain how far the drain of this process has come
@@ -57,6 +58,7 @@
         ModelUsage usage,
         CrashEvidence evidence,
         OverloadControl overload,
+        QuotaGate quotas,
         Clock clock,
         LoopDelay loopDelay,
         DrainState drain,
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -28,6 +28,9 @@
 import org.cornelway.dispatch.SlidingWindowRetryBudget;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.internal.platform.HttpEndpoint;
+import org.cornelway.quota.QuotaBounds;
+import org.cornelway.quota.QuotaReply;
+import org.cornelway.quota.QuotaReport;
 import org.cornelway.supervisor.GuardedTask;
 import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
@@ -109,6 +112,7 @@
                         mUsage,
                         mEvidence,
                         mOverload,
+                        new QuotaGate(mLoop, () -> mView, clock, log, metrics),
                         clock,
                         new LoopDelay(
                                 SuspendAwareClock.system(), FrontServer.SWEEP_INTERVAL_MILLIS),
@@ -120,12 +124,12 @@
         mPlatformPool = new UpstreamPool(platformLoop, codec, clock, log);
         mPlatformClient = new PlatformHttpClient(platformLoop, mPlatformPool, codec);
         registerGauges(metrics);
-        scheduleSweeps(metrics);
+        scheduleSweep();
     }
 
-    private void scheduleSweeps(MetricRegistry metrics) {
+    private void scheduleSweep() {
         mLoop.scheduleAtFixedRate(
-                new GuardedTask("sweep of servers", metrics, this::sweep),
+                new GuardedTask("sweep of servers", mContext.metrics(), this::sweep),
                 SWEEP_INTERVAL_MILLIS,
                 SWEEP_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -217,6 +221,31 @@
                 });
     }
 
+    /**
+     * Begins to limit customers to their quotas; called before this process serves callers.
+     *
+     * @param entry id of this entry
+     * @param requester asks for tokens
+     */
+    public void startQuotas(String entry, QuotaBounds bounds, QuotaRequester requester) {
+        mLoop.execute(() -> mContext.quotas().start(entry, bounds, requester));
+    }
+
+    /** Passes a report on customers' quotas to the receiver, if a customer has one. */
+    public void reportQuotas(Consumer<QuotaReport> receiver) {
+        mLoop.execute(() -> mContext.quotas().takeReport().ifPresent(receiver));
+    }
+
+    /** Passes on a ledger's reply to a report that was taken at a time. */
+    public void onQuotaReply(QuotaReply reply, long sentMillis) {
+        mLoop.execute(() -> mContext.quotas().onReply(reply, sentMillis));
+    }
+
+    /** Called after a question for tokens was answered, or has failed. */
+    public void onQuotaAskEnded() {
+        mLoop.execute(mContext.quotas()::onAskEnded);
+    }
+
     /** Passes a report on the calls to the receiver, which is called on the traffic thread. */
     public void report(Consumer<TrafficReport> receiver) {
         mLoop.execute(() -> receiver.accept(newReport(mContext.clock().nowMillis())));
@@ -227,6 +256,7 @@
                 mUsage.snapshot(),
                 mEvidence.snapshot(),
                 mLimits.takeReport(nowMillis),
+                mContext.quotas().takeReport(),
                 mOverload.state().customerUses(nowMillis));
     }
 
