--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/Cornelway.java
@@ -151,6 +151,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelway_v1_QuotaGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_CustomerUse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_CustomerUse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelway_v1_CustomerShare_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelway_v1_CustomerShare_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cornelway_v1_ServerLimit_descriptor;
   static final 
@@ -273,7 +283,7 @@
       "ONTROLLER\020\001\022\014\n\010TOO_LATE\020\002\"j\n\010ModelUse\022\016\n" +
       "\006server\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030" +
       "\003 \001(\t\022\016\n\006active\030\004 \001(\005\022\030\n\020remaining_milli" +
-      "s\030\006 \001(\003J\004\010\005\020\006\"\331\002\n\tUseReport\022\014\n\004from\030\001 \001(" +
+      "s\030\006 \001(\003J\004\010\005\020\006\"\207\003\n\tUseReport\022\014\n\004from\030\001 \001(" +
       "\t\022\030\n\020holdings_version\030\002 \001(\003\022\014\n\004term\030\003 \001(" +
       "\003\022$\n\004uses\030\004 \003(\0132\026.cornelway.v1.ModelUse\022" +
       "&\n\005rates\030\005 \003(\0132\027.cornelway.v1.ModelRate\022" +
@@ -282,59 +292,66 @@
       "ts\030\010 \003(\0132\031.cornelway.v1.ServerLimit\022)\n\006w" +
       "anted\030\t \003(\0132\031.cornelway.v1.ServerCalls\022)" +
       "\n\006quotas\030\n \001(\0132\031.cornelway.v1.QuotaRepor" +
-      "t\"\177\n\013QuotaReport\022\014\n\004from\030\001 \001(\t\022\014\n\004born\030\002" +
-      " \001(\003\022\017\n\007sharing\030\003 \001(\010\022\r\n\005first\030\004 \001(\010\022\016\n\006" +
-      "ledger\030\005 \001(\003\022$\n\004uses\030\006 \003(\0132\026.cornelway.v" +
-      "1.QuotaUse\"\224\001\n\010QuotaUse\022\020\n\010customer\030\001 \001(" +
-      "\t\022\017\n\007ceiling\030\002 \001(\001\022\r\n\005spent\030\003 \001(\001\022\020\n\010ret" +
-      "urned\030\004 \001(\001\022\016\n\006wanted\030\005 \001(\001\022\r\n\005least\030\006 \001" +
-      "(\001\022\022\n\nper_second\030\007 \001(\001\022\021\n\tcall_cost\030\010 \001(" +
-      "\001\"W\n\nQuotaReply\022\016\n\006ledger\030\001 \001(\003\022\017\n\007entri" +
-      "es\030\002 \001(\005\022(\n\006grants\030\003 \003(\0132\030.cornelway.v1." +
-      "QuotaGrant\"R\n\nQuotaGrant\022\020\n\010customer\030\001 \001" +
-      "(\t\022\017\n\007ceiling\030\002 \001(\001\022\014\n\004keep\030\003 \001(\001\022\023\n\013wai" +
-      "t_millis\030\004 \001(\003\"\225\001\n\013ServerLimit\022\016\n\006server" +
-      "\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\035\n\020calls_per_second" +
-      "\030\003 \001(\001H\000\210\001\001\022\027\n\017sent_age_millis\030\004 \001(\003\022\033\n\023" +
-      "received_age_millis\030\005 \001(\003B\023\n\021_calls_per_" +
-      "second\":\n\013ServerCalls\022\016\n\006server\030\001 \001(\t\022\014\n" +
-      "\004born\030\002 \001(\003\022\r\n\005calls\030\003 \001(\005\"v\n\tPartCrash\022" +
-      "\014\n\004part\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\014\n\004born\030\003 " +
-      "\001(\003\022\023\n\013sent_millis\030\004 \001(\003\022\026\n\016crashed_mill" +
-      "is\030\005 \001(\003\022\020\n\010position\030\006 \001(\005\"Q\n\rCrashEvide" +
-      "nce\022(\n\007crashes\030\001 \003(\0132\027.cornelway.v1.Part" +
-      "Crash\022\026\n\016answered_parts\030\002 \003(\t\"N\n\tModelRa" +
-      "te\022\r\n\005model\030\001 \001(\t\022\030\n\020calls_per_second\030\002 " +
-      "\001(\001\022\030\n\020objective_millis\030\003 \001(\003\",\n\tHeldMod" +
-      "el\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016S" +
-      "erverHoldings\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002 " +
-      "\001(\003\022\'\n\006models\030\003 \003(\0132\027.cornelway.v1.HeldM" +
-      "odel\"\370\002\n\rHoldingsReply\022\022\n\ncontroller\030\001 \001" +
-      "(\010\022\014\n\004term\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007cha" +
-      "nged\030\004 \001(\010\022-\n\007servers\030\005 \003(\0132\034.cornelway." +
-      "v1.ServerHoldings\022*\n\004busy\030\006 \003(\0132\034.cornel" +
-      "way.v1.ServerActivity\022\030\n\020evidence_versio" +
-      "n\030\007 \001(\003\022-\n\010evidence\030\010 \001(\0132\033.cornelway.v1" +
-      ".CrashEvidence\022)\n\006limits\030\t \003(\0132\031.cornelw" +
-      "ay.v1.ServerLimit\022*\n\007permits\030\n \003(\0132\031.cor" +
-      "nelway.v1.ServerCalls\022(\n\006quotas\030\013 \001(\0132\030." +
-      "cornelway.v1.QuotaReply\"0\n\016ServerActivit" +
-      "y\022\016\n\006server\030\001 \001(\t\022\016\n\006active\030\002 \001(\005*-\n\014Req" +
-      "uestClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFERRED\020\001" +
-      "2\230\001\n\014AgentService\022@\n\010Exchange\022\035.cornelwa" +
-      "y.v1.ExchangeRequest\032\023.cornelway.v1.Fram" +
-      "e0\001\022F\n\010Withdraw\022\035.cornelway.v1.WithdrawR" +
-      "equest\032\033.cornelway.v1.WithdrawReply2\224\001\n\013" +
-      "PeerService\022=\n\005Relay\022\032.cornelway.v1.Rela" +
-      "yRequest\032\030.cornelway.v1.RelayReply\022F\n\010De" +
-      "scribe\022\035.cornelway.v1.DescribeRequest\032\033." +
-      "cornelway.v1.DescribeReply2\321\001\n\014EntryServ" +
-      "ice\022<\n\010AskModel\022\026.cornelway.v1.ModelAsk\032" +
-      "\030.cornelway.v1.ModelGrant\022A\n\tReportUse\022\027" +
-      ".cornelway.v1.UseReport\032\033.cornelway.v1.H" +
-      "oldingsReply\022@\n\tTakeQuota\022\031.cornelway.v1" +
-      ".QuotaReport\032\030.cornelway.v1.QuotaReplyB\025" +
-      "\n\021org.cornelway.rpcP\001b\006proto3"
+      "t\022,\n\tcustomers\030\017 \003(\0132\031.cornelway.v1.Cust" +
+      "omerUse\"\177\n\013QuotaReport\022\014\n\004from\030\001 \001(\t\022\014\n\004" +
+      "born\030\002 \001(\003\022\017\n\007sharing\030\003 \001(\010\022\r\n\005first\030\004 \001" +
+      "(\010\022\016\n\006ledger\030\005 \001(\003\022$\n\004uses\030\006 \003(\0132\026.corne" +
+      "lway.v1.QuotaUse\"\224\001\n\010QuotaUse\022\020\n\010custome" +
+      "r\030\001 \001(\t\022\017\n\007ceiling\030\002 \001(\001\022\r\n\005spent\030\003 \001(\001\022" +
+      "\020\n\010returned\030\004 \001(\001\022\016\n\006wanted\030\005 \001(\001\022\r\n\005lea" +
+      "st\030\006 \001(\001\022\022\n\nper_second\030\007 \001(\001\022\021\n\tcall_cos" +
+      "t\030\010 \001(\001\"W\n\nQuotaReply\022\016\n\006ledger\030\001 \001(\003\022\017\n" +
+      "\007entries\030\002 \001(\005\022(\n\006grants\030\003 \003(\0132\030.cornelw" +
+      "ay.v1.QuotaGrant\"R\n\nQuotaGrant\022\020\n\010custom" +
+      "er\030\001 \001(\t\022\017\n\007ceiling\030\002 \001(\001\022\014\n\004keep\030\003 \001(\001\022" +
+      "\023\n\013wait_millis\030\004 \001(\003\"d\n\013CustomerUse\022\020\n\010c" +
+      "ustomer\030\001 \001(\t\022\030\n\020asked_per_second\030\002 \001(\001\022" +
+      "\031\n\021served_per_second\030\003 \001(\001\022\016\n\006weight\030\004 \001" +
+      "(\001\"3\n\rCustomerShare\022\020\n\010customer\030\001 \001(\t\022\020\n" +
+      "\010fraction\030\002 \001(\001\"\225\001\n\013ServerLimit\022\016\n\006serve" +
+      "r\030\001 \001(\t\022\014\n\004born\030\002 \001(\003\022\035\n\020calls_per_secon" +
+      "d\030\003 \001(\001H\000\210\001\001\022\027\n\017sent_age_millis\030\004 \001(\003\022\033\n" +
+      "\023received_age_millis\030\005 \001(\003B\023\n\021_calls_per" +
+      "_second\":\n\013ServerCalls\022\016\n\006server\030\001 \001(\t\022\014" +
+      "\n\004born\030\002 \001(\003\022\r\n\005calls\030\003 \001(\005\"v\n\tPartCrash" +
+      "\022\014\n\004part\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\014\n\004born\030\003" +
+      " \001(\003\022\023\n\013sent_millis\030\004 \001(\003\022\026\n\016crashed_mil" +
+      "lis\030\005 \001(\003\022\020\n\010position\030\006 \001(\005\"Q\n\rCrashEvid" +
+      "ence\022(\n\007crashes\030\001 \003(\0132\027.cornelway.v1.Par" +
+      "tCrash\022\026\n\016answered_parts\030\002 \003(\t\"N\n\tModelR" +
+      "ate\022\r\n\005model\030\001 \001(\t\022\030\n\020calls_per_second\030\002" +
+      " \001(\001\022\030\n\020objective_millis\030\003 \001(\003\",\n\tHeldMo" +
+      "del\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t\"W\n\016" +
+      "ServerHoldings\022\016\n\006server\030\001 \001(\t\022\014\n\004born\030\002" +
+      " \001(\003\022\'\n\006models\030\003 \003(\0132\027.cornelway.v1.Held" +
+      "Model\"\315\003\n\rHoldingsReply\022\022\n\ncontroller\030\001 " +
+      "\001(\010\022\014\n\004term\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\017\n\007ch" +
+      "anged\030\004 \001(\010\022-\n\007servers\030\005 \003(\0132\034.cornelway" +
+      ".v1.ServerHoldings\022*\n\004busy\030\006 \003(\0132\034.corne" +
+      "lway.v1.ServerActivity\022\030\n\020evidence_versi" +
+      "on\030\007 \001(\003\022-\n\010evidence\030\010 \001(\0132\033.cornelway.v" +
+      "1.CrashEvidence\022)\n\006limits\030\t \003(\0132\031.cornel" +
+      "way.v1.ServerLimit\022*\n\007permits\030\n \003(\0132\031.co" +
+      "rnelway.v1.ServerCalls\022(\n\006quotas\030\013 \001(\0132\030" +
+      ".cornelway.v1.QuotaReply\0224\n\017customer_sha" +
+      "res\030\020 \003(\0132\033.cornelway.v1.CustomerShare\022\035" +
+      "\n\025customer_shares_known\030\021 \001(\010\"0\n\016ServerA" +
+      "ctivity\022\016\n\006server\030\001 \001(\t\022\016\n\006active\030\002 \001(\005*" +
+      "-\n\014RequestClass\022\017\n\013INTERACTIVE\020\000\022\014\n\010DEFE" +
+      "RRED\020\0012\230\001\n\014AgentService\022@\n\010Exchange\022\035.co" +
+      "rnelway.v1.ExchangeRequest\032\023.cornelway.v" +
+      "1.Frame0\001\022F\n\010Withdraw\022\035.cornelway.v1.Wit" +
+      "hdrawRequest\032\033.cornelway.v1.WithdrawRepl" +
+      "y2\224\001\n\013PeerService\022=\n\005Relay\022\032.cornelway.v" +
+      "1.RelayRequest\032\030.cornelway.v1.RelayReply" +
+      "\022F\n\010Describe\022\035.cornelway.v1.DescribeRequ" +
+      "est\032\033.cornelway.v1.DescribeReply2\321\001\n\014Ent" +
+      "ryService\022<\n\010AskModel\022\026.cornelway.v1.Mod" +
+      "elAsk\032\030.cornelway.v1.ModelGrant\022A\n\tRepor" +
+      "tUse\022\027.cornelway.v1.UseReport\032\033.cornelwa" +
+      "y.v1.HoldingsReply\022@\n\tTakeQuota\022\031.cornel" +
+      "way.v1.QuotaReport\032\030.cornelway.v1.QuotaR" +
+      "eplyB\025\n\021org.cornelway.rpcP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -465,7 +482,7 @@
     internal_static_cornelway_v1_UseReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_UseReport_descriptor,
-        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", "Rates", "EvidenceVersion", "Evidence", "Limits", "Wanted", "Quotas", });
+        new java.lang.String[] { "From", "HoldingsVersion", "Term", "Uses", "Rates", "EvidenceVersion", "Evidence", "Limits", "Wanted", "Quotas", "Customers", });
     internal_static_cornelway_v1_QuotaReport_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_cornelway_v1_QuotaReport_fieldAccessorTable = new
@@ -490,56 +507,68 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_QuotaGrant_descriptor,
         new java.lang.String[] { "Customer", "Ceiling", "Keep", "WaitMillis", });
-    internal_static_cornelway_v1_ServerLimit_descriptor =
+    internal_static_cornelway_v1_CustomerUse_descriptor =
       getDescriptor().getMessageType(25);
+    internal_static_cornelway_v1_CustomerUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_CustomerUse_descriptor,
+        new java.lang.String[] { "Customer", "AskedPerSecond", "ServedPerSecond", "Weight", });
+    internal_static_cornelway_v1_CustomerShare_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_cornelway_v1_CustomerShare_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelway_v1_CustomerShare_descriptor,
+        new java.lang.String[] { "Customer", "Fraction", });
+    internal_static_cornelway_v1_ServerLimit_descriptor =
+      getDescriptor().getMessageType(27);
     internal_static_cornelway_v1_ServerLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerLimit_descriptor,
         new java.lang.String[] { "Server", "Born", "CallsPerSecond", "SentAgeMillis", "ReceivedAgeMillis", });
     internal_static_cornelway_v1_ServerCalls_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_cornelway_v1_ServerCalls_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerCalls_descriptor,
         new java.lang.String[] { "Server", "Born", "Calls", });
     internal_static_cornelway_v1_PartCrash_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_cornelway_v1_PartCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_PartCrash_descriptor,
         new java.lang.String[] { "Part", "Server", "Born", "SentMillis", "CrashedMillis", "Position", });
     internal_static_cornelway_v1_CrashEvidence_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_cornelway_v1_CrashEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_CrashEvidence_descriptor,
         new java.lang.String[] { "Crashes", "AnsweredParts", });
     internal_static_cornelway_v1_ModelRate_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_cornelway_v1_ModelRate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ModelRate_descriptor,
         new java.lang.String[] { "Model", "CallsPerSecond", "ObjectiveMillis", });
     internal_static_cornelway_v1_HeldModel_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_cornelway_v1_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HeldModel_descriptor,
         new java.lang.String[] { "Model", "Adapters", });
     internal_static_cornelway_v1_ServerHoldings_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_cornelway_v1_ServerHoldings_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerHoldings_descriptor,
         new java.lang.String[] { "Server", "Born", "Models", });
     internal_static_cornelway_v1_HoldingsReply_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(34);
     internal_static_cornelway_v1_HoldingsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_HoldingsReply_descriptor,
-        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", "Busy", "EvidenceVersion", "Evidence", "Limits", "Permits", "Quotas", });
+        new java.lang.String[] { "Controller", "Term", "Version", "Changed", "Servers", "Busy", "EvidenceVersion", "Evidence", "Limits", "Permits", "Quotas", "CustomerShares", "CustomerSharesKnown", });
     internal_static_cornelway_v1_ServerActivity_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(35);
     internal_static_cornelway_v1_ServerActivity_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelway_v1_ServerActivity_descriptor,
--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/UseReport.java
@@ -33,6 +33,7 @@
     rates_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     wanted_ = java.util.Collections.emptyList();
+    customers_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -418,6 +419,67 @@
     return quotas_ == null ? org.cornelway.rpc.QuotaReport.getDefaultInstance() : quotas_;
   }
 
+  public static final int CUSTOMERS_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cornelway.rpc.CustomerUse> customers_;
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cornelway.rpc.CustomerUse> getCustomersList() {
+    return customers_;
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cornelway.rpc.CustomerUseOrBuilder> 
+      getCustomersOrBuilderList() {
+    return customers_;
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public int getCustomersCount() {
+    return customers_.size();
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CustomerUse getCustomers(int index) {
+    return customers_.get(index);
+  }
+  /**
+   * <pre>
+   * Recent use of the customers at the sender.
+   * </pre>
+   *
+   * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+   */
+  @java.lang.Override
+  public org.cornelway.rpc.CustomerUseOrBuilder getCustomersOrBuilder(
+      int index) {
+    return customers_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -462,6 +524,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(10, getQuotas());
     }
+    for (int i = 0; i < customers_.size(); i++) {
+      output.writeMessage(15, customers_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -525,6 +590,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, getQuotas());
     }
+
+        {
+          final int count = customers_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(customers_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -575,6 +649,8 @@
       if (!getQuotas()
           .equals(other.getQuotas())) return false;
     }
+    if (!getCustomersList()
+        .equals(other.getCustomersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -621,6 +697,10 @@
       hash = (37 * hash) + QUOTAS_FIELD_NUMBER;
       hash = (53 * hash) + getQuotas().hashCode();
     }
+    if (getCustomersCount() > 0) {
+      hash = (37 * hash) + CUSTOMERS_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -757,6 +837,7 @@
         internalGetLimitsFieldBuilder();
         internalGetWantedFieldBuilder();
         internalGetQuotasFieldBuilder();
+        internalGetCustomersFieldBuilder();
       }
     }
     @java.lang.Override
@@ -805,6 +886,13 @@
         quotasBuilder_.dispose();
         quotasBuilder_ = null;
       }
+      if (customersBuilder_ == null) {
+        customers_ = java.util.Collections.emptyList();
+      } else {
+        customers_ = null;
+        customersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -874,6 +962,15 @@
       } else {
         result.wanted_ = wantedBuilder_.build();
       }
+      if (customersBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          customers_ = java.util.Collections.unmodifiableList(customers_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.customers_ = customers_;
+      } else {
+        result.customers_ = customersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cornelway.rpc.UseReport result) {
@@ -1042,6 +1139,32 @@
       if (other.hasQuotas()) {
         mergeQuotas(other.getQuotas());
       }
+      if (customersBuilder_ == null) {
+        if (!other.customers_.isEmpty()) {
+          if (customers_.isEmpty()) {
+            customers_ = other.customers_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureCustomersIsMutable();
+            customers_.addAll(other.customers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.customers_.isEmpty()) {
+          if (customersBuilder_.isEmpty()) {
+            customersBuilder_.dispose();
+            customersBuilder_ = null;
+            customers_ = other.customers_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            customersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCustomersFieldBuilder() : null;
+          } else {
+            customersBuilder_.addAllMessages(other.customers_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1152,6 +1275,19 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 82
+            case 122: {
+              org.cornelway.rpc.CustomerUse m =
+                  input.readMessage(
+                      org.cornelway.rpc.CustomerUse.parser(),
+                      extensionRegistry);
+              if (customersBuilder_ == null) {
+                ensureCustomersIsMutable();
+                customers_.add(m);
+              } else {
+                customersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2763,6 +2899,312 @@
       return quotasBuilder_;
     }
 
+    private java.util.List<org.cornelway.rpc.CustomerUse> customers_ =
+      java.util.Collections.emptyList();
+    private void ensureCustomersIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        customers_ = new java.util.ArrayList<org.cornelway.rpc.CustomerUse>(customers_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder> customersBuilder_;
+
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public java.util.List<org.cornelway.rpc.CustomerUse> getCustomersList() {
+      if (customersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(customers_);
+      } else {
+        return customersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public int getCustomersCount() {
+      if (customersBuilder_ == null) {
+        return customers_.size();
+      } else {
+        return customersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse getCustomers(int index) {
+      if (customersBuilder_ == null) {
+        return customers_.get(index);
+      } else {
+        return customersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder setCustomers(
+        int index, org.cornelway.rpc.CustomerUse value) {
+      if (customersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomersIsMutable();
+        customers_.set(index, value);
+        onChanged();
+      } else {
+        customersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder setCustomers(
+        int index, org.cornelway.rpc.CustomerUse.Builder builderForValue) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        customersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(org.cornelway.rpc.CustomerUse value) {
+      if (customersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomersIsMutable();
+        customers_.add(value);
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(
+        int index, org.cornelway.rpc.CustomerUse value) {
+      if (customersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCustomersIsMutable();
+        customers_.add(index, value);
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(
+        org.cornelway.rpc.CustomerUse.Builder builderForValue) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addCustomers(
+        int index, org.cornelway.rpc.CustomerUse.Builder builderForValue) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        customersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder addAllCustomers(
+        java.lang.Iterable<? extends org.cornelway.rpc.CustomerUse> values) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, customers_);
+        onChanged();
+      } else {
+        customersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder clearCustomers() {
+      if (customersBuilder_ == null) {
+        customers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        customersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public Builder removeCustomers(int index) {
+      if (customersBuilder_ == null) {
+        ensureCustomersIsMutable();
+        customers_.remove(index);
+        onChanged();
+      } else {
+        customersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse.Builder getCustomersBuilder(
+        int index) {
+      return internalGetCustomersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUseOrBuilder getCustomersOrBuilder(
+        int index) {
+      if (customersBuilder_ == null) {
+        return customers_.get(index);  } else {
+        return customersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public java.util.List<? extends org.cornelway.rpc.CustomerUseOrBuilder> 
+         getCustomersOrBuilderList() {
+      if (customersBuilder_ != null) {
+        return customersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(customers_);
+      }
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse.Builder addCustomersBuilder() {
+      return internalGetCustomersFieldBuilder().addBuilder(
+          org.cornelway.rpc.CustomerUse.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public org.cornelway.rpc.CustomerUse.Builder addCustomersBuilder(
+        int index) {
+      return internalGetCustomersFieldBuilder().addBuilder(
+          index, org.cornelway.rpc.CustomerUse.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent use of the customers at the sender.
+     * </pre>
+     *
+     * <code>repeated .cornelway.v1.CustomerUse customers = 15;</code>
+     */
+    public java.util.List<org.cornelway.rpc.CustomerUse.Builder> 
+         getCustomersBuilderList() {
+      return internalGetCustomersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder> 
+        internalGetCustomersFieldBuilder() {
+      if (customersBuilder_ == null) {
+        customersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cornelway.rpc.CustomerUse, org.cornelway.rpc.CustomerUse.Builder, org.cornelway.rpc.CustomerUseOrBuilder>(
+                customers_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        customers_ = null;
+      }
+      return customersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelway.v1.UseReport)
   }
 
--- a/org.cornelway/src/org/cornelway/traffic/Attempt.java
+++ b/org.cornelway/src/org/cornelway/traffic/Attempt.java
@@ -77,7 +77,7 @@
     /** Acquires a connection to the server; the call is sent once there is one. */
     void start() {
         mGate.reserve();
-        mObserver.recordStart();
+        mObserver.recordStart(mCallHandler.overload());
         mContext.pool().acquire(mServer.host(), mServer.port(), mGuarded);
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -172,6 +172,10 @@
         return mLog;
     }
 
+    CallOverload overload() {
+        return mDispatch.overload();
+    }
+
     Optional<StreamRelay> relay() {
         return mRelay;
     }
@@ -189,7 +193,7 @@
     /** Returns the headers with which the call is sent to a server now. */
     ForwardedHeaders forwardedHeaders(String serverId) {
         Optional<Integer> priority =
-                mRequest.head().target().map(target -> EnginePriority.of(terms().priority()));
+                mRequest.head().target().map(target -> overload().enginePriority(terms()));
         return new ForwardedHeaders(
                 serverId,
                 deadline().remainingMillis(now()),
--- a/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
+++ b/org.cornelway/src/org/cornelway/traffic/ServerObserver.java
@@ -5,6 +5,7 @@
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
 import org.cornelway.dispatch.ServerLoads;
+import org.cornelway.overload.SentCalls;
 import org.cornelway.route.Route;
 
 /**
@@ -20,6 +21,8 @@
     private final RequestHead mHead;
     private final Optional<ModelTarget> mTarget;
     private Optional<ModelUsage.RunningCall> mRunningCall = Optional.empty();
+    private Optional<CallOverload> mOverload = Optional.empty();
+    private Optional<SentCalls.SentCall> mSent = Optional.empty();
     private boolean mStreaming;
 
     /** Tokens that the call holds in the server's memory; 0 for a plain service. */
@@ -40,8 +43,14 @@
         return mServer.incarnation();
     }
 
-    /** Records that the attempt starts. */
-    void recordStart() {
+    /**
+     * Records that the attempt starts.
+     *
+     * @param overload decided that the call is sent
+     */
+    void recordStart(CallOverload overload) {
+        mOverload = Optional.of(overload);
+        mSent = overload.recordSent();
         mTokens = loads().tokensOf(mHead);
         loads().recordCallStarted(incarnation(), mTokens);
         mRunningCall =
@@ -54,6 +63,7 @@
     /** Records that the server has begun to stream its answer. */
     void recordStreaming() {
         mStreaming = true;
+        recordBegun();
         loads().changeStreamCount(incarnation(), 1);
     }
 
@@ -62,6 +72,10 @@
         loads().recordActivity(incarnation());
     }
 
+    private void recordBegun() {
+        mSent.ifPresent(sent -> mOverload.orElseThrow().onBegun(sent));
+    }
+
     /** Records the load that the server reports. */
     void recordReportedLoad(ReportedLoad load) {
         loads().recordReportedLoad(mServer, load);
@@ -69,6 +83,9 @@
 
     /** Records whether the server answered successfully. */
     void recordResponse(boolean success) {
+        if (success) {
+            recordBegun();
+        }
         loads().recordResponse(incarnation(), success);
     }
 
@@ -152,6 +169,7 @@
     /** Records that the attempt has ended; called once. */
     void recordEnd() {
         loads().recordCallEnded(incarnation(), mTokens);
+        mSent.ifPresent(sent -> mOverload.orElseThrow().onEnded(sent));
         if (mStreaming) {
             loads().changeStreamCount(incarnation(), -1);
         }
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -65,6 +65,7 @@
     private final ServerLoads mLoads;
     private final ServerNotices mNotices = new ServerNotices();
     private final ServerLimits mLimits = new ServerLimits();
+    private final OverloadControl mOverload;
     private final TrafficContext mContext;
     private final FrontServer mFrontServer;
     private final PlatformHttpClient mPlatformClient;
@@ -93,6 +94,7 @@
         mLoads = new ServerLoads(clock, zone, new SlowServerLog(log));
         mStoreEndpoint = storeEndpoint;
         mUsage = new ModelUsage(clock);
+        mOverload = new OverloadControl(mLoop, clock, metrics);
         mContext =
                 new TrafficContext(
                         mLoop,
@@ -109,6 +111,7 @@
                         modelRequester,
                         mUsage,
                         mEvidence,
+                        mOverload,
                         new QuotaGate(mLoop, () -> mView, clock, log, metrics),
                         clock,
                         new LoopDelay(
@@ -134,6 +137,7 @@
 
     private void registerGauges(MetricRegistry metrics) {
         metrics.registerGauge("connections.opened", mPool::openedCount);
+        metrics.registerGauge("overload.waiting", mOverload.waiting()::size);
         metrics.registerGauge("prompt.blocked_parts", mEvidence::blockedCount);
         metrics.registerGauge("servers.slow", mLoads.slow()::slowCount);
     }
@@ -246,14 +250,25 @@
 
     /** Passes a report on the calls to the receiver, which is called on the traffic thread. */
     public void report(Consumer<TrafficReport> receiver) {
+        mLoop.execute(() -> receiver.accept(newReport(mContext.clock().nowMillis())));
+    }
+
+    private TrafficReport newReport(long nowMillis) {
+        return new TrafficReport(
+                mUsage.snapshot(),
+                mEvidence.snapshot(),
+                mLimits.takeReport(nowMillis),
+                mContext.quotas().takeReport(),
+                mOverload.state().customerUses(nowMillis));
+    }
+
+    /** Replaces the customers' shares by those that the controller has computed. */
+    public void updateCustomerShares(Map<String, Double> fractions) {
         mLoop.execute(
                 () ->
-                        receiver.accept(
-                                new TrafficReport(
-                                        mUsage.snapshot(),
-                                        mEvidence.snapshot(),
-                                        mLimits.takeReport(mContext.clock().nowMillis()),
-                                        mContext.quotas().takeReport())));
+                        mOverload
+                                .state()
+                                .setCustomerFractions(fractions, mContext.clock().nowMillis()));
     }
 
     /**
