--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -34,6 +34,9 @@
     /** Name of the plain service. */
     public static final String PLAIN_SERVICE = "plain";
 
+    /** Tokens by which a customer may exceed its quota in a window, beside a tenth. */
+    public static final double QUOTA_SLACK = 2_000;
+
     private static final long FIRST_HEARTBEAT_SEQUENCE = 1;
     private static final int PORTS_PER_ENTRY = 3;
 
@@ -51,6 +54,7 @@
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
     private double mGraceSeconds = 8;
+    private String mClusterKey = "a-secret-of-the-test-fleet";
     private List<String> mFlags = List.of("-Xmx96m");
 
     /** Ports of one entry. */
@@ -80,6 +84,14 @@
         mRetrySlack = 0;
     }
 
+    /**
+     * Sets the secret of entries that are started from now on. Entries with different secrets reach
+     * the store but not one another.
+     */
+    public void setClusterKey(String key) {
+        mClusterKey = key;
+    }
+
     /** Sets the time after SIGTERM at which entries that are started from now on must be gone. */
     public void setGrace(double seconds) {
         mGraceSeconds = seconds;
@@ -238,7 +250,7 @@
             command.addAll(List.of("-jar", "target/cornelway", "direct-entry"));
             ProcessBuilder builder = new ProcessBuilder(command).directory(mRoot.toFile());
             builder.environment().put("CORNELWAY_SETTINGS", settings.toString());
-            builder.environment().put("CORNELWAY_CLUSTER_KEY", "a-secret-of-the-test-fleet");
+            builder.environment().put("CORNELWAY_CLUSTER_KEY", mClusterKey);
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(index).toFile()));
             mEntries.put(index, builder.start());
@@ -271,7 +283,10 @@
                 .put("DrainMs", 2_000)
                 .put("RetryWindowS", 10)
                 .put("RetryBudgetRatio", mRetryRatio)
-                .put("RetrySlack", mRetrySlack);
+                .put("RetrySlack", mRetrySlack)
+                .put("QuotaWindowS", 8)
+                .put("QuotaOverage", 0.1)
+                .put("QuotaSlack", QUOTA_SLACK);
         return root;
     }
 
--- a/org.cornelway.test/tst/org/cornelway/quota/QuotaFleetTest.java
+++ b/org.cornelway.test/tst/org/cornelway/quota/QuotaFleetTest.java
@@ -106,6 +106,38 @@
         assertThat(fleet.worstWindow(MIDDLE)).isLessThanOrEqualTo(1);
     }
 
+    /** Guards against grants, balances and returned tokens of the quota before. */
+    @Test
+    public void lowerQuotaHoldsOneWindowLater() {
+        Customer halved = QuotaFleet.customer(MIDDLE.name(), 9_000, 9_000);
+        QuotaFleet fleet = newFleet(4, false);
+        fleet.run(DAY_MILLIS / 2, () -> sendCalls(fleet, MIDDLE, 3, ENTRIES));
+        fleet.mCustomers = List.of(SMALL, halved, LARGE);
+        fleet.run(fleet.mBounds.windowMillis(), () -> sendCalls(fleet, halved, 6, ENTRIES));
+        fleet.mArrivals.clear();
+        fleet.run(DAY_MILLIS / 2, () -> sendCalls(fleet, halved, 6, ENTRIES));
+        assertThat(fleet.worstWindow(halved)).isLessThanOrEqualTo(1);
+    }
+
+    /** Guards against a small customer that gets nothing until a controller is elected. */
+    @Test
+    public void freshFleetServesCustomersWithoutController() {
+        int calls = 0;
+        int served = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            QuotaFleet fleet = newFleet(seed, false);
+            fleet.mEntries.forEach(each -> fleet.restart(each, 1_000 + fleet.mRandom.nextInt(500)));
+            fleet.mController = Optional.empty();
+            fleet.changeController(4_500);
+            fleet.mCounts.clear();
+            fleet.run(10_000, () -> sendCalls(fleet, SMALL, USUAL, ENTRIES));
+            calls += fleet.counts(SMALL.name()).mCalls;
+            served += fleet.counts(SMALL.name()).mServed;
+        }
+        System.out.println("fresh " + served + " of " + calls);
+        assertThat((double) served / calls).isGreaterThan(0.5);
+    }
+
     @Test
     public void quotasHoldWhateverFails() {
         for (long seed = 0; seed < SEEDS; seed++) {
