Keep the number of entries that quotas are divided among in the store

A process that starts while others are cut off, or together with them, knows too few members, and the entries together would use more than a quota; the random test failed when the members of a fresh process were those it could see. The controller writes the number when it changes, only while a customer has a quota. Ruled out: a number from the other entries' replies, since all may be fresh.

--- a/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
+++ b/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
@@ -33,6 +33,9 @@
      */
     public static final String CONTROLLER = SYSTEM_PREFIX + "controller/0";
 
+    /** Key of the number of entries that quotas are divided among; bound to no lease. */
+    public static final String ENTRIES = SYSTEM_PREFIX + "entries";
+
     /**
      * Key of the request rates of the models, stored for the next controller; bound to no lease.
      * Not below {@link #SYSTEM_PREFIX}, since each write would wake all entries that follow it.
--- a/org.cornelway/src/org/cornelway/cluster/QuotaHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/QuotaHandler.java
@@ -21,23 +21,27 @@
     private final QuotaLedger mLedger;
     private final EntryCount mEntries;
     private final IntSupplier mMembers;
+    private final EntryCountStore mStoredEntries;
     private final Supplier<List<Customer>> mCustomers;
     private final Scheduler mControl;
 
     /**
      * @param ledgerId identifies the ledger of this process among all
      * @param members returns the number of entries known
+     * @param storedEntries the number of entries that the key-value service holds
      * @param customers returns the customers in the configuration in force
      */
     public QuotaHandler(
             long ledgerId,
             QuotaBounds bounds,
             IntSupplier members,
+            EntryCountStore storedEntries,
             Supplier<List<Customer>> customers,
             Scheduler control) {
         mLedger = new QuotaLedger(ledgerId, bounds);
         mEntries = new EntryCount(control.now(TimeUnit.MILLISECONDS));
         mMembers = members;
+        mStoredEntries = storedEntries;
         mCustomers = customers;
         mControl = control;
     }
@@ -48,6 +52,7 @@
         QuotaReport report = QuotaMessages.fromMessage(message);
         mLedger.configure(mCustomers.get());
         mEntries.record(mMembers.getAsInt(), now);
+        mEntries.recordStored(mStoredEntries.stored(), now);
         return QuotaMessages.toMessage(mLedger.handle(report, mEntries.get(now), now));
     }
 }
--- a/org.cornelway/src/org/cornelway/quota/EntryCount.java
+++ b/org.cornelway/src/org/cornelway/quota/EntryCount.java
@@ -6,7 +6,8 @@
  * <p>Too small a number would let the entries use more than the quota. Entries that are cut off
  * disappear from the list of members while they still use their shares, so the largest number known
  * within {@link #RETENTION_MILLIS} counts. Entries that start together learn of one another over
- * some seconds, so {@link #UNSETTLED_ENTRIES} counts at first. Confined to one thread.
+ * some seconds, so {@link #UNSETTLED_ENTRIES} counts at first, unless the key-value service holds
+ * their number. Confined to one thread.
  */
 public final class EntryCount {
     /** Number assumed while the members may still be incomplete. */
@@ -22,6 +23,7 @@
     private long mPeriodStartMillis;
     private int mLargest;
     private int mLargestBefore;
+    private boolean mHasStored;
 
     /**
      * @param nowMillis start of the process
@@ -41,13 +43,20 @@
         mLargest = Math.max(mLargest, members);
     }
 
+    /** Records the number that the key-value service holds, which is complete; 0 if none. */
+    public void recordStored(int entries, long nowMillis) {
+        mHasStored |= entries > 0;
+        record(entries, nowMillis);
+    }
+
     /** Whether another entry is known, or long enough has passed to know of one. */
     public boolean isKnown(long nowMillis) {
         return Math.max(mLargest, mLargestBefore) > 1 || isSettled(nowMillis);
     }
 
-    private boolean isSettled(long nowMillis) {
-        return nowMillis - mStartMillis >= SETTLE_MILLIS;
+    /** Whether the number is taken to be complete. */
+    public boolean isSettled(long nowMillis) {
+        return mHasStored || nowMillis - mStartMillis >= SETTLE_MILLIS;
     }
 
     /** Returns the number of entries to count with, at least 1. */
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -20,8 +20,6 @@
 import org.cornelway.cluster.FallbackPermits;
 import org.cornelway.cluster.LimitDistributor;
 import org.cornelway.cluster.ProcessLease;
-import org.cornelway.cluster.QuotaExchange;
-import org.cornelway.cluster.QuotaHandler;
 import org.cornelway.cluster.Registration;
 import org.cornelway.cluster.StoreFollower;
 import org.cornelway.cluster.StoreHealth;
@@ -38,7 +36,6 @@
 import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.quota.QuotaBounds;
-import org.cornelway.quota.QuotaTargets;
 import org.cornelway.relay.DocumentCache;
 import org.cornelway.supervisor.Component;
 import org.cornelway.time.Clock;
@@ -93,7 +90,7 @@
     private final DemandStore mDemandStore;
     private final ControllerRequestHandler mRequestHandler;
     private final CoalescingModelRequester mModelRequester;
-    private final QuotaHandler mQuotaHandler;
+    private final QuotaControl mQuotas;
     private final UsageReporter mUsageReporter;
     private final List<StoreFollower> mFollowers;
     private boolean mResigned;
@@ -147,14 +144,14 @@
                 new ModelController(
                         engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
         mDemandStore = new DemandStore(keys, mController.demand(), control, log);
-        mQuotaHandler = newQuotaHandler();
+        mQuotas = new QuotaControl(deps, mElection);
         mRequestHandler =
                 new ControllerRequestHandler(
                         mController,
                         mElection,
                         this::findIncarnation,
                         mLimits,
-                        mQuotaHandler,
+                        mQuotas.handler(),
                         control);
         mModelRequester = newModelRequester();
         mUsageReporter = newUsageReporter();
@@ -233,34 +230,7 @@
                         mDeps.self().id(),
                         mDeps.clusterState()::isPermitSharer,
                         mDeps.control().now(TimeUnit.MILLISECONDS)),
-                newQuotaExchange());
-    }
-
-    private QuotaHandler newQuotaHandler() {
-        return new QuotaHandler(
-                new Random().nextLong(),
-                mDeps.quotaBounds(),
-                () -> mDeps.traffic().view().entryCount(),
-                mDeps.clusterState()::customers,
-                mDeps.control());
-    }
-
-    private QuotaExchange newQuotaExchange() {
-        String self = mDeps.self().id();
-        QuotaExchange exchange =
-                new QuotaExchange(
-                        self,
-                        mDeps.self().zone(),
-                        mElection,
-                        mQuotaHandler,
-                        mDeps.controllerClient(),
-                        mDeps.clusterState()::membersByRank,
-                        new QuotaTargets(mDeps.quotaBounds().windowMillis()),
-                        mDeps.control(),
-                        mDeps.log(),
-                        mDeps.traffic());
-        mDeps.traffic().startQuotas(self, mDeps.quotaBounds(), exchange);
-        return exchange;
+                mQuotas.exchange());
     }
 
     private CoalescingModelRequester newModelRequester() {
@@ -338,6 +308,7 @@
         if (isController()) {
             mDemandStore.writeIfDue();
         }
+        mQuotas.step(isController());
     }
 
     /** Reports this process's usage of models to the controller. */
--- a/org.cornelway/src/org/cornelway/traffic/QuotaGate.java
+++ b/org.cornelway/src/org/cornelway/traffic/QuotaGate.java
@@ -37,6 +37,7 @@
     private final MetricRegistry mMetrics;
     private Optional<Parts> mParts = Optional.empty();
     private boolean mAskInProgress;
+    private int mStoredEntries;
 
     /** Version of the configuration that {@link #mHasQuotas} is about. */
     private long mVersion = -1;
@@ -94,7 +95,7 @@
     /** Requests the tokens of a call; the listener may be called before this method returns. */
     void request(Customer customer, double cost, QuotaQueue.Listener listener) {
         Parts parts = mParts.orElseThrow();
-        parts.entries().record(mView.get().entryCount(), now());
+        recordEntries(parts);
         if (parts.queue().add(customer, cost, listener, now())) {
             mMetrics.counter("quota.waited").inc();
             ask();
@@ -105,6 +106,16 @@
         }
     }
 
+    private void recordEntries(Parts parts) {
+        parts.entries().record(mView.get().entryCount(), now());
+        parts.entries().recordStored(mStoredEntries, now());
+    }
+
+    /** Sets the number of entries that the key-value service holds; 0 if none. */
+    void setStoredEntries(int entries) {
+        mStoredEntries = entries;
+    }
+
     private void expire() {
         mParts.orElseThrow().queue().expire(now());
     }
@@ -124,7 +135,7 @@
             return Optional.empty();
         }
         Parts parts = mParts.get();
-        parts.entries().record(mView.get().entryCount(), now());
+        recordEntries(parts);
         return Optional.of(parts.grants().takeReport(parts.queue().costs(), now()));
     }
 
--- a/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
+++ b/org.cornelway/src/org/cornelway/traffic/TrafficPlane.java
@@ -233,6 +233,11 @@
         mLoop.execute(() -> mContext.quotas().onReply(reply, sentMillis));
     }
 
+    /** Sets the number of entries that the key-value service holds. */
+    public void setStoredEntries(int entries) {
+        mLoop.execute(() -> mContext.quotas().setStoredEntries(entries));
+    }
+
     /** Called after a question for tokens was answered, or has failed. */
     public void onQuotaAskEnded() {
         mLoop.execute(mContext.quotas()::onAskEnded);
