--- a/org.cornelway.test/tst/org/cornelway/quota/QuotaFleet.java
+++ b/org.cornelway.test/tst/org/cornelway/quota/QuotaFleet.java
@@ -46,6 +46,9 @@
     /** One in so many messages is lost; 0 for none. */
     int mLostOneIn;
 
+    /** Whether the key-value service has the number of entries from before. */
+    boolean mHasStoredNumber;
+
     private final boolean mNaive;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
@@ -219,10 +222,15 @@
                     .toList();
         }
 
+        /** The key-value service keeps the number of entries, also of those that are cut off. */
+        private void recordEntries(EntryCount count) {
+            count.record(members().size(), mNowMillis);
+            count.recordStored(mHasStoredNumber ? mEntries.size() : 0, mNowMillis);
+        }
+
         private Optional<String> target() {
-            List<Entry> members = members();
-            mCount.record(members.size(), mNowMillis);
-            mLedgerCount.record(members.size(), mNowMillis);
+            recordEntries(mCount);
+            recordEntries(mLedgerCount);
             Set<String> zone = new HashSet<>();
             mEntries.stream()
                     .filter(each -> each.mZone == mZone)
@@ -316,7 +324,7 @@
         }
 
         private void handle(QuotaReport report, java.util.function.Consumer<QuotaReply> answer) {
-            mLedgerCount.record(members().size(), mNowMillis);
+            recordEntries(mLedgerCount);
             mLedger.configure(mCustomers);
             QuotaReply reply = mLedger.handle(report, mLedgerCount.get(mNowMillis), mNowMillis);
             Entry sender = find(report.entry()).orElse(null);
--- a/org.cornelway/src/org/cornelway/cluster/EntryCountStore.java
+++ b/org.cornelway/src/org/cornelway/cluster/EntryCountStore.java
@@ -28,6 +28,11 @@
     private final EntryCount mCount;
     private long mNextWriteMillis;
 
+    /** The document that was decoded last, and its number. */
+    private Optional<KeyValue> mRead = Optional.empty();
+
+    private int mStored;
+
     /** The stored value, which is written as JSON. */
     record Entries(int entries) {}
 
@@ -49,10 +54,15 @@
 
     /** Returns the stored number; 0 if none is known. */
     public int stored() {
-        return document()
-                .flatMap(each -> Json.read(each.value(), Entries.class))
-                .map(Entries::entries)
-                .orElse(0);
+        Optional<KeyValue> document = document();
+        if (!document.equals(mRead)) {
+            mRead = document;
+            mStored =
+                    document.flatMap(each -> Json.read(each.value(), Entries.class))
+                            .map(Entries::entries)
+                            .orElse(0);
+        }
+        return mStored;
     }
 
     /** Writes the number if it has changed; called while this process is the controller. */
