--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -151,7 +151,8 @@
   private java.util.List<org.cornelway.rpc.ServerActivity> busy_;
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -162,7 +163,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -174,7 +176,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -185,7 +188,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -196,7 +200,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1595,7 +1600,8 @@
 
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1609,7 +1615,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1623,7 +1630,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1637,7 +1645,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1656,7 +1665,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1674,7 +1684,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1692,7 +1703,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1711,7 +1723,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1729,7 +1742,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1747,7 +1761,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1766,7 +1781,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1783,7 +1799,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1800,7 +1817,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1811,7 +1829,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1825,7 +1844,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1840,7 +1860,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1851,7 +1872,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1863,7 +1885,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
