--- a/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
+++ b/org.cornelway.rpc/src-gen/org/cornelway/rpc/HoldingsReply.java
@@ -152,7 +152,8 @@
   private java.util.List<org.cornelway.rpc.ServerActivity> busy_;
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -163,7 +164,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -175,7 +177,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -186,7 +189,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -197,7 +201,8 @@
   }
   /**
    * <pre>
-   * The servers with at least as many active calls as slots, whether or not the holdings changed.
+   * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+   * build names only engines with at least as many of them as slots.
    * </pre>
    *
    * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1770,7 +1775,8 @@
 
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1784,7 +1790,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1798,7 +1805,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1812,7 +1820,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1831,7 +1840,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1849,7 +1859,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1867,7 +1878,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1886,7 +1898,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1904,7 +1917,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1922,7 +1936,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1941,7 +1956,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1958,7 +1974,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1975,7 +1992,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -1986,7 +2004,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -2000,7 +2019,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -2015,7 +2035,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -2026,7 +2047,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
@@ -2038,7 +2060,8 @@
     }
     /**
      * <pre>
-     * The servers with at least as many active calls as slots, whether or not the holdings changed.
+     * The active calls of all engines, whether or not the holdings changed. A controller of an earlier
+     * build names only engines with at least as many of them as slots.
      * </pre>
      *
      * <code>repeated .cornelway.v1.ServerActivity busy = 6;</code>
--- a/org.cornelway.test/tst/org/cornelway/overload/OverloadPlay.java
+++ b/org.cornelway.test/tst/org/cornelway/overload/OverloadPlay.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.directory.ServerRecord;
+import org.cornelway.dispatch.CallNeeds;
 import org.cornelway.dispatch.Candidate;
 import org.cornelway.dispatch.LeastLoadedChooser;
 import org.cornelway.overload.PlayedLoad.Arrival;
@@ -244,7 +245,7 @@
             int priority,
             boolean hadRoom,
             long now) {
-        Candidate chosen = new LeastLoadedChooser().choose(candidates, 0, Set.of()).orElseThrow();
+        Candidate chosen = new LeastLoadedChooser().choose(candidates, needs(call)).orElseThrow();
         Engine engine =
                 mEngines.stream()
                         .filter(each -> each.mRecord.equals(chosen.server()))
@@ -257,6 +258,10 @@
         engine.mQueue.add(new Job(arrival, entry, engine, sent, priority, mSequence++));
     }
 
+    private static CallNeeds needs(PendingCall call) {
+        return new CallNeeds(0, Set.of(), (long) call.tokens(), call.id().hashCode());
+    }
+
     private void dispatchWaiting(Entry entry, long now) {
         List<PendingCall> waiting = entry.mWaiting;
         entry.mWaiting = new ArrayList<>();
--- a/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
+++ b/org.cornelway/src/org/cornelway/cluster/ControllerRequestHandler.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import org.cornelway.directory.ServerIncarnation;
 import org.cornelway.dispatch.CrashEvidence;
+import org.cornelway.models.CallGroup;
 import org.cornelway.models.ModelController;
 import org.cornelway.models.ModelRequest;
 import org.cornelway.models.ModelRequestOutcome;
@@ -81,7 +82,12 @@
                         1,
                         message.getNotHeldBy().isEmpty()
                                 ? Optional.empty()
-                                : mIncarnations.apply(message.getNotHeldBy()));
+                                : mIncarnations.apply(message.getNotHeldBy()),
+                        new CallGroup(
+                                message.getFrom(),
+                                Math.max(1, message.getCalls()),
+                                message.getObjectiveMillis(),
+                                Deadline.after(now, message.getRemainingObjectiveMillis())));
         mController.submit(request, outcome -> reply.accept(toGrant(outcome)));
     }
 
@@ -123,7 +129,7 @@
         HoldingsReply.Builder reply =
                 mHoldings.replyTo(report.getTerm(), report.getHoldingsVersion()).toBuilder();
         mController
-                .busyEngines()
+                .activeCalls()
                 .forEach(
                         (server, active) ->
                                 reply.addBusy(
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -33,7 +33,9 @@
 import org.cornelway.dispatch.ServerNotices;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.models.CheapestLoadPlanner;
+import org.cornelway.models.DeferralPolicy;
 import org.cornelway.models.ModelController;
+import org.cornelway.models.ModelEvents;
 import org.cornelway.platform.EngineControl;
 import org.cornelway.platform.EngineNoticeListener;
 import org.cornelway.platform.KeyValueStore;
@@ -143,9 +145,7 @@
                 deps.ports()
                         .engines()
                         .create(deps.traffic().platformClient(), deps.clock(), new EngineNotices());
-        mController =
-                new ModelController(
-                        engines, control, mElection, new CheapestLoadPlanner(), mLimits, log);
+        mController = newModelController(engines);
         mDemandStore = new DemandStore(keys, mController.demand(), control, log);
         mQuotaHandler = newQuotaHandler();
         mRequestHandler =
@@ -162,6 +162,17 @@
         deps.store().feed().restores().observeOn(control).subscribe(this::onStoreRestored);
     }
 
+    private ModelController newModelController(EngineControl engines) {
+        return new ModelController(
+                engines,
+                mDeps.control(),
+                mElection,
+                new CheapestLoadPlanner(),
+                mLimits,
+                DeferralPolicy.BY_OBJECTIVE,
+                new ModelEvents(mDeps.log(), mDeps.metrics()));
+    }
+
     private void onEngineLeaving(ServerIncarnation engine) {
         if (mNotices.recordLeaving(engine)) {
             mController.applyDirectory(directoryWithoutLeaving());
