--- a/org.cornelway.test/tst/org/cornelway/overload/OverloadPlay.java
+++ b/org.cornelway.test/tst/org/cornelway/overload/OverloadPlay.java
@@ -245,8 +245,7 @@
             int priority,
             boolean hadRoom,
             long now) {
-        CallNeeds needs = new CallNeeds(0, Set.of(), 0, 0);
-        Candidate chosen = new LeastLoadedChooser().choose(candidates, needs).orElseThrow();
+        Candidate chosen = new LeastLoadedChooser().choose(candidates, needs(call)).orElseThrow();
         Engine engine =
                 mEngines.stream()
                         .filter(each -> each.mRecord.equals(chosen.server()))
@@ -259,6 +258,10 @@
         engine.mQueue.add(new Job(arrival, entry, engine, sent, priority, mSequence++));
     }
 
+    private static CallNeeds needs(PendingCall call) {
+        return new CallNeeds(0, Set.of(), (long) call.tokens(), call.id().hashCode());
+    }
+
     private void dispatchWaiting(Entry entry, long now) {
         List<PendingCall> waiting = entry.mWaiting;
         entry.mWaiting = new ArrayList<>();
