Archive the classes for customers, quotas and overload

The class-data archive is made from an entry that has served calls, and its configuration had no customers and no long objectives.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/ArchiveProgram.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/ArchiveProgram.java
@@ -1,5 +1,8 @@
 package org.cornelway.bench.direct;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,6 +22,9 @@
 public final class ArchiveProgram {
     private static final int ROUNDS = 20;
 
+    /** Key of the customer. */
+    private static final String KEY = "archive-key";
+
     private ArchiveProgram() {}
 
     /** Creates the archive; fails if the entry did not write it. */
@@ -32,7 +38,8 @@
             fleet.addServer(DirectFleet.PLAIN_SERVICE, "p1");
             fleet.addServer(DirectFleet.ENGINE_SERVICE, "e1", "m1");
             fleet.addServer(DirectFleet.ENGINE_SERVICE, "e2", "m1");
-            fleet.configure();
+            addCustomer(fleet);
+            fleet.configure(ArchiveProgram::deferStreams);
             fleet.startEntry(1);
             fleet.awaitReady(1);
             fleet.startEntry(0, flags);
@@ -47,6 +54,23 @@
         }
     }
 
+    /** Adds a customer with a quota, so that the archive contains the classes for both. */
+    private static void addCustomer(DirectFleet fleet) {
+        ObjectNode customer = fleet.customers().addObject();
+        customer.put("Name", "c1").put("Priority", 1).put("Unit", "generate");
+        customer.put("PlainTokens", 1).put("RatePerS", 100_000).put("Burst", 100_000);
+        customer.putArray("ApiKeys").add(KEY);
+    }
+
+    /** Gives streams an objective with which their calls may wait for a load of their model. */
+    private static void deferStreams(ArrayNode routes) {
+        for (JsonNode route : routes) {
+            if (route.path("Prefix").asText().equals("/stream/")) {
+                ((ObjectNode) route).put("TargetLatencyMs", 4_000);
+            }
+        }
+    }
+
     /** Sends calls of each kind, so that the archive contains the classes that they load. */
     private static void exercise(DirectFleet fleet) {
         for (int i = 0; i < ROUNDS; i++) {
@@ -64,7 +88,8 @@
                         List.of(
                                 new Header("Host", DirectFleet.HOST),
                                 new Header("X-Request-Id", path + System.nanoTime()),
-                                new Header("X-Deadline-Ms", "3000")));
+                                new Header("X-Deadline-Ms", "3000"),
+                                new Header("Authorization", "Bearer " + KEY)));
         if (!model.isEmpty()) {
             headers.add(new Header("X-Model", model));
         }
