--- a/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
+++ b/org.cornelway.test/tst/org/cornelway/platform/wire/WireCodecsTest.java
@@ -57,6 +57,16 @@
         assertThat(head.promptPartIds()).containsExactly("5c", "91", "e4");
     }
 
+    /** Guards against a cost that overflows to less than 0 and would add to a customer's quota. */
+    @Test
+    public void numbersOfTokensAreBounded() {
+        DefaultHttpRequest request = request();
+        request.headers().set("X-Token-Count", "9e18,9e18").set("X-Length-Hint", "9e18");
+        RequestHead head = mCodec.readRequestHead(request).toOptional().orElseThrow();
+        assertThat(head.tokens().orElseThrow().total()).isBetween(1L, 1L << 40);
+        assertThat(head.expectedTokens().orElseThrow()).isBetween(1L, 1L << 40);
+    }
+
     @Test
     public void rejectsCallsWithoutExactlyOneRequestId() {
         DefaultHttpRequest none = request();
--- a/org.cornelway/src/org/cornelway/traffic/CallHandler.java
+++ b/org.cornelway/src/org/cornelway/traffic/CallHandler.java
@@ -71,9 +71,16 @@
      */
     void start() {
         if (mContext.loopDelay().isLate()) {
-            mGuard.afterNextRead(this::begin);
+            mGuard.afterNextRead(this::beginFirst);
         } else {
-            begin();
+            beginFirst();
+        }
+    }
+
+    private void beginFirst() {
+        begin();
+        if (mConfigurationWait.isWaiting()) {
+            mContext.metrics().counter("calls.waited_for_configuration").inc();
         }
     }
 
@@ -83,7 +90,6 @@
         }
         TrafficView view = mContext.view().get();
         if (view.routes().isEmpty() && mConfigurationWait.begin(now())) {
-            mContext.metrics().counter("calls.waited_for_configuration").inc();
             return;
         }
         mTerms = CallRouting.findOrRespond(view, mRequest, mCustomer, mResponder);
--- a/org.cornelway/src/org/cornelway/traffic/ConfigurationWait.java
+++ b/org.cornelway/src/org/cornelway/traffic/ConfigurationWait.java
@@ -29,7 +29,10 @@
         mUntil = Deadline.after(arrivedMillis, (long) Math.min(MAX_WAIT_MILLIS, share));
     }
 
-    /** Lets a call wait that needs a configuration; returns false if it has waited long enough. */
+    /**
+     * Lets a call wait that needs a configuration, or wait on; returns false if it has waited long
+     * enough.
+     */
     boolean begin(long nowMillis) {
         mWaiting = !mUntil.isPast(nowMillis);
         return mWaiting;
