--- /dev/null
+++ b/review/standin-2/LargeBodies.java
@@ -0,0 +1,216 @@
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Twenty consumers, one after the other, send one body of MaxBodyBytes each, to servers that read slowly, while others
+ * release submissions to press at servers that work as usual.
+ */
+final class LargeBodies {
+    private static final int MAX_BODY_BYTES = 4_194_304;
+    private static final int LARGE_BODIES = 20;
+    private static final long INTERVAL_MILLIS = 250;
+    private static final int USUAL_BODY_BYTES = 3_600;
+    private static final int SLOW_BYTES_PER_SECOND = 300_000;
+    private static final int CONSUMERS = 24;
+    private static final long TIMEOUT_MILLIS = 1_500;
+    private static final long CONSUMER_MILLIS = 4_000;
+    private static final long SLACK_MILLIS = 500;
+    private static final int MIN_UNANSWERED = 8;
+
+    private final Bed mBed;
+    private final boolean mTrouble;
+    private final Map<String, String> mRuns = new ConcurrentHashMap<>();
+    private final AtomicInteger mIds = new AtomicInteger();
+    private final AtomicBoolean mStop = new AtomicBoolean();
+    private final AtomicInteger mAnswered = new AtomicInteger();
+
+    /** Requests that lasted longer than their route's TimeoutMs. */
+    private final AtomicInteger mLong = new AtomicInteger();
+
+    /** Those without a final answer half a second after it. */
+    private final AtomicInteger mUnanswered = new AtomicInteger();
+
+    private LargeBodies(Bed bed, boolean trouble) {
+        mBed = bed;
+        mTrouble = trouble;
+    }
+
+    public static void main(String[] words) {
+        Bed.play(words, bed -> new LargeBodies(bed, Bed.hasTrouble()).run());
+    }
+
+    private static String route(String prefix, String service, long timeoutMillis) {
+        return "{\"Name\":\"r" + prefix.replace('/', '-') + "\",\"Host\":\"" + Bed.HOST
+                + "\",\"Prefix\":\"" + prefix + "\",\"Kind\":\"unsafe\",\"TimeoutMs\":"
+                + timeoutMillis + ",\"TargetLatencyMs\":300,\"Priority\":2,\"Service\":\""
+                + service + "\",\"MaxAttempts\":1}";
+    }
+
+    private static String config() {
+        return "{\"Version\":3,\"Routes\":[" + route("/press/", "press-desk", TIMEOUT_MILLIS) + ","
+                + route("/proofs/", "proof-desk", 12_000) + "],\"Services\":["
+                + "{\"Name\":\"press-desk\",\"HealthPath\":\"/health\",\"MaxConns\":190},"
+                + "{\"Name\":\"proof-desk\",\"HealthPath\":\"/health\",\"MaxConns\":190}],"
+                + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":" + MAX_BODY_BYTES
+                + ",\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
+    }
+
+    private void addServer(String id, String service, int bytesPerSecond) throws IOException {
+        Server[] self = new Server[1];
+        self[0] = new Server(id, (request, channel) -> handle(self[0], request, channel));
+        self[0].readSlowly(bytesPerSecond);
+        mBed.store()
+                .put(
+                        "servers/" + id,
+                        "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:"
+                                + self[0].port() + "\",\"Zone\":\"aveiro\",\"Version\":\"v1\","
+                                + "\"Slots\":6,\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":1,"
+                                + "\"born\":" + self[0].born() + "}");
+    }
+
+    private int run() throws Exception {
+        mBed.store().put("op/config", config());
+        for (int i = 1; i <= 4; i++) {
+            addServer("i-press-" + i, "press-desk", 0);
+            addServer("i-proof-" + i, "proof-desk", mTrouble ? SLOW_BYTES_PER_SECOND : 0);
+        }
+        Bed.Entry entry = mBed.entry("front-aveiro-1");
+        entry.start(0.63);
+        entry.awaitReady();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < CONSUMERS; i++) {
+            int consumer = i;
+            threads.add(Bed.thread("consumer", () -> release(entry.front(), consumer)));
+        }
+        Bed.sleep(5_000);
+        mBed.note("usual", summary());
+        if (mLong.get() > 0) {
+            mBed.note("end", "requests were late before the large bodies were sent");
+            return 2;
+        }
+        mBed.note("large", LARGE_BODIES + " consumers send a body of "
+                + (mTrouble ? MAX_BODY_BYTES : USUAL_BODY_BYTES) + " bytes each, one every "
+                + INTERVAL_MILLIS + " ms");
+        for (int i = 0; i < LARGE_BODIES; i++) {
+            int consumer = 100 + i;
+            threads.add(Bed.thread("large", () -> upload(entry.front(), consumer)));
+            Bed.sleep(INTERVAL_MILLIS);
+        }
+        Bed.sleep(13_000);
+        mStop.set(true);
+        for (Thread thread : threads) {
+            thread.join(5_000);
+        }
+        mBed.note("end", summary() + "; the process is alive: " + entry.process().isAlive());
+        boolean broken =
+                mUnanswered.get() >= MIN_UNANSWERED && mUnanswered.get() > mLong.get() / 4.0;
+        return broken || !entry.process().isAlive() ? 1 : 0;
+    }
+
+    private String summary() {
+        return mAnswered + " requests of /press/ answered in time; " + mLong
+                + " lasted longer than TimeoutMs, " + mUnanswered
+                + " of these had no final answer " + SLACK_MILLIS + " ms after it";
+    }
+
+    private void handle(Server server, Http request, Socket channel) throws IOException {
+        String id = request.header("X-Request-Id");
+        mRuns.put(id, server.id());
+        mBed.note("run", id + " at " + server.id() + ", body of " + request.body().length);
+        Bed.sleep(69);
+        server.reply(
+                channel,
+                request,
+                "200 OK",
+                "X-Server-Stamp: " + id + "\r\nX-Server-Load: 1,0,6\r\n",
+                new byte[800]);
+    }
+
+    /** Sends requests one after the other on a kept channel. */
+    private void release(int port, int consumer) {
+        Bed.sleep(consumer * 10);
+        while (!mStop.get()) {
+            try (Socket channel = Bed.connect(port)) {
+                channel.setSoTimeout((int) CONSUMER_MILLIS);
+                InputStream in = new BufferedInputStream(channel.getInputStream());
+                while (!mStop.get()) {
+                    String id = id(consumer);
+                    long sent = mBed.millis();
+                    Http reply;
+                    try {
+                        send(channel, "/press/2f", id, CONSUMER_MILLIS, new byte[600]);
+                        reply = Http.read(in);
+                    } catch (IOException e) {
+                        record(id, sent, "no answer: " + e.getMessage());
+                        throw e;
+                    }
+                    record(id, sent, reply == null ? "channel closed" : reply.firstLine());
+                    if (reply == null || reply.header("Connection").equalsIgnoreCase("close")) {
+                        break;
+                    }
+                    Bed.sleep(250);
+                }
+            } catch (IOException e) {
+                Bed.sleep(100);
+            }
+        }
+    }
+
+    private void record(String id, long sent, String outcome) {
+        long millis = mBed.millis() - sent;
+        if (millis <= TIMEOUT_MILLIS) {
+            mAnswered.incrementAndGet();
+        } else {
+            mLong.incrementAndGet();
+            if (millis > TIMEOUT_MILLIS + SLACK_MILLIS) {
+                mUnanswered.incrementAndGet();
+            }
+        }
+        mBed.note(
+                millis <= TIMEOUT_MILLIS ? "answer" : "LATE",
+                id + " after " + millis + " ms: " + outcome + "; run by "
+                        + mRuns.getOrDefault(id, "no server"));
+    }
+
+    private void upload(int port, int consumer) {
+        String id = id(consumer);
+        try (Socket channel = Bed.connect(port)) {
+            channel.setSoTimeout(12_500);
+            byte[] body = new byte[mTrouble ? MAX_BODY_BYTES : USUAL_BODY_BYTES];
+            mBed.note("send", id + " body of " + body.length);
+            send(channel, "/proofs/2f", id, 12_000, body);
+            Http reply = Http.read(new BufferedInputStream(channel.getInputStream()));
+            mBed.note("answer", id + " "
+                    + (reply == null
+                            ? "none"
+                            : reply.firstLine() + " "
+                                    + (reply.status() == 200
+                                            ? ""
+                                            : new String(reply.body(), StandardCharsets.UTF_8))));
+        } catch (IOException e) {
+            mBed.note("answer", id + " none: " + e.getMessage());
+        }
+    }
+
+    private String id(int consumer) {
+        return String.format("%03d-%06d", consumer, mIds.incrementAndGet());
+    }
+
+    private static void send(Socket channel, String path, String id, long millis, byte[] body)
+            throws IOException {
+        Bed.send(channel, "POST " + path + " HTTP/1.1\r\nHost: " + Bed.HOST
+                + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + millis
+                + "\r\nContent-Length: " + body.length + "\r\n\r\n");
+        channel.getOutputStream().write(body);
+        channel.getOutputStream().flush();
+    }
+}
