--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -17,7 +17,7 @@
 final class LargeBodies {
     private static final int MAX_BODY_BYTES = 4_194_304;
     private static final int LARGE_BODIES = 20;
-    private static final long INTERVAL_MILLIS = 250;
+    private static final long INTERVAL_MILLIS = 60;
     private static final int USUAL_BODY_BYTES = 3_600;
     private static final int SLOW_BYTES_PER_SECOND = 300_000;
     private static final int CONSUMERS = 24;
