Let case 8 differ by the servers' reading alone

Cause: with TROUBLE=0 the bodies were small too, so that the play changed two things at once. Changed: both plays send the same bodies; only the servers' reading differs.

--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -18,7 +18,6 @@
     private static final int MAX_BODY_BYTES = 4_194_304;
     private static final int LARGE_BODIES = 20;
     private static final long INTERVAL_MILLIS = 60;
-    private static final int USUAL_BODY_BYTES = 3_600;
     private static final int SLOW_BYTES_PER_SECOND = 300_000;
     private static final int CONSUMERS = 24;
     private static final long TIMEOUT_MILLIS = 1_500;
@@ -97,9 +96,9 @@
             mBed.note("end", "requests were late before the large bodies were sent");
             return 2;
         }
-        mBed.note("large", LARGE_BODIES + " consumers send a body of "
-                + (mTrouble ? MAX_BODY_BYTES : USUAL_BODY_BYTES) + " bytes each, one every "
-                + INTERVAL_MILLIS + " ms");
+        mBed.note("large", LARGE_BODIES + " consumers send a body of " + MAX_BODY_BYTES
+                + " bytes each, one every " + INTERVAL_MILLIS + " ms; their servers read "
+                + (mTrouble ? SLOW_BYTES_PER_SECOND + " bytes a second" : "at once"));
         for (int i = 0; i < LARGE_BODIES; i++) {
             int consumer = 100 + i;
             threads.add(Bed.thread("large", () -> upload(entry.front(), consumer)));
@@ -185,7 +184,7 @@
         String id = id(consumer);
         try (Socket channel = Bed.connect(port)) {
             channel.setSoTimeout(12_500);
-            byte[] body = new byte[mTrouble ? MAX_BODY_BYTES : USUAL_BODY_BYTES];
+            byte[] body = new byte[MAX_BODY_BYTES];
             mBed.note("send", id + " body of " + body.length);
             send(channel, "/proofs/2f", id, 12_000, body);
             Http reply = Http.read(new BufferedInputStream(channel.getInputStream()));
