--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -11,13 +11,21 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Twenty consumers, one after the other, send one body of MaxBodyBytes each, to servers that read slowly, while others
- * release submissions to press at servers that work as usual.
+ * Consumers send bodies of MaxBodyBytes while others release submissions to press at servers that
+ * work as usual.
+ *
+ * <p>Two plays: in "slow", twenty consumers send one body each, and the disruption is that the
+ * servers of these bodies read slowly. In "burst", consumers whose links take some three seconds for
+ * a body send eight at a time, and the disruption is a burst of 2.4 times as many.
  */
 final class LargeBodies {
     private static final int MAX_BODY_BYTES = 4_194_304;
-    private static final int LARGE_BODIES = 20;
-    private static final long INTERVAL_MILLIS = 60;
+    private static final int SLOW_BODIES = 20;
+    private static final long SLOW_INTERVAL_MILLIS = 60;
+    private static final int USUAL_BODIES = 8;
+    private static final int BURST_BODIES = 19;
+    private static final int PART_BYTES = 65_536;
+    private static final long PART_MILLIS = 45;
     private static final int SLOW_BYTES_PER_SECOND = 300_000;
     private static final int CONSUMERS = 24;
     private static final long TIMEOUT_MILLIS = 1_500;
@@ -27,6 +35,7 @@
 
     private final Bed mBed;
     private final boolean mTrouble;
+    private final boolean mBurst;
     private final Map<String, String> mRuns = new ConcurrentHashMap<>();
     private final AtomicInteger mIds = new AtomicInteger();
     private final AtomicBoolean mStop = new AtomicBoolean();
@@ -38,13 +47,15 @@
     /** Those without a final answer half a second after it. */
     private final AtomicInteger mUnanswered = new AtomicInteger();
 
-    private LargeBodies(Bed bed, boolean trouble) {
+    private LargeBodies(Bed bed, boolean burst, boolean trouble) {
         mBed = bed;
+        mBurst = burst;
         mTrouble = trouble;
     }
 
     public static void main(String[] words) {
-        Bed.play(words, bed -> new LargeBodies(bed, Bed.hasTrouble()).run());
+        boolean burst = words[2].equals("burst");
+        Bed.play(words, bed -> new LargeBodies(bed, burst, Bed.hasTrouble()).run());
     }
 
     private static String route(String prefix, String service, long timeoutMillis) {
@@ -80,7 +91,7 @@
         mBed.store().put("op/config", config());
         for (int i = 1; i <= 4; i++) {
             addServer("i-press-" + i, "press-desk", 0);
-            addServer("i-proof-" + i, "proof-desk", mTrouble ? SLOW_BYTES_PER_SECOND : 0);
+            addServer("i-proof-" + i, "proof-desk", mTrouble && !mBurst ? SLOW_BYTES_PER_SECOND : 0);
         }
         Bed.Entry entry = mBed.entry("front-aveiro-1");
         entry.start(0.63);
@@ -91,18 +102,21 @@
             threads.add(Bed.thread("consumer", () -> release(entry.front(), consumer)));
         }
         Bed.sleep(5_000);
+        if (mBurst) {
+            upload(entry.front(), USUAL_BODIES, 0, threads);
+            Bed.sleep(5_000);
+        }
         mBed.note("usual", summary());
         if (mLong.get() > 0) {
-            mBed.note("end", "requests were late before the large bodies were sent");
+            mBed.note("end", "requests were late before the disruption");
             return 2;
         }
-        mBed.note("large", LARGE_BODIES + " consumers send a body of " + MAX_BODY_BYTES
-                + " bytes each, one every " + INTERVAL_MILLIS + " ms; their servers read "
-                + (mTrouble ? SLOW_BYTES_PER_SECOND + " bytes a second" : "at once"));
-        for (int i = 0; i < LARGE_BODIES; i++) {
-            int consumer = 100 + i;
-            threads.add(Bed.thread("large", () -> upload(entry.front(), consumer)));
-            Bed.sleep(INTERVAL_MILLIS);
+        if (mBurst) {
+            upload(entry.front(), mTrouble ? BURST_BODIES : USUAL_BODIES, 0, threads);
+        } else {
+            mBed.note("servers", "of proof-desk read "
+                    + (mTrouble ? SLOW_BYTES_PER_SECOND + " bytes a second" : "at once"));
+            upload(entry.front(), SLOW_BODIES, SLOW_INTERVAL_MILLIS, threads);
         }
         Bed.sleep(13_000);
         mStop.set(true);
@@ -180,6 +194,16 @@
                         + mRuns.getOrDefault(id, "no server"));
     }
 
+    private void upload(int port, int consumers, long intervalMillis, List<Thread> threads) {
+        mBed.note("large", consumers + " consumers send a body of " + MAX_BODY_BYTES
+                + " bytes each, one every " + intervalMillis + " ms");
+        for (int i = 0; i < consumers; i++) {
+            int consumer = 100 + i;
+            threads.add(Bed.thread("large", () -> upload(port, consumer)));
+            Bed.sleep(intervalMillis);
+        }
+    }
+
     private void upload(int port, int consumer) {
         String id = id(consumer);
         try (Socket channel = Bed.connect(port)) {
@@ -204,12 +228,17 @@
         return String.format("%03d-%06d", consumer, mIds.incrementAndGet());
     }
 
-    private static void send(Socket channel, String path, String id, long millis, byte[] body)
+    private void send(Socket channel, String path, String id, long millis, byte[] body)
             throws IOException {
         Bed.send(channel, "POST " + path + " HTTP/1.1\r\nHost: " + Bed.HOST
                 + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + millis
                 + "\r\nContent-Length: " + body.length + "\r\n\r\n");
-        channel.getOutputStream().write(body);
+        for (int at = 0; at < body.length; at += PART_BYTES) {
+            channel.getOutputStream().write(body, at, Math.min(PART_BYTES, body.length - at));
+            if (mBurst && body.length > PART_BYTES) {
+                Bed.sleep(PART_MILLIS);
+            }
+        }
         channel.getOutputStream().flush();
     }
 }
