--- a/review/standin-2/LateOrder.java
+++ b/review/standin-2/LateOrder.java
@@ -93,7 +93,7 @@
         mBed.store().put("op/config", Engine.config());
         Engine engine = new Engine(mBed, "i-1");
         int port = new Link(engine.server().port()).mSocket.getLocalPort();
-        mBed.store().put("servers/i-1", engine.announcement(port));
+        mBed.store().put("servers/i-1", engine.announcement(port).replace("aveiro", "agueda"));
         mFirst = mBed.entry("front-1");
         Bed.Entry second = mBed.entry("front-2");
         mHeld.set(true);
