Let case 7 stop the controllers in turn until one order is late

The doses stay; two entries are now stopped and started in turn, each as it is the controller, one lost packet a stop, eight stops at most, orders of the two over 3 s apart.

--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -87,6 +87,15 @@
                     + "\"TtlMinMs\":1000}}";
         }
 
+        /** Starts the process again once its last one has ended, at the latest after GraceS. */
+        void restart(double cpuShare) throws IOException, InterruptedException {
+            if (!mProcess.waitFor(10, TimeUnit.SECONDS)) {
+                throw new IllegalStateException(mName + " has not ended");
+            }
+            start(cpuShare);
+            awaitReady();
+        }
+
         boolean isReady() {
             try (Socket socket = connect(mReady)) {
                 socket.setSoTimeout(1_000);
--- a/review/standin-2/LateOrder.java
+++ b/review/standin-2/LateOrder.java
@@ -10,17 +10,26 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * The controller is stopped as planned while the packet with one of its orders is lost once on the
- * way to an engine, and sent again by TCP.
+ * Two entries are stopped and started in turn, each as it is the controller, while the packet with
+ * one of its orders is lost once on the way to an engine, and sent again by TCP.
  */
 final class LateOrder {
     /** Time after which TCP sends a lost packet again: the least that Linux waits. */
     private static final long RESEND_MILLIS = 200;
 
+    /** Stops in turn; the play ends at the first one at which the rule is broken. */
+    private static final int STOPS = 8;
+
+    /** Time from the start of an entry to the next orders, longer than LeaseMs. */
+    private static final long SETTLE_MILLIS = 4_000;
+
+    /** Time after a stop in which orders may come late. */
+    private static final long LATE_MILLIS = 2_000;
+
     private final Bed mBed;
     private final boolean mTrouble;
     private final AtomicBoolean mHeld = new AtomicBoolean();
-    private Bed.Entry mFirst;
+    private Bed.Entry mController;
 
     private LateOrder(Bed bed, boolean trouble) {
         mBed = bed;
@@ -74,18 +83,20 @@
     }
 
     private void hold(String packet) throws IOException {
-        if (!packet.contains("\"Holder\":\"front-1\"") || !mHeld.compareAndSet(false, true)) {
+        if (!packet.contains("\"Operation\"") || !mHeld.compareAndSet(false, true)) {
             return;
         }
         mBed.note("on its way", packet.substring(packet.indexOf("{\"Op")));
         try {
-            mFirst.signal("TERM");
+            mController.signal("TERM");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         if (mTrouble) {
             Bed.sleep(RESEND_MILLIS);
-            mBed.note("link", "the packet is sent again and arrives, " + RESEND_MILLIS + " ms later");
+            mBed.note(
+                    "link",
+                    "the packet is sent again and arrives, " + RESEND_MILLIS + " ms later");
         }
     }
 
@@ -94,35 +105,62 @@
         Engine engine = new Engine(mBed, "i-1");
         int port = new Link(engine.server().port()).mSocket.getLocalPort();
         mBed.store().put("servers/i-1", engine.announcement(port).replace("aveiro", "agueda"));
-        mFirst = mBed.entry("front-1");
-        Bed.Entry second = mBed.entry("front-2");
         mHeld.set(true);
-        mFirst.start(0.57);
-        mFirst.awaitReady();
-        while (!mBed.store().text("cornelway/controller/0").contains("front-1")) {
+        mController = mBed.entry("front-1");
+        mController.start(0.57);
+        mController.awaitReady();
+        awaitController();
+        Bed.Entry other = mBed.entry("front-2");
+        other.start(0.57);
+        other.awaitReady();
+        boolean stale = false;
+        for (int stop = 0; stop < STOPS && !stale; stop++) {
+            Bed.sleep(SETTLE_MILLIS);
+            mHeld.set(false);
+            stopAsAnOrderIsOnItsWay(other, stop);
+            stale = hasStaleOrder(engine.orders());
+            if (!mHeld.get()) {
+                mBed.note("end", "no order was on its way");
+                return 2;
+            }
+            Bed.Entry stopped = mController;
+            mController = other;
+            other = stopped;
+            if (!stale && stop < STOPS - 1) {
+                awaitController();
+                other.restart(0.57);
+            }
+        }
+        mBed.note("end", "a lower generation number after a higher one: " + stale);
+        return stale ? 1 : 0;
+    }
+
+    private void awaitController() {
+        while (!mBed.store().text("cornelway/controller/0").contains(mController.name())) {
             Bed.sleep(20);
         }
-        second.start(0.57);
-        second.awaitReady();
-        Bed.sleep(4_000);
-        mHeld.set(false);
+    }
+
+    private void stopAsAnOrderIsOnItsWay(Bed.Entry other, int stop) throws InterruptedException {
         List<Thread> consumers = new ArrayList<>();
-        for (String model : List.of("m1/a1", "m1/a2", "m1/a3")) {
-            consumers.add(Bed.thread(model, () -> ask(second.front(), model)));
+        for (int i = 1; i <= 3; i++) {
+            String model = "m1/a" + (3 * stop + i);
+            consumers.add(Bed.thread(model, () -> ask(other.front(), model)));
         }
-        Bed.sleep(9_000);
+        Bed.sleep(LATE_MILLIS);
         for (Thread consumer : consumers) {
-            consumer.join(6_000);
+            consumer.join(13_000);
         }
-        boolean stale = false;
+    }
+
+    private static boolean hasStaleOrder(List<Engine.Order> orders) {
         long highest = 0;
-        for (Engine.Order order : engine.orders()) {
+        boolean stale = false;
+        for (Engine.Order order : orders) {
             stale |= order.fence() < highest;
             highest = Math.max(highest, order.fence());
         }
-        mBed.note("end", "a lower generation number after a higher one: " + stale + ", an order was "
-                + "on its way: " + mHeld);
-        return !mHeld.get() ? 2 : stale ? 1 : 0;
+        return stale;
     }
 
     private void ask(int port, String model) {
