--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * Starts entries with the command of the deploy file, on free loopback ports, and keeps the record
@@ -41,10 +42,12 @@
         private final int mFront = freePort();
         private final int mReady = freePort();
         private final int mControl = freePort();
+        private int mStorePort;
         private Process mProcess;
 
         private Entry(String name) throws IOException {
             mName = name;
+            mStorePort = mStore.port(name);
         }
 
         String name() {
@@ -59,6 +62,36 @@
             return mProcess;
         }
 
+        int storePort() {
+            return mStorePort;
+        }
+
+        /** Makes the process reach the store by another port when it is started. */
+        void useStorePort(int port) {
+            mStorePort = port;
+        }
+
+        /** Whether the process has opened a channel that another process has accepted. */
+        boolean hasOpened(Socket accepted) {
+            Path process = Path.of("/proc/" + mProcess.pid());
+            String ends = String.format(":%04X", accepted.getPort());
+            try (Stream<Path> files = Files.list(process.resolve("fd"))) {
+                Set<String> sockets = new HashSet<>();
+                for (Path file : files.toList()) {
+                    sockets.add(Files.readSymbolicLink(file).toString());
+                }
+                List<String> rows = new ArrayList<>();
+                rows.addAll(Files.readAllLines(process.resolve("net/tcp")));
+                rows.addAll(Files.readAllLines(process.resolve("net/tcp6")));
+                return rows.stream()
+                        .map(row -> row.trim().split(" +"))
+                        .filter(words -> words.length > 9 && words[1].endsWith(ends))
+                        .anyMatch(words -> sockets.contains("socket:[" + words[9] + "]"));
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
         void start(double cpuShare) throws IOException {
             Path settings = mDirectory.resolve(mName + ".json");
             Files.writeString(settings, settings(cpuShare));
@@ -82,7 +115,7 @@
                     + "\"Bootstrap\":true,\"HeartbeatMs\":1200,\"Limits\":{\"CpuShare\":" + cpuShare
                     + ",\"CpuCores\":1,\"MemoryMb\":543,\"MaxFds\":8192,\"LinkMbps\":140.0,"
                     + "\"DiskMb\":0},\"Bounds\":" + BOUNDS + ",\"Platform\":{\"Address\":"
-                    + "\"127.0.0.1:" + mStore.port(mName) + "\",\"form\":\"kv\",\"WritesPerS\":1200,"
+                    + "\"127.0.0.1:" + mStorePort + "\",\"form\":\"kv\",\"WritesPerS\":1200,"
                     + "\"ReadsPerS\":6000,\"HistoryS\":20,\"ValueBytes\":1048576,"
                     + "\"TtlMinMs\":1000}}";
         }
@@ -241,6 +274,11 @@
         return thread;
     }
 
+    /** The start of the record's time, in milliseconds on the steady clock. */
+    long origin() {
+        return mStart / 1_000_000;
+    }
+
     long millis() {
         return (System.nanoTime() - mStart) / 1_000_000;
     }
