Let case 8 send its bodies in waves until requests are late

The doses stay; the twelve bodies now come in five waves at most, 13 s apart, and the play ends once the rule is broken.

--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -14,9 +14,9 @@
  * Consumers send bodies of MaxBodyBytes while others release submissions to press at servers that
  * work as usual. All bodies together stay under the 140 Mbit/s of the entry's link.
  *
- * <p>Two plays: in "slow", twelve consumers send one body each, and the disruption is that the
- * servers of these bodies read slowly. In "burst", eight consumers do so at a time, and the
- * disruption is a burst of 2.4 times as many.
+ * <p>Two plays, each in waves: in "slow", twelve consumers send one body each, and the disruption
+ * is that the servers of these bodies read slowly. In "burst", eight consumers do so at a time, and
+ * the disruption is a burst of 2.4 times as many.
  */
 final class LargeBodies {
     private static final int MAX_BODY_BYTES = 4_194_304;
@@ -33,6 +33,11 @@
     private static final long SLACK_MILLIS = 500;
     private static final int MIN_UNANSWERED = 8;
 
+    /** Waves of large bodies; the play ends behind the first one at which the rule is broken. */
+    private static final int WAVES = 5;
+
+    private static final long WAVE_MILLIS = 13_000;
+
     private final Bed mBed;
     private final boolean mTrouble;
     private final boolean mBurst;
@@ -111,22 +116,27 @@
             mBed.note("end", "requests were late before the disruption");
             return 2;
         }
-        if (mBurst) {
-            upload(entry.front(), mTrouble ? BURST_BODIES : USUAL_BODIES, threads);
-        } else {
-            mBed.note("servers", "of proof-desk read "
-                    + (mTrouble ? SLOW_BYTES_PER_SECOND + " bytes a second" : "at once"));
-            upload(entry.front(), SLOW_BODIES, threads);
+        for (int wave = 0; wave < WAVES && !isBroken(); wave++) {
+            if (mBurst) {
+                upload(entry.front(), mTrouble ? BURST_BODIES : USUAL_BODIES, threads);
+            } else {
+                mBed.note("servers", "of proof-desk read "
+                        + (mTrouble ? SLOW_BYTES_PER_SECOND + " bytes a second" : "at once"));
+                upload(entry.front(), SLOW_BODIES, threads);
+            }
+            Bed.sleep(WAVE_MILLIS);
+            mBed.note("wave", summary());
         }
-        Bed.sleep(13_000);
         mStop.set(true);
         for (Thread thread : threads) {
             thread.join(5_000);
         }
         mBed.note("end", summary() + "; the process is alive: " + entry.process().isAlive());
-        boolean broken =
-                mUnanswered.get() >= MIN_UNANSWERED && mUnanswered.get() > mLong.get() / 4.0;
-        return broken || !entry.process().isAlive() ? 1 : 0;
+        return isBroken() || !entry.process().isAlive() ? 1 : 0;
+    }
+
+    private boolean isBroken() {
+        return mUnanswered.get() >= MIN_UNANSWERED && mUnanswered.get() > mLong.get() / 4.0;
     }
 
     private long partMillis() {
