Let case 9 burst from ten bodies to 24, in waves

Now ten consumers are usual and 24 come in a burst, 2.4 times as many as before, for 6 s, at 134 Mbit/s: the site's own limits.

--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -15,17 +15,17 @@
  * work as usual. All bodies together stay under the 140 Mbit/s of the entry's link.
  *
  * <p>Two plays, each in waves: in "slow", twelve consumers send one body each, and the disruption
- * is that the servers of these bodies read slowly. In "burst", eight consumers do so at a time, and
+ * is that the servers of these bodies read slowly. In "burst", ten consumers do so at a time, and
  * the disruption is a burst of 2.4 times as many.
  */
 final class LargeBodies {
     private static final int MAX_BODY_BYTES = 4_194_304;
     private static final int SLOW_BODIES = 12;
     private static final long SLOW_PART_MILLIS = 47;
-    private static final int USUAL_BODIES = 8;
-    private static final int BURST_BODIES = 19;
+    private static final int USUAL_BODIES = 10;
+    private static final int BURST_BODIES = 24;
     private static final int PART_BYTES = 65_536;
-    private static final long BURST_PART_MILLIS = 75;
+    private static final long BURST_PART_MILLIS = 94;
     private static final int SLOW_BYTES_PER_SECOND = 300_000;
     private static final int CONSUMERS = 24;
     private static final long TIMEOUT_MILLIS = 1_500;
