Play case 10 with three entries

Cause: the script cut off one entry of two, which is more than the share of .35 that the site has at most for node_cut; one of three is .33.

--- a/review/standin-2/CutOff.java
+++ b/review/standin-2/CutOff.java
@@ -7,7 +7,7 @@
 
 /**
  * The controller is cut off from the store and from an engine for five seconds as one of its orders
- * is on its way. The other entry becomes the controller meanwhile.
+ * is on its way. Another entry becomes the controller meanwhile.
  */
 final class CutOff {
     private static final long CUT_MILLIS = 5_000;
@@ -37,6 +37,7 @@
         Engine engine = new Engine(mBed, "i-1");
         Bed.Entry first = mBed.entry("front-1");
         Bed.Entry second = mBed.entry("front-2");
+        Bed.Entry third = mBed.entry("front-3");
         Cable toEngine =
                 new Cable(mCut, engine.server().port(), first::hasOpened, this::beginsCut);
         mBed.store().put("servers/i-1", engine.announcement(toEngine.port()));
@@ -49,6 +50,8 @@
         }
         second.start(0.57);
         second.awaitReady();
+        third.start(0.57);
+        third.awaitReady();
         Bed.sleep(4_000);
         mWaitsForOrder.set(true);
         List<Thread> consumers = new ArrayList<>();
