Let the engine stand-in unload adapters, with its models in a class

Cause: the stand-in answered an order to unload an adapter with 202 and added the adapter to those it held, where the platform's engines unload it at once and answer 200. A controller then stopped to give orders once all places for adapters were taken, so a test could not show orders over a longer time.

Change: what an engine holds, and the orders that change it, are a class of their own; an order to unload an adapter unloads it. A received order says when it arrived.

--- a/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/BackendServerStandin.java
@@ -1,6 +1,5 @@
 package org.cornelway.standin.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -8,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -41,15 +39,10 @@
     private final Set<NetSocket> mOpenSockets = ConcurrentHashMap.newKeySet();
     private volatile long mStartedMillis = System.currentTimeMillis();
 
-    /** The adapters of each loaded model, by name of the model. */
-    private final Map<String, Set<String>> mModels = new ConcurrentHashMap<>();
-
-    private final BackendServerDocuments mDocuments = new BackendServerDocuments(mModels);
-
+    private final HeldModels mModels;
+    private final BackendServerDocuments mDocuments;
     private final ConcurrentLinkedQueue<ReceivedCall> mReceivedCalls =
             new ConcurrentLinkedQueue<>();
-    private final ConcurrentLinkedQueue<ReceivedOrder> mReceivedOrders =
-            new ConcurrentLinkedQueue<>();
     private final AtomicInteger mAbandonedStreams = new AtomicInteger();
     private volatile Fault mFault = Fault.NONE;
 
@@ -69,14 +62,9 @@
     /** Header lines that each report and each reply to an order has in addition. */
     private volatile String mReplyHeaders = "";
 
-    private volatile long mLoadMillis = 30;
-
     /** Time from the receipt of a call to its response or refusal. */
     private volatile long mResponseDelayMillis;
 
-    private volatile long mAcceptedOrders;
-    private volatile long mHighestFencingNumber;
-
     /**
      * Starts listening on a free port of the loopback address; returns once it does.
      *
@@ -86,9 +74,8 @@
     public BackendServerStandin(Vertx vertx, String id, String... models) {
         mVertx = vertx;
         mId = id;
-        for (String model : models) {
-            mModels.put(model, ConcurrentHashMap.newKeySet());
-        }
+        mModels = new HeldModels(vertx, models);
+        mDocuments = new BackendServerDocuments(mModels.byName());
         mServer = vertx.createNetServer().connectHandler(this::accept);
         CompletableFuture<NetServer> listening = new CompletableFuture<>();
         mServer.listen(0, "127.0.0.1")
@@ -166,7 +153,7 @@
 
     /** The orders received so far, in order of arrival. */
     public List<ReceivedOrder> receivedOrders() {
-        return new ArrayList<>(mReceivedOrders);
+        return mModels.receivedOrders();
     }
 
     /**
@@ -179,7 +166,7 @@
 
     /** The names of the models that are loaded now. */
     public Set<String> loadedModels() {
-        return new HashSet<>(mModels.keySet());
+        return new HashSet<>(mModels.byName().keySet());
     }
 
     /**
@@ -220,49 +207,19 @@
             String id = request.headers().get("x-request-id");
             misdirect(socket, id == null ? "" : "X-Request-Id: " + id + "\r\n");
         } else if (path.equals("/report")) {
-            String report = new String(mDocuments.report(mAcceptedOrders, mStartedMillis));
+            String report = new String(mDocuments.report(mModels.acceptedOrders(), mStartedMillis));
             write(socket, "200 OK", mReplyHeaders, report);
         } else if (path.equals("/order")) {
-            String status = handleOrder(Json.lenientMapper().readTree(request.body()));
+            String status = mModels.handleOrder(Json.lenientMapper().readTree(request.body()));
             write(socket, status, mReplyHeaders, "");
         } else {
             handleCall(socket, request);
         }
     }
 
-    /**
-     * Accepts an order, unless its fencing number is lower than that of an earlier order or its
-     * expected number of accepted orders differs from the actual one. An accepted load of a model
-     * completes {@link #mLoadMillis} later. Returns the status of the reply.
-     */
-    private String handleOrder(JsonNode order) {
-        long fencingNumber = order.path("Fence").asLong();
-        mReceivedOrders.add(new ReceivedOrder(order.path("Holder").asText(), fencingNumber));
-        if (fencingNumber < mHighestFencingNumber) {
-            return "412 Precondition Failed";
-        }
-        mHighestFencingNumber = fencingNumber;
-        if (order.has("Expected") && order.path("Expected").asLong() != mAcceptedOrders) {
-            return "409 Conflict";
-        }
-        mAcceptedOrders++;
-        String model = order.path("Model").asText();
-        boolean isLoad = order.path("Operation").asText().equals("load");
-        String adapter = order.path("Adapter").asText();
-        if (!isLoad && adapter.isEmpty()) {
-            mModels.remove(model);
-        } else if (!adapter.isEmpty()) {
-            mModels.getOrDefault(model, new HashSet<>()).add(adapter);
-        } else {
-            mVertx.setTimer(
-                    mLoadMillis, timer -> mModels.put(model, ConcurrentHashMap.newKeySet()));
-        }
-        return "202 Accepted";
-    }
-
     private void handleCall(NetSocket socket, RequestParser.Request request) {
         String model = request.headers().getOrDefault("x-model", "").split("/")[0];
-        boolean loaded = model.isEmpty() || mModels.containsKey(model);
+        boolean loaded = model.isEmpty() || mModels.byName().containsKey(model);
         boolean executed = loaded && mFault != Fault.OVERLOADED;
         ReceivedCall call =
                 new ReceivedCall(
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/ReceivedOrder.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/ReceivedOrder.java
@@ -5,5 +5,6 @@
  *
  * @param holder instance that sent it
  * @param fencingNumber fencing number that it stated
+ * @param receivedNanos when it arrived, by {@link System#nanoTime}
  */
-public record ReceivedOrder(String holder, long fencingNumber) {}
+public record ReceivedOrder(String holder, long fencingNumber, long receivedNanos) {}
