Let tests keep one entry from the key-value service

The stand-in of the service could fail for all entries only. It now serves each entry of a test fleet on a port of its own and can reject one of them. A test sets the adapters of each model, the processor time that an entry names, and the bound on its re-election, and may start its entries one after the other. A fleet is closed once, also if its start has failed.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -48,12 +48,15 @@
     private final Map<String, BackendServerStandin> mServers = new HashMap<>();
     private final Map<Integer, Process> mEntries = new HashMap<>();
     private final List<Ports> mPorts = new ArrayList<>();
+    private final Map<Integer, Double> mProcessorCores = new HashMap<>();
     private final int mFirstPort;
     private final ArrayNode mCustomers = Json.lenientMapper().createArrayNode();
     private int mConfigurationCount;
     private double mRetryRatio = 0.2;
     private int mRetrySlack = 58;
     private double mGraceSeconds = 8;
+    private int mAdaptersPerModel = 2;
+    private long mReelectionMillis = 3_000;
     private String mClusterKey = "a-secret-of-the-test-fleet";
     private List<String> mFlags = List.of("-Xmx96m");
 
@@ -97,6 +100,32 @@
         mGraceSeconds = seconds;
     }
 
+    /**
+     * Sets the shortest time from an order of an entry that is started from now on until its next
+     * one, if another entry has given orders in between.
+     */
+    public void setReelection(long millis) {
+        mReelectionMillis = millis;
+    }
+
+    /** Sets the number of adapters of each model in configurations that are written from now on. */
+    public void setAdaptersPerModel(int adapters) {
+        mAdaptersPerModel = adapters;
+    }
+
+    /**
+     * Sets the processor time that an entry names when it is started from now on, by which the
+     * entries rank as candidates for controller; 1 core unless it is set.
+     */
+    public void setProcessorCores(int index, double cores) {
+        mProcessorCores.put(index, cores);
+    }
+
+    /** Returns the instance id of an entry. */
+    public static String instanceId(int index) {
+        return "entry-" + index;
+    }
+
     /** The stand-in for the platform's key-value service. */
     public PlatformStoreStandin store() {
         return mStore;
@@ -186,7 +215,7 @@
                     .put("LoadS", 0.1)
                     .put("DiskS", 0.05)
                     .put("WarmS", 0.05)
-                    .put("Adapters", 2)
+                    .put("Adapters", mAdaptersPerModel)
                     .put("AdapterMb", 0.1);
         }
         if (!mCustomers.isEmpty()) {
@@ -269,21 +298,23 @@
         ObjectNode root =
                 Json.lenientMapper()
                         .createObjectNode()
-                        .put("NodeName", "entry-" + index)
+                        .put("NodeName", instanceId(index))
                         .put("Zone", "z")
                         .put("Region", "r");
+        root.putObject("Limits").put("CpuShare", mProcessorCores.getOrDefault(index, 1.0));
         root.putArray("Seeds").add(address(mPorts.get(0).control()));
         root.putObject("Listen")
                 .put("Front", address(ports.front()))
                 .put("Ready", address(ports.ready()))
                 .put("Control", address(ports.control()));
-        root.putObject("Platform").put("Address", address(mStore.port()));
+        root.putObject("Platform").put("Address", address(mStore.portFor(instanceId(index))));
         root.putObject("Bounds")
                 .put("GraceS", mGraceSeconds)
                 .put("DrainMs", 2_000)
                 .put("RetryWindowS", 10)
                 .put("RetryBudgetRatio", mRetryRatio)
                 .put("RetrySlack", mRetrySlack)
+                .put("LeaseMs", mReelectionMillis)
                 .put("QuotaWindowS", 8)
                 .put("QuotaOverage", 0.1)
                 .put("QuotaSlack", QUOTA_SLACK);
--- a/org.cornelway.standin/src/org/cornelway/standin/platform/PlatformStoreStandin.java
+++ b/org.cornelway.standin/src/org/cornelway/standin/platform/PlatformStoreStandin.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -11,8 +12,11 @@
 import java.io.IOException;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.cornelway.config.Json;
 import org.cornelway.time.Clock;
@@ -37,6 +41,8 @@
 
     private final Vertx mVertx;
     private final HttpServer mServer;
+    private final Map<String, HttpServer> mClientServers = new ConcurrentHashMap<>();
+    private final Set<String> mRejected = ConcurrentHashMap.newKeySet();
     private StoreState mState = new StoreState(Clock.system());
     private final io.vertx.core.Context mContext;
     private volatile Fault mFault = Fault.NONE;
@@ -65,14 +71,49 @@
     public PlatformStoreStandin(Vertx vertx) {
         mVertx = vertx;
         mContext = vertx.getOrCreateContext();
-        mServer = vertx.createHttpServer().requestHandler(this::handle);
+        mServer = listen(this::handle);
+    }
+
+    private HttpServer listen(Handler<HttpServerRequest> handler) {
+        HttpServer server = mVertx.createHttpServer().requestHandler(handler);
         CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         mContext.runOnContext(
                 ignored ->
-                        mServer.listen(0, "127.0.0.1")
+                        server.listen(0, "127.0.0.1")
                                 .onSuccess(listening::complete)
                                 .onFailure(listening::completeExceptionally));
-        listening.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+        return listening.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /**
+     * Returns the port on which the service serves one client, so that it can reject this client
+     * alone; see {@link #reject}. Listens on it from the first call on.
+     */
+    public int portFor(String client) {
+        return mClientServers
+                .computeIfAbsent(client, name -> listen(request -> handle(name, request)))
+                .actualPort();
+    }
+
+    /**
+     * Rejects every request of a client that arrives from now on with status 503, without executing
+     * it, until {@link #admit}. Thread-safe.
+     */
+    public void reject(String client) {
+        mRejected.add(client);
+    }
+
+    /** Ends the rejection of a client. Thread-safe. */
+    public void admit(String client) {
+        mRejected.remove(client);
+    }
+
+    private void handle(String client, HttpServerRequest request) {
+        if (mRejected.contains(client)) {
+            response(request).setStatusCode(UNAVAILABLE).end();
+        } else {
+            handle(request);
+        }
     }
 
     /** The port that the service listens on. */
@@ -116,6 +157,7 @@
 
     @Override
     public void close() {
+        mClientServers.values().forEach(server -> server.close().await());
         mServer.close().toCompletionStage().toCompletableFuture().join();
     }
 
--- a/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/DirectTestBase.java
@@ -34,6 +34,16 @@
     /** Called before the entries are started; a subclass may change the fleet. */
     void prepareFleet(DirectFleet fleet) {}
 
+    /** Starts the entries, all at once unless a subclass overrides this method. */
+    void startEntries(DirectFleet fleet) {
+        for (int i = 0; i < entryCount(); i++) {
+            fleet.startEntry(i);
+        }
+        for (int i = 0; i < entryCount(); i++) {
+            fleet.awaitReady(i);
+        }
+    }
+
     @BeforeMethod
     public final void startFleet() {
         mFleet = new DirectFleet(RepositoryFiles.root(), entryCount());
@@ -43,18 +53,14 @@
         mFleet.addServer(DirectFleet.ENGINE_SERVICE, "e2", "m1");
         mFleet.configure();
         prepareFleet(mFleet);
-        for (int i = 0; i < entryCount(); i++) {
-            mFleet.startEntry(i);
-        }
-        for (int i = 0; i < entryCount(); i++) {
-            mFleet.awaitReady(i);
-        }
+        startEntries(mFleet);
     }
 
     @AfterMethod(alwaysRun = true)
     public final void stopFleet() {
         if (mFleet != null) {
             mFleet.close();
+            mFleet = null;
         }
     }
 
