Keep controllers from taking turns within the platform's bound

A server that does not check fencing numbers got orders of one entry, of its successor, and of the first one again 1.9 s after its last order (LeaseMs 3,000).

Cause: Election.step let any process that held its lease claim the controller key as soon as it was free. Nothing told it that another instance had held a term since its own last one, and nothing read LeaseMs; the lease lasts 2 s. So a controller that the service had turned away, and that ranks first by its processor time, was elected again as soon as its successor ended, by a planned stop or by losing its lease as well.

Ruled out: orders under way from an earlier term (those of the second term have its fencing number), two processes that hold the lease at once, a frozen or cut process (nothing was frozen or cut there).

Change: a process records its term under cornelway-state/terms, bound to no lease, before its first order. A candidate reads the record before it claims the key; if another instance has held a term since its own last one, it leaves the key to the others until LeaseMs and half a second for orders on their way have passed since it could give orders. A process that was started since counts from its start, as it does not know the orders of the process before. A record from before a restore of the service proves nothing. The wait after a restore moves to the same place (ReelectionPolicy), on the monotonic clock. Without a successor in between there is no wait: the newest holder is elected as soon as before.

--- a/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
+++ b/org.cornelway/src/org/cornelway/cluster/ClusterKeys.java
@@ -42,5 +42,11 @@
      */
     public static final String DEMAND = "cornelway-state/demand";
 
+    /**
+     * Key of the {@link TermRecord}; bound to no lease, since it tells of terms that have ended.
+     * Not below {@link #SYSTEM_PREFIX}, since only candidates for controller read it.
+     */
+    public static final String TERMS = "cornelway-state/terms";
+
     private ClusterKeys() {}
 }
--- a/org.cornelway/src/org/cornelway/cluster/Election.java
+++ b/org.cornelway/src/org/cornelway/cluster/Election.java
@@ -3,7 +3,6 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.Arrays;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.cornelway.config.Json;
 import org.cornelway.eventlog.EventLog;
 import org.cornelway.models.ModelController;
@@ -11,6 +10,7 @@
 import org.cornelway.platform.KeyValueStore;
 import org.cornelway.platform.SwapResult;
 import org.cornelway.relay.DocumentCache;
+import org.cornelway.time.Clock;
 import org.cornelway.time.Deadline;
 
 /**
@@ -37,16 +37,16 @@
     private final ProcessLease mLease;
     private final DocumentCache mCache;
     private final Scheduler mControl;
+    private final Clock mClock;
     private final EventLog mLog;
     private final Listener mListener;
+    private final TermHistory mHistory;
+    private final ReelectionPolicy mReelection;
 
     /** The current term; kept until {@link #endTerm}, even if the lease is lost. */
     private volatile Optional<Term> mTerm = Optional.empty();
 
-    private long mNextClaimMillis;
-
-    /** Until when a controller from before a restore may hold its lease. */
-    private Deadline mEarlierTermUntil = new Deadline(0);
+    private Deadline mNextClaim = new Deadline(0);
 
     /** When this process first saw that the key may be claimed; -1 while it may not be. */
     private long mClaimableSinceMillis = -1;
@@ -79,13 +79,18 @@
 
     /**
      * @param self registration of this process
+     * @param reelectionMillis shortest time between two orders of an instance if another instance
+     *     has given orders in between
+     * @param clock a monotonic clock
      */
     public Election(
             ClusterMember self,
+            long reelectionMillis,
             KeyValueStore store,
             ProcessLease lease,
             DocumentCache cache,
             Scheduler control,
+            Clock clock,
             EventLog log,
             Listener listener) {
         mSelf = self;
@@ -93,8 +98,11 @@
         mLease = lease;
         mCache = cache;
         mControl = control;
+        mClock = clock;
         mLog = log;
         mListener = listener;
+        mHistory = new TermHistory(store, control);
+        mReelection = new ReelectionPolicy(self.id(), reelectionMillis, clock.nowMillis());
     }
 
     /** Returns the last known controller, which may be this process. */
@@ -124,8 +132,8 @@
     }
 
     /**
-     * Ends the term if the lease or the controller key is lost. Outside a term, claims the key if
-     * this process is a candidate that holds its lease, the key is absent or was written by this
+     * Ends the term if the lease or the controller key is lost. Outside a term, tries to begin one
+     * if this process is a candidate that holds its lease, the key is absent or was written by this
      * instance in an earlier term, and a claim is due.
      *
      * @param isCandidate whether this process may become the controller
@@ -138,12 +146,14 @@
         if (mTerm.isPresent() && isSuperseded()) {
             endTerm("the controller key has changed");
         }
-        long now = mControl.now(TimeUnit.MILLISECONDS);
+        long now = mClock.nowMillis();
+        if (mTerm.isPresent()) {
+            mClaimableSinceMillis = -1;
+            mHistory.settleIfDue(now);
+            return;
+        }
         Optional<KeyValue> controllerDocument = controllerDocument();
-        boolean claimable =
-                controllerDocument.isEmpty()
-                        || controllerDocument.filter(this::wasWrittenByThisInstance).isPresent();
-        if (!claimable || mTerm.isPresent()) {
+        if (!controllerDocument.map(this::wasWrittenByThisInstance).orElse(true)) {
             mClaimableSinceMillis = -1;
             return;
         }
@@ -152,10 +162,10 @@
         }
         boolean due =
                 now >= mClaimableSinceMillis + rank * RANK_DELAY_MILLIS
-                        && now >= mNextClaimMillis
-                        && mEarlierTermUntil.isPast(now);
+                        && mNextClaim.isPast(now)
+                        && mReelection.areEarlierLeasesOver(now);
         if (isCandidate && due && !mClaiming && !mResigned && mLease.isHeld()) {
-            claim(controllerDocument.map(KeyValue::revision).orElse(KeyValueStore.ABSENT));
+            beginClaim(controllerDocument.map(KeyValue::revision).orElse(KeyValueStore.ABSENT));
         }
     }
 
@@ -166,10 +176,7 @@
     public void onStoreRestored() {
         boolean wasController = fencingNumber().isPresent();
         endTerm("the key-value service was restored from a copy");
-        if (!wasController) {
-            mEarlierTermUntil =
-                    Deadline.after(mControl.now(TimeUnit.MILLISECONDS), ProcessLease.TTL_MILLIS);
-        }
+        mReelection.onStoreRestored(wasController, mClock.nowMillis());
     }
 
     /** Whether the controller key was written or deleted after this process's term began. */
@@ -184,40 +191,106 @@
                 .orElse(false);
     }
 
-    private void claim(long expectedRevision) {
+    /** Reads the last terms, and claims the controller key if a term may begin now. */
+    private void beginClaim(long expectedRevision) {
         mClaiming = true;
-        Optional<Long> lease = mLease.id();
-        byte[] value = Json.write(mSelf);
-        mStore.compareAndSwap(ClusterKeys.CONTROLLER, expectedRevision, value, lease.orElseThrow())
-                .observeOn(mControl)
-                .subscribe(result -> onClaimResult(value, lease, result), e -> mClaiming = false);
+        mHistory.read()
+                .subscribe(
+                        terms -> {
+                            Deadline from = mReelection.mayBeginFrom(terms);
+                            if (from.isPast(mClock.nowMillis())) {
+                                claim(expectedRevision, terms);
+                            } else {
+                                putOff(expectedRevision, from);
+                            }
+                        },
+                        e -> endClaim());
     }
 
-    private void onClaimResult(byte[] value, Optional<Long> lease, SwapResult result) {
+    /** Leaves the controller key to other processes for a while. */
+    private void putOff(long ownRevision, Deadline until) {
         mClaiming = false;
-        boolean mayBegin =
-                !mResigned && mEarlierTermUntil.isPast(mControl.now(TimeUnit.MILLISECONDS));
-        if (!mayBegin && result instanceof SwapResult.Swapped swapped) {
-            deleteClaim(swapped.revision());
+        mNextClaim = until;
+        mLog.write("controller.put_off", "ms", until.remainingMillis(mClock.nowMillis()));
+        if (ownRevision != KeyValueStore.ABSENT) {
+            deleteClaim(ownRevision);
+        }
+    }
+
+    private void endClaim() {
+        mClaiming = false;
+        mNextClaim = Deadline.after(mClock.nowMillis(), RETRY_MILLIS);
+    }
+
+    private void claim(long expectedRevision, TermRecord.Stored terms) {
+        Optional<Long> lease = mLease.id();
+        if (lease.isEmpty()) {
+            endClaim();
             return;
         }
-        mNextClaimMillis = mControl.now(TimeUnit.MILLISECONDS) + RETRY_MILLIS;
+        byte[] value = Json.write(mSelf);
+        mStore.compareAndSwap(ClusterKeys.CONTROLLER, expectedRevision, value, lease.get())
+                .observeOn(mControl)
+                .subscribe(result -> onClaimResult(value, lease, terms, result), e -> endClaim());
+    }
+
+    private void onClaimResult(
+            byte[] value, Optional<Long> lease, TermRecord.Stored terms, SwapResult result) {
         if (result instanceof SwapResult.Swapped swapped) {
-            beginTerm(new KeyValue(ClusterKeys.CONTROLLER, value, swapped.revision()), lease);
+            onClaimed(
+                    new KeyValue(ClusterKeys.CONTROLLER, value, swapped.revision()), lease, terms);
         } else if (result instanceof SwapResult.Conflict conflict) {
             // The key has this value if an earlier claim took effect but its reply was lost.
             boolean isOwnClaim =
                     conflict.current().map(kv -> Arrays.equals(kv.value(), value)).orElse(false);
             if (isOwnClaim && lease.equals(mLease.id())) {
-                beginTerm(conflict.current().get(), lease);
+                onClaimed(conflict.current().get(), lease, terms);
             } else {
                 conflict.current().ifPresent(mCache::offer);
+                endClaim();
             }
+        } else {
+            endClaim();
         }
     }
 
-    private void beginTerm(KeyValue written, Optional<Long> lease) {
+    /** Records the term that the claim of the key has won, before it begins. */
+    private void onClaimed(KeyValue written, Optional<Long> lease, TermRecord.Stored terms) {
+        if (!mayBegin()) {
+            abandonClaim(written);
+            return;
+        }
         mCache.offer(written);
+        mHistory.write(
+                        terms,
+                        mReelection.next(terms, written.revision()),
+                        mReelection.settledFrom(mClock.nowMillis()))
+                .subscribe(result -> onRecorded(written, lease, result), e -> endClaim());
+    }
+
+    private void onRecorded(KeyValue written, Optional<Long> lease, SwapResult result) {
+        if (!mayBegin() || result instanceof SwapResult.Conflict) {
+            abandonClaim(written);
+        } else if (result instanceof SwapResult.Swapped) {
+            endClaim();
+            beginTerm(written, lease);
+        } else {
+            // The next claim replaces this one.
+            endClaim();
+        }
+    }
+
+    private boolean mayBegin() {
+        return !mResigned && mReelection.areEarlierLeasesOver(mClock.nowMillis());
+    }
+
+    /** Gives the controller key back, so that any candidate can claim it. */
+    private void abandonClaim(KeyValue written) {
+        deleteClaim(written.revision());
+        endClaim();
+    }
+
+    private void beginTerm(KeyValue written, Optional<Long> lease) {
         mTerm = Optional.of(new Term(written.revision(), lease));
         mClaimableSinceMillis = -1;
         mLog.write("controller.began", "fence", written.revision(), "lease", lease.orElse(0L));
@@ -228,6 +301,7 @@
         if (mTerm.isPresent()) {
             mLog.write("controller.ended", "fence", mTerm.get().fencingNumber(), "reason", reason);
             mTerm = Optional.empty();
+            mReelection.onTermEnded(mClock.nowMillis());
             mListener.onTermEnded();
         }
     }
--- a/org.cornelway/src/org/cornelway/role/ControlPlane.java
+++ b/org.cornelway/src/org/cornelway/role/ControlPlane.java
@@ -103,12 +103,15 @@
      * @param self registration of this process
      * @param drainMillis time from the announcement that a backend server drains until no call may
      *     reach it any more
+     * @param reelectionMillis shortest time between two orders of an instance to an engine if
+     *     another instance has given orders in between
      * @param quotaBounds by how much customers may exceed their quotas
      * @param store the key-value service
      */
     record Dependencies(
             ClusterMember self,
             long drainMillis,
+            long reelectionMillis,
             QuotaBounds quotaBounds,
             PlatformPorts ports,
             PlatformPorts.Store store,
@@ -137,7 +140,7 @@
                         this::onStoreRecovered);
         mLease = newLease();
         mRegistration = new Registration(deps.self(), keys, mLease, deps.cache(), control);
-        mElection = new Election(deps.self(), keys, mLease, deps.cache(), control, log, this);
+        mElection = newElection(keys);
         EngineControl engines =
                 deps.ports()
                         .engines()
@@ -159,6 +162,19 @@
         deps.store().feed().restores().observeOn(control).subscribe(this::onStoreRestored);
     }
 
+    private Election newElection(KeyValueStore keys) {
+        return new Election(
+                mDeps.self(),
+                mDeps.reelectionMillis(),
+                keys,
+                mLease,
+                mDeps.cache(),
+                mDeps.control(),
+                mDeps.clock(),
+                mDeps.log(),
+                this);
+    }
+
     private ModelController newModelController(EngineControl engines) {
         return new ModelController(
                 engines,
--- a/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntryRole.java
@@ -118,6 +118,7 @@
                 new ControlPlane.Dependencies(
                         newRegistration(settings),
                         settings.bounds().drainMillis(),
+                        settings.bounds().reelectionMillis(),
                         settings.bounds().quotas(),
                         ports,
                         ports.store()
--- a/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
+++ b/org.cornelway/src/org/cornelway/role/DirectEntrySettings.java
@@ -50,6 +50,7 @@
                 new Bounds(
                         bounds.graceMillis(),
                         bounds.drainMillis(),
+                        bounds.reelectionMillis(),
                         bounds.retryWindowMillis(),
                         0,
                         0,
@@ -62,6 +63,8 @@
      * @param graceMillis time that the process has to stop before the platform kills it
      * @param drainMillis time from the announcement that a backend server drains until no call may
      *     reach it any more
+     * @param reelectionMillis shortest time between two orders of an instance to an engine if
+     *     another instance has given orders in between
      * @param retryWindowMillis window over which resends are counted
      * @param retryRatio resends allowed per call
      * @param retrySlack additional resends allowed per service and window, over all processes
@@ -70,6 +73,7 @@
     public record Bounds(
             long graceMillis,
             long drainMillis,
+            long reelectionMillis,
             long retryWindowMillis,
             double retryRatio,
             double retrySlack,
