Check for turns in the soak of restored stores too

The seeds of both soaks come from one place, and turns are found by one method. The two cases of ControllerTurnsProcessTest share what follows the first controller's end.

--- a/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
+++ b/org.cornelway.bench/src/org/cornelway/bench/direct/DirectFleet.java
@@ -37,6 +37,12 @@
     /** Tokens by which a customer may exceed its quota in a window, beside a tenth. */
     public static final double QUOTA_SLACK = 2_000;
 
+    /**
+     * Shortest time from an order of an entry until its next one, if another entry has given orders
+     * in between; unless {@link #setReelection} says otherwise.
+     */
+    public static final long REELECTION_MILLIS = 3_000;
+
     private static final long FIRST_HEARTBEAT_SEQUENCE = 1;
     private static final int PORTS_PER_ENTRY = 3;
 
@@ -56,7 +62,7 @@
     private int mRetrySlack = 58;
     private double mGraceSeconds = 8;
     private int mAdaptersPerModel = 2;
-    private long mReelectionMillis = 3_000;
+    private long mReelectionMillis = REELECTION_MILLIS;
     private String mClusterKey = "a-secret-of-the-test-fleet";
     private List<String> mFlags = List.of("-Xmx96m");
 
--- a/org.cornelway.test/tst/org/cornelway/cluster/OrderTurns.java
+++ b/org.cornelway.test/tst/org/cornelway/cluster/OrderTurns.java
@@ -1,8 +1,11 @@
 package org.cornelway.cluster;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cornelway.standin.platform.ReceivedOrder;
 
 /**
  * Finds holders that take turns in giving orders to one engine: a holder gives an order, another
@@ -24,6 +27,19 @@
         mIntervalMillis = intervalMillis;
     }
 
+    /** Returns a description of each turn that is taken too soon in the orders to an engine. */
+    public static List<String> find(List<ReceivedOrder> orders, long intervalMillis) {
+        OrderTurns turns = new OrderTurns(intervalMillis);
+        return orders.stream()
+                .map(
+                        order ->
+                                turns.record(
+                                        order.holder(),
+                                        TimeUnit.NANOSECONDS.toMillis(order.receivedNanos())))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
     /**
      * Records the next order.
      *
--- a/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsProcessTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsProcessTest.java
@@ -34,13 +34,7 @@
         TimeUnit.MILLISECONDS.sleep(REJECTED_MILLIS);
         fleet().store().admit(DirectFleet.instanceId(0));
         int successor = awaitSuccessorOf(0);
-        TimeUnit.MILLISECONDS.sleep(UNTIL_STOP_MILLIS);
-        assertOrdered(successor);
-        fleet().signal(successor, "TERM");
-        int next = awaitSuccessorOf(successor);
-        TimeUnit.MILLISECONDS.sleep(TERM_MILLIS);
-        assertNoTurns();
-        assertOrdered(next);
+        assertNoTurnsWhenStopped(successor);
     }
 
     /**
@@ -56,10 +50,15 @@
         fleet().entryProcess(0).onExit().join();
         fleet().startEntry(0);
         fleet().awaitReady(0);
+        assertNoTurnsWhenStopped(successor);
+    }
+
+    /** Stops a controller that has given orders, and asserts that its follower takes no turn. */
+    private void assertNoTurnsWhenStopped(int controller) throws InterruptedException {
         TimeUnit.MILLISECONDS.sleep(UNTIL_STOP_MILLIS);
-        assertOrdered(successor);
-        fleet().signal(successor, "TERM");
-        int next = awaitSuccessorOf(successor);
+        assertOrdered(controller);
+        fleet().signal(controller, "TERM");
+        int next = awaitSuccessorOf(controller);
         TimeUnit.MILLISECONDS.sleep(TERM_MILLIS);
         assertNoTurns();
         assertOrdered(next);
--- a/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsSoakTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsSoakTest.java
@@ -17,7 +17,6 @@
  * <p>More seeds are played by hand: {@code -Dcornelway.soak.seeds=FIRST-LAST}.
  */
 public class ControllerTurnsSoakTest extends ControllerTurnsTestBase {
-    private static final String SEEDS = System.getProperty("cornelway.soak.seeds", "1-2");
     private static final int FAULTS = 16;
     private static final int MAX_PAUSE_MILLIS = 1_500;
 
@@ -55,12 +54,7 @@
 
     @DataProvider
     public Object[][] seeds() {
-        String[] bounds = SEEDS.split("-");
-        List<Object[]> seeds = new ArrayList<>();
-        for (long seed = Long.parseLong(bounds[0]); seed <= Long.parseLong(bounds[1]); seed++) {
-            seeds.add(new Object[] {seed});
-        }
-        return seeds.toArray(Object[][]::new);
+        return SoakSeeds.provide("1-2");
     }
 
     private void endLater(Random random, Runnable action) {
--- a/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsTestBase.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsTestBase.java
@@ -147,14 +147,10 @@
      */
     final void assertNoTurns(String what, Predicate<ReceivedOrder> counts) {
         for (String engine : ENGINES) {
-            OrderTurns turns = new OrderTurns(reelectionMillis());
-            List<String> found = new ArrayList<>();
             List<ReceivedOrder> orders = fleet().backendServer(engine).receivedOrders();
-            for (ReceivedOrder order : orders.stream().filter(counts).toList()) {
-                turns.record(order.holder(), TimeUnit.NANOSECONDS.toMillis(order.receivedNanos()))
-                        .ifPresent(found::add);
-            }
-            assertThat(found).as(what + " " + engine).isEmpty();
+            assertThat(OrderTurns.find(orders.stream().filter(counts).toList(), reelectionMillis()))
+                    .as(what + " " + engine)
+                    .isEmpty();
         }
     }
 
--- a/org.cornelway.test/tst/org/cornelway/direct/RestoredStoreSoakTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/RestoredStoreSoakTest.java
@@ -13,6 +13,7 @@
 import org.cornelway.bench.LoopbackHttpClient.Response;
 import org.cornelway.bench.ProcessFleet;
 import org.cornelway.bench.direct.DirectFleet;
+import org.cornelway.cluster.OrderTurns;
 import org.cornelway.standin.platform.PlatformStoreStandin.Fault;
 import org.cornelway.standin.platform.ReceivedOrder;
 import org.cornelway.standin.platform.StoreState;
@@ -21,12 +22,11 @@
 
 /**
  * Restores the key-value service from copies of random age beside kills, freezes and changes of the
- * configuration, and checks after each of them that entries follow it.
+ * configuration, and checks after each of them that entries follow it and take no turns.
  *
  * <p>More seeds are played by hand: {@code -Dcornelway.soak.seeds=FIRST-LAST}.
  */
 public class RestoredStoreSoakTest extends DirectTestBase {
-    private static final String SEEDS = System.getProperty("cornelway.soak.seeds", "1-2");
     private static final int ROUNDS = 6;
     private static final int MAX_COPIES = 9;
     private static final long COPY_INTERVAL_MILLIS = 1_000;
@@ -61,12 +61,7 @@
 
     @DataProvider
     public Object[][] seeds() {
-        String[] bounds = SEEDS.split("-");
-        List<Object[]> seeds = new ArrayList<>();
-        for (long seed = Long.parseLong(bounds[0]); seed <= Long.parseLong(bounds[1]); seed++) {
-            seeds.add(new Object[] {seed});
-        }
-        return seeds.toArray(Object[][]::new);
+        return SoakSeeds.provide("1-2");
     }
 
     private Response call(int entry, String path, String model) {
@@ -189,6 +184,13 @@
         }
     }
 
+    private void assertNoTurns(String what) {
+        for (String engine : List.of("e1", "e2")) {
+            List<ReceivedOrder> orders = fleet().backendServer(engine).receivedOrders();
+            assertThat(OrderTurns.find(orders, DirectFleet.REELECTION_MILLIS)).as(what).isEmpty();
+        }
+    }
+
     @Test(dataProvider = "seeds")
     public void entriesFollowRestoredStore(long seed) throws InterruptedException {
         Random random = new Random(seed);
@@ -209,6 +211,7 @@
             }
             assertFollowed(what);
             assertOrdersFenced(what);
+            assertNoTurns(what);
         }
     }
 }
