Let the soak of turns find the fault that it guards against

Now rejections and freezes last 1.5 to 3 s, around the end of a lease, and all entries are ranked, so that one that is back comes first.

--- a/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsSoakTest.java
+++ b/org.cornelway.test/tst/org/cornelway/direct/ControllerTurnsSoakTest.java
@@ -20,8 +20,10 @@
     private static final int FAULTS = 16;
     private static final int MAX_PAUSE_MILLIS = 1_500;
 
-    /** Longest rejection or freeze; the lease of an entry ends after 2 s. */
-    private static final int MAX_FAULT_MILLIS = 3_500;
+    /** Shortest rejection or freeze, and the most that is added; a lease ends after 2 s. */
+    private static final int MIN_FAULT_MILLIS = 1_500;
+
+    private static final int FAULT_SPREAD_MILLIS = 1_500;
 
     /** The platform does not count orders that arrive so soon after their sender was thawed. */
     private static final long THAW_MILLIS = 300;
@@ -52,13 +54,22 @@
         return 3_000;
     }
 
+    /** Ranks all entries, so that one that can be elected again comes before the later ones. */
+    @Override
+    void prepareFleet(DirectFleet fleet) {
+        super.prepareFleet(fleet);
+        for (int i = 0; i < entryCount(); i++) {
+            fleet.setProcessorCores(i, entryCount() - i);
+        }
+    }
+
     @DataProvider
     public Object[][] seeds() {
-        return SoakSeeds.provide("1-2");
+        return SoakSeeds.provide("4-5");
     }
 
     private void endLater(Random random, Runnable action) {
-        long millis = 200 + random.nextInt(MAX_FAULT_MILLIS);
+        long millis = MIN_FAULT_MILLIS + random.nextInt(FAULT_SPREAD_MILLIS);
         mEndings.add(new Ending(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis), action));
     }
 
@@ -81,10 +92,10 @@
         int controller = controller(fleet());
         boolean any = controller < 0 || random.nextInt(4) == 0;
         int entry = any ? random.nextInt(entryCount()) : controller;
-        switch (random.nextInt(4)) {
-            case 0 -> reject(entry, random);
-            case 1 -> freeze(entry, random);
-            case 2 -> fleet().signal(entry, "KILL");
+        switch (random.nextInt(6)) {
+            case 0, 1 -> reject(entry, random);
+            case 2 -> freeze(entry, random);
+            case 3 -> fleet().signal(entry, "KILL");
             default -> fleet().signal(entry, "TERM");
         }
     }
